--- /dev/null
+++ b/src/bramleypath/consensus/Fwd.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace bramleypath::consensus {
+
+struct Membership;
+struct LogEntry;
+struct HardState;
+struct Snapshot;
+struct RestoredState;
+struct Message;
+struct Node;
+struct Settings;
+
+}  // namespace bramleypath::consensus
--- /dev/null
+++ b/src/bramleypath/consensus/internal/Replication.cpp
@@ -0,0 +1,234 @@
+#include "bramleypath/consensus/internal/Replication.h"
+
+#include <algorithm>
+#include <functional>
+#include <utility>
+
+#include "bramleypath/consensus/internal/Election.h"
+#include "bramleypath/consensus/internal/Log.h"
+#include "bramleypath/consensus/internal/SnapshotTransfer.h"
+#include "bramleypath/consensus/internal/Transfer.h"
+
+namespace bramleypath::consensus::detail {
+
+namespace {
+
+std::vector<LogEntry> EntriesFrom(const Node& aNode, LogIndex aFirst) {
+  std::vector<LogEntry> entries;
+  std::size_t bytes = 0;
+  for (LogIndex index = aFirst; index <= LastIndex(aNode); ++index) {
+    const LogEntry& entry = EntryAt(aNode, index);
+    bytes += entry.payload.size();
+    if (!entries.empty() && bytes > aNode.settings.maxMessageBytes) {
+      break;
+    }
+    entries.push_back(entry);
+  }
+  return entries;
+}
+
+// Keeps the entries that agree with the leader's, replaces the rest.
+void MergeEntries(Node& aNode, const AppendRequest& aRequest,
+                  Actions& aActions) {
+  std::vector<LogEntry> fresh;
+  for (const LogEntry& entry : aRequest.entries) {
+    if (entry.index <= aNode.baseIndex) {
+      continue;
+    }
+    if (fresh.empty()) {
+      const auto own = TermAt(aNode, entry.index);
+      if (own && *own == entry.term) {
+        continue;
+      }
+      if (own) {
+        TruncateFrom(aNode, entry.index);
+      }
+    }
+    fresh.push_back(entry);
+    aNode.log.push_back(entry);
+    if (entry.kind == EntryKind::MembershipChange) {
+      aNode.membership = entry.membership;
+      aNode.membershipIndex = entry.index;
+    }
+  }
+  if (!fresh.empty()) {
+    Persist(aNode, std::move(fresh), aActions);
+  }
+}
+
+void ReplyToAppend(Node& aNode, const ReplicaId& aTo, const AppendReply& aReply,
+                   Actions& aActions) {
+  Message message{aNode.self, aTo, aNode.hardState.term, aReply};
+  if (aNode.syncedTicket >= aNode.lastTicket) {
+    aActions.push_back(SendMessage{std::move(message)});
+  } else {
+    aNode.held.push_back(HeldMessage{aNode.lastTicket, std::move(message)});
+  }
+}
+
+}  // namespace
+
+void HearLeader(Node& aNode, const ReplicaId& aLeader, TimePoint aNow) {
+  aNode.leader = aLeader;
+  aNode.noVoteBefore = aNow + aNode.settings.electionMin;
+  ResetElectionTimer(aNode, aNow);
+}
+
+void SyncProgressWithMembership(Node& aNode) {
+  for (auto entry = aNode.progress.begin(); entry != aNode.progress.end();) {
+    entry = IsMember(aNode.membership, entry->first)
+                ? std::next(entry)
+                : aNode.progress.erase(entry);
+  }
+  const auto add = [&aNode](const ReplicaId& aReplica) {
+    if (aReplica != aNode.self && aNode.progress.count(aReplica) == 0) {
+      Progress progress;
+      progress.next = LastIndex(aNode) + 1;
+      aNode.progress.emplace(aReplica, progress);
+    }
+  };
+  for (const ReplicaId& voter : aNode.membership.voters) {
+    add(voter);
+  }
+  for (const ReplicaId& learner : aNode.membership.learners) {
+    add(learner);
+  }
+}
+
+void BecomeLeader(Node& aNode, TimePoint aNow, Actions& aActions) {
+  aNode.role = Role::Leader;
+  aNode.leader = aNode.self;
+  aNode.votes.clear();
+  aNode.progress.clear();
+  aNode.transferUntil.reset();
+  SyncProgressWithMembership(aNode);
+  LogEntry entry;
+  entry.index = LastIndex(aNode) + 1;
+  entry.term = aNode.hardState.term;
+  // Entries of earlier terms commit only behind one of the leader's own term.
+  entry.kind = EntryKind::NoOp;
+  AppendLocal(aNode, std::move(entry), aActions);
+  aActions.push_back(consensus::BecameLeader{aNode.hardState.term});
+  ReplicateToAll(aNode, aNow, aActions);
+}
+
+void Replicate(Node& aNode, const ReplicaId& aTo, TimePoint aNow,
+               Actions& aActions) {
+  Progress& progress = aNode.progress[aTo];
+  progress.resendAt = aNow + aNode.settings.resend;
+  const LogIndex previous = progress.next - 1;
+  const auto previousTerm = TermAt(aNode, previous);
+  if (progress.snapshotIndex || !previousTerm) {
+    SendSnapshotChunk(aNode, aTo, aActions);
+    return;
+  }
+  AppendRequest request;
+  request.previousIndex = previous;
+  request.previousTerm = *previousTerm;
+  request.commitIndex = aNode.commitIndex;
+  request.entries = EntriesFrom(aNode, progress.next);
+  request.sentAt = aNow;
+  progress.next += request.entries.size();
+  aActions.push_back(SendMessage{
+      Message{aNode.self, aTo, aNode.hardState.term, std::move(request)}});
+}
+
+void ReplicateToAll(Node& aNode, TimePoint aNow, Actions& aActions) {
+  aNode.heartbeatAt = aNow + aNode.settings.heartbeat;
+  for (auto& [replica, progress] : aNode.progress) {
+    if (aNow >= progress.resendAt && progress.next > progress.match + 1) {
+      progress.next = progress.match + 1;
+    }
+    Replicate(aNode, replica, aNow, aActions);
+  }
+}
+
+void OnAppendRequest(Node& aNode, const Message& aMessage,
+                     const AppendRequest& aRequest, TimePoint aNow,
+                     Actions& aActions) {
+  HearLeader(aNode, aMessage.from, aNow);
+  AppendReply reply;
+  reply.sentAt = aRequest.sentAt;
+  const auto previousTerm = TermAt(aNode, aRequest.previousIndex);
+  const bool compacted = aRequest.previousIndex < aNode.baseIndex;
+  if (!compacted && (!previousTerm || *previousTerm != aRequest.previousTerm)) {
+    reply.accepted = false;
+    reply.index =
+        std::min(LastIndex(aNode),
+                 aRequest.previousIndex == 0 ? 0 : aRequest.previousIndex - 1);
+    reply.index = std::max(reply.index, aNode.commitIndex);
+    ReplyToAppend(aNode, aMessage.from, reply, aActions);
+    return;
+  }
+  MergeEntries(aNode, aRequest, aActions);
+  const LogIndex matched = std::max(
+      aNode.baseIndex, aRequest.previousIndex + aRequest.entries.size());
+  const LogIndex commit = std::min(aRequest.commitIndex, matched);
+  if (commit > aNode.commitIndex) {
+    aNode.commitIndex = commit;
+    ApplyCommitted(aNode, aActions);
+  }
+  reply.accepted = true;
+  reply.index = matched;
+  ReplyToAppend(aNode, aMessage.from, reply, aActions);
+}
+
+void OnAppendReply(Node& aNode, const Message& aMessage,
+                   const AppendReply& aReply, TimePoint aNow,
+                   Actions& aActions) {
+  const auto found = aNode.progress.find(aMessage.from);
+  if (aNode.role != Role::Leader || found == aNode.progress.end()) {
+    return;
+  }
+  Progress& progress = found->second;
+  if (!progress.ackedSentAt || *progress.ackedSentAt < aReply.sentAt) {
+    progress.ackedSentAt = aReply.sentAt;
+  }
+  if (!aReply.accepted) {
+    const LogIndex next = std::max(progress.match, aReply.index) + 1;
+    if (next < progress.next) {
+      progress.next = next;
+      Replicate(aNode, aMessage.from, aNow, aActions);
+    }
+    return;
+  }
+  progress.match = std::max(progress.match, aReply.index);
+  progress.next = std::max(progress.next, progress.match + 1);
+  AdvanceCommit(aNode, aNow, aActions);
+  ContinueTransfer(aNode, aActions);
+  if (aNode.role == Role::Leader && progress.next <= LastIndex(aNode)) {
+    Replicate(aNode, aMessage.from, aNow, aActions);
+  }
+}
+
+void AdvanceCommit(Node& aNode, TimePoint aNow, Actions& aActions) {
+  std::vector<LogIndex> held;
+  for (const ReplicaId& voter : aNode.membership.voters) {
+    if (voter == aNode.self) {
+      held.push_back(aNode.durableIndex);
+    } else {
+      const auto found = aNode.progress.find(voter);
+      held.push_back(found == aNode.progress.end() ? 0 : found->second.match);
+    }
+  }
+  if (held.empty()) {
+    return;
+  }
+  std::sort(held.begin(), held.end(), std::greater<>());
+  const LogIndex index = held[held.size() / 2];
+  if (index <= aNode.commitIndex ||
+      TermAt(aNode, index) != aNode.hardState.term) {
+    return;
+  }
+  aNode.commitIndex = index;
+  ApplyCommitted(aNode, aActions);
+  // Followers learn of the commit at once, not with the next heartbeat.
+  ReplicateToAll(aNode, aNow, aActions);
+  const bool removed = aNode.commitIndex >= aNode.membershipIndex &&
+                       !IsVoter(aNode.membership, aNode.self);
+  if (removed) {
+    BecomeFollower(aNode, aNode.hardState.term, ReplicaId{}, aNow, aActions);
+  }
+}
+
+}  // namespace bramleypath::consensus::detail
