--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,18 @@
 .PHONY: mutations
 mutations: packages
 	@scripts/run-mutations.sh
+
+.PHONY: bench demo fuzz
+# Runs every bench program one after another, so that none disturbs another.
+bench: build
+	@set -e; for program in $$(find $(BUILD_DIR)/bench -type f -name 'bench_*' -perm -u+x | sort); do \
+	  echo "== $$(basename $$program)"; $$program; done
+
+demo: build
+	@python3 tests/demo/demo.py --build-dir $(BUILD_DIR)
+
+# Longer property runs: make fuzz SEED=7 RUNS=10000
+fuzz: build
+	@set -e; for program in $$(find $(BUILD_DIR)/tests -type f -name 'test_*' -perm -u+x | sort); do \
+	  echo "== $$(basename $$program)"; \
+	  RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $$program; done
