--- /dev/null
+++ b/src/bramleypath/cell/Scheduler.h
@@ -0,0 +1,280 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "bramleypath/base/TimePoint.h"
+#include "bramleypath/cell/CellState.h"
+#include "bramleypath/cell/Command.h"
+#include "bramleypath/cell/Placement.h"
+#include "bramleypath/cell/Protocol.h"
+
+namespace bramleypath::cell {
+
+struct SchedulerSettings {
+  // Length of a lease on the worker's clock.
+  Duration lease = Seconds(10);
+  // Bound of the difference between two clocks' rates, in thousandths.
+  std::int64_t clockErrorPermille = 10;
+  // Added to the lease before it counts as expired.
+  Duration leaseMargin = Seconds(1);
+  // Renewals follow a worker's reports, but no more often than this.
+  Duration renewEvery = Seconds(2);
+  // Nothing is sent to, or placed on, a worker not heard of for this long.
+  Duration workerSilentAfter = Seconds(5);
+  // A command that shows no effect is sent again.
+  Duration resend = Millis(500);
+  // Back-off after failures doubles between these.
+  Duration backOffMin = Seconds(1);
+  Duration backOffMax = Seconds(60);
+  // A preemption that freed no room by then is given up.
+  Duration preemptionLimit = Seconds(30);
+  // A job that waited longer than this gets a worker kept free for it.
+  Duration holdAfter = Seconds(60);
+  // Placements tried in one step, which bounds the time of a step.
+  std::size_t maxPlacementsPerStep = 64;
+};
+
+// Events.
+
+// The no-op of the term need not be committed yet: the scheduler waits for the
+// first event with leaseHeld set.
+struct LeadershipGained {
+  Epoch epoch = 0;
+};
+struct LeadershipLost {};
+
+// Each command applied to the state, after Apply, whoever proposed it. The
+// token is 0 for commands of others.
+struct CommandCommitted {
+  std::uint64_t token = 0;
+  Command command;
+  Outcome outcome;
+};
+
+// A proposal was refused, or its fate is unknown.
+struct ProposalFailed {
+  std::uint64_t token = 0;
+};
+
+struct WorkerAnnounced {
+  WorkerMessage message;
+  Resources capacity;
+  RackId rack;
+};
+
+// A report or the reply to a command batch. Usage samples go to the placement
+// module directly.
+struct WorkerReported {
+  WorkerMessage message;
+};
+
+struct QuotasChanged {
+  std::vector<MemberQuota> quotas;
+};
+
+// Asked for by placement when a service's tail latency rises.
+struct ReliefRequested {
+  TaskId task;
+  AttemptMark mark = AttemptMark::Throttle;
+};
+
+// Preset weights or estimates changed: waiting tasks are tried again.
+struct PlacementChanged {};
+
+struct Tick {};
+
+using EventBody =
+    std::variant<LeadershipGained, LeadershipLost, CommandCommitted,
+                 ProposalFailed, WorkerAnnounced, WorkerReported, QuotasChanged,
+                 ReliefRequested, PlacementChanged, Tick>;
+
+struct Event {
+  // Whether the caller holds the leader lease right now. Without it nothing is
+  // proposed or sent.
+  bool leaseHeld = false;
+  EventBody body;
+};
+
+// Actions.
+
+struct ProposeCommand {
+  std::uint64_t token = 0;
+  Command command;
+};
+
+// The caller checks the leader lease again immediately before sending.
+struct SendCommands {
+  CommandBatch batch;
+};
+
+enum class NoticeKind : std::uint8_t {
+  JobEnded,
+  AttemptStarted,
+  AttemptEnded,
+  WorkerSilent,
+  WorkerBackOff,
+  JobBackOff,
+  Preemption,
+};
+
+// For logs, metrics and the placement module.
+struct Notice {
+  NoticeKind kind = NoticeKind::JobEnded;
+  JobId job;
+  std::uint32_t taskIndex = 0;
+  AttemptNumber attempt = 0;
+  WorkerId worker;
+  std::string detail;
+};
+
+using Action = std::variant<ProposeCommand, SendCommands, Notice>;
+using Actions = std::vector<Action>;
+
+// What the leader is trying to bring about for one attempt.
+enum class Goal : std::uint8_t {
+  Run,
+  Throttle,
+  EvictThrottle,
+  EvictCheckpoint,
+  Stop
+};
+
+// The leader's view of one live attempt.
+struct AttemptTrack {
+  AttemptNumber number = 0;
+  Goal goal = Goal::Run;
+  bool confirmedRunning = false;
+  bool throttled = false;
+  bool endProposed = false;
+  // A command is due at resendAt until its effect is seen.
+  bool outstanding = true;
+  TimePoint resendAt;
+};
+
+// Failures since the last success, kept for a worker and for a job apart.
+struct FailureRecord {
+  std::uint32_t count = 0;
+  // Who else was part of them: jobs for a worker, workers for a job. Bounded.
+  std::set<std::string> others;
+  TimePoint backOffUntil;
+};
+
+struct WorkerTrack {
+  bool heard = false;
+  std::uint64_t incarnation = 0;
+  Resources announcedCapacity;
+  RackId announcedRack;
+  WorkerStamp stamp = 0;
+  TimePoint heardAt;
+  // The last Start or Renew; leases count from here.
+  TimePoint leaseSentAt;
+  TimePoint renewAt;
+  std::uint64_t reportedDigest = 0;
+  std::uint32_t reportedCount = 0;
+  // Over the attempts confirmed as running.
+  std::uint64_t digest = 0;
+  std::uint32_t confirmedCount = 0;
+  // Resources of start proposals in flight.
+  Resources proposed;
+  bool registerProposed = false;
+  bool renewDue = false;
+  FailureRecord failures;
+  std::map<TaskId, AttemptTrack> attempts;
+  // Attempts with a command whose effect was not seen yet.
+  std::set<TaskId> outstanding;
+  std::vector<AttemptId> acknowledgements;
+};
+
+struct JobTrack {
+  bool urgent = false;
+  std::uint64_t sequence = 0;
+  // Indexes of tasks that wait, last first.
+  std::vector<std::uint32_t> pending;
+  TimePoint waitingSince;
+  WaitReason reason = WaitReason::NotScheduledYet;
+  FailureRecord failures;
+  // Racks of live attempts with their number, for rackSpread.
+  std::map<std::uint32_t, std::uint32_t> racks;
+};
+
+struct Proposal {
+  Command command;
+  // Place of the worker for StartAttempt.
+  std::size_t slot = 0;
+};
+
+struct Preemption {
+  std::size_t slot = 0;
+  TimePoint until;
+};
+
+// The leader's scheduler of one cell. Not replicated: rebuilt from the state
+// when leadership is gained.
+struct Scheduler {
+  SchedulerSettings settings;
+  ChooseWorkerFunction choose = ChooseBestFit;
+  SizeTaskFunction sizeTask;
+
+  bool leading = false;
+  // Indexes are built and the lease was held since leadership was gained.
+  bool ready = false;
+  Epoch epoch = 0;
+  std::uint64_t lastToken = 0;
+
+  std::unordered_map<WorkerId, std::size_t> slots;
+  // Parallel: what the chooser sees, and the rest.
+  std::vector<WorkerRoom> rooms;
+  std::vector<WorkerTrack> workers;
+  std::map<RackId, std::uint32_t> racks;
+
+  std::unordered_map<JobId, JobTrack> jobs;
+  // Jobs with waiting tasks by order of submission.
+  std::map<std::uint64_t, JobId> urgentQueue;
+  std::map<std::uint64_t, JobId> normalQueue;
+  // Where the next pass over the normal queue continues.
+  std::uint64_t normalCursor = 0;
+  // Set when room, quotas or back-offs changed since the last pass.
+  bool placementDue = false;
+
+  std::unordered_map<std::uint64_t, Proposal> proposals;
+  // Tasks with a start proposal in flight, and attempts being marked.
+  std::set<TaskId> startProposed;
+  std::set<TaskId> markProposed;
+  std::map<TaskId, Preemption> preemptions;
+  // A worker kept free for a job that waited long; none: rooms.size() or more.
+  std::optional<std::size_t> heldSlot;
+  JobId heldFor;
+  std::optional<std::vector<MemberQuota>> wantedQuotas;
+  bool quotasProposed = false;
+
+  // Workers to which something may have to be sent at the end of the step.
+  std::set<std::size_t> dirty;
+};
+
+// Handles one event. Every event of the loop's tick period (100 ms or so)
+// should include one Tick.
+Actions Step(Scheduler& aScheduler, const CellState& aState,
+             const Event& aEvent, TimePoint aNow);
+
+struct Explanation {
+  WaitReason reason = WaitReason::None;
+  std::size_t waiting = 0;
+  std::size_t running = 0;
+  std::size_t ended = 0;
+  std::string text;
+};
+
+// Why tasks of the job wait. Works without leadership, with less detail.
+std::optional<Explanation> Explain(const CellState& aState,
+                                   const Scheduler& aScheduler,
+                                   const JobId& aJob);
+
+}  // namespace bramleypath::cell
--- /dev/null
+++ b/src/bramleypath/cell/Types.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+
+#include "bramleypath/base/Ids.h"
+
+namespace bramleypath::cell {
+
+// Processors in thousandths of one, memory in MB, accelerators by count.
+struct Resources {
+  std::int64_t processorsMilli = 0;
+  std::int64_t memoryMb = 0;
+  std::int64_t accelerators = 0;
+};
+
+bool operator==(const Resources& aLeft, const Resources& aRight);
+bool operator!=(const Resources& aLeft, const Resources& aRight);
+Resources operator+(const Resources& aLeft, const Resources& aRight);
+Resources operator-(const Resources& aLeft, const Resources& aRight);
+
+// True when each part of aDemand is at most that of aRoom.
+bool Fits(const Resources& aDemand, const Resources& aRoom);
+
+enum class JobKind : std::uint8_t { Batch, Service };
+
+// What a member asked for. Sizes and run time are declared and may be far off.
+struct JobSpec {
+  JobId id;
+  MemberId member;
+  ClassId classId;
+  JobKind kind = JobKind::Batch;
+  bool urgent = false;
+  bool checkpointable = false;
+  // Prefers racks that run no task of the job yet.
+  bool rackSpread = false;
+  std::uint32_t taskCount = 1;
+  // Evictions allowed over all tasks of the job.
+  std::uint32_t evictionBudget = 0;
+  Resources perTask;
+  std::int64_t declaredRunMs = 0;
+};
+
+// Names one attempt of one task.
+struct AttemptId {
+  TaskId task;
+  AttemptNumber number = 0;
+};
+
+bool operator==(const AttemptId& aLeft, const AttemptId& aRight);
+bool operator<(const AttemptId& aLeft, const AttemptId& aRight);
+
+// Contribution of one attempt to the digest of a worker's running attempts;
+// contributions are combined by exclusive or.
+std::uint64_t DigestOf(const AttemptId& aAttempt);
+
+}  // namespace bramleypath::cell
