--- /dev/null
+++ b/src/bramleypath/cell/Scheduler.cpp
@@ -0,0 +1,181 @@
+#include "bramleypath/cell/Scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bramleypath/cell/internal/Leases.h"
+#include "bramleypath/cell/internal/Placing.h"
+#include "bramleypath/cell/internal/Tracking.h"
+
+namespace bramleypath::cell {
+
+namespace detail {
+
+bool Propose(const Context& aContext, const Command& aCommand) {
+  if (!aContext.leaseHeld) {
+    return false;
+  }
+  Scheduler& scheduler = aContext.scheduler;
+  const std::uint64_t token = ++scheduler.lastToken;
+  scheduler.proposals.emplace(token, aCommand);
+  aContext.actions.emplace_back(ProposeCommand{token, aCommand});
+  return true;
+}
+
+void Notify(const Context& aContext, NoticeKind aKind,
+            const AttemptId& aAttempt, const WorkerId& aWorker,
+            const std::string& aDetail) {
+  Notice notice;
+  notice.kind = aKind;
+  notice.job = aAttempt.task.job;
+  notice.taskIndex = aAttempt.task.index;
+  notice.attempt = aAttempt.number;
+  notice.worker = aWorker;
+  notice.detail = aDetail;
+  aContext.actions.emplace_back(std::move(notice));
+}
+
+namespace {
+
+// Forgets all but the settings, the hooks, the wanted quotas and the token
+// counter, which is not used twice.
+void Reset(Scheduler& aScheduler) {
+  Scheduler fresh;
+  fresh.settings = aScheduler.settings;
+  fresh.choose = std::move(aScheduler.choose);
+  fresh.sizeTask = std::move(aScheduler.sizeTask);
+  fresh.lastToken = aScheduler.lastToken;
+  fresh.wantedQuotas = std::move(aScheduler.wantedQuotas);
+  aScheduler = std::move(fresh);
+}
+
+bool QuotasDiffer(const CellState& aState,
+                  const std::vector<MemberQuota>& aWanted) {
+  std::size_t set = 0;
+  for (const auto& [id, member] : aState.members) {
+    set += member.quota ? 1 : 0;
+  }
+  return set != aWanted.size() ||
+         std::any_of(aWanted.begin(), aWanted.end(),
+                     [&aState](const MemberQuota& aQuota) {
+                       const auto found = aState.members.find(aQuota.member);
+                       return found == aState.members.end() ||
+                              found->second.quota != aQuota.limit;
+                     });
+}
+
+void ProposeQuotas(const Context& aContext) {
+  Scheduler& scheduler = aContext.scheduler;
+  if (scheduler.wantedQuotas && !scheduler.quotasProposed &&
+      QuotasDiffer(aContext.state, *scheduler.wantedQuotas)) {
+    scheduler.quotasProposed =
+        Propose(aContext, SetQuotas{*scheduler.wantedQuotas});
+  }
+}
+
+void Handle(const Context& aContext, const CommandCommitted& aEvent) {
+  OnCommitted(aContext, aEvent);
+}
+
+void Handle(const Context& aContext, const ProposalFailed& aEvent) {
+  OnProposalFailed(aContext, aEvent.token);
+}
+
+void Handle(const Context& aContext, const WorkerAnnounced& aEvent) {
+  OnAnnounced(aContext, aEvent);
+}
+
+void Handle(const Context& aContext, const WorkerReported& aEvent) {
+  OnReported(aContext, aEvent.message);
+}
+
+void Handle(const Context& aContext, const QuotasChanged& /*aEvent*/) {
+  ProposeQuotas(aContext);
+}
+
+void Handle(const Context& aContext, const ReliefRequested& aEvent) {
+  OnRelief(aContext, aEvent);
+}
+
+void Handle(const Context& aContext, const PlacementChanged& /*aEvent*/) {
+  aContext.scheduler.placementDue = true;
+}
+
+void Handle(const Context& aContext, const Tick& /*aEvent*/) {
+  ProposeQuotas(aContext);
+  CheckWorkers(aContext);
+  // Back-offs end with time alone.
+  aContext.scheduler.placementDue = true;
+}
+
+void Handle(const Context& /*aContext*/, const LeadershipGained& /*aEvent*/) {}
+
+void Handle(const Context& /*aContext*/, const LeadershipLost& /*aEvent*/) {}
+
+void NoteLeadership(Scheduler& aScheduler, const EventBody& aEvent) {
+  if (const auto* gained = std::get_if<LeadershipGained>(&aEvent)) {
+    Reset(aScheduler);
+    aScheduler.leading = true;
+    aScheduler.epoch = gained->epoch;
+  } else if (std::holds_alternative<LeadershipLost>(aEvent)) {
+    Reset(aScheduler);
+  } else if (const auto* quotas = std::get_if<QuotasChanged>(&aEvent)) {
+    aScheduler.wantedQuotas = quotas->quotas;
+  }
+}
+
+}  // namespace
+
+}  // namespace detail
+
+Actions Step(Scheduler& aScheduler, const CellState& aState,
+             const Event& aEvent, TimePoint aNow) {
+  Actions actions;
+  detail::NoteLeadership(aScheduler, aEvent.body);
+  if (!aScheduler.leading || (!aScheduler.ready && !aEvent.leaseHeld)) {
+    return actions;
+  }
+  const detail::Context context{aScheduler, aState, aNow, aEvent.leaseHeld,
+                                actions};
+  if (aScheduler.ready) {
+    std::visit([&](const auto& aTyped) { detail::Handle(context, aTyped); },
+               aEvent.body);
+  } else {
+    // The state holds the effect of the event if it was a commit; a worker
+    // whose message is passed over reports again.
+    detail::Rebuild(context);
+    aScheduler.ready = true;
+  }
+  detail::PlaceWaiting(context);
+  detail::FlushWorkers(context);
+  return actions;
+}
+
+std::optional<Explanation> Explain(const CellState& aState,
+                                   const Scheduler& aScheduler,
+                                   const JobId& aJob) {
+  const Job* job = FindJob(aState, aJob);
+  if (job == nullptr) {
+    return std::nullopt;
+  }
+  Explanation explanation;
+  for (const Task& task : job->tasks) {
+    explanation.waiting += task.state == TaskState::Pending ? 1 : 0;
+    explanation.running += task.state == TaskState::Running ? 1 : 0;
+    explanation.ended += HasEnded(task.state) ? 1 : 0;
+  }
+  if (explanation.waiting > 0) {
+    const auto track = aScheduler.jobs.find(aJob);
+    explanation.reason = !aScheduler.ready ? WaitReason::NoLeader
+                         : track == aScheduler.jobs.end()
+                             ? WaitReason::NotScheduledYet
+                             : track->second.reason;
+  }
+  explanation.text = std::to_string(explanation.waiting) + " waiting, " +
+                     std::to_string(explanation.running) + " running, " +
+                     std::to_string(explanation.ended) +
+                     " ended: " + Describe(explanation.reason);
+  return explanation;
+}
+
+}  // namespace bramleypath::cell
--- a/src/bramleypath/cell/Scheduler.h
+++ b/src/bramleypath/cell/Scheduler.h
@@ -36,6 +36,8 @@
   Duration backOffMax = Seconds(60);
   // A preemption that freed no room by then is given up.
   Duration preemptionLimit = Seconds(30);
+  // A worker without reservations that was silent this long is removed.
+  Duration removeAfter = Seconds(600);
   // A job that waited longer than this gets a worker kept free for it.
   Duration holdAfter = Seconds(60);
   // Placements tried in one step, which bounds the time of a step.
@@ -184,7 +186,6 @@
   std::uint32_t confirmedCount = 0;
   // Resources of start proposals in flight.
   Resources proposed;
-  bool registerProposed = false;
   bool renewDue = false;
   FailureRecord failures;
   std::map<TaskId, AttemptTrack> attempts;
@@ -201,16 +202,10 @@
   TimePoint waitingSince;
   WaitReason reason = WaitReason::NotScheduledYet;
   FailureRecord failures;
-  // Racks of live attempts with their number, for rackSpread.
+  // Number of live attempts in each rack, for rackSpread.
   std::map<std::uint32_t, std::uint32_t> racks;
 };
 
-struct Proposal {
-  Command command;
-  // Place of the worker for StartAttempt.
-  std::size_t slot = 0;
-};
-
 struct Preemption {
   std::size_t slot = 0;
   TimePoint until;
@@ -233,23 +228,31 @@
   // Parallel: what the chooser sees, and the rest.
   std::vector<WorkerRoom> rooms;
   std::vector<WorkerTrack> workers;
+  // Places of removed workers, to be used again.
+  std::vector<std::size_t> freeSlots;
   std::map<RackId, std::uint32_t> racks;
+  // The place of the worker of each live attempt.
+  std::unordered_map<TaskId, std::size_t> running;
 
   std::unordered_map<JobId, JobTrack> jobs;
   // Jobs with waiting tasks by order of submission.
   std::map<std::uint64_t, JobId> urgentQueue;
   std::map<std::uint64_t, JobId> normalQueue;
-  // Where the next pass over the normal queue continues.
+  // Where the next pass over each queue continues.
+  std::uint64_t urgentCursor = 0;
   std::uint64_t normalCursor = 0;
   // Set when room, quotas or back-offs changed since the last pass.
   bool placementDue = false;
 
-  std::unordered_map<std::uint64_t, Proposal> proposals;
-  // Tasks with a start proposal in flight, and attempts being marked.
-  std::set<TaskId> startProposed;
+  // Proposals in flight by token.
+  std::unordered_map<std::uint64_t, Command> proposals;
   std::set<TaskId> markProposed;
+  std::set<WorkerId> workerProposed;
+  // Resources of start proposals in flight.
+  std::map<MemberId, Resources> proposedUse;
   std::map<TaskId, Preemption> preemptions;
-  // A worker kept free for a job that waited long; none: rooms.size() or more.
+  std::size_t preemptionCursor = 0;
+  // A worker kept free for a job that waited long.
   std::optional<std::size_t> heldSlot;
   JobId heldFor;
   std::optional<std::vector<MemberQuota>> wantedQuotas;
@@ -259,8 +262,7 @@
   std::set<std::size_t> dirty;
 };
 
-// Handles one event. Every event of the loop's tick period (100 ms or so)
-// should include one Tick.
+// Handles one event. The caller sends a Tick about every 100 ms.
 Actions Step(Scheduler& aScheduler, const CellState& aState,
              const Event& aEvent, TimePoint aNow);
 
--- /dev/null
+++ b/src/bramleypath/cell/Snapshot.cpp
@@ -0,0 +1,250 @@
+#include <utility>
+
+#include "bramleypath/cell/CellState.h"
+#include "bramleypath/cell/internal/CborReader.h"
+
+namespace bramleypath::cell {
+
+namespace {
+
+using namespace detail;
+
+// Raised when the layout changes; other versions are refused.
+constexpr std::uint64_t kSnapshotVersion = 1;
+
+Json WriteTask(const Task& aTask) {
+  Json failedOn = Json::array();
+  for (const WorkerId& worker : aTask.failedOn) {
+    failedOn.push_back(worker.value);
+  }
+  Json live = Json::array();
+  if (aTask.live) {
+    live = Json::array({aTask.live->number,
+                        static_cast<unsigned>(aTask.live->state),
+                        aTask.live->worker.value, aTask.live->incarnation,
+                        Write(aTask.live->resources)});
+  }
+  return Json::array({static_cast<unsigned>(aTask.state), aTask.attempts,
+                      aTask.evictions, aTask.resumptions, aTask.failures,
+                      std::move(failedOn), aTask.checkpoint, std::move(live)});
+}
+
+Task ReadTask(ArrayReader& aReader) {
+  Task task;
+  task.state = ReadEnum(aReader, TaskState::Cancelled);
+  task.attempts = ReadUnsigned32(aReader);
+  task.evictions = ReadUnsigned32(aReader);
+  task.resumptions = ReadUnsigned32(aReader);
+  task.failures = ReadUnsigned32(aReader);
+  ArrayReader failedOn = ReadArray(aReader);
+  while (HasMore(failedOn)) {
+    task.failedOn.emplace_back(ReadText(failedOn));
+  }
+  task.checkpoint = ReadText(aReader);
+  ArrayReader live = ReadArray(aReader);
+  if (HasMore(live)) {
+    Attempt attempt;
+    attempt.number = ReadUnsigned32(live);
+    attempt.state = ReadEnum(live, AttemptState::Throttled);
+    attempt.worker = WorkerId(ReadText(live));
+    attempt.incarnation = ReadUnsigned(live);
+    attempt.resources = ReadResources(live);
+    task.live = attempt;
+  }
+  aReader.ok = aReader.ok && ReadAll(failedOn) && ReadAll(live);
+  return task;
+}
+
+Json WriteJob(const Job& aJob) {
+  Json tasks = Json::array();
+  for (const Task& task : aJob.tasks) {
+    tasks.push_back(WriteTask(task));
+  }
+  return Json::array({Write(aJob.spec), aJob.sequence, aJob.cancelled,
+                      aJob.evictionsUsed, aJob.endedTasks, std::move(tasks)});
+}
+
+Job ReadJob(ArrayReader& aReader) {
+  Job job;
+  job.spec = ReadJobSpec(aReader);
+  job.sequence = ReadUnsigned(aReader);
+  job.cancelled = ReadBool(aReader);
+  job.evictionsUsed = ReadUnsigned32(aReader);
+  job.endedTasks = ReadUnsigned32(aReader);
+  ArrayReader tasks = ReadArray(aReader);
+  while (HasMore(tasks)) {
+    job.tasks.push_back(ReadNested(tasks, ReadTask));
+  }
+  aReader.ok = aReader.ok && ReadAll(tasks) && !job.tasks.empty() &&
+               job.tasks.size() == job.spec.taskCount;
+  return job;
+}
+
+Json WriteWorker(const WorkerId& aId, const Worker& aWorker) {
+  return Json::array({aId.value, aWorker.incarnation, Write(aWorker.capacity),
+                      aWorker.rack.value});
+}
+
+Json WriteMember(const MemberId& aId, const Member& aMember) {
+  Json quota = Json::array();
+  if (aMember.quota) {
+    quota.push_back(Write(*aMember.quota));
+  }
+  return Json::array({aId.value, std::move(quota), aMember.finishedTasks,
+                      aMember.failedTasks, aMember.cancelledTasks});
+}
+
+Json WriteRequest(const RequestId& aId, const AnsweredRequest& aRequest) {
+  return Json::array(
+      {aId.value, aRequest.fingerprint, aRequest.outcome.accepted,
+       static_cast<unsigned>(aRequest.outcome.code), aRequest.outcome.detail});
+}
+
+void ReadWorkers(ArrayReader& aReader, CellState& aState) {
+  ArrayReader rows = ReadArray(aReader);
+  while (HasMore(rows)) {
+    ArrayReader row = ReadArray(rows);
+    const WorkerId id(ReadText(row));
+    Worker worker;
+    worker.incarnation = ReadUnsigned(row);
+    worker.capacity = ReadResources(row);
+    worker.rack = RackId(ReadText(row));
+    rows.ok = rows.ok && ReadAll(row);
+    aState.workers.emplace(id, std::move(worker));
+  }
+  aReader.ok = aReader.ok && ReadAll(rows);
+}
+
+void ReadMembers(ArrayReader& aReader, CellState& aState) {
+  ArrayReader rows = ReadArray(aReader);
+  while (HasMore(rows)) {
+    ArrayReader row = ReadArray(rows);
+    const MemberId id(ReadText(row));
+    Member member;
+    ArrayReader quota = ReadArray(row);
+    if (HasMore(quota)) {
+      member.quota = ReadResources(quota);
+    }
+    member.finishedTasks = ReadUnsigned(row);
+    member.failedTasks = ReadUnsigned(row);
+    member.cancelledTasks = ReadUnsigned(row);
+    rows.ok = rows.ok && ReadAll(quota) && ReadAll(row);
+    aState.members.emplace(id, member);
+  }
+  aReader.ok = aReader.ok && ReadAll(rows);
+}
+
+void ReadRequests(ArrayReader& aReader, CellState& aState) {
+  ArrayReader rows = ReadArray(aReader);
+  while (HasMore(rows)) {
+    ArrayReader row = ReadArray(rows);
+    const RequestId id(ReadText(row));
+    AnsweredRequest request;
+    request.fingerprint = ReadUnsigned(row);
+    request.outcome.accepted = ReadBool(row);
+    request.outcome.code = ReadEnum(row, RefusalCode::NotAllowedInState);
+    request.outcome.detail = ReadText(row);
+    rows.ok = rows.ok && ReadAll(row);
+    aState.requestOrder.push_back(id);
+    aState.requests.emplace(id, std::move(request));
+  }
+  aReader.ok = aReader.ok && ReadAll(rows);
+}
+
+// Rebuilds the sums that follow from the live attempts. False when an attempt
+// is on an unknown worker or of an unknown member.
+bool AddReservations(CellState& aState, const Job& aJob) {
+  const auto member = aState.members.find(aJob.spec.member);
+  if (member == aState.members.end()) {
+    return false;
+  }
+  for (std::uint32_t index = 0; index < aJob.tasks.size(); ++index) {
+    const Task& task = aJob.tasks[index];
+    if ((task.state == TaskState::Running) != task.live.has_value()) {
+      return false;
+    }
+    if (!task.live) {
+      continue;
+    }
+    const auto worker = aState.workers.find(task.live->worker);
+    if (worker == aState.workers.end()) {
+      return false;
+    }
+    const Resources& resources = task.live->resources;
+    const AttemptId id{TaskId{aJob.spec.id, index}, task.live->number};
+    worker->second.reservations.emplace(id, resources);
+    worker->second.reserved = worker->second.reserved + resources;
+    member->second.used = member->second.used + resources;
+  }
+  return true;
+}
+
+void ReadJobs(ArrayReader& aReader, CellState& aState) {
+  ArrayReader rows = ReadArray(aReader);
+  while (HasMore(rows)) {
+    Job job = ReadNested(rows, ReadJob);
+    if (!rows.ok || !AddReservations(aState, job)) {
+      rows.ok = false;
+      break;
+    }
+    aState.liveTasks += job.tasks.size() - job.endedTasks;
+    aState.jobs.emplace(job.spec.id, std::move(job));
+  }
+  aReader.ok = aReader.ok && ReadAll(rows);
+}
+
+}  // namespace
+
+std::vector<std::uint8_t> TakeSnapshot(const CellState& aState) {
+  Json workers = Json::array();
+  for (const auto& [id, worker] : aState.workers) {
+    workers.push_back(WriteWorker(id, worker));
+  }
+  Json members = Json::array();
+  for (const auto& [id, member] : aState.members) {
+    members.push_back(WriteMember(id, member));
+  }
+  Json jobs = Json::array();
+  for (const auto& [id, job] : aState.jobs) {
+    jobs.push_back(WriteJob(job));
+  }
+  Json ended = Json::array();
+  for (const JobId& job : aState.endedJobs) {
+    ended.push_back(job.value);
+  }
+  Json requests = Json::array();
+  for (const RequestId& id : aState.requestOrder) {
+    requests.push_back(WriteRequest(id, aState.requests.at(id)));
+  }
+  return Json::to_cbor(
+      Json::array({kSnapshotVersion, aState.lastSequence, std::move(workers),
+                   std::move(members), std::move(jobs), std::move(ended),
+                   std::move(requests)}));
+}
+
+std::optional<CellState> RestoreSnapshot(gsl::span<const std::uint8_t> aBytes) {
+  const std::optional<Json> json = ParseArray(aBytes);
+  if (!json) {
+    return std::nullopt;
+  }
+  ArrayReader reader = OpenArray(*json);
+  if (ReadUnsigned(reader) != kSnapshotVersion) {
+    return std::nullopt;
+  }
+  CellState state;
+  state.lastSequence = ReadUnsigned(reader);
+  ReadWorkers(reader, state);
+  ReadMembers(reader, state);
+  ReadJobs(reader, state);
+  ArrayReader ended = ReadArray(reader);
+  while (HasMore(ended)) {
+    state.endedJobs.emplace_back(ReadText(ended));
+  }
+  ReadRequests(reader, state);
+  if (!ReadAll(ended) || !ReadAll(reader)) {
+    return std::nullopt;
+  }
+  return state;
+}
+
+}  // namespace bramleypath::cell
--- /dev/null
+++ b/src/bramleypath/cell/internal/Placing.cpp
@@ -0,0 +1,347 @@
+#include "bramleypath/cell/internal/Placing.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bramleypath/cell/internal/Tracking.h"
+
+namespace bramleypath::cell::detail {
+
+namespace {
+
+// Workers looked at for one preemption; bounds its time at 320 workers.
+constexpr std::size_t kMaxPreemptionWorkers = 32;
+
+// The worker kept free for one job is shown to the others as excluded. Urgent
+// jobs may use it.
+class HoldForOthers {
+ public:
+  HoldForOthers(Scheduler& aScheduler, const JobSpec& aJob)
+      : scheduler(aScheduler) {
+    if (aScheduler.heldSlot && !aJob.urgent && aScheduler.heldFor != aJob.id) {
+      this->before = aScheduler.rooms[*aScheduler.heldSlot].excluded;
+      aScheduler.rooms[*aScheduler.heldSlot].excluded = true;
+    }
+  }
+  HoldForOthers(const HoldForOthers&) = delete;
+  HoldForOthers& operator=(const HoldForOthers&) = delete;
+  ~HoldForOthers() {
+    if (this->before) {
+      this->scheduler.rooms[*this->scheduler.heldSlot].excluded = *this->before;
+    }
+  }
+
+ private:
+  Scheduler& scheduler;
+  std::optional<bool> before;
+};
+
+bool WithinQuota(const Context& aContext, const MemberId& aMember,
+                 const Resources& aDemand) {
+  const Member& member = aContext.state.members.at(aMember);
+  if (!member.quota) {
+    return true;
+  }
+  const auto proposed = aContext.scheduler.proposedUse.find(aMember);
+  const Resources inFlight = proposed == aContext.scheduler.proposedUse.end()
+                                 ? Resources{}
+                                 : proposed->second;
+  return Fits(member.used + inFlight + aDemand, *member.quota);
+}
+
+PlacementRequest RequestFor(const Context& aContext, const Job& aJob,
+                            const JobTrack& aTrack, std::uint32_t aIndex) {
+  PlacementRequest request;
+  request.job = &aJob.spec;
+  request.task = TaskId{aJob.spec.id, aIndex};
+  const SizeTaskFunction& sizeTask = aContext.scheduler.sizeTask;
+  request.demand = sizeTask ? sizeTask(aJob.spec) : aJob.spec.perTask;
+  request.avoided = aJob.tasks[aIndex].failedOn;
+  if (aJob.spec.rackSpread) {
+    for (const auto& [rack, count] : aTrack.racks) {
+      request.usedRacks.push_back(rack);
+    }
+  }
+  return request;
+}
+
+bool ProposeStart(const Context& aContext, const Job& aJob, JobTrack& aTrack,
+                  const PlacementRequest& aRequest, std::size_t aSlot) {
+  Scheduler& scheduler = aContext.scheduler;
+  WorkerTrack& worker = scheduler.workers[aSlot];
+  const Task& task = aJob.tasks[aRequest.task.index];
+  StartAttempt command;
+  command.attempt = AttemptId{aRequest.task, task.attempts + 1};
+  command.worker = scheduler.rooms[aSlot].worker;
+  command.incarnation = worker.incarnation;
+  command.resources = aRequest.demand;
+  command.checkpoint = task.checkpoint;
+  if (!Propose(aContext, command)) {
+    return false;
+  }
+  worker.proposed = worker.proposed + aRequest.demand;
+  Resources& use = scheduler.proposedUse[aJob.spec.member];
+  use = use + aRequest.demand;
+  UpdateRoom(aContext, aSlot);
+  aTrack.pending.pop_back();
+  aTrack.reason = WaitReason::CommitInFlight;
+  if (scheduler.heldSlot && scheduler.heldFor == aJob.spec.id) {
+    scheduler.heldSlot.reset();
+  }
+  return true;
+}
+
+// Preemption.
+
+bool MayEvict(const Context& aContext, const TaskId& aTask,
+              const AttemptTrack& aTrack) {
+  const Job* job = FindJob(aContext.state, aTask.job);
+  return job != nullptr && job->spec.kind == JobKind::Batch &&
+         !job->spec.urgent && job->evictionsUsed < job->spec.evictionBudget &&
+         !aTrack.endProposed &&
+         (aTrack.goal == Goal::Run || aTrack.goal == Goal::Throttle) &&
+         aContext.scheduler.markProposed.count(aTask) == 0;
+}
+
+// The attempts to evict from the worker to make room; none when that is not
+// enough. Those that can be checkpointed come first.
+std::optional<std::vector<AttemptId>> Victims(const Context& aContext,
+                                              std::size_t aSlot,
+                                              const Resources& aDemand) {
+  const WorkerTrack& worker = aContext.scheduler.workers[aSlot];
+  Resources room = aContext.scheduler.rooms[aSlot].room;
+  std::vector<AttemptId> victims;
+  for (const bool checkpointable : {true, false}) {
+    for (const auto& [task, track] : worker.attempts) {
+      if (Fits(aDemand, room)) {
+        return victims;
+      }
+      if (!MayEvict(aContext, task, track)) {
+        continue;
+      }
+      const Job& job = aContext.state.jobs.at(task.job);
+      if (job.spec.checkpointable == checkpointable) {
+        room = room + job.tasks[task.index].live->resources;
+        victims.push_back(AttemptId{task, track.number});
+      }
+    }
+  }
+  return Fits(aDemand, room) ? std::optional(std::move(victims)) : std::nullopt;
+}
+
+bool ProposeMark(const Context& aContext, const AttemptId& aAttempt,
+                 AttemptMark aMark) {
+  if (!Propose(aContext, MarkAttempt{aAttempt, aMark})) {
+    return false;
+  }
+  aContext.scheduler.markProposed.insert(aAttempt.task);
+  return true;
+}
+
+// Whether something is still being evicted or stopped on the worker.
+bool IsMakingRoom(const Context& aContext, std::size_t aSlot) {
+  const auto& attempts = aContext.scheduler.workers[aSlot].attempts;
+  return std::any_of(attempts.begin(), attempts.end(), [&](const auto& aEntry) {
+    const Goal goal = aEntry.second.goal;
+    return (goal != Goal::Run && goal != Goal::Throttle) ||
+           aContext.scheduler.markProposed.count(aEntry.first) != 0;
+  });
+}
+
+bool WaitsForPreemption(const Context& aContext, const TaskId& aTask) {
+  auto& preemptions = aContext.scheduler.preemptions;
+  const auto found = preemptions.find(aTask);
+  if (found == preemptions.end()) {
+    return false;
+  }
+  if (aContext.now < found->second.until &&
+      IsMakingRoom(aContext, found->second.slot)) {
+    return true;
+  }
+  preemptions.erase(found);
+  return false;
+}
+
+// Evicts the fewest attempts found on a bounded number of workers.
+bool Preempt(const Context& aContext, const PlacementRequest& aRequest) {
+  Scheduler& scheduler = aContext.scheduler;
+  std::optional<std::size_t> bestSlot;
+  std::vector<AttemptId> best;
+  const std::size_t count =
+      std::min(kMaxPreemptionWorkers, scheduler.rooms.size());
+  for (std::size_t step = 0; step < count; ++step) {
+    const std::size_t slot =
+        (scheduler.preemptionCursor + step) % scheduler.rooms.size();
+    const WorkerRoom& room = scheduler.rooms[slot];
+    if (room.excluded || !Fits(aRequest.demand, room.capacity)) {
+      continue;
+    }
+    auto victims = Victims(aContext, slot, aRequest.demand);
+    if (victims && (!bestSlot || victims->size() < best.size())) {
+      bestSlot = slot;
+      best = *std::move(victims);
+    }
+  }
+  scheduler.preemptionCursor += count;
+  if (!bestSlot) {
+    return false;
+  }
+  for (const AttemptId& victim : best) {
+    ProposeMark(aContext, victim, AttemptMark::Evict);
+    Notify(aContext, NoticeKind::Preemption, victim,
+           scheduler.rooms[*bestSlot].worker, aRequest.task.job.value);
+  }
+  scheduler.preemptions[aRequest.task] =
+      Preemption{*bestSlot, aContext.now + scheduler.settings.preemptionLimit};
+  return true;
+}
+
+// A worker kept free for a job that waited long.
+
+// What services hold there, which end only when they are cancelled.
+Resources HeldByServices(const Context& aContext, std::size_t aSlot) {
+  Resources sum;
+  for (const auto& [task, track] : aContext.scheduler.workers[aSlot].attempts) {
+    const Job* job = FindJob(aContext.state, task.job);
+    if (job != nullptr && job->spec.kind == JobKind::Service) {
+      sum = sum + job->tasks[task.index].live->resources;
+    }
+  }
+  return sum;
+}
+
+void HoldWorker(const Context& aContext, const JobId& aJob,
+                const Resources& aDemand) {
+  Scheduler& scheduler = aContext.scheduler;
+  std::optional<std::size_t> best;
+  for (std::size_t slot = 0; slot < scheduler.rooms.size(); ++slot) {
+    const WorkerRoom& room = scheduler.rooms[slot];
+    if (room.excluded || !Fits(aDemand, room.capacity) ||
+        !Fits(aDemand, room.capacity - HeldByServices(aContext, slot))) {
+      continue;
+    }
+    if (!best || room.room.processorsMilli >
+                     scheduler.rooms[*best].room.processorsMilli) {
+      best = slot;
+    }
+  }
+  scheduler.heldSlot = best;
+  scheduler.heldFor = aJob;
+}
+
+void CheckHold(const Context& aContext) {
+  Scheduler& scheduler = aContext.scheduler;
+  if (!scheduler.heldSlot) {
+    return;
+  }
+  const auto job = scheduler.jobs.find(scheduler.heldFor);
+  if (job == scheduler.jobs.end() || job->second.pending.empty() ||
+      scheduler.rooms[*scheduler.heldSlot].excluded) {
+    scheduler.heldSlot.reset();
+  }
+}
+
+void OnNoRoom(const Context& aContext, const PlacementRequest& aRequest,
+              JobTrack& aTrack) {
+  if (aTrack.reason != WaitReason::NoRoomNow &&
+      aTrack.reason != WaitReason::WorkersExcluded) {
+    return;
+  }
+  Scheduler& scheduler = aContext.scheduler;
+  if (aTrack.urgent) {
+    if (Preempt(aContext, aRequest)) {
+      aTrack.reason = WaitReason::WaitsForEviction;
+    }
+  } else if (!scheduler.heldSlot &&
+             aContext.now >
+                 aTrack.waitingSince + scheduler.settings.holdAfter) {
+    HoldWorker(aContext, aRequest.task.job, aRequest.demand);
+  }
+}
+
+// True when a start was proposed; otherwise the track's reason says why not.
+bool PlaceOne(const Context& aContext, const Job& aJob, JobTrack& aTrack) {
+  Scheduler& scheduler = aContext.scheduler;
+  if (aTrack.failures.backOffUntil > aContext.now) {
+    aTrack.reason = WaitReason::JobBackOff;
+    return false;
+  }
+  const PlacementRequest request =
+      RequestFor(aContext, aJob, aTrack, aTrack.pending.back());
+  if (!WithinQuota(aContext, aJob.spec.member, request.demand)) {
+    aTrack.reason = WaitReason::QuotaExceeded;
+    return false;
+  }
+  aTrack.reason = WaitReason::NoRoomNow;
+  std::optional<std::size_t> slot;
+  {
+    const HoldForOthers hold(scheduler, aJob.spec);
+    slot = scheduler.choose(scheduler.rooms, request, aTrack.reason);
+  }
+  if (slot && *slot < scheduler.rooms.size() &&
+      !scheduler.rooms[*slot].excluded &&
+      Fits(request.demand, scheduler.rooms[*slot].room)) {
+    return ProposeStart(aContext, aJob, aTrack, request, *slot);
+  }
+  if (aTrack.urgent && WaitsForPreemption(aContext, request.task)) {
+    aTrack.reason = WaitReason::WaitsForEviction;
+  } else {
+    OnNoRoom(aContext, request, aTrack);
+  }
+  return false;
+}
+
+// Goes round the queue, one task of a job at a time, until no job of a round
+// could be placed or the budget is spent.
+void PlaceQueue(const Context& aContext, std::map<std::uint64_t, JobId>& aQueue,
+                std::uint64_t& aCursor, std::size_t& aBudget) {
+  std::size_t failures = 0;
+  while (aBudget > 0 && failures < aQueue.size()) {
+    --aBudget;
+    auto entry = aQueue.upper_bound(aCursor);
+    if (entry == aQueue.end()) {
+      entry = aQueue.begin();
+    }
+    aCursor = entry->first;
+    const auto track = aContext.scheduler.jobs.find(entry->second);
+    const Job* job = FindJob(aContext.state, entry->second);
+    if (track == aContext.scheduler.jobs.end() || job == nullptr ||
+        track->second.pending.empty()) {
+      aQueue.erase(entry);
+      continue;
+    }
+    failures = PlaceOne(aContext, *job, track->second) ? 0 : failures + 1;
+    if (track->second.pending.empty()) {
+      aQueue.erase(entry);
+    }
+  }
+}
+
+}  // namespace
+
+void PlaceWaiting(const Context& aContext) {
+  Scheduler& scheduler = aContext.scheduler;
+  if (!scheduler.placementDue || !aContext.leaseHeld) {
+    return;
+  }
+  scheduler.placementDue = false;
+  CheckHold(aContext);
+  // Urgent jobs may use the whole budget; the others get at least half of one.
+  std::size_t budget = scheduler.settings.maxPlacementsPerStep;
+  PlaceQueue(aContext, scheduler.urgentQueue, scheduler.urgentCursor, budget);
+  budget = std::max(budget, scheduler.settings.maxPlacementsPerStep / 2);
+  PlaceQueue(aContext, scheduler.normalQueue, scheduler.normalCursor, budget);
+  // Those not reached are tried at the next event.
+  scheduler.placementDue = budget == 0;
+}
+
+void OnRelief(const Context& aContext, const ReliefRequested& aEvent) {
+  const Task* task = FindTask(aContext.state, aEvent.task);
+  if (task != nullptr && task->live &&
+      aContext.scheduler.markProposed.count(aEvent.task) == 0) {
+    ProposeMark(aContext, AttemptId{aEvent.task, task->live->number},
+                aEvent.mark);
+  }
+}
+
+}  // namespace bramleypath::cell::detail
--- /dev/null
+++ b/src/bramleypath/cell/internal/Placing.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "bramleypath/cell/internal/Context.h"
+
+namespace bramleypath::cell::detail {
+
+// Tries to place waiting tasks, urgent jobs first, one task of a job at a time.
+void PlaceWaiting(const Context& aContext);
+
+void OnRelief(const Context& aContext, const ReliefRequested& aEvent);
+
+}  // namespace bramleypath::cell::detail
--- /dev/null
+++ b/src/bramleypath/cell/internal/Tracking.cpp
@@ -0,0 +1,528 @@
+#include "bramleypath/cell/internal/Tracking.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleypath::cell::detail {
+
+namespace {
+
+// Names kept in a failure record; two are enough to judge.
+constexpr std::size_t kMaxOthers = 4;
+// A job is also backed off after this many failures on one worker.
+constexpr std::uint32_t kFailuresBeforeBackOff = 3;
+constexpr std::uint32_t kMaxDoublings = 16;
+
+std::map<std::uint64_t, JobId>& QueueOf(Scheduler& aScheduler,
+                                        const JobTrack& aTrack) {
+  return aTrack.urgent ? aScheduler.urgentQueue : aScheduler.normalQueue;
+}
+
+void Enqueue(const Context& aContext, const JobId& aJob, std::uint32_t aIndex) {
+  const auto found = aContext.scheduler.jobs.find(aJob);
+  if (found == aContext.scheduler.jobs.end()) {
+    return;
+  }
+  JobTrack& track = found->second;
+  if (track.pending.empty()) {
+    track.waitingSince = aContext.now;
+    track.reason = WaitReason::NotScheduledYet;
+  }
+  track.pending.push_back(aIndex);
+  QueueOf(aContext.scheduler, track).emplace(track.sequence, aJob);
+  aContext.scheduler.placementDue = true;
+}
+
+void AddJob(const Context& aContext, const Job& aJob) {
+  JobTrack& track = aContext.scheduler.jobs[aJob.spec.id];
+  track.urgent = aJob.spec.urgent;
+  track.sequence = aJob.sequence;
+  for (auto index = static_cast<std::uint32_t>(aJob.tasks.size()); index > 0;
+       --index) {
+    if (aJob.tasks[index - 1].state == TaskState::Pending) {
+      Enqueue(aContext, aJob.spec.id, index - 1);
+    }
+  }
+}
+
+void RemoveFromQueue(Scheduler& aScheduler, JobTrack& aTrack) {
+  aTrack.pending.clear();
+  QueueOf(aScheduler, aTrack).erase(aTrack.sequence);
+}
+
+void RemoveJob(const Context& aContext, const JobId& aJob) {
+  const auto found = aContext.scheduler.jobs.find(aJob);
+  if (found == aContext.scheduler.jobs.end()) {
+    return;
+  }
+  RemoveFromQueue(aContext.scheduler, found->second);
+  aContext.scheduler.jobs.erase(found);
+  Notify(aContext, NoticeKind::JobEnded, AttemptId{TaskId{aJob, 0}, 0},
+         WorkerId(), "");
+}
+
+// Workers.
+
+std::uint32_t RackNumber(Scheduler& aScheduler, const RackId& aRack) {
+  const auto next = static_cast<std::uint32_t>(aScheduler.racks.size());
+  return aScheduler.racks.emplace(aRack, next).first->second;
+}
+
+std::size_t TakeSlot(Scheduler& aScheduler) {
+  if (!aScheduler.freeSlots.empty()) {
+    const std::size_t slot = aScheduler.freeSlots.back();
+    aScheduler.freeSlots.pop_back();
+    return slot;
+  }
+  aScheduler.rooms.emplace_back();
+  aScheduler.workers.emplace_back();
+  return aScheduler.rooms.size() - 1;
+}
+
+void PutWorker(const Context& aContext, const WorkerId& aId,
+               const Worker& aWorker) {
+  Scheduler& scheduler = aContext.scheduler;
+  const auto found = scheduler.slots.find(aId);
+  std::size_t slot = 0;
+  if (found != scheduler.slots.end()) {
+    slot = found->second;
+  } else {
+    slot = TakeSlot(scheduler);
+    scheduler.slots.emplace(aId, slot);
+    scheduler.workers[slot] = WorkerTrack{};
+    scheduler.workers[slot].heardAt = aContext.now;
+    // The last renewal of an earlier leader is unknown: it is before now.
+    scheduler.workers[slot].leaseSentAt = aContext.now;
+  }
+  WorkerRoom& room = scheduler.rooms[slot];
+  room.worker = aId;
+  room.rack = RackNumber(scheduler, aWorker.rack);
+  room.capacity = aWorker.capacity;
+  UpdateRoom(aContext, slot);
+  scheduler.placementDue = true;
+}
+
+void DropWorker(const Context& aContext, const WorkerId& aId) {
+  Scheduler& scheduler = aContext.scheduler;
+  const auto found = scheduler.slots.find(aId);
+  if (found == scheduler.slots.end()) {
+    return;
+  }
+  scheduler.rooms[found->second] = WorkerRoom{};
+  scheduler.workers[found->second] = WorkerTrack{};
+  scheduler.freeSlots.push_back(found->second);
+  scheduler.slots.erase(found);
+}
+
+// Attempts.
+
+Goal GoalOf(AttemptState aState) {
+  switch (aState) {
+    case AttemptState::Throttled:
+      return Goal::Throttle;
+    case AttemptState::Evicting:
+      return Goal::EvictThrottle;
+    case AttemptState::Cancelling:
+      return Goal::Stop;
+    default:
+      return Goal::Run;
+  }
+}
+
+void AddAttempt(const Context& aContext, const TaskId& aTask,
+                const Attempt& aAttempt) {
+  Scheduler& scheduler = aContext.scheduler;
+  const auto slot = scheduler.slots.find(aAttempt.worker);
+  if (slot == scheduler.slots.end()) {
+    return;
+  }
+  AttemptTrack& track = scheduler.workers[slot->second].attempts[aTask];
+  track = AttemptTrack{};
+  track.number = aAttempt.number;
+  scheduler.running[aTask] = slot->second;
+  const auto job = scheduler.jobs.find(aTask.job);
+  if (job != scheduler.jobs.end()) {
+    ++job->second.racks[scheduler.rooms[slot->second].rack];
+  }
+  SetGoal(aContext, slot->second, aTask, track, GoalOf(aAttempt.state));
+  UpdateRoom(aContext, slot->second);
+}
+
+void ForgetRack(Scheduler& aScheduler, const JobId& aJob, std::uint32_t aRack) {
+  const auto job = aScheduler.jobs.find(aJob);
+  if (job == aScheduler.jobs.end()) {
+    return;
+  }
+  const auto rack = job->second.racks.find(aRack);
+  if (rack != job->second.racks.end() && --rack->second == 0) {
+    job->second.racks.erase(rack);
+  }
+}
+
+// The place where the attempt was tracked.
+std::optional<std::size_t> RemoveAttempt(const Context& aContext,
+                                         const AttemptId& aAttempt) {
+  Scheduler& scheduler = aContext.scheduler;
+  const auto found = scheduler.running.find(aAttempt.task);
+  if (found == scheduler.running.end()) {
+    return std::nullopt;
+  }
+  const std::size_t slot = found->second;
+  WorkerTrack& worker = scheduler.workers[slot];
+  const auto track = worker.attempts.find(aAttempt.task);
+  if (track != worker.attempts.end()) {
+    if (track->second.confirmedRunning) {
+      worker.digest ^= DigestOf(aAttempt);
+      --worker.confirmedCount;
+    }
+    worker.attempts.erase(track);
+  }
+  worker.outstanding.erase(aAttempt.task);
+  scheduler.running.erase(found);
+  ForgetRack(scheduler, aAttempt.task.job, scheduler.rooms[slot].rack);
+  worker.acknowledgements.push_back(aAttempt);
+  scheduler.dirty.insert(slot);
+  UpdateRoom(aContext, slot);
+  scheduler.placementDue = true;
+  return slot;
+}
+
+// Failures.
+
+TimePoint BackOffEnd(const Context& aContext, std::uint32_t aCount) {
+  const SchedulerSettings& settings = aContext.scheduler.settings;
+  const std::uint32_t doublings =
+      std::min(aCount == 0 ? 0 : aCount - 1, kMaxDoublings);
+  const std::int64_t length = std::min(settings.backOffMin.micros << doublings,
+                                       settings.backOffMax.micros);
+  return aContext.now + Micros(length);
+}
+
+void Record(FailureRecord& aRecord, const std::string& aOther) {
+  ++aRecord.count;
+  if (aRecord.others.size() < kMaxOthers) {
+    aRecord.others.insert(aOther);
+  }
+}
+
+// A failure is laid to the worker unless the job fails elsewhere too, and to
+// the job unless the worker fails other jobs too. So one bad job can't exclude
+// workers, and one bad worker can't exclude jobs.
+void RecordFailure(const Context& aContext, std::size_t aSlot,
+                   const AttemptId& aAttempt) {
+  Scheduler& scheduler = aContext.scheduler;
+  WorkerTrack& worker = scheduler.workers[aSlot];
+  const WorkerId& workerId = scheduler.rooms[aSlot].worker;
+  const auto job = scheduler.jobs.find(aAttempt.task.job);
+  const bool workerSuspect = IsSuspect(worker.failures);
+  const bool jobSuspect =
+      job != scheduler.jobs.end() && IsSuspect(job->second.failures);
+  if (workerSuspect || !jobSuspect) {
+    Record(worker.failures, aAttempt.task.job.value);
+    if (IsSuspect(worker.failures)) {
+      worker.failures.backOffUntil =
+          BackOffEnd(aContext, worker.failures.count);
+      UpdateRoom(aContext, aSlot);
+      Notify(aContext, NoticeKind::WorkerBackOff, aAttempt, workerId, "");
+    }
+  }
+  if (job == scheduler.jobs.end() || workerSuspect) {
+    return;
+  }
+  FailureRecord& record = job->second.failures;
+  Record(record, workerId.value);
+  if (IsSuspect(record) || record.count >= kFailuresBeforeBackOff) {
+    record.backOffUntil = BackOffEnd(aContext, record.count);
+    Notify(aContext, NoticeKind::JobBackOff, aAttempt, workerId, "");
+  }
+}
+
+void RecordSuccess(const Context& aContext, std::size_t aSlot,
+                   const JobId& aJob) {
+  aContext.scheduler.workers[aSlot].failures = FailureRecord{};
+  UpdateRoom(aContext, aSlot);
+  const auto job = aContext.scheduler.jobs.find(aJob);
+  if (job != aContext.scheduler.jobs.end()) {
+    job->second.failures = FailureRecord{};
+  }
+}
+
+// Undoes what was noted while the proposal was in flight.
+
+AttemptTrack* FindTrack(Scheduler& aScheduler, const AttemptId& aAttempt) {
+  const auto slot = aScheduler.running.find(aAttempt.task);
+  if (slot == aScheduler.running.end()) {
+    return nullptr;
+  }
+  auto& attempts = aScheduler.workers[slot->second].attempts;
+  const auto track = attempts.find(aAttempt.task);
+  return track == attempts.end() || track->second.number != aAttempt.number
+             ? nullptr
+             : &track->second;
+}
+
+void Settle(const Context& aContext, const StartAttempt& aCommand) {
+  Scheduler& scheduler = aContext.scheduler;
+  const auto slot = scheduler.slots.find(aCommand.worker);
+  if (slot != scheduler.slots.end()) {
+    WorkerTrack& worker = scheduler.workers[slot->second];
+    worker.proposed = worker.proposed - aCommand.resources;
+    UpdateRoom(aContext, slot->second);
+  }
+  const Job* job = FindJob(aContext.state, aCommand.attempt.task.job);
+  if (job != nullptr) {
+    Resources& use = scheduler.proposedUse[job->spec.member];
+    use = use - aCommand.resources;
+    if (use == Resources{}) {
+      scheduler.proposedUse.erase(job->spec.member);
+    }
+  }
+  const Task* task = FindTask(aContext.state, aCommand.attempt.task);
+  if (task != nullptr && task->state == TaskState::Pending) {
+    Enqueue(aContext, aCommand.attempt.task.job, aCommand.attempt.task.index);
+  }
+}
+
+void Settle(const Context& aContext, const EndAttempt& aCommand) {
+  AttemptTrack* track = FindTrack(aContext.scheduler, aCommand.attempt);
+  if (track != nullptr) {
+    track->endProposed = false;
+  }
+}
+
+void Settle(const Context& aContext, const MarkAttempt& aCommand) {
+  aContext.scheduler.markProposed.erase(aCommand.attempt.task);
+}
+
+void Settle(const Context& aContext, const RegisterWorker& aCommand) {
+  aContext.scheduler.workerProposed.erase(aCommand.worker);
+}
+
+void Settle(const Context& aContext, const RemoveWorker& aCommand) {
+  aContext.scheduler.workerProposed.erase(aCommand.worker);
+}
+
+void Settle(const Context& aContext, const SetQuotas& /*aCommand*/) {
+  aContext.scheduler.quotasProposed = false;
+}
+
+template <typename Other>
+void Settle(const Context& /*aContext*/, const Other& /*aCommand*/) {}
+
+void SettleProposal(const Context& aContext, std::uint64_t aToken) {
+  const auto found = aContext.scheduler.proposals.find(aToken);
+  if (found == aContext.scheduler.proposals.end()) {
+    return;
+  }
+  const Command command = std::move(found->second);
+  aContext.scheduler.proposals.erase(found);
+  std::visit([&](const auto& aTyped) { Settle(aContext, aTyped); }, command);
+}
+
+// Accepted commands.
+
+void Follow(const Context& aContext, const SubmitJob& aCommand) {
+  const Job* job = FindJob(aContext.state, aCommand.spec.id);
+  if (job != nullptr && aContext.scheduler.jobs.count(job->spec.id) == 0 &&
+      !HasEnded(*job)) {
+    AddJob(aContext, *job);
+  }
+}
+
+void StopLiveAttempts(const Context& aContext, const Job& aJob) {
+  for (std::uint32_t index = 0; index < aJob.tasks.size(); ++index) {
+    const Task& task = aJob.tasks[index];
+    if (!task.live || task.live->state != AttemptState::Cancelling) {
+      continue;
+    }
+    const TaskId id{aJob.spec.id, index};
+    AttemptTrack* track =
+        FindTrack(aContext.scheduler, AttemptId{id, task.live->number});
+    if (track != nullptr) {
+      SetGoal(aContext, aContext.scheduler.running.at(id), id, *track,
+              Goal::Stop);
+    }
+  }
+}
+
+void Follow(const Context& aContext, const CancelJobs& aCommand) {
+  for (const JobId& id : aCommand.jobs) {
+    const auto track = aContext.scheduler.jobs.find(id);
+    const Job* job = FindJob(aContext.state, id);
+    if (track == aContext.scheduler.jobs.end()) {
+      continue;
+    }
+    if (job == nullptr || HasEnded(*job)) {
+      RemoveJob(aContext, id);
+    } else if (job->cancelled) {
+      RemoveFromQueue(aContext.scheduler, track->second);
+      StopLiveAttempts(aContext, *job);
+    }
+  }
+}
+
+void Follow(const Context& aContext, const RegisterWorker& aCommand) {
+  PutWorker(aContext, aCommand.worker,
+            *FindWorker(aContext.state, aCommand.worker));
+}
+
+void Follow(const Context& aContext, const RemoveWorker& aCommand) {
+  DropWorker(aContext, aCommand.worker);
+}
+
+void Follow(const Context& aContext, const StartAttempt& aCommand) {
+  const TaskId& id = aCommand.attempt.task;
+  const auto job = aContext.scheduler.jobs.find(id.job);
+  if (job != aContext.scheduler.jobs.end()) {
+    // Still queued when the proposal had been taken for failed.
+    auto& pending = job->second.pending;
+    pending.erase(std::remove(pending.begin(), pending.end(), id.index),
+                  pending.end());
+    if (pending.empty()) {
+      RemoveFromQueue(aContext.scheduler, job->second);
+      job->second.reason = WaitReason::None;
+    }
+  }
+  aContext.scheduler.preemptions.erase(id);
+  const Attempt* live = FindLiveAttempt(aContext.state, aCommand.attempt);
+  if (live != nullptr) {
+    AddAttempt(aContext, id, *live);
+    Notify(aContext, NoticeKind::AttemptStarted, aCommand.attempt,
+           aCommand.worker, "");
+  }
+}
+
+const char* NameOf(EndKind aKind) {
+  switch (aKind) {
+    case EndKind::Finished:
+      return "finished";
+    case EndKind::Failed:
+      return "failed";
+    case EndKind::Evicted:
+      return "evicted";
+    case EndKind::Stopped:
+      return "stopped";
+    case EndKind::Lost:
+      return "lost";
+    case EndKind::LeaseExpired:
+      return "lease expired";
+  }
+  return "";
+}
+
+void Follow(const Context& aContext, const EndAttempt& aCommand) {
+  const TaskId& id = aCommand.attempt.task;
+  const auto slot = RemoveAttempt(aContext, aCommand.attempt);
+  if (slot) {
+    if (aCommand.kind == EndKind::Failed) {
+      RecordFailure(aContext, *slot, aCommand.attempt);
+    } else if (aCommand.kind == EndKind::Finished) {
+      RecordSuccess(aContext, *slot, id.job);
+    }
+    Notify(aContext, NoticeKind::AttemptEnded, aCommand.attempt,
+           aContext.scheduler.rooms[*slot].worker, NameOf(aCommand.kind));
+  }
+  const Job* job = FindJob(aContext.state, id.job);
+  if (job == nullptr || HasEnded(*job)) {
+    RemoveJob(aContext, id.job);
+  } else if (job->tasks[id.index].state == TaskState::Pending) {
+    Enqueue(aContext, id.job, id.index);
+  }
+}
+
+void Follow(const Context& aContext, const MarkAttempt& aCommand) {
+  AttemptTrack* track = FindTrack(aContext.scheduler, aCommand.attempt);
+  const Attempt* live = FindLiveAttempt(aContext.state, aCommand.attempt);
+  if (track != nullptr && live != nullptr) {
+    SetGoal(aContext, aContext.scheduler.running.at(aCommand.attempt.task),
+            aCommand.attempt.task, *track, GoalOf(live->state));
+  }
+}
+
+void Follow(const Context& aContext, const SetQuotas& /*aCommand*/) {
+  aContext.scheduler.placementDue = true;
+}
+
+}  // namespace
+
+bool IsSilent(const Context& aContext, const WorkerTrack& aTrack) {
+  return !aTrack.heard ||
+         aContext.now >
+             aTrack.heardAt + aContext.scheduler.settings.workerSilentAfter;
+}
+
+bool IsSuspect(const FailureRecord& aRecord) {
+  return aRecord.others.size() >= 2;
+}
+
+bool NeedsCommand(const AttemptTrack& aTrack) {
+  if (aTrack.endProposed) {
+    return false;
+  }
+  const bool wantsThrottle = aTrack.goal == Goal::Throttle;
+  return !aTrack.confirmedRunning || aTrack.goal == Goal::Stop ||
+         aTrack.goal == Goal::EvictThrottle ||
+         aTrack.goal == Goal::EvictCheckpoint ||
+         wantsThrottle != aTrack.throttled;
+}
+
+void SetGoal(const Context& aContext, std::size_t aSlot, const TaskId& aTask,
+             AttemptTrack& aTrack, Goal aGoal) {
+  aTrack.goal = aGoal;
+  aTrack.resendAt = aContext.now;
+  aContext.scheduler.workers[aSlot].outstanding.insert(aTask);
+  aContext.scheduler.dirty.insert(aSlot);
+}
+
+void UpdateRoom(const Context& aContext, std::size_t aSlot) {
+  Scheduler& scheduler = aContext.scheduler;
+  WorkerRoom& room = scheduler.rooms[aSlot];
+  const WorkerTrack& track = scheduler.workers[aSlot];
+  const Worker* worker = FindWorker(aContext.state, room.worker);
+  if (worker == nullptr) {
+    room.excluded = true;
+    room.room = Resources{};
+    return;
+  }
+  room.room = worker->capacity - worker->reserved - track.proposed;
+  const bool known = track.incarnation == worker->incarnation &&
+                     (track.announcedCapacity == Resources{} ||
+                      track.announcedCapacity == worker->capacity);
+  const bool excluded = IsSilent(aContext, track) || !known ||
+                        track.failures.backOffUntil > aContext.now;
+  if (room.excluded && !excluded) {
+    scheduler.placementDue = true;
+  }
+  room.excluded = excluded;
+}
+
+void Rebuild(const Context& aContext) {
+  for (const auto& [id, worker] : aContext.state.workers) {
+    PutWorker(aContext, id, worker);
+  }
+  for (const auto& [id, job] : aContext.state.jobs) {
+    if (HasEnded(job)) {
+      continue;
+    }
+    AddJob(aContext, job);
+    for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+      if (job.tasks[index].live) {
+        AddAttempt(aContext, TaskId{id, index}, *job.tasks[index].live);
+      }
+    }
+  }
+}
+
+void OnCommitted(const Context& aContext, const CommandCommitted& aEvent) {
+  SettleProposal(aContext, aEvent.token);
+  if (aEvent.outcome.accepted && !aEvent.outcome.repeated) {
+    std::visit([&](const auto& aTyped) { Follow(aContext, aTyped); },
+               aEvent.command);
+  }
+}
+
+void OnProposalFailed(const Context& aContext, std::uint64_t aToken) {
+  SettleProposal(aContext, aToken);
+}
+
+}  // namespace bramleypath::cell::detail
--- /dev/null
+++ b/src/bramleypath/workeragent/WorkerAgent.cpp
@@ -0,0 +1,250 @@
+#include "bramleypath/workeragent/WorkerAgent.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleypath::workeragent {
+
+namespace {
+
+using cell::AttemptId;
+using cell::AttemptStatus;
+using cell::CommandBatch;
+using cell::CommandKind;
+using cell::Confirmation;
+using cell::EndEvent;
+using cell::RunningState;
+using cell::WorkerCommand;
+
+void End(WorkerAgent& aAgent, const AttemptId& aAttempt, EndEvent aEvent,
+         const std::string& aCheckpoint) {
+  aAgent.running.erase(aAttempt);
+  EndedAttempt ended;
+  ended.confirmation = Confirmation{aAttempt, aEvent, aCheckpoint};
+  aAgent.ended.emplace(aAttempt, std::move(ended));
+}
+
+void AddStatus(WorkerAgent& aAgent, const AttemptId& aAttempt,
+               RunningState aState, const std::string& aCheckpoint) {
+  aAgent.statuses.push_back(AttemptStatus{aAttempt, aState, aCheckpoint});
+}
+
+std::uint64_t Digest(const WorkerAgent& aAgent) {
+  std::uint64_t digest = 0;
+  for (const auto& [id, attempt] : aAgent.running) {
+    digest ^= cell::DigestOf(id);
+  }
+  return digest;
+}
+
+// State and lease deadline of the batch being carried out.
+struct BatchContext {
+  WorkerAgent& agent;
+  TimePoint now;
+  TimePoint leaseUntil;
+  std::vector<Effect>& effects;
+};
+
+void Extend(RunningAttempt& aAttempt, TimePoint aUntil) {
+  aAttempt.leaseUntil = std::max(aAttempt.leaseUntil, aUntil);
+}
+
+void Start(const BatchContext& aContext, const WorkerCommand& aCommand) {
+  WorkerAgent& agent = aContext.agent;
+  const auto running = agent.running.find(aCommand.attempt);
+  if (running != agent.running.end()) {
+    Extend(running->second, aContext.leaseUntil);
+    AddStatus(agent, aCommand.attempt, RunningState::Running, "");
+    return;
+  }
+  // An attempt that ended here is not run again: its confirmation is repeated
+  // with the next message. An expired lease grants nothing.
+  if (agent.ended.count(aCommand.attempt) != 0 ||
+      aContext.leaseUntil <= aContext.now || agent.ended.size() >= kMaxEnded) {
+    return;
+  }
+  RunningAttempt attempt;
+  attempt.resources = aCommand.resources;
+  attempt.leaseUntil = aContext.leaseUntil;
+  agent.running.emplace(aCommand.attempt, std::move(attempt));
+  AddStatus(agent, aCommand.attempt, RunningState::Running, "");
+  aContext.effects.push_back(Effect{EffectKind::Start, aCommand});
+}
+
+void Throttle(const BatchContext& aContext, const WorkerCommand& aCommand,
+              RunningAttempt& aAttempt) {
+  if (aAttempt.sharePercent != aCommand.sharePercent) {
+    aAttempt.sharePercent = aCommand.sharePercent;
+    aContext.effects.push_back(Effect{EffectKind::Throttle, aCommand});
+  }
+  const bool throttled = aCommand.sharePercent < cell::kFullSharePercent;
+  AddStatus(aContext.agent, aCommand.attempt,
+            throttled ? RunningState::Throttled : RunningState::Running, "");
+}
+
+void Checkpoint(const BatchContext& aContext, const WorkerCommand& aCommand,
+                RunningAttempt& aAttempt) {
+  if (!aAttempt.checkpoint.empty()) {
+    AddStatus(aContext.agent, aCommand.attempt, RunningState::Checkpointed,
+              aAttempt.checkpoint);
+  } else if (!aAttempt.checkpointing) {
+    aAttempt.checkpointing = true;
+    aContext.effects.push_back(Effect{EffectKind::Checkpoint, aCommand});
+  }
+}
+
+void Stop(const BatchContext& aContext, const WorkerCommand& aCommand) {
+  WorkerAgent& agent = aContext.agent;
+  const auto running = agent.running.find(aCommand.attempt);
+  if (running != agent.running.end()) {
+    const std::string checkpoint = running->second.checkpoint;
+    End(agent, aCommand.attempt, EndEvent::Stopped, checkpoint);
+    aContext.effects.push_back(Effect{EffectKind::Stop, aCommand});
+  } else if (agent.ended.size() < kMaxEnded) {
+    // The start may still arrive: it is refused from now on.
+    End(agent, aCommand.attempt, EndEvent::Stopped, "");
+  }
+}
+
+void CarryOut(const BatchContext& aContext, const WorkerCommand& aCommand) {
+  if (aCommand.kind == CommandKind::Start) {
+    Start(aContext, aCommand);
+    return;
+  }
+  if (aCommand.kind == CommandKind::Stop) {
+    Stop(aContext, aCommand);
+    return;
+  }
+  const auto running = aContext.agent.running.find(aCommand.attempt);
+  if (running == aContext.agent.running.end()) {
+    return;
+  }
+  if (aCommand.kind == CommandKind::Renew) {
+    Extend(running->second, aContext.leaseUntil);
+  } else if (aCommand.kind == CommandKind::Throttle) {
+    Throttle(aContext, aCommand, running->second);
+  } else {
+    Checkpoint(aContext, aCommand, running->second);
+  }
+}
+
+void RenewAll(WorkerAgent& aAgent, const CommandBatch& aBatch,
+              TimePoint aUntil) {
+  if (aAgent.running.size() != aBatch.runningCount ||
+      Digest(aAgent) != aBatch.runningDigest) {
+    return;
+  }
+  for (auto& [id, attempt] : aAgent.running) {
+    Extend(attempt, aUntil);
+  }
+}
+
+void Acknowledge(WorkerAgent& aAgent, const CommandBatch& aBatch,
+                 TimePoint aNow) {
+  for (const AttemptId& id : aBatch.acknowledged) {
+    const auto ended = aAgent.ended.find(id);
+    if (ended != aAgent.ended.end() && !ended->second.acknowledged) {
+      ended->second.acknowledged = true;
+      // Starts echo stamps from before the acknowledgement; by then their
+      // leases are over.
+      ended->second.forgetAt = aNow + Millis(aBatch.leaseMs);
+    }
+  }
+}
+
+void Forget(WorkerAgent& aAgent, TimePoint aNow) {
+  for (auto entry = aAgent.ended.begin(); entry != aAgent.ended.end();) {
+    entry = entry->second.forgetAt < aNow ? aAgent.ended.erase(entry)
+                                          : std::next(entry);
+  }
+}
+
+}  // namespace
+
+std::vector<Effect> HandleBatch(WorkerAgent& aAgent, const CommandBatch& aBatch,
+                                TimePoint aNow) {
+  std::vector<Effect> effects = Expire(aAgent, aNow);
+  if (aBatch.worker != aAgent.worker ||
+      aBatch.incarnation != aAgent.incarnation ||
+      aBatch.epoch < aAgent.highestEpoch) {
+    return effects;
+  }
+  aAgent.highestEpoch = aBatch.epoch;
+  const TimePoint leaseUntil =
+      TimePoint{aBatch.echoedStamp} + Millis(aBatch.leaseMs);
+  const BatchContext context{aAgent, aNow, leaseUntil, effects};
+  if (aBatch.renewAll) {
+    RenewAll(aAgent, aBatch, leaseUntil);
+  }
+  for (const WorkerCommand& command : aBatch.commands) {
+    CarryOut(context, command);
+  }
+  Acknowledge(aAgent, aBatch, aNow);
+  Forget(aAgent, aNow);
+  return effects;
+}
+
+std::vector<Effect> Expire(WorkerAgent& aAgent, TimePoint aNow) {
+  std::vector<AttemptId> expired;
+  for (const auto& [id, attempt] : aAgent.running) {
+    if (attempt.leaseUntil <= aNow) {
+      expired.push_back(id);
+    }
+  }
+  std::vector<Effect> effects;
+  for (const AttemptId& id : expired) {
+    End(aAgent, id, EndEvent::LeaseExpired, "");
+    WorkerCommand command;
+    command.kind = CommandKind::Stop;
+    command.attempt = id;
+    effects.push_back(Effect{EffectKind::Stop, std::move(command)});
+  }
+  return effects;
+}
+
+TimePoint NextDeadline(const WorkerAgent& aAgent) {
+  TimePoint earliest = kNever;
+  for (const auto& [id, attempt] : aAgent.running) {
+    earliest = std::min(earliest, attempt.leaseUntil);
+  }
+  return earliest;
+}
+
+void ReportEnd(WorkerAgent& aAgent, const AttemptId& aAttempt, bool aSucceeded,
+               TimePoint aNow) {
+  const auto running = aAgent.running.find(aAttempt);
+  // What ended past its lease counts as expired, whatever its result.
+  if (running != aAgent.running.end() && running->second.leaseUntil > aNow) {
+    End(aAgent, aAttempt, aSucceeded ? EndEvent::Finished : EndEvent::Failed,
+        "");
+  }
+}
+
+void ReportCheckpoint(WorkerAgent& aAgent, const AttemptId& aAttempt,
+                      const std::string& aCheckpoint) {
+  const auto running = aAgent.running.find(aAttempt);
+  if (running != aAgent.running.end() && running->second.checkpointing) {
+    running->second.checkpointing = false;
+    running->second.checkpoint = aCheckpoint;
+    AddStatus(aAgent, aAttempt, RunningState::Checkpointed, aCheckpoint);
+  }
+}
+
+cell::WorkerMessage TakeMessage(WorkerAgent& aAgent, TimePoint aNow) {
+  Forget(aAgent, aNow);
+  cell::WorkerMessage message;
+  message.worker = aAgent.worker;
+  message.incarnation = aAgent.incarnation;
+  message.stamp = aNow.micros;
+  message.runningDigest = Digest(aAgent);
+  message.runningCount = static_cast<std::uint32_t>(aAgent.running.size());
+  message.statuses.swap(aAgent.statuses);
+  for (const auto& [id, ended] : aAgent.ended) {
+    if (!ended.acknowledged) {
+      message.confirmations.push_back(ended.confirmation);
+    }
+  }
+  return message;
+}
+
+}  // namespace bramleypath::workeragent
