Add the placement core and its bench

Feasibility, pair estimates with a diagonal Kalman update, placement history for late reports, a tail response and size correction.

--- /dev/null
+++ b/bench/placement/HostModel.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "bramleypath/base/Random.h"
+#include "bramleypath/placement/Interference.h"
+
+namespace bramleypath::bench {
+
+// The truth that policies can't see: what one attempt of a class adds to a
+// victim's log slowdown at each load band, and what tasks really use.
+struct PairTruth {
+  std::size_t classes = 0;
+  std::vector<double> added;
+};
+
+// Most pairs disturb little, about one in six a lot, and more at high load.
+PairTruth MakePairTruth(std::size_t aServiceClasses, std::size_t aClasses,
+                        Random& aRandom);
+
+double AddedBy(const PairTruth& aTruth, placement::ClassIndex aVictim,
+               placement::ClassIndex aAggressor, placement::LoadBand aBand);
+
+// One arriving batch task.
+struct TaskTruth {
+  double arrivesAt = 0;  // s
+  placement::ClassIndex classIndex = 0;
+  std::int64_t declaredProcessorsMilli = 0;
+  std::int64_t usedProcessorsMilli = 0;
+  std::int64_t memoryMb = 0;
+  double declaredSeconds = 0;
+  double workSeconds = 0;
+};
+
+// One deployment scaled to its workers; a service instance on each.
+struct Deployment {
+  const char* name = "";
+  std::size_t workers = 50;
+  std::uint32_t workersPerRack = 6;
+  std::size_t serviceClasses = 1;
+  std::size_t batchClasses = 8;
+  std::int64_t processorsMilli = 32000;
+  std::int64_t memoryMb = 125000;
+  std::int64_t serviceProcessorsMilli = 8000;
+  std::int64_t serviceMemoryMb = 16000;
+  double leastWorkSeconds = 60;
+  double mostWorkSeconds = 1200;
+  // Share of the workers' free processors that the batch work uses on average.
+  double batchUtilisation = 0.5;
+};
+
+std::vector<TaskTruth> MakeTasks(const Deployment& aDeployment, double aSeconds,
+                                 Random& aRandom);
+
+// Share of a service instance's slots in use: a daily wave squeezed into the
+// run, and a shift by which half of the instances get more load at once.
+double ServiceLoad(std::size_t aWorker, double aTime, double aSeconds);
+
+}  // namespace bramleypath::bench
--- /dev/null
+++ b/bench/placement/Policies.cpp
@@ -0,0 +1,77 @@
+#include "bench/placement/Policies.h"
+
+namespace bramleypath::bench {
+
+namespace {
+
+std::optional<std::size_t> FirstFit(
+    gsl::span<const placement::WorkerView> aViews,
+    const placement::TaskRequest& aTask) {
+  for (std::size_t index = 0; index < aViews.size(); ++index) {
+    if (!aViews[index].admissionStopped &&
+        placement::Fits(aTask.demand, aViews[index].room)) {
+      return index;
+    }
+  }
+  return std::nullopt;
+}
+
+// The worker whose free processors are fewest after the placement.
+std::optional<std::size_t> BestFit(
+    gsl::span<const placement::WorkerView> aViews,
+    const placement::TaskRequest& aTask) {
+  std::optional<std::size_t> best;
+  for (std::size_t index = 0; index < aViews.size(); ++index) {
+    if (aViews[index].admissionStopped ||
+        !placement::Fits(aTask.demand, aViews[index].room)) {
+      continue;
+    }
+    if (!best || aViews[index].room.processorsMilli <
+                     aViews[*best].room.processorsMilli) {
+      best = index;
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+const char* NameOf(Policy aPolicy) {
+  switch (aPolicy) {
+    case Policy::FirstFit:
+      return "first_fit";
+    case Policy::BestFit:
+      return "best_fit";
+    case Policy::InterferenceBlind:
+      return "blind";
+    case Policy::InterferenceAware:
+      return "aware";
+  }
+  return "";
+}
+
+bool UsesEstimates(Policy aPolicy) {
+  return aPolicy == Policy::InterferenceAware;
+}
+
+std::optional<std::size_t> Place(Policy aPolicy,
+                                 gsl::span<const placement::WorkerView> aViews,
+                                 const placement::Interference& aTable,
+                                 const placement::TaskRequest& aTask,
+                                 const placement::Weights& aWeights) {
+  if (aPolicy == Policy::FirstFit) {
+    return FirstFit(aViews, aTask);
+  }
+  if (aPolicy == Policy::BestFit) {
+    return BestFit(aViews, aTask);
+  }
+  placement::NoChoice reason = placement::NoChoice::NoRoomNow;
+  const auto choice =
+      placement::ChooseWorker(aViews, aTable, aTask, aWeights, reason);
+  if (!choice) {
+    return std::nullopt;
+  }
+  return choice->worker;
+}
+
+}  // namespace bramleypath::bench
--- /dev/null
+++ b/src/bramleypath/placement/ChooseWorker.cpp
@@ -0,0 +1,173 @@
+#include "bramleypath/placement/ChooseWorker.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleypath::placement {
+
+namespace {
+
+// Small against the cost of interference, so that it only breaks ties: fuller
+// workers first, which keeps room for large tasks.
+constexpr double kPackingCost = 0.02;
+// The cost of using a rack again, above any interference that is admitted.
+constexpr double kRackReuseCost = 10.0;
+// How steeply the risk of an eviction grows as the tail limit comes near.
+constexpr double kEvictionSteepness = 8.0;
+
+double FullnessAfter(const WorkerView& aWorker, const Demand& aDemand) {
+  if (aWorker.capacity.processorsMilli <= 0) {
+    return 1;
+  }
+  const auto left = static_cast<double>(aWorker.room.processorsMilli -
+                                        aDemand.processorsMilli);
+  return 1 - left / static_cast<double>(aWorker.capacity.processorsMilli);
+}
+
+bool RackIsUsed(const TaskRequest& aTask, std::uint32_t aRack) {
+  return std::find(aTask.usedRacks.begin(), aTask.usedRacks.end(), aRack) !=
+         aTask.usedRacks.end();
+}
+
+struct ServiceEffect {
+  // Sum over the services of how much more they are slowed, in logarithms.
+  double added = 0;
+  // The largest log slowdown after the placement.
+  double worst = 0;
+};
+
+ServiceEffect EffectOnServices(const WorkerView& aWorker,
+                               const Interference& aTable,
+                               const TaskRequest& aTask, double aCaution) {
+  ServiceEffect effect;
+  for (const ServiceView& service : aWorker.services) {
+    const LoadBand band = BandOf(service.load);
+    const double before = PredictLogSlowdown(aTable, service.classIndex,
+                                             aWorker.batch, band, aCaution);
+    const double added = PredictAdded(aTable, service.classIndex,
+                                      aTask.classIndex, band, aCaution);
+    // A service that is slowed already suffers more from the same factor.
+    effect.added += std::exp(before + added) - std::exp(before);
+    effect.worst = std::max(effect.worst, before + added);
+  }
+  return effect;
+}
+
+double SlowdownOfTask(const WorkerView& aWorker, const Interference& aTable,
+                      const TaskRequest& aTask, double aCaution) {
+  double sum = PredictLogSlowdown(aTable, aTask.classIndex, aWorker.batch,
+                                  LoadBand::Low, aCaution);
+  for (const ServiceView& service : aWorker.services) {
+    sum += PredictAdded(aTable, aTask.classIndex, service.classIndex,
+                        LoadBand::Low, aCaution);
+  }
+  return sum;
+}
+
+double EvictionRisk(double aLogSlowdown, double aLogLimit) {
+  return 1 / (1 + std::exp(-kEvictionSteepness * (aLogSlowdown - aLogLimit)));
+}
+
+struct Assessment {
+  double cost = 0;
+  double worstService = 0;
+};
+
+Assessment AssessBatch(const WorkerView& aWorker, const Interference& aTable,
+                       const TaskRequest& aTask, const Weights& aWeights) {
+  const ServiceEffect effect =
+      EffectOnServices(aWorker, aTable, aTask, aWeights.caution);
+  Assessment result;
+  result.worstService = effect.worst;
+  result.cost = aWeights.tailLatency * effect.added;
+  if (!aWorker.services.empty()) {
+    result.cost +=
+        aWeights.evictions *
+        EvictionRisk(effect.worst, std::log(aWeights.maxServiceSlowdown));
+  }
+  result.cost += aWeights.throughput *
+                 SlowdownOfTask(aWorker, aTable, aTask, aWeights.caution);
+  return result;
+}
+
+Assessment AssessService(const WorkerView& aWorker, const Interference& aTable,
+                         const TaskRequest& aTask, const Weights& aWeights) {
+  Assessment result;
+  result.worstService =
+      PredictLogSlowdown(aTable, aTask.classIndex, aWorker.batch,
+                         LoadBand::High, aWeights.caution);
+  result.cost =
+      aWeights.tailLatency * (std::exp(result.worstService) - 1) +
+      aWeights.throughput * static_cast<double>(aWorker.services.size());
+  return result;
+}
+
+}  // namespace
+
+bool Fits(const Demand& aDemand, const Demand& aRoom) {
+  return aDemand.processorsMilli <= aRoom.processorsMilli &&
+         aDemand.memoryMb <= aRoom.memoryMb &&
+         aDemand.accelerators <= aRoom.accelerators;
+}
+
+std::optional<Choice> ChooseWorker(gsl::span<const WorkerView> aWorkers,
+                                   const Interference& aTable,
+                                   const TaskRequest& aTask,
+                                   const Weights& aWeights, NoChoice& aReason) {
+  aReason = NoChoice::NoSuchWorker;
+  const double logLimit = std::log(aWeights.maxServiceSlowdown);
+  std::optional<Choice> best;
+  for (std::size_t index = 0; index < aWorkers.size(); ++index) {
+    const WorkerView& worker = aWorkers[index];
+    if (!Fits(aTask.demand, worker.capacity)) {
+      continue;
+    }
+    if (worker.excluded) {
+      aReason = std::max(aReason, NoChoice::Excluded);
+      continue;
+    }
+    if (!Fits(aTask.demand, worker.room)) {
+      aReason =
+          aReason == NoChoice::WouldHurtService ? aReason : NoChoice::NoRoomNow;
+      continue;
+    }
+    const bool mayHurt = aTask.isService || aTask.urgent;
+    if (worker.admissionStopped && !mayHurt) {
+      aReason = NoChoice::WouldHurtService;
+      continue;
+    }
+    const Assessment assessed =
+        aTask.isService ? AssessService(worker, aTable, aTask, aWeights)
+                        : AssessBatch(worker, aTable, aTask, aWeights);
+    if (assessed.worstService > logLimit && !mayHurt) {
+      aReason = NoChoice::WouldHurtService;
+      continue;
+    }
+    double cost =
+        assessed.cost - kPackingCost * FullnessAfter(worker, aTask.demand);
+    if (aTask.spreadRacks && RackIsUsed(aTask, worker.rack)) {
+      cost += kRackReuseCost;
+    }
+    if (!best || cost < best->cost) {
+      best = Choice{index, cost, std::exp(assessed.worstService)};
+    }
+  }
+  return best;
+}
+
+const char* Describe(NoChoice aReason) {
+  switch (aReason) {
+    case NoChoice::NoSuchWorker:
+      return "no worker is large enough";
+    case NoChoice::NoRoomNow:
+      return "no worker has room at present";
+    case NoChoice::WouldHurtService:
+      return "every worker with room runs a service that it would slow too "
+             "much";
+    case NoChoice::Excluded:
+      return "the workers that are large enough are excluded";
+  }
+  return "";
+}
+
+}  // namespace bramleypath::placement
--- /dev/null
+++ b/src/bramleypath/placement/TailResponse.cpp
@@ -0,0 +1,147 @@
+#include "bramleypath/placement/TailResponse.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleypath::placement {
+
+namespace {
+
+double Disturbance(const Interference& aTable, const TailReport& aReport,
+                   const AttemptView& aAttempt) {
+  return PredictAdded(aTable, aReport.service, aAttempt.classIndex,
+                      BandOf(aReport.load), 0);
+}
+
+// Throttles the attempts that disturb most until the expected relief reaches
+// what the tail is above the bound.
+std::vector<Relief> ThrottleWorst(const TailSettings& aSettings,
+                                  const Interference& aTable,
+                                  const TailReport& aReport,
+                                  gsl::span<const AttemptView> aAttempts) {
+  std::vector<const AttemptView*> order;
+  for (const AttemptView& attempt : aAttempts) {
+    if (!attempt.throttled) {
+      order.push_back(&attempt);
+    }
+  }
+  std::sort(order.begin(), order.end(),
+            [&](const AttemptView* aLeft, const AttemptView* aRight) {
+              return Disturbance(aTable, aReport, *aLeft) >
+                     Disturbance(aTable, aReport, *aRight);
+            });
+  double needed =
+      std::log(aReport.slowdown) - std::log(aSettings.leaveSlowdown);
+  std::vector<Relief> steps;
+  for (const AttemptView* attempt : order) {
+    if (needed <= 0) {
+      break;
+    }
+    steps.push_back(Relief{ReliefKind::Throttle, attempt->attempt});
+    needed -=
+        Disturbance(aTable, aReport, *attempt) * (1 - aSettings.throttleShare);
+  }
+  return steps;
+}
+
+const AttemptView* CheapestEviction(const TailSettings& aSettings,
+                                    const Interference& aTable,
+                                    const TailReport& aReport,
+                                    gsl::span<const AttemptView> aAttempts) {
+  // Work is lost even when nothing was run since the last checkpoint.
+  constexpr double kLeastLossSeconds = 1;
+  constexpr double kLeastRelief = 0.01;
+  const AttemptView* best = nullptr;
+  double bestPrice = 0;
+  for (const AttemptView& attempt : aAttempts) {
+    const double relief = Disturbance(aTable, aReport, attempt);
+    if (attempt.evictions >= aSettings.evictionBudget ||
+        relief < kLeastRelief) {
+      continue;
+    }
+    const double price =
+        std::max(attempt.lostSeconds, kLeastLossSeconds) / relief;
+    if (best == nullptr || price < bestPrice) {
+      best = &attempt;
+      bestPrice = price;
+    }
+  }
+  return best;
+}
+
+std::vector<Relief> StepUp(TailResponse& aState, const TailSettings& aSettings,
+                           const Interference& aTable,
+                           const TailReport& aReport,
+                           gsl::span<const AttemptView> aAttempts) {
+  std::vector<Relief> steps;
+  if (!aState.admissionStopped) {
+    aState.admissionStopped = true;
+    steps = ThrottleWorst(aSettings, aTable, aReport, aAttempts);
+    steps.push_back(Relief{ReliefKind::StopAdmission, 0});
+    return steps;
+  }
+  steps = ThrottleWorst(aSettings, aTable, aReport, aAttempts);
+  if (!steps.empty()) {
+    return steps;
+  }
+  const AttemptView* chosen =
+      CheapestEviction(aSettings, aTable, aReport, aAttempts);
+  if (chosen != nullptr) {
+    steps.push_back(Relief{ReliefKind::Evict, chosen->attempt});
+  }
+  return steps;
+}
+
+std::vector<Relief> StepDown(TailResponse& aState,
+                             gsl::span<const AttemptView> aAttempts) {
+  std::vector<Relief> steps;
+  for (const AttemptView& attempt : aAttempts) {
+    if (attempt.throttled) {
+      steps.push_back(Relief{ReliefKind::Unthrottle, attempt.attempt});
+    }
+  }
+  if (aState.admissionStopped) {
+    aState.admissionStopped = false;
+    steps.push_back(Relief{ReliefKind::ResumeAdmission, 0});
+  }
+  aState.responding = false;
+  return steps;
+}
+
+}  // namespace
+
+std::vector<Relief> RespondToTail(TailResponse& aState,
+                                  const TailSettings& aSettings,
+                                  const Interference& aTable,
+                                  const TailReport& aReport,
+                                  gsl::span<const AttemptView> aAttempts,
+                                  TimePoint aNow) {
+  if (aReport.sampledAt < aState.ignoreSamplesBefore) {
+    return {};
+  }
+  if (aReport.slowdown < aSettings.leaveSlowdown) {
+    aState.reportsAbove = 0;
+    if (!aState.responding) {
+      return {};
+    }
+    aState.ignoreSamplesBefore = aNow + aSettings.settle;
+    return StepDown(aState, aAttempts);
+  }
+  if (aReport.slowdown < aSettings.enterSlowdown) {
+    aState.reportsAbove = 0;
+    return {};
+  }
+  aState.reportsAbove += 1;
+  if (aState.reportsAbove < aSettings.enterReports && !aState.responding) {
+    return {};
+  }
+  aState.responding = true;
+  std::vector<Relief> steps =
+      StepUp(aState, aSettings, aTable, aReport, aAttempts);
+  if (!steps.empty()) {
+    aState.ignoreSamplesBefore = aNow + aSettings.settle;
+  }
+  return steps;
+}
+
+}  // namespace bramleypath::placement
