--- a/src/bramleypath/placement/ChooseWorker.cpp
+++ b/src/bramleypath/placement/ChooseWorker.cpp
@@ -13,7 +13,7 @@
 // The cost of using a rack again, above any interference that is admitted.
 constexpr double kRackReuseCost = 10.0;
 // How steeply the risk of an eviction grows as the tail limit comes near.
-constexpr double kEvictionSteepness = 8.0;
+constexpr double kEvictionSteepness = 2.4;
 
 double FullnessAfter(const WorkerView& aWorker, const Demand& aDemand) {
   if (aWorker.capacity.processorsMilli <= 0) {
@@ -34,21 +34,41 @@
   double added = 0;
   // The largest log slowdown after the placement.
   double worst = 0;
+  // The same, with each service's measured against its limit at its load.
+  double worstOfLimit = 0;
 };
 
+double LimitShare(LoadBand aBand, const Weights& aWeights) {
+  switch (aBand) {
+    case LoadBand::Low:
+      return 1;
+    case LoadBand::Middle:
+      return aWeights.middleLoadShare;
+    case LoadBand::High:
+      return aWeights.highLoadShare;
+  }
+  return 1;
+}
+
 ServiceEffect EffectOnServices(const WorkerView& aWorker,
                                const Interference& aTable,
-                               const TaskRequest& aTask, double aCaution) {
+                               const TaskRequest& aTask,
+                               const Weights& aWeights) {
+  const double caution = aWeights.caution;
+  const double logLimit = std::log(aWeights.maxServiceSlowdown);
   ServiceEffect effect;
   for (const ServiceView& service : aWorker.services) {
     const LoadBand band = BandOf(service.load);
     const double before = PredictLogSlowdown(aTable, service.classIndex,
-                                             aWorker.batch, band, aCaution);
+                                             aWorker.batch, band, caution);
     const double added = PredictAdded(aTable, service.classIndex,
-                                      aTask.classIndex, band, aCaution);
+                                      aTask.classIndex, band, caution);
     // A service that is slowed already suffers more from the same factor.
     effect.added += std::exp(before + added) - std::exp(before);
     effect.worst = std::max(effect.worst, before + added);
+    effect.worstOfLimit =
+        std::max(effect.worstOfLimit,
+                 (before + added) / (logLimit * LimitShare(band, aWeights)));
   }
   return effect;
 }
@@ -64,26 +84,26 @@
   return sum;
 }
 
-double EvictionRisk(double aLogSlowdown, double aLogLimit) {
-  return 1 / (1 + std::exp(-kEvictionSteepness * (aLogSlowdown - aLogLimit)));
+double EvictionRisk(double aShareOfLimit) {
+  return 1 / (1 + std::exp(-kEvictionSteepness * (aShareOfLimit - 1)));
 }
 
 struct Assessment {
   double cost = 0;
-  double worstService = 0;
+  double worstService = 0;  // log slowdown
+  double worstOfLimit = 0;
 };
 
 Assessment AssessBatch(const WorkerView& aWorker, const Interference& aTable,
                        const TaskRequest& aTask, const Weights& aWeights) {
   const ServiceEffect effect =
-      EffectOnServices(aWorker, aTable, aTask, aWeights.caution);
+      EffectOnServices(aWorker, aTable, aTask, aWeights);
   Assessment result;
   result.worstService = effect.worst;
+  result.worstOfLimit = effect.worstOfLimit;
   result.cost = aWeights.tailLatency * effect.added;
   if (!aWorker.services.empty()) {
-    result.cost +=
-        aWeights.evictions *
-        EvictionRisk(effect.worst, std::log(aWeights.maxServiceSlowdown));
+    result.cost += aWeights.evictions * EvictionRisk(effect.worstOfLimit);
   }
   result.cost += aWeights.throughput *
                  SlowdownOfTask(aWorker, aTable, aTask, aWeights.caution);
@@ -115,7 +135,7 @@
                                    const TaskRequest& aTask,
                                    const Weights& aWeights, NoChoice& aReason) {
   aReason = NoChoice::NoSuchWorker;
-  const double logLimit = std::log(aWeights.maxServiceSlowdown);
+  const double limit = 1 + aTask.waitedSeconds / aWeights.patienceSeconds;
   std::optional<Choice> best;
   for (std::size_t index = 0; index < aWorkers.size(); ++index) {
     const WorkerView& worker = aWorkers[index];
@@ -139,7 +159,7 @@
     const Assessment assessed =
         aTask.isService ? AssessService(worker, aTable, aTask, aWeights)
                         : AssessBatch(worker, aTable, aTask, aWeights);
-    if (assessed.worstService > logLimit && !mayHurt) {
+    if (assessed.worstOfLimit > limit && !mayHurt) {
       aReason = NoChoice::WouldHurtService;
       continue;
     }
--- a/src/bramleypath/placement/ChooseWorker.h
+++ b/src/bramleypath/placement/ChooseWorker.h
@@ -49,6 +49,9 @@
   bool urgent = false;
   // Expected run time in seconds, which lengthens the disturbance.
   double expectedSeconds = 0;
+  // How long it has been in the queue; the tail limit is relaxed with it, so
+  // that every task starts in the end.
+  double waitedSeconds = 0;
   // Racks that hold a task of the same job already; with spreadRacks set they
   // are used only when no other rack has room.
   bool spreadRacks = false;
@@ -64,6 +67,13 @@
   double maxServiceSlowdown = 1.35;
   // Standard deviations added to uncertain estimates.
   double caution = 0.5;
+  // The part of that limit (in logarithms) that holds at middle and high load:
+  // a tail is hurt most where the service is busy, and batch work can wait for
+  // the load to fall.
+  double middleLoadShare = 0.5;
+  double highLoadShare = 0.2;
+  // A task that has waited this long meets a limit twice as wide.
+  double patienceSeconds = 600;
 };
 
 enum class NoChoice : std::uint8_t {
--- /dev/null
+++ b/tests/placement/TailResponseTest.cpp
@@ -0,0 +1,125 @@
+#include "bramleypath/placement/TailResponse.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <vector>
+
+namespace bramleypath::placement {
+
+namespace {
+
+struct Scene {
+  Interference table = MakeInterference(4, {});
+  TailSettings settings;
+  TailResponse state;
+  std::vector<AttemptView> attempts;
+  TimePoint now{1000000000};
+
+  std::vector<Relief> Report(double aSlowdown) {
+    this->now = this->now + Seconds(60);
+    TailReport report;
+    report.slowdown = aSlowdown;
+    report.sampledAt = this->now - Seconds(30);
+    auto steps = RespondToTail(this->state, this->settings, this->table, report,
+                               this->attempts, this->now);
+    for (const Relief& step : steps) {
+      for (AttemptView& attempt : this->attempts) {
+        if (attempt.attempt == step.attempt && step.kind != ReliefKind::Evict) {
+          attempt.throttled = step.kind == ReliefKind::Throttle;
+        }
+      }
+    }
+    return steps;
+  }
+};
+
+bool Has(const std::vector<Relief>& aSteps, ReliefKind aKind) {
+  for (const Relief& step : aSteps) {
+    if (step.kind == aKind) {
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+class TailResponseTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(TailResponseTest);
+  CPPUNIT_TEST(testOneReportChangesNothing);
+  CPPUNIT_TEST(testThrottlesBeforeItEvicts);
+  CPPUNIT_TEST(testEvictsTheLeastLostWork);
+  CPPUNIT_TEST(testBudgetProtectsLongTasks);
+  CPPUNIT_TEST(testOldSamplesAreIgnoredAfterAStep);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against reacting to noise in a single report.
+  void testOneReportChangesNothing() {
+    Scene scene;
+    scene.attempts = {AttemptView{1, 1, false, 100, 0}};
+    CPPUNIT_ASSERT(scene.Report(2.0).empty());
+    CPPUNIT_ASSERT(scene.Report(1.0).empty());
+    CPPUNIT_ASSERT(scene.Report(2.0).empty());
+  }
+
+  void testThrottlesBeforeItEvicts() {
+    Scene scene;
+    scene.attempts = {AttemptView{1, 1, false, 100, 0}};
+    scene.Report(2.0);
+    const auto first = scene.Report(2.0);
+    CPPUNIT_ASSERT(Has(first, ReliefKind::Throttle));
+    CPPUNIT_ASSERT(Has(first, ReliefKind::StopAdmission));
+    CPPUNIT_ASSERT(!Has(first, ReliefKind::Evict));
+    CPPUNIT_ASSERT(Has(scene.Report(2.0), ReliefKind::Evict));
+    const auto relaxed = scene.Report(1.0);
+    CPPUNIT_ASSERT(Has(relaxed, ReliefKind::Unthrottle));
+    CPPUNIT_ASSERT(Has(relaxed, ReliefKind::ResumeAdmission));
+  }
+
+  void testEvictsTheLeastLostWork() {
+    Scene scene;
+    scene.attempts = {AttemptView{1, 1, true, 3000, 0},
+                      AttemptView{2, 1, true, 30, 0},
+                      AttemptView{3, 1, true, 300, 0}};
+    scene.state.admissionStopped = true;
+    scene.Report(2.0);
+    const auto steps = scene.Report(2.0);
+    CPPUNIT_ASSERT(steps.size() == 1);
+    CPPUNIT_ASSERT(steps[0].kind == ReliefKind::Evict);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, steps[0].attempt);
+  }
+
+  // Guards against a reconciliation that is restarted for ever.
+  void testBudgetProtectsLongTasks() {
+    Scene scene;
+    scene.attempts = {
+        AttemptView{1, 1, true, 30, scene.settings.evictionBudget}};
+    scene.state.admissionStopped = true;
+    for (int i = 0; i < 10; ++i) {
+      CPPUNIT_ASSERT(scene.Report(3.0).empty());
+    }
+  }
+
+  // Guards against a chain of evictions for one disturbance, since reports
+  // taken before a step arrive long after it.
+  void testOldSamplesAreIgnoredAfterAStep() {
+    Scene scene;
+    scene.attempts = {AttemptView{1, 1, true, 30, 0},
+                      AttemptView{2, 1, true, 30, 0}};
+    scene.state.admissionStopped = true;
+    scene.Report(2.0);
+    CPPUNIT_ASSERT(Has(scene.Report(2.0), ReliefKind::Evict));
+    TailReport late;
+    late.slowdown = 2.0;
+    late.sampledAt = scene.now - Seconds(20);
+    const auto steps =
+        RespondToTail(scene.state, scene.settings, scene.table, late,
+                      scene.attempts, scene.now + Seconds(30));
+    CPPUNIT_ASSERT(steps.empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(TailResponseTest);
+
+}  // namespace bramleypath::placement
