--- /dev/null
+++ b/src/bramleypath/membership/Fwd.h
@@ -0,0 +1,14 @@
+#pragma once
+
+namespace bramleypath::membership {
+
+struct TargetRecord;
+struct WorkerRecord;
+struct HostInfo;
+struct TargetLoad;
+struct DataCentreSummary;
+struct GossipMessage;
+struct Members;
+struct Settings;
+
+}  // namespace bramleypath::membership
--- /dev/null
+++ b/src/bramleypath/routing/Fwd.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace bramleypath::routing {
+
+struct Router;
+struct Settings;
+struct Call;
+struct Refusal;
+struct MemberPolicy;
+
+}  // namespace bramleypath::routing
