--- a/src/bramleypath/membership/Members.h
+++ b/src/bramleypath/membership/Members.h
@@ -76,7 +76,9 @@
   std::unordered_map<std::uint32_t, TargetId> targetNumbers;
   std::unordered_map<std::uint32_t, WorkerId> workerNumbers;
   std::unordered_map<TargetId, std::uint32_t> loads;
-  DataCentreSummary summary;
+  // A record number was unknown; all records are asked for at requestAt.
+  bool recordsMissing = false;
+  TimePoint requestAt;
 };
 
 // Counts for status and tests.
--- a/src/bramleypath/membership/Types.h
+++ b/src/bramleypath/membership/Types.h
@@ -14,7 +14,8 @@
 using Bytes = std::vector<std::uint8_t>;
 // Grows with each restart of a target or worker.
 using Incarnation = std::uint64_t;
-// Drawn at each start of an entry host's process.
+// Grows with each start of an entry host's process; the start's wall-clock time
+// serves. A smaller one is accepted only from a host that is not live.
 using Session = std::uint64_t;
 
 // What a target says about itself, as in POST /v1/targets/announce.
@@ -96,6 +97,7 @@
   std::string id;
   Incarnation incarnation = 0;
   bool worker = false;
+  Duration age;  // since it left
 };
 
 struct NumberedLoad {
--- /dev/null
+++ b/src/bramleypath/membership/internal/Records.cpp
@@ -0,0 +1,279 @@
+#include "bramleypath/membership/internal/Records.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace bramleypath::membership::detail {
+
+namespace {
+
+bool FitsLimits(const Members& aMembers, const std::string& aId,
+                const std::string& aAddress) {
+  return !aId.empty() && aId.size() <= aMembers.settings.maxIdBytes &&
+         aAddress.size() <= aMembers.settings.maxAddressBytes;
+}
+
+bool IsUsable(const Members& aMembers, const TargetRecord& aRecord) {
+  return FitsLimits(aMembers, aRecord.target.value, aRecord.address) &&
+         FitsLimits(aMembers, aRecord.service.value, aRecord.member.value) &&
+         aRecord.slots > 0;
+}
+
+bool IsUsable(const Members& aMembers, const WorkerRecord& aRecord) {
+  return FitsLimits(aMembers, aRecord.worker.value, aRecord.address) &&
+         aRecord.rack.value.size() <= aMembers.settings.maxIdBytes;
+}
+
+bool SameApartFromLoad(const TargetRecord& aLeft, const TargetRecord& aRight) {
+  return aLeft.incarnation == aRight.incarnation &&
+         aLeft.service == aRight.service && aLeft.member == aRight.member &&
+         aLeft.address == aRight.address && aLeft.slots == aRight.slots &&
+         aLeft.connections == aRight.connections;
+}
+
+bool Same(const WorkerRecord& aLeft, const WorkerRecord& aRight) {
+  return aLeft.incarnation == aRight.incarnation &&
+         aLeft.address == aRight.address && aLeft.rack == aRight.rack &&
+         aLeft.processorsMilli == aRight.processorsMilli &&
+         aLeft.memoryMb == aRight.memoryMb &&
+         aLeft.accelerators == aRight.accelerators;
+}
+
+TargetEntry* FindOrAddTarget(Members& aMembers, const TargetId& aTarget) {
+  const auto found = aMembers.targets.find(aTarget);
+  if (found != aMembers.targets.end()) {
+    return &found->second;
+  }
+  const Settings& settings = aMembers.settings;
+  if (aMembers.targets.size() >= settings.maxTargets + settings.maxDepartures) {
+    ++aMembers.counters.recordsRefused;
+    return nullptr;
+  }
+  TargetEntry& entry = aMembers.targets[aTarget];
+  entry.state = aMembers.chart.absent;
+  entry.number = aMembers.nextNumber++;
+  return &entry;
+}
+
+WorkerEntry* FindOrAddWorker(Members& aMembers, const WorkerId& aWorker) {
+  const auto found = aMembers.workers.find(aWorker);
+  if (found != aMembers.workers.end()) {
+    return &found->second;
+  }
+  const Settings& settings = aMembers.settings;
+  if (aMembers.workers.size() >= settings.maxWorkers + settings.maxDepartures) {
+    ++aMembers.counters.recordsRefused;
+    return nullptr;
+  }
+  WorkerEntry& entry = aMembers.workers[aWorker];
+  entry.number = aMembers.nextNumber++;
+  return &entry;
+}
+
+bool IsTableFull(const Members& aMembers, const TargetId& aTarget) {
+  return aMembers.targets.count(aTarget) == 0 &&
+         aMembers.targets.size() - aMembers.departures >=
+             aMembers.settings.maxTargets;
+}
+
+// Forgets the oldest departure when there are too many.
+void BoundDepartures(Members& aMembers) {
+  if (aMembers.departures <= aMembers.settings.maxDepartures) {
+    return;
+  }
+  auto oldest = aMembers.targets.end();
+  for (auto it = aMembers.targets.begin(); it != aMembers.targets.end(); ++it) {
+    if (it->second.state == aMembers.chart.departed &&
+        (oldest == aMembers.targets.end() ||
+         it->second.forgetAt < oldest->second.forgetAt)) {
+      oldest = it;
+    }
+  }
+  if (oldest != aMembers.targets.end()) {
+    aMembers.targets.erase(oldest);
+    --aMembers.departures;
+  }
+}
+
+}  // namespace
+
+bool IsDeparted(const Members& aMembers, const TargetEntry& aEntry) {
+  return aEntry.state == aMembers.chart.leaving ||
+         aEntry.state == aMembers.chart.departed;
+}
+
+void ApplyTarget(Members& aMembers, const TargetRecord& aRecord,
+                 TimePoint aHeardAt, Source aSource, TimePoint aNow,
+                 Actions& aActions) {
+  if (!IsUsable(aMembers, aRecord) || IsTableFull(aMembers, aRecord.target)) {
+    ++aMembers.counters.recordsRefused;
+    return;
+  }
+  const TimePoint expiresAt = aHeardAt + aMembers.settings.expiry;
+  if (expiresAt <= aNow) {
+    ++aMembers.counters.recordsTooLate;
+    return;
+  }
+  TargetEntry* entry = FindOrAddTarget(aMembers, aRecord.target);
+  if (entry == nullptr) {
+    return;
+  }
+  const bool added = entry->state == aMembers.chart.absent;
+  const bool newer = aRecord.incarnation > entry->record.incarnation;
+  const bool departed = IsDeparted(aMembers, *entry);
+  if (!added && ((departed && !newer) ||
+                 aRecord.incarnation < entry->record.incarnation)) {
+    ++aMembers.counters.recordsIgnored;
+    return;
+  }
+  entry->state = NextTargetState(aMembers.chart, entry->state,
+                                 aMembers.chart.announce, newer);
+  if (departed) {
+    --aMembers.departures;
+  }
+  const bool news = added || newer || departed;
+  if (aSource == Source::Direct) {
+    entry->heard = true;
+  }
+  if (!news && expiresAt <= entry->expiresAt) {
+    return;
+  }
+  const bool changed = news || !SameApartFromLoad(entry->record, aRecord);
+  entry->record = aRecord;
+  entry->expiresAt = expiresAt;
+  if (changed) {
+    entry->changed = true;
+    aActions.push_back(TargetUp{aRecord});
+  }
+}
+
+void ApplyWorker(Members& aMembers, const WorkerRecord& aRecord,
+                 TimePoint aHeardAt, Source aSource, TimePoint aNow,
+                 Actions& aActions) {
+  if (!IsUsable(aMembers, aRecord)) {
+    ++aMembers.counters.recordsRefused;
+    return;
+  }
+  const TimePoint expiresAt = aHeardAt + aMembers.settings.expiry;
+  if (expiresAt <= aNow) {
+    ++aMembers.counters.recordsTooLate;
+    return;
+  }
+  const bool added = aMembers.workers.count(aRecord.worker) == 0;
+  WorkerEntry* entry = FindOrAddWorker(aMembers, aRecord.worker);
+  if (entry == nullptr) {
+    return;
+  }
+  const bool newer = aRecord.incarnation > entry->record.incarnation;
+  if (!added && ((entry->departed && !newer) ||
+                 aRecord.incarnation < entry->record.incarnation)) {
+    ++aMembers.counters.recordsIgnored;
+    return;
+  }
+  const bool news = added || newer;
+  entry->departed = false;
+  if (aSource == Source::Direct) {
+    entry->heard = true;
+  }
+  if (!news && expiresAt <= entry->expiresAt) {
+    return;
+  }
+  const bool changed = news || !Same(entry->record, aRecord);
+  entry->record = aRecord;
+  entry->expiresAt = expiresAt;
+  if (changed) {
+    entry->changed = true;
+    aActions.push_back(WorkerUp{aRecord});
+  }
+}
+
+bool ApplyTargetDeparture(Members& aMembers, const TargetId& aTarget,
+                          Incarnation aIncarnation, bool aDrain,
+                          TimePoint aLeftAt, TimePoint aNow,
+                          Actions& aActions) {
+  const TimePoint forgetAt = aLeftAt + aMembers.settings.departureMemory;
+  if (forgetAt <= aNow || aTarget.empty() ||
+      aTarget.value.size() > aMembers.settings.maxIdBytes) {
+    return false;
+  }
+  TargetEntry* entry = FindOrAddTarget(aMembers, aTarget);
+  if (entry == nullptr) {
+    return false;
+  }
+  const bool known = entry->state != aMembers.chart.absent;
+  if (known && aIncarnation < entry->record.incarnation) {
+    return false;
+  }
+  if (IsDeparted(aMembers, *entry)) {
+    const bool newer = aIncarnation > entry->record.incarnation;
+    entry->record.incarnation = aIncarnation;
+    entry->forgetAt = std::max(entry->forgetAt, forgetAt);
+    return newer;
+  }
+  const EventIndex event = aDrain ? aMembers.chart.drain : aMembers.chart.leave;
+  entry->state = NextTargetState(aMembers.chart, entry->state, event, false);
+  entry->record.target = aTarget;
+  entry->record.incarnation = aIncarnation;
+  entry->forgetAt = forgetAt;
+  ++aMembers.departures;
+  if (known) {
+    aActions.push_back(TargetLeaving{aTarget, aIncarnation});
+  }
+  BoundDepartures(aMembers);
+  return true;
+}
+
+bool ApplyWorkerDeparture(Members& aMembers, const WorkerId& aWorker,
+                          Incarnation aIncarnation, TimePoint aLeftAt,
+                          TimePoint aNow, Actions& aActions) {
+  const TimePoint forgetAt = aLeftAt + aMembers.settings.departureMemory;
+  if (forgetAt <= aNow || aWorker.empty() ||
+      aWorker.value.size() > aMembers.settings.maxIdBytes) {
+    return false;
+  }
+  const bool known = aMembers.workers.count(aWorker) > 0;
+  WorkerEntry* entry = FindOrAddWorker(aMembers, aWorker);
+  if (entry == nullptr ||
+      (known &&
+       (aIncarnation < entry->record.incarnation ||
+        (entry->departed && aIncarnation == entry->record.incarnation)))) {
+    return false;
+  }
+  if (known && !entry->departed) {
+    aActions.push_back(WorkerGone{aWorker, aIncarnation});
+  }
+  entry->record.worker = aWorker;
+  entry->record.incarnation = aIncarnation;
+  entry->departed = true;
+  entry->forgetAt = forgetAt;
+  return true;
+}
+
+void ExpireRecords(Members& aMembers, TimePoint aNow, Actions& aActions) {
+  const TargetChart& chart = aMembers.chart;
+  for (auto it = aMembers.targets.begin(); it != aMembers.targets.end();) {
+    TargetEntry& entry = it->second;
+    if (entry.state != chart.departed && entry.expiresAt <= aNow) {
+      entry.state = NextTargetState(chart, entry.state, chart.expire, false);
+      aActions.push_back(TargetGone{it->first, entry.record.incarnation});
+    }
+    if (entry.state == chart.departed && entry.forgetAt <= aNow) {
+      entry.state = NextTargetState(chart, entry.state, chart.forget, false);
+      --aMembers.departures;
+    }
+    it = entry.state == chart.absent ? aMembers.targets.erase(it)
+                                     : std::next(it);
+  }
+  for (auto it = aMembers.workers.begin(); it != aMembers.workers.end();) {
+    const WorkerEntry& entry = it->second;
+    const bool expired = !entry.departed && entry.expiresAt <= aNow;
+    if (expired) {
+      aActions.push_back(WorkerGone{it->first, entry.record.incarnation});
+    }
+    const bool forgotten = entry.departed && entry.forgetAt <= aNow;
+    it = expired || forgotten ? aMembers.workers.erase(it) : std::next(it);
+  }
+}
+
+}  // namespace bramleypath::membership::detail
