--- /dev/null
+++ b/src/bramleypath/config/Fwd.h
@@ -0,0 +1,12 @@
+#pragma once
+
+namespace bramleypath::config {
+
+struct Configuration;
+struct Command;
+struct Outcome;
+struct ConfigState;
+struct Distribution;
+struct KeyOwners;
+
+}  // namespace bramleypath::config
--- /dev/null
+++ b/src/bramleypath/config/Types.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bramleypath/base/Ids.h"
+
+namespace bramleypath::config {
+
+// Counts accepted changes, from 0 for the empty configuration.
+using Version = std::uint64_t;
+
+// A service whose instances (targets) announce themselves.
+struct Service {
+  ServiceId name;
+  // The member whose targets may announce this service; empty: any member.
+  MemberId member;
+  std::uint32_t slotsPerTarget = 8;
+  std::uint32_t connectionsPerTarget = 60;
+};
+
+// A class of calls of one service, or of batch work when service is empty.
+struct ServiceClass {
+  ClassId name;
+  ServiceId service;
+  // Slots of each target that other classes can't use.
+  std::uint32_t reservedSlots = 0;
+  // Used until enough service times were observed.
+  std::uint32_t expectedServiceMs = 100;
+  // For calls that don't say whether they are idempotent.
+  bool idempotentDefault = false;
+};
+
+// Relative weights of the three goals, each from 0 to 1000, not all 0.
+struct GoalWeights {
+  std::uint32_t tailLatency = 1;
+  std::uint32_t evictions = 1;
+  std::uint32_t throughput = 1;
+};
+
+struct AdmissionLimits {
+  // Queued calls per member and class at one entry host.
+  std::uint32_t queuedCallsPerMember = 200;
+  // Share of a target's slots that may be in use, in percent.
+  std::uint32_t targetUtilisationPercent = 100;
+};
+
+struct BatchLimits {
+  // Share of a worker's processors that batch tasks may reserve, in percent.
+  std::uint32_t workerUtilisationPercent = 100;
+  std::uint32_t runningTasksPerCell = 10000;
+  std::uint32_t startsPerSecondPerCell = 100;
+  std::uint32_t evictionsPerJob = 3;
+};
+
+struct Preset {
+  PresetId name;
+  GoalWeights weights;
+  AdmissionLimits admission;
+  BatchLimits batch;
+};
+
+// What a member may have reserved at one time, over all cells.
+struct Quota {
+  std::uint64_t processorsMilli = 0;
+  std::uint64_t memoryMb = 0;
+  std::uint32_t accelerators = 0;
+  std::uint32_t queuedJobs = 1000;
+};
+
+struct Member {
+  MemberId name;
+  // Share in weighted fair queuing, from 1 to 1000.
+  std::uint32_t weight = 1;
+  Quota quota;
+};
+
+// "IP address:port" of each listener of an entry host.
+struct HostAddresses {
+  std::string callers;
+  std::string targets;
+  std::string peers;
+  std::string operators;
+};
+
+struct EntryHost {
+  HostId name;
+  DataCentreId dataCentre;
+  HostAddresses addresses;
+  // Whether the host can vote.
+  bool hasDisk = false;
+  // Set by operators: the host takes no new callers and leads no group.
+  bool draining = false;
+};
+
+// The data centres that own keyed requests. While a change is pending, keys
+// whose owner changes get no new grant; their old owner still gives out stored
+// answers.
+struct KeyOwners {
+  // Counts changes of the owners; carried in grants.
+  std::uint64_t generation = 0;
+  std::set<DataCentreId> current;
+  // Set while a change is pending: the owners after it.
+  std::set<DataCentreId> next;
+  // Data centres that the operator declared to be stopped for good. The
+  // others must report that they know of the change before it takes effect.
+  std::set<DataCentreId> lost;
+  // Time from the last report until the change takes effect: at least the
+  // life of a grant plus the retention of answers.
+  std::uint32_t moveWaitMs = 0;
+  // The version of the pending change.
+  Version pendingSince = 0;
+};
+
+bool IsPending(const KeyOwners& aOwners);
+
+// Everything that operators configure.
+struct Configuration {
+  std::map<ServiceId, Service> services;
+  std::map<ClassId, ServiceClass> classes;
+  std::map<PresetId, Preset> presets;
+  // Empty only while there is no preset.
+  PresetId presetInForce;
+  std::map<MemberId, Member> members;
+  std::map<HostId, EntryHost> hosts;
+  std::set<TargetId> drainedTargets;
+  KeyOwners keyOwners;
+};
+
+// Bounds of the tables, so that the configuration fits a few megabytes.
+constexpr std::size_t kMaxServices = 256;
+constexpr std::size_t kMaxClasses = 1024;
+constexpr std::size_t kMaxPresets = 32;
+constexpr std::size_t kMaxMembers = 512;
+constexpr std::size_t kMaxHosts = 64;
+constexpr std::size_t kMaxDrainedTargets = 2048;
+constexpr std::size_t kMaxNameBytes = 128;
+
+}  // namespace bramleypath::config
