--- a/src/bramleypath/codec/Fields.h
+++ b/src/bramleypath/codec/Fields.h
@@ -302,7 +302,18 @@
 
 // A JSON value from CBOR bytes; discarded when they are malformed.
 inline Json ParseCbor(const std::vector<std::uint8_t>& aBytes) {
-  return Json::from_cbor(aBytes, true, false);
+  try {
+    return Json::from_cbor(aBytes, true, false);
+  } catch (const Json::exception&) {
+    // Thrown for absurd lengths even when exceptions are turned off.
+    return Json(Json::value_t::discarded);
+  }
+}
+
+// A JSON value as text. Bytes that are not UTF-8 are replaced, since names from
+// the network end up in replies.
+inline std::string DumpJson(const Json& aJson, int aIndent = -1) {
+  return aJson.dump(aIndent, ' ', false, Json::error_handler_t::replace);
 }
 
 // A value from CBOR bytes; nothing when they are malformed.
--- a/src/bramleypath/config/Change.h
+++ b/src/bramleypath/config/Change.h
@@ -72,7 +72,7 @@
   static constexpr const char* kKind = "set_key_owners";
   std::set<DataCentreId> dataCentres;
   std::set<DataCentreId> lost;
-  std::uint32_t moveWaitMs = 0;
+  std::uint32_t moveWaitMs = kMinMoveWaitMs;
 };
 // Proposed by the leader of the configuration group once every old grant has
 // expired. Checked against the generation, not against the version.
@@ -92,6 +92,9 @@
                  RemoveHost, DrainHost, DrainTarget, SetKeyOwners,
                  ActivateKeyOwners, Replace>;
 
+// Request ids of changes that the system makes start with this.
+constexpr const char* kSystemRequestPrefix = "system:";
+
 // One change as it is replicated.
 struct Command {
   // Chosen by the operator; a resend carries the same one.
--- a/src/bramleypath/config/Distribution.h
+++ b/src/bramleypath/config/Distribution.h
@@ -27,6 +27,11 @@
   Duration queryEvery = Millis(200);
   // A host that got no quorum-confirmed index by then counts as cut off.
   Duration cutOffAfter = Millis(3000);
+  // A peer that answered no query for this long counts as unreachable.
+  Duration reachableFor = Millis(1000);
+  // At most one state is fetched per this time, so that the digests of several
+  // peers don't each bring a whole state.
+  Duration fetchEvery = Millis(500);
   // A report older than this is shown as stale.
   Duration reportStaleAfter = Millis(6000);
 };
@@ -52,25 +57,33 @@
 // Messages between entry hosts.
 
 struct Push {
+  static constexpr const char* kKind = "push";
   LogIndex previousIndex = 0;
   LogIndex index = 0;
   Bytes command;
 };
 struct Digest {
+  static constexpr const char* kKind = "digest";
   AppliedReport report;
 };
 // Asks for the state when the receiver's index is above this one.
 struct Fetch {
+  static constexpr const char* kKind = "fetch";
   LogIndex index = 0;
 };
 struct StateTransfer {
+  static constexpr const char* kKind = "state";
   LogIndex index = 0;
   Bytes snapshot;
 };
 struct IndexQuery {
+  static constexpr const char* kKind = "index_query";
+  // The incarnation of the asking host, so that answers to queries from before
+  // its restart are told apart.
   std::uint64_t nonce = 0;
 };
 struct IndexAnswer {
+  static constexpr const char* kKind = "index_answer";
   std::uint64_t nonce = 0;
   LogIndex index = 0;
   // Set by the leader of the configuration group while it holds its lease.
@@ -90,6 +103,8 @@
 struct LocallyApplied {
   LogIndex index = 0;
   Command command;
+  // This replica leads the group, so it pushes the command to the peers.
+  bool leading = false;
 };
 // This host's own replica installed a snapshot or restored one from disk.
 struct LocallyRestored {
@@ -99,10 +114,9 @@
 struct MessageArrived {
   HostId from;
   DistributionMessage message;
-  // State of this host's replica when the message arrived: whether it holds
-  // the leader lease, and then its commit index.
+  // Whether this host's replica held the leader lease when the message arrived
+  // and had handed over (LocallyApplied) everything it had committed.
   bool leaseHeld = false;
-  LogIndex commitIndex = 0;
 };
 // The peers changed (settings at start, then the configuration).
 struct PeersChanged {
@@ -129,7 +143,9 @@
   LogIndex index = 0;
   ReadyBecause because = ReadyBecause::QuorumConfirmed;
 };
-// The outcome of a command applied by LocallyApplied, for its proposer.
+// The outcome of a command applied by LocallyApplied, for its proposer. Absent
+// for an index that this host had applied already; the resend of the operator
+// then gets the recorded outcome.
 struct Applied {
   LogIndex index = 0;
   Outcome outcome;
@@ -144,6 +160,11 @@
     std::variant<SendTo, InForce, BecameReady, Applied, DistributionFault>;
 using DistributionActions = std::vector<DistributionAction>;
 
+struct PeerIndex {
+  LogIndex index = 0;
+  TimePoint at;
+};
+
 struct ReceivedReport {
   AppliedReport report;
   TimePoint at;
@@ -158,14 +179,14 @@
   std::vector<Peer> peers;
 
   bool ready = false;
-  std::uint64_t queryNonce = 0;
   TimePoint startedAt;
   TimePoint queryAt;
   TimePoint digestAt;
-  // The smallest index confirmed by a quorum that this host must have applied.
+  TimePoint fetchAt;
+  // The highest index confirmed by a quorum since the start.
   std::optional<LogIndex> confirmedIndex;
-  // Answers to the queries since the start, by peer.
-  std::map<HostId, LogIndex> answers;
+  // The latest answers to the queries since the start.
+  std::map<HostId, PeerIndex> answers;
   // Bounded by the number of peers.
   std::map<HostId, ReceivedReport> reports;
   // Set while a change of the key owners waits for its time; see DueKeyMove.
--- a/src/bramleypath/config/Types.h
+++ b/src/bramleypath/config/Types.h
@@ -14,6 +14,11 @@
 // Counts accepted changes, from 0 for the empty configuration.
 using Version = std::uint64_t;
 
+// Shortest wait for a change of the key owners: the life of a grant (10 s), of
+// a dispatched request (120 s) and of a stored answer (600 s). The journal
+// asserts that its periods are not longer.
+constexpr std::uint32_t kMinMoveWaitMs = 730'000;
+
 // A service whose instances (targets) announce themselves.
 struct Service {
   ServiceId name;
@@ -111,13 +116,18 @@
   std::set<DataCentreId> lost;
   // Time from the last report until the change takes effect: at least the
   // life of a grant plus the retention of answers.
-  std::uint32_t moveWaitMs = 0;
+  std::uint32_t moveWaitMs = kMinMoveWaitMs;
   // The version of the pending change.
   Version pendingSince = 0;
 };
 
 bool IsPending(const KeyOwners& aOwners);
 
+// The data centres whose hosts must know of a pending change before it takes
+// effect: those that lose keys, without the lost ones. When an owner is added,
+// every current owner loses some keys to it.
+std::set<DataCentreId> MustConfirm(const KeyOwners& aOwners);
+
 // Everything that operators configure.
 struct Configuration {
   std::map<ServiceId, Service> services;
