--- /dev/null
+++ b/src/bramleypath/journal/Coordinator.cpp
@@ -0,0 +1,301 @@
+#include "bramleypath/journal/Coordinator.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "bramleypath/journal/Owner.h"
+
+namespace bramleypath::journal {
+
+const char* ToString(ReplyCode aCode) {
+  switch (aCode) {
+    case ReplyCode::Applied:
+      return "applied";
+    case ReplyCode::NotLeader:
+      return "not_leader";
+    case ReplyCode::NotOwner:
+      return "not_owner";
+    case ReplyCode::Moving:
+      return "moving";
+    case ReplyCode::Busy:
+      return "busy";
+    case ReplyCode::WaitEnded:
+      return "wait_ended";
+  }
+  return "not_leader";
+}
+
+namespace {
+
+const RequestKey& KeyOf(const Command& aCommand) {
+  return std::visit(
+      [](const auto& aOne) -> const RequestKey& { return aOne.key; },
+      aCommand.body);
+}
+
+enum class Ownership { Owned, Moving, NotOwned };
+
+// Runs one event.
+struct Stepper {
+  Coordinator& coordinator;
+  const JournalState& state;
+  TimePoint now;
+  CoordinatorActions& actions;
+
+  void ReplyTo(const Ask& aAsk, ReplyCode aCode, Outcome aOutcome = {}) {
+    this->actions.push_back(
+        Reply{aAsk.from, aAsk.id, aCode, std::move(aOutcome)});
+  }
+
+  void Propose(OpenAsk aAsk) {
+    const ProposalToken token = ++this->coordinator.lastToken;
+    this->actions.push_back(ProposeCommand{token, aAsk.ask.command});
+    this->coordinator.proposed.emplace(token, std::move(aAsk));
+  }
+
+  Ownership OwnershipOf(const RequestKey& aKey) const {
+    const auto owner = OwnerOf(aKey.member, aKey.key, this->coordinator.owners);
+    if (!owner || owner->dataCentre != this->coordinator.self) {
+      return Ownership::NotOwned;
+    }
+    return owner->acceptsNew ? Ownership::Owned : Ownership::Moving;
+  }
+
+  bool IsFull() const {
+    return this->coordinator.proposed.size() + this->coordinator.waitingCount >=
+           this->coordinator.settings.maxAsks;
+  }
+
+  void Wait(OpenAsk aAsk) {
+    const Reserve& reserve = std::get<Reserve>(aAsk.ask.command.body);
+    auto& queue = this->coordinator.waiting[reserve.key];
+    // An entry host that asks again replaces its earlier question.
+    for (OpenAsk& waiting : queue) {
+      if (std::get<Reserve>(waiting.ask.command.body).holder ==
+          reserve.holder) {
+        waiting = std::move(aAsk);
+        return;
+      }
+    }
+    queue.push_back(std::move(aAsk));
+    ++this->coordinator.waitingCount;
+  }
+
+  // Answers a Reserve from the applied state, makes it wait, or proposes it.
+  // Answered records never change until they expire, so they may be read on a
+  // replica that lost its leadership without knowing.
+  void HandleReserve(OpenAsk aAsk) {
+    const Reserve& reserve = std::get<Reserve>(aAsk.ask.command.body);
+    const Record* const record = FindRecord(this->state, reserve.key);
+    const bool same =
+        record != nullptr && record->fingerprint == reserve.fingerprint;
+    const std::string_view stage =
+        same ? StageName(*record) : std::string_view();
+    if (stage == "Answered") {
+      this->ReplyTo(aAsk.ask, ReplyCode::Applied,
+                    Outcome{Result::Answered, record->answer});
+      return;
+    }
+    const bool othersRun = (stage == "Reserved" || stage == "Dispatched") &&
+                           !(record->holder == reserve.holder);
+    if (othersRun) {
+      if (this->now >= aAsk.waitUntil) {
+        this->ReplyTo(aAsk.ask, ReplyCode::WaitEnded);
+      } else {
+        this->Wait(std::move(aAsk));
+      }
+      return;
+    }
+    const Ownership ownership = this->OwnershipOf(reserve.key);
+    if (ownership == Ownership::NotOwned) {
+      this->ReplyTo(aAsk.ask, ReplyCode::NotOwner);
+      return;
+    }
+    if (ownership == Ownership::Moving && stage != "Unknown") {
+      this->ReplyTo(aAsk.ask, ReplyCode::Moving);
+      return;
+    }
+    this->Propose(std::move(aAsk));
+  }
+
+  void operator()(const Ask& aAsk) {
+    if (!this->coordinator.leading) {
+      this->ReplyTo(aAsk, ReplyCode::NotLeader);
+      return;
+    }
+    OpenAsk open{aAsk, this->now + aAsk.wait};
+    const bool reserves = std::holds_alternative<Reserve>(aAsk.command.body);
+    const bool dispatches = std::holds_alternative<Dispatch>(aAsk.command.body);
+    if (reserves || dispatches) {
+      const Ownership ownership = this->OwnershipOf(KeyOf(aAsk.command));
+      const bool stale = aAsk.generation != this->coordinator.owners.generation;
+      if (stale || ownership == Ownership::NotOwned ||
+          (dispatches && ownership == Ownership::Moving)) {
+        this->ReplyTo(aAsk, ReplyCode::NotOwner);
+        return;
+      }
+      if (this->IsFull()) {
+        this->ReplyTo(aAsk, ReplyCode::Busy);
+        return;
+      }
+    }
+    if (reserves) {
+      this->HandleReserve(std::move(open));
+    } else if (std::holds_alternative<Expire>(aAsk.command.body)) {
+      // Only the leader's own clock ends a record.
+      this->ReplyTo(aAsk, ReplyCode::Applied,
+                    Outcome{Result::Invalid, std::nullopt});
+    } else {
+      this->Propose(std::move(open));
+    }
+  }
+
+  void operator()(const Committed& aEvent) {
+    const auto expiring = this->coordinator.expiring.find(aEvent.token);
+    if (expiring != this->coordinator.expiring.end()) {
+      const RequestKey key = expiring->second.key;
+      this->coordinator.expiring.erase(expiring);
+      this->Wake(key);
+      return;
+    }
+    const auto found = this->coordinator.proposed.find(aEvent.token);
+    if (found == this->coordinator.proposed.end()) {
+      return;
+    }
+    OpenAsk open = std::move(found->second);
+    this->coordinator.proposed.erase(found);
+    const RequestKey key = KeyOf(open.ask.command);
+    if (aEvent.outcome.result == Result::Running) {
+      this->HandleReserve(std::move(open));
+    } else {
+      this->ReplyTo(open.ask, ReplyCode::Applied, aEvent.outcome);
+    }
+    this->Wake(key);
+  }
+
+  // Hands on what became of a request to those that wait for it. When it was
+  // released or its grant expired, the first of them is given the grant.
+  void Wake(const RequestKey& aKey) {
+    const auto found = this->coordinator.waiting.find(aKey);
+    if (found == this->coordinator.waiting.end()) {
+      return;
+    }
+    const Record* const record = FindRecord(this->state, aKey);
+    const std::string_view stage =
+        record == nullptr ? std::string_view("Absent") : StageName(*record);
+    if (stage == "Reserved" || stage == "Dispatched") {
+      return;
+    }
+    std::vector<OpenAsk> queue = std::move(found->second);
+    this->coordinator.waiting.erase(found);
+    this->coordinator.waitingCount -= queue.size();
+    const bool free = stage == "Absent" || stage == "Released";
+    for (std::size_t index = 0; index < queue.size(); ++index) {
+      if (free && index > 0) {
+        this->Wait(std::move(queue[index]));
+      } else {
+        this->HandleReserve(std::move(queue[index]));
+      }
+    }
+  }
+
+  void WakeAll() {
+    std::vector<RequestKey> keys;
+    for (const auto& [key, queue] : this->coordinator.waiting) {
+      keys.push_back(key);
+    }
+    for (const RequestKey& key : keys) {
+      this->Wake(key);
+    }
+  }
+
+  void operator()(const ProposalFailed& aEvent) {
+    this->coordinator.expiring.erase(aEvent.token);
+    const auto found = this->coordinator.proposed.find(aEvent.token);
+    if (found != this->coordinator.proposed.end()) {
+      this->ReplyTo(found->second.ask, ReplyCode::NotLeader);
+      this->coordinator.proposed.erase(found);
+    }
+  }
+
+  void operator()(const GainedLeadership&) { this->coordinator.leading = true; }
+
+  void operator()(const LostLeadership&) {
+    for (const auto& [token, open] : this->coordinator.proposed) {
+      this->ReplyTo(open.ask, ReplyCode::NotLeader);
+    }
+    for (const auto& [key, queue] : this->coordinator.waiting) {
+      for (const OpenAsk& open : queue) {
+        this->ReplyTo(open.ask, ReplyCode::NotLeader);
+      }
+    }
+    this->coordinator.leading = false;
+    this->coordinator.proposed.clear();
+    this->coordinator.expiring.clear();
+    this->coordinator.waiting.clear();
+    this->coordinator.waitingCount = 0;
+  }
+
+  void EndWaits() {
+    auto& waiting = this->coordinator.waiting;
+    for (auto row = waiting.begin(); row != waiting.end();) {
+      auto& queue = row->second;
+      for (const OpenAsk& open : queue) {
+        if (this->now >= open.waitUntil) {
+          this->ReplyTo(open.ask, ReplyCode::WaitEnded);
+        }
+      }
+      const std::size_t before = queue.size();
+      queue.erase(std::remove_if(queue.begin(), queue.end(),
+                                 [&](const OpenAsk& aOpen) {
+                                   return this->now >= aOpen.waitUntil;
+                                 }),
+                  queue.end());
+      this->coordinator.waitingCount -= before - queue.size();
+      row = queue.empty() ? waiting.erase(row) : std::next(row);
+    }
+  }
+
+  void ProposeExpiries() {
+    std::set<RequestKey> underWay;
+    for (const auto& [token, expire] : this->coordinator.expiring) {
+      underWay.insert(expire.key);
+    }
+    const std::size_t limit = this->coordinator.settings.expiriesPerTick;
+    for (const Expire& expire : DueExpiries(this->state, this->now, limit)) {
+      if (underWay.count(expire.key) != 0) {
+        continue;
+      }
+      const ProposalToken token = ++this->coordinator.lastToken;
+      this->coordinator.expiring.emplace(token, expire);
+      this->actions.push_back(ProposeCommand{token, Command{expire}});
+    }
+  }
+
+  void operator()(const CoordinatorTick&) {
+    if (!this->coordinator.leading) {
+      return;
+    }
+    this->EndWaits();
+    // Also covers changes that an earlier leader proposed.
+    this->WakeAll();
+    this->ProposeExpiries();
+  }
+
+  void operator()(const OwnersInForce& aEvent) {
+    this->coordinator.owners = aEvent.owners;
+    this->coordinator.self = aEvent.self;
+  }
+};
+
+}  // namespace
+
+CoordinatorActions Step(Coordinator& aCoordinator, const JournalState& aState,
+                        const CoordinatorEvent& aEvent, TimePoint aNow) {
+  CoordinatorActions actions;
+  std::visit(Stepper{aCoordinator, aState, aNow, actions}, aEvent);
+  return actions;
+}
+
+}  // namespace bramleypath::journal
--- a/src/bramleypath/journal/State.h
+++ b/src/bramleypath/journal/State.h
@@ -17,8 +17,9 @@
 // Part of the replicated state: all replicas must use equal limits.
 struct Limits {
   std::uint64_t records = 20000;
-  // Keys and stored answers together.
-  std::uint64_t bytes = 32 * 1024 * 1024;
+  // Keys, stored answers and a fixed cost per record together. A snapshot holds
+  // this three times for a moment, within the 128 MB of a host.
+  std::uint64_t bytes = 16 * 1024 * 1024;
   // Larger answers are not kept; see StoredAnswer::omitted.
   std::uint64_t answerBytes = 64 * 1024;
 };
@@ -61,12 +62,7 @@
   std::uint64_t bytes = 0;
   std::map<RequestKey, Record> records;
   // Local to the replica, for DueExpiries.
-  std::set<std::pair<TimePoint, RequestKey>,
-           bool (*)(const std::pair<TimePoint, RequestKey>&,
-                    const std::pair<TimePoint, RequestKey>&)>
-      deadlines;
-
-  JournalState();
+  std::set<std::pair<TimePoint, RequestKey>> deadlines;
 };
 
 // Applies one committed command. The outcome and all but the deadlines depend
--- a/src/bramleypath/journal/Types.h
+++ b/src/bramleypath/journal/Types.h
@@ -46,6 +46,12 @@
 
 bool operator==(const Holder& aLeft, const Holder& aRight);
 
+// An entry host must send the first byte within this time after it sent the
+// request that the owner acknowledged with Granted, and must check that right
+// before it sends; otherwise it releases the grant. A process that was paused
+// for longer could otherwise send after the owner forgot the request.
+constexpr Duration kSendWithin = Seconds(10);
+
 // The target's answer as it is stored.
 struct StoredAnswer {
   std::uint32_t status = 0;  // HTTP
@@ -61,6 +67,7 @@
 
 // Asks for the grant to run the request.
 struct Reserve {
+  static constexpr const char* kKind = "reserve";
   RequestKey key;
   Fingerprint fingerprint;
   Holder holder;
@@ -70,10 +77,12 @@
 };
 // Must be committed and acknowledged before the first byte is sent.
 struct Dispatch {
+  static constexpr const char* kKind = "dispatch";
   RequestKey key;
   Holder holder;
 };
 struct Answer {
+  static constexpr const char* kKind = "answer";
   RequestKey key;
   Holder holder;
   StoredAnswer answer;
@@ -81,12 +90,14 @@
 // The holder gave up before sending any byte, or the target's own refusal was
 // received in full.
 struct Release {
+  static constexpr const char* kKind = "release";
   RequestKey key;
   Holder holder;
 };
 // Proposed by the leader when its local deadline of the record has passed. Has
 // no effect when the record changed since.
 struct Expire {
+  static constexpr const char* kKind = "expire";
   RequestKey key;
   std::uint64_t revision = 0;
 };
@@ -108,8 +119,8 @@
   KeyReused,
   // Reserve: no room for another request until some expire.
   Full,
-  // Dispatch, Answer, Release: the caller doesn't hold the grant (any more).
-  // A refused Dispatch means that no byte may be sent.
+  // The caller doesn't hold the grant (any more), or released it before. After
+  // a Reserve or Dispatch no byte may be sent.
   NotHolder,
   // Release, Expire: done, or there was nothing to do.
   Done,
