--- /dev/null
+++ b/src/bramleypath/settings/Fwd.h
@@ -0,0 +1,9 @@
+#pragma once
+
+namespace bramleypath::settings {
+
+struct Settings;
+struct Fault;
+struct Report;
+
+}  // namespace bramleypath::settings
