Keep tasks off workers on which they failed while others could hold them

The chooser's preference alone was not enough, since it decides only among workers with room. The worker is now excluded for that task while another live one is large enough, for up to twice holdAfter.

--- a/src/bramleypath/cell/Scheduler.h
+++ b/src/bramleypath/cell/Scheduler.h
@@ -99,8 +99,9 @@
                  ReliefRequested, PlacementChanged, Tick>;
 
 struct Event {
-  // Whether the caller holds the leader lease right now. Without it nothing is
-  // proposed or sent.
+  // Whether the caller holds the leader lease right now, in the term of the
+  // last LeadershipGained. Without it nothing is proposed or sent. A caller
+  // that leads a newer term already must not set it before that event.
   bool leaseHeld = false;
   EventBody body;
 };
--- a/src/bramleypath/cell/internal/Placing.cpp
+++ b/src/bramleypath/cell/internal/Placing.cpp
@@ -12,28 +12,71 @@
 // Workers looked at for one preemption; bounds its time at 320 workers.
 constexpr std::size_t kMaxPreemptionWorkers = 32;
 
-// The worker kept free for one job is shown to the others as excluded. Urgent
-// jobs may use it.
-class HoldForOthers {
+bool Contains(const std::vector<WorkerId>& aWorkers, const WorkerId& aWorker) {
+  return std::find(aWorkers.begin(), aWorkers.end(), aWorker) != aWorkers.end();
+}
+
+// Whether a worker that is heard of could hold the task and has not failed it.
+bool HasAlternative(const Context& aContext, const Task& aTask,
+                    const Resources& aDemand) {
+  const Scheduler& scheduler = aContext.scheduler;
+  for (std::size_t slot = 0; slot < scheduler.rooms.size(); ++slot) {
+    const WorkerRoom& room = scheduler.rooms[slot];
+    if (!IsSilent(aContext, scheduler.workers[slot]) &&
+        Fits(aDemand, room.capacity) &&
+        !Contains(aTask.failedOn, room.worker)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Shows workers as excluded while a place for one task is chosen: the worker
+// kept free for another job, unless the task is urgent, and those on which the
+// task failed. Without the latter a worker that fails everything, and so is
+// always free, would use up the failures of tasks that wait for room.
+class ExcludedForTask {
  public:
-  HoldForOthers(Scheduler& aScheduler, const JobSpec& aJob)
-      : scheduler(aScheduler) {
-    if (aScheduler.heldSlot && !aJob.urgent && aScheduler.heldFor != aJob.id) {
-      this->before = aScheduler.rooms[*aScheduler.heldSlot].excluded;
-      aScheduler.rooms[*aScheduler.heldSlot].excluded = true;
+  ExcludedForTask(const Context& aContext, const JobTrack& aTrack,
+                  const PlacementRequest& aRequest, const Task& aTask)
+      : rooms(aContext.scheduler.rooms) {
+    const Scheduler& scheduler = aContext.scheduler;
+    if (scheduler.heldSlot && !aTrack.urgent &&
+        scheduler.heldFor != aRequest.task.job) {
+      this->Exclude(*scheduler.heldSlot);
+    }
+    // The others may be full of services for ever: not beyond a limit.
+    const bool waitedLong =
+        aContext.now > aTrack.waitingSince + scheduler.settings.holdAfter * 2;
+    if (aTask.failedOn.empty() || waitedLong ||
+        !HasAlternative(aContext, aTask, aRequest.demand)) {
+      return;
+    }
+    for (const WorkerId& worker : aTask.failedOn) {
+      const auto slot = scheduler.slots.find(worker);
+      if (slot != scheduler.slots.end()) {
+        this->Exclude(slot->second);
+      }
     }
   }
-  HoldForOthers(const HoldForOthers&) = delete;
-  HoldForOthers& operator=(const HoldForOthers&) = delete;
-  ~HoldForOthers() {
-    if (this->before) {
-      this->scheduler.rooms[*this->scheduler.heldSlot].excluded = *this->before;
+  ExcludedForTask(const ExcludedForTask&) = delete;
+  ExcludedForTask& operator=(const ExcludedForTask&) = delete;
+  ~ExcludedForTask() {
+    for (const std::size_t slot : this->changed) {
+      this->rooms[slot].excluded = false;
     }
   }
 
  private:
-  Scheduler& scheduler;
-  std::optional<bool> before;
+  void Exclude(std::size_t aSlot) {
+    if (!this->rooms[aSlot].excluded) {
+      this->rooms[aSlot].excluded = true;
+      this->changed.push_back(aSlot);
+    }
+  }
+
+  std::vector<WorkerRoom>& rooms;
+  std::vector<std::size_t> changed;
 };
 
 bool WithinQuota(const Context& aContext, const MemberId& aMember,
@@ -210,14 +253,17 @@
   return sum;
 }
 
-void HoldWorker(const Context& aContext, const JobId& aJob,
-                const Resources& aDemand) {
+void HoldWorker(const Context& aContext, const PlacementRequest& aRequest) {
+  const Resources& demand = aRequest.demand;
+  const auto& avoided = aRequest.avoided;
   Scheduler& scheduler = aContext.scheduler;
   std::optional<std::size_t> best;
   for (std::size_t slot = 0; slot < scheduler.rooms.size(); ++slot) {
     const WorkerRoom& room = scheduler.rooms[slot];
-    if (room.excluded || !Fits(aDemand, room.capacity) ||
-        !Fits(aDemand, room.capacity - HeldByServices(aContext, slot))) {
+    if (room.excluded || !Fits(demand, room.capacity) ||
+        std::find(avoided.begin(), avoided.end(), room.worker) !=
+            avoided.end() ||
+        !Fits(demand, room.capacity - HeldByServices(aContext, slot))) {
       continue;
     }
     if (!best || room.room.processorsMilli >
@@ -226,7 +272,7 @@
     }
   }
   scheduler.heldSlot = best;
-  scheduler.heldFor = aJob;
+  scheduler.heldFor = aRequest.task.job;
 }
 
 void CheckHold(const Context& aContext) {
@@ -255,7 +301,7 @@
   } else if (!scheduler.heldSlot &&
              aContext.now >
                  aTrack.waitingSince + scheduler.settings.holdAfter) {
-    HoldWorker(aContext, aRequest.task.job, aRequest.demand);
+    HoldWorker(aContext, aRequest);
   }
 }
 
@@ -275,7 +321,8 @@
   aTrack.reason = WaitReason::NoRoomNow;
   std::optional<std::size_t> slot;
   {
-    const HoldForOthers hold(scheduler, aJob.spec);
+    const ExcludedForTask excluded(aContext, aTrack, request,
+                                   aJob.tasks[request.task.index]);
     slot = scheduler.choose(scheduler.rooms, request, aTrack.reason);
   }
   if (slot && *slot < scheduler.rooms.size() &&
--- a/tests/cell/CellModel.cpp
+++ b/tests/cell/CellModel.cpp
@@ -89,7 +89,9 @@
 
 void CellModel::StepReplica(std::size_t aReplica, const EventBody& aEvent) {
   Replica& replica = this->replicas[aReplica];
-  const bool leads = aReplica == this->leader && !replica.paused;
+  // A lease is held for the term whose gain the scheduler was told of.
+  const bool leads = aReplica == this->leader && !replica.paused &&
+                     replica.scheduler.epoch == this->epoch;
   const bool lease =
       leads || (this->ignoreLeaderLease && replica.believesToLead);
   const Actions actions = Step(replica.scheduler, replica.state,
@@ -102,18 +104,27 @@
         command.kind = CommandKind::Start;
         command.attempt = start->attempt;
         command.resources = start->resources;
-        this->SendToWorker(aReplica, CommandBatch{
-            this->epoch, start->worker, start->incarnation,
-            replica.scheduler.workers[replica.scheduler.slots[start->worker]]
-                .stamp,
-            10000, false, 0, 0, {command}, {}});
+        this->SendToWorker(
+            aReplica,
+            CommandBatch{this->epoch,
+                         start->worker,
+                         start->incarnation,
+                         replica.scheduler
+                             .workers[replica.scheduler.slots[start->worker]]
+                             .stamp,
+                         10000,
+                         false,
+                         0,
+                         0,
+                         {command},
+                         {}});
       }
       if (leads) {
         const std::int64_t after =
             this->proposed.empty() ? this->now : this->proposed.back().commitAt;
-        this->proposed.push_back(
-            LogEntry{after + kMilli * this->Below(30), aReplica,
-                     proposal->token, proposal->command});
+        this->proposed.push_back(LogEntry{after + kMilli * this->Below(30),
+                                          aReplica, proposal->token,
+                                          proposal->command});
       } else {
         this->network.emplace(this->now + kStep,
                               [this, aReplica, token = proposal->token] {
@@ -126,17 +137,16 @@
   }
 }
 
-void CellModel::SendToWorker(std::size_t aReplica,
-                             const CommandBatch& aBatch) {
+void CellModel::SendToWorker(std::size_t aReplica, const CommandBatch& aBatch) {
   this->Transmit([this, aReplica, aBatch] {
     for (std::size_t index = 0; index < this->hosts.size(); ++index) {
       Host& host = this->hosts[index];
       if (host.agent.worker == aBatch.worker && host.up && !host.cutOff &&
           host.onlyReplica.value_or(aReplica) == aReplica) {
-        this->CarryOut(host,
-                       workeragent::HandleBatch(host.agent, aBatch,
-                                                this->LocalTime(host)),
-                       true);
+        this->CarryOut(
+            host,
+            workeragent::HandleBatch(host.agent, aBatch, this->LocalTime(host)),
+            true);
         this->SendToLeader(index, false);
       }
     }
@@ -178,8 +188,8 @@
       const bool expired = std::any_of(
           aHost.agent.ended.begin(), aHost.agent.ended.end(),
           [&id](const auto& aEntry) {
-            return aEntry.first == id && aEntry.second.confirmation.event ==
-                                             EndEvent::LeaseExpired;
+            return aEntry.first == id &&
+                   aEntry.second.confirmation.event == EndEvent::LeaseExpired;
           });
       if (aOnCommand && !expired && live != nullptr &&
           live->state == AttemptState::Evicting && job->spec.checkpointable &&
@@ -250,8 +260,7 @@
           host.failsEverything || this->failingJobs.count(id.task.job) != 0;
       workeragent::ReportEnd(host.agent, id, !fails, local);
       this->EndProcess(host, id);
-    } else if (process.checkpointAt != 0 &&
-               process.checkpointAt <= this->now &&
+    } else if (process.checkpointAt != 0 && process.checkpointAt <= this->now &&
                this->oracle.checkpointed.insert(id).second) {
       workeragent::ReportCheckpoint(host.agent, id, "after " + Name(id));
     }
@@ -500,15 +509,15 @@
       this->Mark(AttemptMark::Evict, pick);
       break;
     case FaultKind::ThrottleSome:
-      this->Mark(pick % 2 == 0 ? AttemptMark::Throttle
-                               : AttemptMark::Unthrottle,
-                 pick);
+      this->Mark(
+          pick % 2 == 0 ? AttemptMark::Throttle : AttemptMark::Unthrottle,
+          pick);
       break;
     case FaultKind::ChangeQuota:
       this->Deliver(this->leader,
                     QuotasChanged{{MemberQuota{
-                        MemberId("m0"),
-                        Resources{8000 + pick % 9000, 16000 + pick % 9000, 2}}}});
+                        MemberId("m0"), Resources{8000 + pick % 9000,
+                                                  16000 + pick % 9000, 2}}}});
       break;
     case FaultKind::NetworkGood:
     case FaultKind::NetworkBad:
@@ -552,7 +561,7 @@
   this->Inject(Fault{FaultKind::ReturnWorkers, 0});
   this->networkBad = false;
   const std::int64_t until = this->now + aMaxMicros;
-  while (this->now < until && this->truth.liveTasks > 0) {
+  while (this->now<until&& this->truth.liveTasks> 0) {
     this->Run(kSecond);
   }
   return this->truth.liveTasks == 0;
--- a/tests/cell/CellPropertyTest.cpp
+++ b/tests/cell/CellPropertyTest.cpp
@@ -24,11 +24,10 @@
     using bramleypath::cell::Fault;
     using bramleypath::cell::FaultKind;
     return gen::build<Fault>(
-        gen::set(&Fault::kind,
-                 gen::map(gen::inRange(0, static_cast<int>(FaultKind::Last)),
-                          [](int aKind) {
-                            return static_cast<FaultKind>(aKind);
-                          })),
+        gen::set(
+            &Fault::kind,
+            gen::map(gen::inRange(0, static_cast<int>(FaultKind::Last)),
+                     [](int aKind) { return static_cast<FaultKind>(aKind); })),
         gen::set(&Fault::pick, gen::inRange<std::uint32_t>(0, 10000)));
   }
 };
@@ -49,32 +48,30 @@
   // exceeded, a second end or resumption, and work or workers left out for
   // ever, under faults of the network, the workers and the leaders.
   void testSafetyAndLiveness() {
-    const bool held = rc::check(
-        "cell under faults",
-        [](std::uint32_t aSeed, const std::vector<Fault>& aFaults) {
-          CellModel model(aSeed);
-          Play(model, aFaults);
-          const bool ended = model.RunToEnd(kMaxDrain);
-          Report(model);
-          RC_ASSERT(ended);
-          RC_ASSERT(model.oracle.violations.empty());
-          CheckBystanders(model);
-        });
+    const bool held =
+        rc::check("cell under faults",
+                  [](std::uint32_t aSeed, const std::vector<Fault>& aFaults) {
+                    CellModel model(aSeed);
+                    Play(model, aFaults);
+                    const bool ended = model.RunToEnd(kMaxDrain);
+                    Report(model);
+                    RC_ASSERT(ended);
+                    RC_ASSERT(model.oracle.violations.empty());
+                    CheckBystanders(model);
+                  });
     CPPUNIT_ASSERT(held);
   }
 
   // The oracle must notice a deposed leader that goes on renewing leases.
   void testDetectsMissingLeaseCheck() {
-    CPPUNIT_ASSERT(Finds([](CellModel& aModel) {
-      aModel.ignoreLeaderLease = true;
-    }));
+    CPPUNIT_ASSERT(
+        Finds([](CellModel& aModel) { aModel.ignoreLeaderLease = true; }));
   }
 
   // The oracle must notice a start command sent before its commit.
   void testDetectsStartBeforeCommit() {
-    CPPUNIT_ASSERT(Finds([](CellModel& aModel) {
-      aModel.startBeforeCommit = true;
-    }));
+    CPPUNIT_ASSERT(
+        Finds([](CellModel& aModel) { aModel.startBeforeCommit = true; }));
   }
 
  private:
