--- /dev/null
+++ b/tests/cell/SchedulerTest.cpp
@@ -0,0 +1,250 @@
+#include "bramleypath/cell/Scheduler.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <deque>
+#include <string>
+#include <vector>
+
+namespace bramleypath::cell {
+
+namespace {
+
+constexpr TimePoint kStart{0};
+
+// A scheduler whose proposals commit at once.
+struct Fixture {
+  Scheduler scheduler;
+  CellState state;
+  std::vector<CommandBatch> sent;
+  std::deque<ProposeCommand> proposed;
+  bool commits = true;
+
+  void Handle(const EventBody& aBody, TimePoint aNow, bool aLease = true) {
+    for (const Action& action :
+         Step(this->scheduler, this->state, Event{aLease, aBody}, aNow)) {
+      if (const auto* proposal = std::get_if<ProposeCommand>(&action)) {
+        this->proposed.push_back(*proposal);
+      } else if (const auto* send = std::get_if<SendCommands>(&action)) {
+        this->sent.push_back(send->batch);
+      }
+    }
+    while (this->commits && !this->proposed.empty()) {
+      const ProposeCommand proposal = this->proposed.front();
+      this->proposed.pop_front();
+      this->Commit(proposal.command, proposal.token, aNow);
+    }
+  }
+
+  Outcome Commit(const Command& aCommand, std::uint64_t aToken,
+                 TimePoint aNow) {
+    const Outcome outcome = Apply(this->state, aCommand);
+    this->Handle(CommandCommitted{aToken, aCommand, outcome}, aNow);
+    return outcome;
+  }
+
+  void Lead(TimePoint aNow) {
+    this->Handle(LeadershipGained{++this->scheduler.epoch}, aNow);
+    this->Handle(Tick{}, aNow);
+  }
+
+  WorkerMessage Message(const char* aWorker, TimePoint aNow) {
+    WorkerMessage message;
+    message.worker = WorkerId(aWorker);
+    message.incarnation = 1;
+    message.stamp = aNow.micros;
+    return message;
+  }
+
+  // Twice: the first one registers it.
+  void Announce(const char* aWorker, TimePoint aNow) {
+    for (int repeat = 0; repeat < 2; ++repeat) {
+      this->Handle(WorkerAnnounced{this->Message(aWorker, aNow),
+                                   Resources{8000, 8000, 0}, RackId("r")},
+                   aNow);
+    }
+  }
+
+  Outcome Submit(const JobSpec& aSpec, TimePoint aNow) {
+    return this->Commit(SubmitJob{RequestId(aSpec.id.value), aSpec}, 0, aNow);
+  }
+
+  std::size_t Sent(CommandKind aKind) const {
+    std::size_t count = 0;
+    for (const CommandBatch& batch : this->sent) {
+      for (const WorkerCommand& command : batch.commands) {
+        count += command.kind == aKind ? 1 : 0;
+      }
+    }
+    return count;
+  }
+};
+
+JobSpec Spec(const char* aId, std::int64_t aProcessorsMilli) {
+  JobSpec spec;
+  spec.id = JobId(aId);
+  spec.member = MemberId("m");
+  spec.classId = ClassId("c");
+  spec.checkpointable = true;
+  spec.evictionBudget = 1;
+  spec.perTask = Resources{aProcessorsMilli, 1000, 0};
+  return spec;
+}
+
+AttemptStatus Status(const AttemptId& aAttempt, RunningState aState) {
+  return AttemptStatus{aAttempt, aState, "c1"};
+}
+
+}  // namespace
+
+class SchedulerTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(SchedulerTest);
+  CPPUNIT_TEST(testStartFollowsCommit);
+  CPPUNIT_TEST(testNothingWithoutLease);
+  CPPUNIT_TEST(testLeaseArithmetic);
+  CPPUNIT_TEST(testUrgentPreemption);
+  CPPUNIT_TEST(testReasonsAreVisible);
+  CPPUNIT_TEST(testLongWaitGetsAWorker);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a start command that a new leader would not know of.
+  void testStartFollowsCommit() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    fixture.commits = false;
+    fixture.Submit(Spec("j", 1000), kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.proposed.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Sent(CommandKind::Start));
+    fixture.commits = true;
+    fixture.Handle(Tick{}, kStart + Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Sent(CommandKind::Start));
+  }
+
+  // Guards against outward actions of a leader that may be deposed.
+  void testNothingWithoutLease() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    const Command submit = SubmitJob{RequestId("r"), Spec("j", 1000)};
+    const Outcome outcome = Apply(fixture.state, submit);
+    fixture.Handle(CommandCommitted{0, submit, outcome}, kStart, false);
+    fixture.Handle(Tick{}, kStart + Seconds(20), false);
+    CPPUNIT_ASSERT(fixture.proposed.empty());
+    CPPUNIT_ASSERT(fixture.sent.empty());
+    CPPUNIT_ASSERT(fixture.state.jobs.at(JobId("j")).tasks[0].attempts == 0);
+  }
+
+  // Guards against a lease that counts as over too early, for the leader that
+  // renewed it and for a new one.
+  void testLeaseArithmetic() {
+    for (const bool newLeader : {false, true}) {
+      Fixture fixture;
+      fixture.Lead(kStart);
+      fixture.Announce("w", kStart);
+      fixture.Submit(Spec("j", 1000), kStart);
+      const TimePoint from = newLeader ? kStart + Seconds(7) : kStart;
+      if (newLeader) {
+        fixture.Lead(from);
+      }
+      const AttemptId id{TaskId{JobId("j"), 0}, 1};
+      fixture.Handle(Tick{}, from + Millis(11100));
+      CPPUNIT_ASSERT(FindLiveAttempt(fixture.state, id) != nullptr);
+      fixture.Handle(Tick{}, from + Millis(11101));
+      CPPUNIT_ASSERT(FindLiveAttempt(fixture.state, id) == nullptr);
+    }
+  }
+
+  // Guards against urgent work waiting behind batch work, and against an
+  // eviction that skips a step.
+  void testUrgentPreemption() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    fixture.Submit(Spec("batch", 8000), kStart);
+    const AttemptId victim{TaskId{JobId("batch"), 0}, 1};
+    const auto report = [&](RunningState aState) {
+      WorkerMessage message = fixture.Message("w", kStart);
+      message.statuses = {Status(victim, aState)};
+      fixture.Handle(WorkerReported{message}, kStart);
+    };
+    report(RunningState::Running);
+    JobSpec urgent = Spec("urgent", 1000);
+    urgent.urgent = true;
+    fixture.Submit(urgent, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Sent(CommandKind::Throttle));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Sent(CommandKind::Checkpoint));
+    CPPUNIT_ASSERT(
+        Explain(fixture.state, fixture.scheduler, JobId("urgent"))->reason ==
+        WaitReason::WaitsForEviction);
+    report(RunningState::Throttled);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Sent(CommandKind::Checkpoint));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, fixture.Sent(CommandKind::Stop));
+    report(RunningState::Checkpointed);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Sent(CommandKind::Stop));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, fixture.Sent(CommandKind::Start));
+    WorkerMessage message = fixture.Message("w", kStart);
+    message.confirmations = {Confirmation{victim, EndEvent::Stopped, "c1"}};
+    fixture.Handle(WorkerReported{message}, kStart);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.Sent(CommandKind::Start));
+    CPPUNIT_ASSERT(fixture.state.jobs.at(JobId("urgent")).tasks[0].live);
+    CPPUNIT_ASSERT_EQUAL(
+        std::string("c1"),
+        fixture.state.jobs.at(JobId("batch")).tasks[0].checkpoint);
+  }
+
+  // Guards against work that waits without a stated reason.
+  void testReasonsAreVisible() {
+    Fixture fixture;
+    fixture.Submit(Spec("a", 8000), kStart);
+    const auto reason = [&](const char* aJob) {
+      return Explain(fixture.state, fixture.scheduler, JobId(aJob))->reason;
+    };
+    CPPUNIT_ASSERT(reason("a") == WaitReason::NoLeader);
+    fixture.Lead(kStart);
+    CPPUNIT_ASSERT(reason("a") == WaitReason::NoWorkers);
+    fixture.Announce("w", kStart);
+    CPPUNIT_ASSERT(reason("a") == WaitReason::None);
+    fixture.Submit(Spec("b", 8000), kStart);
+    CPPUNIT_ASSERT(reason("b") == WaitReason::NoRoomNow);
+    fixture.Handle(
+        QuotasChanged{{MemberQuota{MemberId("m"), Resources{8000, 8000, 0}}}},
+        kStart);
+    fixture.Handle(Tick{}, kStart);
+    CPPUNIT_ASSERT(reason("b") == WaitReason::QuotaExceeded);
+    CPPUNIT_ASSERT(fixture.Submit(Spec("c", 9000), kStart).code ==
+                   RefusalCode::NoWorkerCouldHold);
+    CPPUNIT_ASSERT(!Explain(fixture.state, fixture.scheduler, JobId("c")));
+  }
+
+  // Guards against a large task being passed by small ones for ever.
+  void testLongWaitGetsAWorker() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    JobSpec small = Spec("small", 4000);
+    small.taskCount = 100;
+    fixture.Submit(small, kStart);
+    fixture.Submit(Spec("large", 8000), kStart);
+    TimePoint now = kStart;
+    for (int second = 0; second < 100; ++second) {
+      now = now + Seconds(1);
+      WorkerMessage message = fixture.Message("w", now);
+      // One of the running tasks ends each second.
+      const auto& reservations =
+          fixture.state.workers.at(WorkerId("w")).reservations;
+      message.confirmations = {
+          Confirmation{reservations.begin()->first, EndEvent::Finished, ""}};
+      fixture.Handle(WorkerReported{message}, now);
+      if (fixture.state.jobs.at(JobId("large")).endedTasks == 1) {
+        return;
+      }
+    }
+    CPPUNIT_FAIL("the large task never ran");
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
+
+}  // namespace bramleypath::cell
