--- a/tests/cell/SchedulerTest.cpp
+++ b/tests/cell/SchedulerTest.cpp
@@ -65,6 +65,19 @@
     }
   }
 
+  // The worker reports the end of the first of its attempts, if any.
+  void EndFirst(const char* aWorker, EndEvent aEvent, TimePoint aNow) {
+    WorkerMessage message = this->Message(aWorker, aNow);
+    const auto& reservations =
+        this->state.workers.at(message.worker).reservations;
+    if (!reservations.empty()) {
+      message.confirmations = {
+          Confirmation{reservations.begin()->first, aEvent, ""}};
+    }
+    this->Handle(WorkerReported{message}, aNow);
+    this->Handle(Tick{}, aNow);
+  }
+
   Outcome Submit(const JobSpec& aSpec, TimePoint aNow) {
     return this->Commit(SubmitJob{RequestId(aSpec.id.value), aSpec}, 0, aNow);
   }
@@ -105,6 +118,8 @@
   CPPUNIT_TEST(testUrgentPreemption);
   CPPUNIT_TEST(testReasonsAreVisible);
   CPPUNIT_TEST(testLongWaitGetsAWorker);
+  CPPUNIT_TEST(testBadWorkerDoesNotEndGoodJobs);
+  CPPUNIT_TEST(testBadJobsEndWhenAllWorkersAreSuspect);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -230,19 +245,60 @@
     TimePoint now = kStart;
     for (int second = 0; second < 100; ++second) {
       now = now + Seconds(1);
-      WorkerMessage message = fixture.Message("w", now);
       // One of the running tasks ends each second.
-      const auto& reservations =
-          fixture.state.workers.at(WorkerId("w")).reservations;
-      message.confirmations = {
-          Confirmation{reservations.begin()->first, EndEvent::Finished, ""}};
-      fixture.Handle(WorkerReported{message}, now);
+      fixture.EndFirst("w", EndEvent::Finished, now);
       if (fixture.state.jobs.at(JobId("large")).endedTasks == 1) {
         return;
       }
     }
     CPPUNIT_FAIL("the large task never ran");
   }
+
+  // Guards against a worker that fails everything, and so is always free, using
+  // up the failures of a task that waits for room elsewhere.
+  void testBadWorkerDoesNotEndGoodJobs() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("good", kStart);
+    fixture.Submit(Spec("first", 8000), kStart);
+    fixture.Announce("bad", kStart);
+    fixture.Submit(Spec("second", 8000), kStart);
+    TimePoint now = kStart;
+    for (int second = 0; second < 100; ++second) {
+      now = now + Seconds(1);
+      fixture.Handle(WorkerReported{fixture.Message("good", now)}, now);
+      fixture.EndFirst("bad", EndEvent::Failed, now);
+    }
+    const Task& task = fixture.state.jobs.at(JobId("second")).tasks[0];
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{1}, task.attempts);
+    fixture.EndFirst("good", EndEvent::Finished, now);
+    CPPUNIT_ASSERT(task.live && task.live->worker == WorkerId("good"));
+  }
+
+  // Guards against failing jobs that are retried for hours because each of
+  // their workers fails other jobs too.
+  void testBadJobsEndWhenAllWorkersAreSuspect() {
+    const char* workers[] = {"a", "b", "c"};
+    Fixture fixture;
+    fixture.Lead(kStart);
+    for (const char* worker : workers) {
+      fixture.Announce(worker, kStart);
+    }
+    for (const char* job : {"j1", "j2", "j3", "j4"}) {
+      fixture.Submit(Spec(job, 8000), kStart);
+    }
+    TimePoint now = kStart;
+    for (int second = 0; second < 1200; ++second) {
+      now = now + Seconds(1);
+      for (const char* worker : workers) {
+        fixture.EndFirst(worker, EndEvent::Failed, now);
+      }
+    }
+    for (const auto& [id, job] : fixture.state.jobs) {
+      CPPUNIT_ASSERT(job.tasks[0].state == TaskState::Failed);
+      CPPUNIT_ASSERT(job.tasks[0].failures < kMaxFailures);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
