--- a/src/bramleypath/journal/State.cpp
+++ b/src/bramleypath/journal/State.cpp
@@ -30,8 +30,8 @@
 };
 
 const RequestChart& Charted() {
-  static const RequestChart chart;
-  return chart;
+  static const RequestChart kChart;
+  return kChart;
 }
 
 std::uint64_t CostOf(const RequestKey& aKey, const Record& aRecord) {
--- a/src/bramleypath/settings/internal/Schema.cpp
+++ b/src/bramleypath/settings/internal/Schema.cpp
@@ -96,7 +96,11 @@
     const bool isIndex = std::all_of(name.begin(), name.end(), [](char aOne) {
       return aOne >= '0' && aOne <= '9';
     });
-    path = isIndex ? path + part : codec::detail::Join(path, name);
+    if (isIndex) {
+      path += part;
+    } else {
+      path = codec::detail::Join(path, name);
+    }
   }
   return path;
 }
