Reserve processors as declared by default

Cause: reservations by observed use let the declared sizes on a host add up to more than it has, which a member may read as overcommitment.

The old behaviour stays as a setting.

--- a/bench/placement/Main.cpp
+++ b/bench/placement/Main.cpp
@@ -12,9 +12,9 @@
 namespace {
 
 constexpr std::uint64_t kSeeds[] = {1, 2, 3, 4, 5};
-constexpr Policy kPolicies[] = {Policy::FirstFit, Policy::BestFit,
-                                Policy::InterferenceBlind,
-                                Policy::InterferenceAware};
+constexpr Policy kPolicies[] = {
+    Policy::FirstFit, Policy::BestFit, Policy::InterferenceBlind,
+    Policy::InterferenceAware, Policy::AwareObservedSizes};
 
 Deployment HaritAngan() {
   Deployment deployment;
--- a/bench/placement/Policies.h
+++ b/bench/placement/Policies.h
@@ -10,9 +10,11 @@
 enum class Policy {
   FirstFit,
   BestFit,
-  // The project's scoring with no knowledge of pairs.
+  // The worker with the most room: spreads load without knowledge of pairs.
   InterferenceBlind,
-  InterferenceAware
+  InterferenceAware,
+  // The same, reserving processors by observed use.
+  AwareObservedSizes
 };
 
 const char* NameOf(Policy aPolicy);
--- a/src/bramleypath/placement/SizeCorrection.cpp
+++ b/src/bramleypath/placement/SizeCorrection.cpp
@@ -56,8 +56,11 @@
     return factors;
   }
   const ClassRatios& ratios = aCorrection.classes[aClass];
-  factors.processors = FactorOf(ratios.processors, aCorrection.settings);
-  factors.memory = FactorOf(ratios.memory, aCorrection.settings);
+  if (!aCorrection.settings.processorsAsDeclared) {
+    factors.processors = FactorOf(ratios.processors, aCorrection.settings);
+  }
+  // Memory beyond the reservation ends tasks, so it is corrected upwards only.
+  factors.memory = std::max(1.0, FactorOf(ratios.memory, aCorrection.settings));
   factors.runTime = FactorOf(ratios.runTime, aCorrection.settings);
   return factors;
 }
--- a/src/bramleypath/placement/SizeCorrection.h
+++ b/src/bramleypath/placement/SizeCorrection.h
@@ -35,8 +35,12 @@
   double runTimeQuantile = 0.5;
   // Fewer observations than this leave the declared size as it is.
   std::size_t leastSamples = 10;
-  // Declared sizes are off by at most this factor either way.
+  // Declared sizes and run times are off by at most this factor either way.
   double maxFactor = 10;
+  // What a member declares is what its host is committed to, so processors are
+  // reserved as declared. Set to false where the members agree that observed
+  // use counts instead.
+  bool processorsAsDeclared = true;
 };
 
 // Corrects the declared sizes and run times of each class by what was observed.
