--- a/src/bramleypath/consensus/Node.cpp
+++ b/src/bramleypath/consensus/Node.cpp
@@ -26,6 +26,63 @@
   return changes <= 1;
 }
 
+bool IsWellFormed(const Membership& aMembership) {
+  std::set<ReplicaId> seen;
+  for (const auto* list : {&aMembership.voters, &aMembership.learners}) {
+    for (const ReplicaId& replica : *list) {
+      // A replica listed twice would count twice in a quorum.
+      if (replica.empty() || !seen.insert(replica).second) {
+        return false;
+      }
+    }
+  }
+  return !aMembership.voters.empty();
+}
+
+// A new voter must hold all that is committed before it is counted: else the
+// loss of another one could leave a quorum that lacks committed entries.
+bool NewVotersAreCaughtUp(const Node& aNode, const Membership& aNew) {
+  for (const ReplicaId& voter : aNew.voters) {
+    if (IsVoter(aNode.membership, voter) || voter == aNode.self) {
+      continue;
+    }
+    const auto found = aNode.progress.find(voter);
+    if (found == aNode.progress.end() ||
+        found->second.match < aNode.commitIndex) {
+      return false;
+    }
+  }
+  return true;
+}
+
+// The send time of the newest message that a quorum has acknowledged.
+std::optional<TimePoint> QuorumAckedAt(const Node& aNode, TimePoint aNow) {
+  std::vector<TimePoint> acked;
+  for (const ReplicaId& voter : aNode.membership.voters) {
+    if (voter == aNode.self) {
+      acked.push_back(aNow);
+      continue;
+    }
+    const auto found = aNode.progress.find(voter);
+    if (found != aNode.progress.end() && found->second.ackedSentAt) {
+      acked.push_back(*found->second.ackedSentAt);
+    }
+  }
+  const std::size_t quorum = aNode.membership.voters.size() / 2 + 1;
+  if (acked.size() < quorum) {
+    return std::nullopt;
+  }
+  std::sort(acked.begin(), acked.end(), std::greater<>());
+  return acked[quorum - 1];
+}
+
+bool HasLostQuorum(const Node& aNode, TimePoint aNow) {
+  const auto acked = QuorumAckedAt(aNode, aNow);
+  const TimePoint since =
+      acked && *acked > aNode.leaderSince ? *acked : aNode.leaderSince;
+  return aNow >= since + aNode.settings.quorumTimeout;
+}
+
 bool HasCommittedOwnTerm(const Node& aNode) {
   return TermAt(aNode, aNode.commitIndex) == aNode.hardState.term;
 }
@@ -51,7 +108,7 @@
   // Replicas that are behind get the entry with the answer to what is under
   // way; the others get it now.
   for (auto& [replica, progress] : aNode.progress) {
-    if (progress.next == LastIndex(aNode) && !progress.snapshotIndex) {
+    if (progress.next == LastIndex(aNode) && !progress.sending) {
       detail::Replicate(aNode, replica, aNow, aActions);
     }
   }
@@ -81,11 +138,15 @@
     Refuse(aNode, aEvent.token, ProposalError::ChangeInProgress, aActions);
     return;
   }
-  if (aEvent.membership.voters.empty() ||
+  if (!IsWellFormed(aEvent.membership) ||
       !DiffersByOneVoter(aNode.membership, aEvent.membership)) {
     Refuse(aNode, aEvent.token, ProposalError::InvalidMembership, aActions);
     return;
   }
+  if (!NewVotersAreCaughtUp(aNode, aEvent.membership)) {
+    Refuse(aNode, aEvent.token, ProposalError::NotCaughtUp, aActions);
+    return;
+  }
   LogEntry entry;
   entry.kind = EntryKind::MembershipChange;
   entry.membership = aEvent.membership;
@@ -94,9 +155,11 @@
 
 void OnTick(Node& aNode, TimePoint aNow, Actions& aActions) {
   if (aNode.role == Role::Leader) {
-    if (aNode.transferUntil && aNow >= *aNode.transferUntil) {
-      // The lease must not come back: the request may still arrive and let
-      // voters elect another leader at any time.
+    const bool transferFailed =
+        aNode.transferUntil && aNow >= *aNode.transferUntil;
+    if (transferFailed || HasLostQuorum(aNode, aNow)) {
+      // After a failed transfer the lease must not come back: the request may
+      // still arrive and let voters elect another leader at any time.
       detail::BecomeFollower(aNode, aNode.hardState.term, ReplicaId{}, aNow,
                              aActions);
       return;
@@ -166,6 +229,7 @@
     // Tells a deposed leader about the current term.
     if (std::holds_alternative<AppendRequest>(aMessage.body) ||
         std::holds_alternative<SnapshotChunk>(aMessage.body)) {
+      // Echoes no send time: it must not count for the lease of a later term.
       AppendReply reply;
       aNode.held.push_back(HeldMessage{
           aNode.lastTicket,
@@ -206,7 +270,8 @@
   node.hardState = aRestored.hardState;
   node.baseMembership = aInitial;
   if (aRestored.snapshot) {
-    node.snapshot = std::move(aRestored.snapshot);
+    node.snapshot =
+        std::make_shared<const Snapshot>(std::move(*aRestored.snapshot));
     node.baseIndex = node.snapshot->index;
     node.baseTerm = node.snapshot->term;
     node.baseMembership = node.snapshot->membership;
@@ -227,7 +292,7 @@
   return node;
 }
 
-std::optional<Snapshot> StartSnapshot(const Node& aNode) {
+std::shared_ptr<const Snapshot> StartSnapshot(const Node& aNode) {
   return aNode.snapshot;
 }
 
@@ -259,23 +324,14 @@
       !HasCommittedOwnTerm(aNode)) {
     return false;
   }
-  std::vector<TimePoint> acked;
-  for (const ReplicaId& voter : aNode.membership.voters) {
-    if (voter == aNode.self) {
-      acked.push_back(aNow);
-      continue;
-    }
-    const auto found = aNode.progress.find(voter);
-    if (found != aNode.progress.end() && found->second.ackedSentAt) {
-      acked.push_back(*found->second.ackedSentAt);
-    }
-  }
-  const std::size_t quorum = aNode.membership.voters.size() / 2 + 1;
-  if (acked.size() < quorum) {
-    return false;
-  }
-  std::sort(acked.begin(), acked.end(), std::greater<>());
-  return aNow < acked[quorum - 1] + aNode.settings.leaderLease;
+  const auto acked = QuorumAckedAt(aNode, aNow);
+  return acked && aNow < *acked + aNode.settings.leaderLease;
+}
+
+bool IsReachable(const Node& aNode, const ReplicaId& aReplica, TimePoint aNow) {
+  const auto found = aNode.progress.find(aReplica);
+  return found != aNode.progress.end() && found->second.ackedSentAt &&
+         aNow < *found->second.ackedSentAt + aNode.settings.electionMin;
 }
 
 }  // namespace bramleypath::consensus
--- a/src/bramleypath/consensus/Node.h
+++ b/src/bramleypath/consensus/Node.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <vector>
@@ -20,8 +21,12 @@
   // Shorter than electionMin by more than the clocks' rates can differ, so that
   // a lease is over before any voter helps to elect another leader.
   Duration leaderLease = Millis(400);
-  // An append that is not acknowledged by then is sent again.
+  // A snapshot chunk that is not acknowledged by then is sent again. Lost
+  // appends need no timer: the next heartbeat is refused.
   Duration resend = Millis(300);
+  // A leader that no quorum has acknowledged for this long steps down. It may
+  // be heard without hearing, and would then keep the others from electing.
+  Duration quorumTimeout = Millis(2000);
   // Larger appends and snapshots are sent in several messages.
   std::size_t maxMessageBytes = 256 * 1024;
   // Entries kept behind a snapshot for followers that lag a little.
@@ -34,17 +39,22 @@
 struct Progress {
   LogIndex next = 1;
   LogIndex match = 0;
-  // Nothing is sent before this unless an answer arrives.
+  // The current snapshot chunk is not sent again before this.
   TimePoint resendAt;
+  // Refusals of messages that left before the last step back are stale: what
+  // they ask for is under way.
+  TimePoint steppedBackAt;
   // Send time of the newest message that the replica has acknowledged.
   std::optional<TimePoint> ackedSentAt;
-  // A snapshot being sent: its index and the bytes acknowledged.
-  std::optional<LogIndex> snapshotIndex;
+  // The snapshot being sent, null without one, and the bytes acknowledged. It
+  // is kept to the end although the leader may have taken a newer one since.
+  std::shared_ptr<const Snapshot> sending;
   std::uint64_t snapshotOffset = 0;
 };
 
 struct PartialSnapshot {
   ReplicaId from;
+  Term leaderTerm = 0;
   Snapshot snapshot;
   std::uint64_t totalBytes = 0;
 };
@@ -69,7 +79,7 @@
   std::vector<LogEntry> log;
   LogIndex baseIndex = 0;  // the entry before the first one of log
   Term baseTerm = 0;
-  std::optional<Snapshot> snapshot;
+  std::shared_ptr<const Snapshot> snapshot;
   LogIndex commitIndex = 0;
   LogIndex appliedIndex = 0;
 
@@ -87,6 +97,7 @@
   bool electionByTransfer = false;
 
   std::map<ReplicaId, Progress> progress;
+  TimePoint leaderSince;
   // Leadership is being handed over; no lease and no proposals until then.
   std::optional<TimePoint> transferUntil;
   ReplicaId transferTo;
@@ -108,7 +119,7 @@
               std::uint64_t aSeed, TimePoint aNow);
 
 // The state that the adapter must restore at start, before any event.
-std::optional<Snapshot> StartSnapshot(const Node& aNode);
+std::shared_ptr<const Snapshot> StartSnapshot(const Node& aNode);
 
 // Handles one event.
 Actions Step(Node& aNode, const Event& aEvent, TimePoint aNow);
@@ -117,6 +128,10 @@
 // quorum acknowledged it recently enough that no other leader can exist.
 bool HasLease(const Node& aNode, TimePoint aNow);
 
+// True when the replica acknowledged this leader within the shortest election
+// timeout.
+bool IsReachable(const Node& aNode, const ReplicaId& aReplica, TimePoint aNow);
+
 LogIndex LastIndex(const Node& aNode);
 // The term of the entry at aIndex; none when it is compacted or missing.
 std::optional<Term> TermAt(const Node& aNode, LogIndex aIndex);
--- a/src/bramleypath/consensus/Types.h
+++ b/src/bramleypath/consensus/Types.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -177,14 +178,14 @@
 // discardLog set, the whole log is replaced by the snapshot.
 struct PersistSnapshot {
   SyncTicket ticket = 0;
-  Snapshot snapshot;
+  std::shared_ptr<const Snapshot> snapshot;
   bool discardLog = false;
 };
 struct ApplyEntries {
   std::vector<LogEntry> entries;
 };
 struct RestoreState {
-  Snapshot snapshot;
+  std::shared_ptr<const Snapshot> snapshot;
 };
 struct BecameLeader {
   Term term = 0;
@@ -198,7 +199,13 @@
   Term term = 0;
 };
 
-enum class ProposalError { NotLeader, ChangeInProgress, InvalidMembership };
+enum class ProposalError {
+  NotLeader,
+  ChangeInProgress,
+  InvalidMembership,
+  // A new voter that has not acknowledged every committed entry.
+  NotCaughtUp,
+};
 
 struct ProposalRefused {
   ProposalToken token = 0;
--- a/src/bramleypath/consensus/internal/Replication.cpp
+++ b/src/bramleypath/consensus/internal/Replication.cpp
@@ -13,12 +13,17 @@
 
 namespace {
 
+// Encoded size of an entry beside its payload, roughly.
+constexpr std::size_t kEntryOverheadBytes = 8;
+
 std::vector<LogEntry> EntriesFrom(const Node& aNode, LogIndex aFirst) {
   std::vector<LogEntry> entries;
   std::size_t bytes = 0;
   for (LogIndex index = aFirst; index <= LastIndex(aNode); ++index) {
     const LogEntry& entry = EntryAt(aNode, index);
-    bytes += entry.payload.size();
+    // Counts the fixed part too: small entries would otherwise exceed the
+    // limits of a decoded message.
+    bytes += entry.payload.size() + kEntryOverheadBytes;
     if (!entries.empty() && bytes > aNode.settings.maxMessageBytes) {
       break;
     }
@@ -56,14 +61,65 @@
   }
 }
 
+// True when a newer reply makes the held one needless.
+bool IsReplacedBy(const HeldMessage& aHeld, const HeldMessage& aNewer) {
+  const auto* old = std::get_if<AppendReply>(&aHeld.message.body);
+  const auto* fresh = std::get_if<AppendReply>(&aNewer.message.body);
+  return old != nullptr && fresh != nullptr && aHeld.ticket == aNewer.ticket &&
+         aHeld.message.to == aNewer.message.to &&
+         aHeld.message.term == aNewer.message.term &&
+         old->accepted == fresh->accepted &&
+         (!old->accepted || old->index <= fresh->index);
+}
+
 void ReplyToAppend(Node& aNode, const ReplicaId& aTo, const AppendReply& aReply,
                    Actions& aActions) {
   Message message{aNode.self, aTo, aNode.hardState.term, aReply};
   if (aNode.syncedTicket >= aNode.lastTicket) {
     aActions.push_back(SendMessage{std::move(message)});
-  } else {
-    aNode.held.push_back(HeldMessage{aNode.lastTicket, std::move(message)});
+    return;
+  }
+  HeldMessage reply{aNode.lastTicket, std::move(message)};
+  // Heartbeats go on while a disk is stuck or full; their replies must not pile
+  // up.
+  if (!aNode.held.empty() && IsReplacedBy(aNode.held.back(), reply)) {
+    aNode.held.pop_back();
+  }
+  aNode.held.push_back(std::move(reply));
+}
+
+bool IsContiguous(const AppendRequest& aRequest) {
+  LogIndex expected = aRequest.previousIndex + 1;
+  for (const LogEntry& entry : aRequest.entries) {
+    if (entry.index != expected++) {
+      return false;
+    }
   }
+  return true;
+}
+
+// Where the leader should try next: before all entries of the conflicting term,
+// so that a long conflicting tail takes one round trip a term.
+LogIndex LastPossibleMatch(const Node& aNode, LogIndex aPrevious) {
+  if (aPrevious > LastIndex(aNode)) {
+    return LastIndex(aNode);
+  }
+  const auto term = TermAt(aNode, aPrevious);
+  LogIndex index = aPrevious;
+  while (index > aNode.commitIndex && TermAt(aNode, index) == term) {
+    --index;
+  }
+  return index;
+}
+
+// Keeps the follower from electing, and the lease alive, while a snapshot is
+// under way. It claims nothing about the log.
+void SendBareHeartbeat(const Node& aNode, const ReplicaId& aTo, TimePoint aNow,
+                       Actions& aActions) {
+  AppendRequest request;
+  request.sentAt = aNow;
+  aActions.push_back(SendMessage{
+      Message{aNode.self, aTo, aNode.hardState.term, std::move(request)}});
 }
 
 }  // namespace
@@ -101,6 +157,7 @@
   aNode.votes.clear();
   aNode.progress.clear();
   aNode.transferUntil.reset();
+  aNode.leaderSince = aNow;
   SyncProgressWithMembership(aNode);
   LogEntry entry;
   entry.index = LastIndex(aNode) + 1;
@@ -115,11 +172,10 @@
 void Replicate(Node& aNode, const ReplicaId& aTo, TimePoint aNow,
                Actions& aActions) {
   Progress& progress = aNode.progress[aTo];
-  progress.resendAt = aNow + aNode.settings.resend;
   const LogIndex previous = progress.next - 1;
   const auto previousTerm = TermAt(aNode, previous);
-  if (progress.snapshotIndex || !previousTerm) {
-    SendSnapshotChunk(aNode, aTo, aActions);
+  if (progress.sending || !previousTerm) {
+    SendSnapshotChunk(aNode, aTo, aNow, aActions);
     return;
   }
   AppendRequest request;
@@ -136,10 +192,11 @@
 void ReplicateToAll(Node& aNode, TimePoint aNow, Actions& aActions) {
   aNode.heartbeatAt = aNow + aNode.settings.heartbeat;
   for (auto& [replica, progress] : aNode.progress) {
-    if (aNow >= progress.resendAt && progress.next > progress.match + 1) {
-      progress.next = progress.match + 1;
+    if (progress.sending && aNow < progress.resendAt) {
+      SendBareHeartbeat(aNode, replica, aNow, aActions);
+    } else {
+      Replicate(aNode, replica, aNow, aActions);
     }
-    Replicate(aNode, replica, aNow, aActions);
   }
 }
 
@@ -147,16 +204,16 @@
                      const AppendRequest& aRequest, TimePoint aNow,
                      Actions& aActions) {
   HearLeader(aNode, aMessage.from, aNow);
+  if (!IsContiguous(aRequest)) {
+    return;
+  }
   AppendReply reply;
   reply.sentAt = aRequest.sentAt;
   const auto previousTerm = TermAt(aNode, aRequest.previousIndex);
   const bool compacted = aRequest.previousIndex < aNode.baseIndex;
   if (!compacted && (!previousTerm || *previousTerm != aRequest.previousTerm)) {
     reply.accepted = false;
-    reply.index =
-        std::min(LastIndex(aNode),
-                 aRequest.previousIndex == 0 ? 0 : aRequest.previousIndex - 1);
-    reply.index = std::max(reply.index, aNode.commitIndex);
+    reply.index = LastPossibleMatch(aNode, aRequest.previousIndex);
     ReplyToAppend(aNode, aMessage.from, reply, aActions);
     return;
   }
@@ -186,8 +243,10 @@
   }
   if (!aReply.accepted) {
     const LogIndex next = std::max(progress.match, aReply.index) + 1;
-    if (next < progress.next) {
+    const bool stale = aReply.sentAt < progress.steppedBackAt;
+    if (next < progress.next && !stale && !progress.sending) {
       progress.next = next;
+      progress.steppedBackAt = aNow;
       Replicate(aNode, aMessage.from, aNow, aActions);
     }
     return;
@@ -196,7 +255,8 @@
   progress.next = std::max(progress.next, progress.match + 1);
   AdvanceCommit(aNode, aNow, aActions);
   ContinueTransfer(aNode, aActions);
-  if (aNode.role == Role::Leader && progress.next <= LastIndex(aNode)) {
+  if (aNode.role == Role::Leader && !progress.sending &&
+      progress.next <= LastIndex(aNode)) {
     Replicate(aNode, aMessage.from, aNow, aActions);
   }
 }
--- a/src/bramleypath/consensus/internal/SnapshotTransfer.cpp
+++ b/src/bramleypath/consensus/internal/SnapshotTransfer.cpp
@@ -31,35 +31,49 @@
   aNode.baseMembership = membership;
 }
 
-void Install(Node& aNode, Snapshot aSnapshot, Actions& aActions) {
+void Install(Node& aNode, Snapshot aWhole, Actions& aActions) {
+  auto shared = std::make_shared<const Snapshot>(std::move(aWhole));
+  const Snapshot& snapshot = *shared;
   aNode.log.clear();
   aNode.unsyncedEntries.clear();
-  aNode.baseIndex = aSnapshot.index;
-  aNode.baseTerm = aSnapshot.term;
-  aNode.baseMembership = aSnapshot.membership;
-  aNode.commitIndex = aSnapshot.index;
-  aNode.appliedIndex = aSnapshot.index;
+  aNode.baseIndex = snapshot.index;
+  aNode.baseTerm = snapshot.term;
+  aNode.baseMembership = snapshot.membership;
+  aNode.commitIndex = snapshot.index;
+  aNode.appliedIndex = snapshot.index;
   RefreshMembership(aNode);
   const SyncTicket ticket = NextTicket(aNode);
   aNode.durableIndex = 0;
-  aNode.unsyncedEntries.emplace_back(ticket, aSnapshot.index);
-  aNode.snapshot = aSnapshot;
-  aActions.push_back(PersistSnapshot{ticket, aSnapshot, true});
-  aActions.push_back(RestoreState{std::move(aSnapshot)});
+  aNode.unsyncedEntries.emplace_back(ticket, snapshot.index);
+  aNode.snapshot = shared;
+  aActions.push_back(PersistSnapshot{ticket, shared, true});
+  aActions.push_back(RestoreState{std::move(shared)});
+}
+
+// A chunk that belongs to the transfer under way. A sender that restarted may
+// encode the same state differently, but then its term is another one.
+bool Continues(const Node& aNode, const Message& aMessage,
+               const SnapshotChunk& aChunk) {
+  return aNode.incoming && aNode.incoming->from == aMessage.from &&
+         aNode.incoming->leaderTerm == aMessage.term &&
+         aNode.incoming->snapshot.index == aChunk.index &&
+         aNode.incoming->totalBytes == aChunk.totalBytes;
 }
 
 }  // namespace
 
-void SendSnapshotChunk(Node& aNode, const ReplicaId& aTo, Actions& aActions) {
+void SendSnapshotChunk(Node& aNode, const ReplicaId& aTo, TimePoint aNow,
+                       Actions& aActions) {
   Progress& progress = aNode.progress[aTo];
-  if (!aNode.snapshot) {
-    return;
-  }
-  const Snapshot& snapshot = *aNode.snapshot;
-  if (progress.snapshotIndex != snapshot.index) {
-    progress.snapshotIndex = snapshot.index;
+  if (!progress.sending) {
+    if (!aNode.snapshot) {
+      return;
+    }
+    progress.sending = aNode.snapshot;
     progress.snapshotOffset = 0;
   }
+  progress.resendAt = aNow + aNode.settings.resend;
+  const Snapshot& snapshot = *progress.sending;
   SnapshotChunk chunk;
   chunk.index = snapshot.index;
   chunk.term = snapshot.term;
@@ -82,16 +96,21 @@
   HearLeader(aNode, aMessage.from, aNow);
   SnapshotReply reply;
   reply.index = aChunk.index;
+  const bool held = TermAt(aNode, aChunk.index) == aChunk.term;
+  if (held && aChunk.index > aNode.commitIndex) {
+    // The log matches the leader's up to there: what follows in it may be
+    // acknowledged already and must not be discarded.
+    aNode.commitIndex = aChunk.index;
+    ApplyCommitted(aNode, aActions);
+  }
   if (aChunk.index <= aNode.commitIndex) {
     reply.installed = true;
     aNode.incoming.reset();
   } else {
-    const bool sameTransfer = aNode.incoming &&
-                              aNode.incoming->from == aMessage.from &&
-                              aNode.incoming->snapshot.index == aChunk.index;
-    if (!sameTransfer) {
+    if (!Continues(aNode, aMessage, aChunk)) {
       PartialSnapshot partial;
       partial.from = aMessage.from;
+      partial.leaderTerm = aMessage.term;
       partial.snapshot =
           Snapshot{aChunk.index, aChunk.term, aChunk.membership, Bytes{}};
       partial.totalBytes = aChunk.totalBytes;
@@ -122,16 +141,22 @@
     return;
   }
   Progress& progress = found->second;
-  if (progress.snapshotIndex != aReply.index) {
+  if (!progress.sending || progress.sending->index != aReply.index) {
     return;
   }
   if (!aReply.installed) {
-    progress.snapshotOffset = std::min<std::uint64_t>(
-        aReply.nextOffset, aNode.snapshot ? aNode.snapshot->state.size() : 0);
-    Replicate(aNode, aMessage.from, aNow, aActions);
+    const std::uint64_t offset = std::min<std::uint64_t>(
+        aReply.nextOffset, progress.sending->state.size());
+    // A duplicate must not start one more chunk; a receiver that restarted
+    // begins anew with the next chunk that is sent again.
+    const bool advanced = offset > progress.snapshotOffset;
+    progress.snapshotOffset = offset;
+    if (advanced) {
+      Replicate(aNode, aMessage.from, aNow, aActions);
+    }
     return;
   }
-  progress.snapshotIndex.reset();
+  progress.sending.reset();
   progress.snapshotOffset = 0;
   progress.match = std::max(progress.match, aReply.index);
   progress.next = std::max(progress.match + 1, aReply.index + 1);
@@ -154,9 +179,8 @@
   snapshot.term = *TermAt(aNode, aTaken.index);
   snapshot.membership = MembershipAt(aNode, aTaken.index);
   snapshot.state = aTaken.state;
-  aNode.snapshot = snapshot;
-  aActions.push_back(
-      PersistSnapshot{NextTicket(aNode), std::move(snapshot), false});
+  aNode.snapshot = std::make_shared<const Snapshot>(std::move(snapshot));
+  aActions.push_back(PersistSnapshot{NextTicket(aNode), aNode.snapshot, false});
   if (aTaken.index > aNode.baseIndex + aNode.settings.keptEntries) {
     DropLogPrefix(aNode, aTaken.index - aNode.settings.keptEntries);
   }
--- a/src/bramleypath/consensus/internal/SnapshotTransfer.h
+++ b/src/bramleypath/consensus/internal/SnapshotTransfer.h
@@ -4,7 +4,8 @@
 
 namespace bramleypath::consensus::detail {
 
-void SendSnapshotChunk(Node& aNode, const ReplicaId& aTo, Actions& aActions);
+void SendSnapshotChunk(Node& aNode, const ReplicaId& aTo, TimePoint aNow,
+                       Actions& aActions);
 void OnSnapshotChunk(Node& aNode, const Message& aMessage,
                      const SnapshotChunk& aChunk, TimePoint aNow,
                      Actions& aActions);
--- a/src/bramleypath/consensus/internal/Transfer.cpp
+++ b/src/bramleypath/consensus/internal/Transfer.cpp
@@ -8,11 +8,13 @@
 
 namespace {
 
-ReplicaId MostCaughtUpVoter(const Node& aNode) {
+// Empty when no other voter answers.
+ReplicaId MostCaughtUpVoter(const Node& aNode, TimePoint aNow) {
   ReplicaId best;
   LogIndex bestMatch = 0;
   for (const auto& [replica, progress] : aNode.progress) {
     if (IsVoter(aNode.membership, replica) &&
+        IsReachable(aNode, replica, aNow) &&
         (best.empty() || progress.match > bestMatch)) {
       best = replica;
       bestMatch = progress.match;
@@ -28,9 +30,10 @@
   if (aNode.role != Role::Leader || aNode.transferUntil) {
     return;
   }
-  const ReplicaId to = aEvent.to.empty() ? MostCaughtUpVoter(aNode) : aEvent.to;
+  const ReplicaId to =
+      aEvent.to.empty() ? MostCaughtUpVoter(aNode, aNow) : aEvent.to;
   if (to == aNode.self || aNode.progress.count(to) == 0 ||
-      !IsVoter(aNode.membership, to)) {
+      !IsVoter(aNode.membership, to) || !IsReachable(aNode, to, aNow)) {
     return;
   }
   aNode.transferTo = to;
--- a/tests/consensus/Cluster.h
+++ b/tests/consensus/Cluster.h
@@ -99,6 +99,8 @@
 
   // The oracle: every entry that some replica knew to be committed.
   std::map<LogIndex, LogEntry> committed;
+  // The term of the leader that committed it, which is the first to apply it.
+  std::map<LogIndex, Term> committedIn;
   std::set<ReplicaId> lost;  // identities whose disk is gone
   std::string failure;
 };
