--- a/src/bramleypath/consensus/Node.cpp
+++ b/src/bramleypath/consensus/Node.cpp
@@ -99,30 +99,39 @@
 }
 
 void AppendProposal(Node& aNode, ProposalToken aToken, LogEntry aEntry,
-                    TimePoint aNow, Actions& aActions) {
+                    Actions& aActions) {
   aEntry.index = LastIndex(aNode) + 1;
   aEntry.term = aNode.hardState.term;
   aActions.push_back(ProposalAccepted{aToken, aEntry.index, aEntry.term});
   detail::AppendLocal(aNode, std::move(aEntry), aActions);
-  detail::SyncProgressWithMembership(aNode);
-  // Replicas that are behind get the entry with the answer to what is under
-  // way; the others get it now.
+}
+
+// Replicas that are behind get what follows aIndex with the answer to what is
+// under way; the others get it now.
+void ReplicateAfter(Node& aNode, LogIndex aIndex, TimePoint aNow,
+                    Actions& aActions) {
   for (auto& [replica, progress] : aNode.progress) {
-    if (progress.next == LastIndex(aNode) && !progress.sending) {
+    if (progress.next == aIndex + 1 && !progress.sending) {
       detail::Replicate(aNode, replica, aNow, aActions);
     }
   }
 }
 
-void OnPropose(Node& aNode, const Propose& aEvent, TimePoint aNow,
-               Actions& aActions) {
+void OnPropose(Node& aNode, const std::vector<Propose>& aProposals,
+               TimePoint aNow, Actions& aActions) {
   if (aNode.role != Role::Leader || aNode.transferUntil) {
-    Refuse(aNode, aEvent.token, ProposalError::NotLeader, aActions);
+    for (const Propose& proposal : aProposals) {
+      Refuse(aNode, proposal.token, ProposalError::NotLeader, aActions);
+    }
     return;
   }
-  LogEntry entry;
-  entry.payload = aEvent.payload;
-  AppendProposal(aNode, aEvent.token, std::move(entry), aNow, aActions);
+  const LogIndex last = LastIndex(aNode);
+  for (const Propose& proposal : aProposals) {
+    LogEntry entry;
+    entry.payload = proposal.payload;
+    AppendProposal(aNode, proposal.token, std::move(entry), aActions);
+  }
+  ReplicateAfter(aNode, last, aNow, aActions);
 }
 
 void OnProposeMembership(Node& aNode, const ProposeMembership& aEvent,
@@ -150,7 +159,10 @@
   LogEntry entry;
   entry.kind = EntryKind::MembershipChange;
   entry.membership = aEvent.membership;
-  AppendProposal(aNode, aEvent.token, std::move(entry), aNow, aActions);
+  const LogIndex last = LastIndex(aNode);
+  AppendProposal(aNode, aEvent.token, std::move(entry), aActions);
+  detail::SyncProgressWithMembership(aNode);
+  ReplicateAfter(aNode, last, aNow, aActions);
 }
 
 void OnTick(Node& aNode, TimePoint aNow, Actions& aActions) {
@@ -303,7 +315,9 @@
   } else if (std::holds_alternative<Tick>(aEvent)) {
     OnTick(aNode, aNow, actions);
   } else if (const auto* propose = std::get_if<Propose>(&aEvent)) {
-    OnPropose(aNode, *propose, aNow, actions);
+    OnPropose(aNode, {*propose}, aNow, actions);
+  } else if (const auto* batch = std::get_if<ProposeBatch>(&aEvent)) {
+    OnPropose(aNode, batch->proposals, aNow, actions);
   } else if (const auto* change = std::get_if<ProposeMembership>(&aEvent)) {
     OnProposeMembership(aNode, *change, aNow, actions);
   } else if (const auto* transfer = std::get_if<TransferLeadership>(&aEvent)) {
--- a/src/bramleypath/consensus/Types.h
+++ b/src/bramleypath/consensus/Types.h
@@ -138,6 +138,10 @@
   ProposalToken token = 0;
   Bytes payload;
 };
+// Several commands that go out in one message to each replica.
+struct ProposeBatch {
+  std::vector<Propose> proposals;
+};
 struct ProposeMembership {
   ProposalToken token = 0;
   Membership membership;
@@ -155,8 +159,9 @@
   Bytes state;
 };
 
-using Event = std::variant<MessageReceived, Tick, Propose, ProposeMembership,
-                           TransferLeadership, StorageSynced, SnapshotTaken>;
+using Event = std::variant<MessageReceived, Tick, Propose, ProposeBatch,
+                           ProposeMembership, TransferLeadership, StorageSynced,
+                           SnapshotTaken>;
 
 // Actions from Step, to be carried out in their order. Writes need not be
 // durable before messages are sent; messages that depend on a write are held
--- a/src/bramleypath/group/Replica.h
+++ b/src/bramleypath/group/Replica.h
@@ -44,7 +44,10 @@
 struct ReplicaCallbacks {
   // Hands a message to the link to aMessage.to; may drop it.
   std::function<void(const consensus::Message&)> send;
+  // This replica leads and its state machine holds every command that earlier
+  // leaders committed. The term is the epoch of what it commands.
   std::function<void(consensus::Term)> leadershipGained;
+  // Follows each leadershipGained.
   std::function<void(consensus::Term)> leadershipLost;
   // After entries were applied or a snapshot restored; aIndex is the new
   // applied index.
@@ -73,7 +76,7 @@
  public:
   // aStore may be null on a host without a disk; such a replica must stay a
   // learner. aDisk outlives the replica and may serve several of them; it is
-  // unused without a store.
+  // unused without a store. The io_context outlives both.
   Replica(asio::io_context& aContext, storage::DiskThread* aDisk,
           std::unique_ptr<storage::GroupStore> aStore,
           consensus::RestoredState aRestored, ReplicaSettings aSettings,
@@ -86,7 +89,8 @@
   // be restored.
   bool Start(std::string& aReason);
 
-  // aCallback is called exactly once, never from within this call.
+  // aCallback is called exactly once, never from within this call. Commands
+  // proposed in the same turn of the io_context are sent and synced together.
   void Propose(consensus::Bytes aCommand, Duration aTimeout,
                ProposeCallback aCallback);
 
