--- a/src/bramleypath/consensus/RecordCodec.cpp
+++ b/src/bramleypath/consensus/RecordCodec.cpp
@@ -50,6 +50,13 @@
   return mark;
 }
 
+Record DecodeHead(CborReader& aReader) {
+  SegmentHead head;
+  head.sequence = ReadUnsigned(aReader);
+  head.lastIndex = ReadUnsigned(aReader);
+  return head;
+}
+
 Record DecodeRecord(CborReader& aReader) {
   ReadArray(aReader, kMaxRecordFields);
   switch (ReadUnsigned(aReader)) {
@@ -60,7 +67,7 @@
     case static_cast<unsigned>(RecordKind::Snapshot):
       return DecodeMark(aReader);
     case static_cast<unsigned>(RecordKind::Head):
-      return SegmentHead{ReadUnsigned(aReader)};
+      return DecodeHead(aReader);
     default:
       aReader.good = false;
       return HardState{};
@@ -100,7 +107,7 @@
 
 void RecordEncoder::Add(const SegmentHead& aHead) {
   this->impl->records.push_back(
-      Json::array({Number(RecordKind::Head), aHead.sequence}));
+      Json::array({Number(RecordKind::Head), aHead.sequence, aHead.lastIndex}));
 }
 
 Bytes RecordEncoder::Finish() const {
--- a/src/bramleypath/consensus/RecordCodec.h
+++ b/src/bramleypath/consensus/RecordCodec.h
@@ -28,6 +28,9 @@
 // The first record of each file.
 struct SegmentHead {
   std::uint64_t sequence = 0;
+  // Where the log ended when the file was begun: tells whether an earlier file
+  // that is not there was obsolete or is missing.
+  LogIndex lastIndex = 0;
 };
 
 using Record =
--- a/src/bramleypath/storage/GroupStore.cpp
+++ b/src/bramleypath/storage/GroupStore.cpp
@@ -105,6 +105,7 @@
   std::vector<Segment> segments;  // the last one is written to
   std::unique_ptr<File> current;
   consensus::HardState hardState;
+  consensus::LogIndex lastIndex = 0;  // of the log or the snapshot
   consensus::LogIndex snapshotIndex = 0;
   consensus::Term snapshotTerm = 0;
   std::vector<std::string> staleSnapshots;
@@ -222,8 +223,14 @@
     }
   }
   const auto& entries = aReplay.entries;
+  const std::uint64_t first = this->segments.front().sequence;
+  // Files are removed only once a snapshot covers them.
+  if (aReplay.lastBefore && *aReplay.lastBefore > aReplay.snapshot.index) {
+    return Corrupt(this->PathOf(LogName(first - 1)), "file is missing",
+                   aReason);
+  }
   if (!entries.empty() && entries.front().index > aReplay.snapshot.index + 1) {
-    return Corrupt(this->PathOf(LogName(this->segments.front().sequence)),
+    return Corrupt(this->PathOf(LogName(first)),
                    "entries between the snapshot and the log are missing",
                    aReason);
   }
@@ -286,6 +293,10 @@
   this->hardState = replay.hardState;
   this->snapshotIndex = replay.snapshot.index;
   this->snapshotTerm = replay.snapshot.term;
+  this->lastIndex =
+      replay.entries.empty()
+          ? replay.snapshot.index
+          : std::max(replay.entries.back().index, replay.snapshot.index);
   aOpened.restored.hardState = replay.hardState;
   for (consensus::LogEntry& entry : replay.entries) {
     if (entry.index > replay.snapshot.index) {
@@ -307,7 +318,7 @@
 bool GroupStore::Impl::AddSegment(std::uint64_t aSequence,
                                   StorageReason& aReason) {
   consensus::RecordEncoder records;
-  records.Add(consensus::SegmentHead{aSequence});
+  records.Add(consensus::SegmentHead{aSequence, this->lastIndex});
   records.Add(this->hardState);
   if (this->snapshotIndex > 0) {
     records.Add(consensus::SnapshotMark{this->snapshotIndex, this->snapshotTerm,
@@ -370,8 +381,13 @@
     Segment& segment = this->segments.back();
     segment.maxIndex =
         std::max(segment.maxIndex, entries->entries.back().index);
+    this->lastIndex = entries->entries.back().index;
   } else {
-    const auto& snapshot = *std::get<PersistSnapshot>(aWrite).snapshot;
+    const auto& write = std::get<PersistSnapshot>(aWrite);
+    const auto& snapshot = *write.snapshot;
+    if (write.discardLog) {
+      this->lastIndex = snapshot.index;
+    }
     if (this->snapshotIndex > 0) {
       this->staleSnapshots.push_back(
           detail::SnapshotName(this->snapshotIndex, this->snapshotTerm));
--- a/src/bramleypath/storage/internal/LogReplay.cpp
+++ b/src/bramleypath/storage/internal/LogReplay.cpp
@@ -56,8 +56,14 @@
     if (mark->discardLog) {
       aReplay.entries.clear();
     }
-  } else if (std::get<SegmentHead>(aRecord).sequence != aSequence) {
-    return "file has the number of another one";
+  } else {
+    const auto& head = std::get<SegmentHead>(aRecord);
+    if (head.sequence != aSequence) {
+      return "file has the number of another one";
+    }
+    if (!aReplay.lastBefore) {
+      aReplay.lastBefore = head.lastIndex;
+    }
   }
   return nullptr;
 }
--- a/src/bramleypath/storage/internal/LogReplay.h
+++ b/src/bramleypath/storage/internal/LogReplay.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <gsl/span>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   // The last mark; index 0 without one.
   consensus::SnapshotMark snapshot;
   std::vector<consensus::LogEntry> entries;
+  // Where the log ended before the first file that is there.
+  std::optional<consensus::LogIndex> lastBefore;
 };
 
 // How far a file could be read.
