--- /dev/null
+++ b/tests/group/ReplicaTest.cpp
@@ -0,0 +1,510 @@
+#include "bramleypath/group/Replica.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <asio/post.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "bramleypath/consensus/Codec.h"
+#include "tests/storage/FakeFileSystem.h"
+
+namespace bramleypath::group {
+
+namespace {
+
+using consensus::Bytes;
+using consensus::ReplicaId;
+
+constexpr Duration kPatience = Seconds(5);
+
+// Keeps every command and answers with its number.
+class ListMachine : public StateMachine {
+ public:
+  Bytes Apply(const CommittedCommand& aCommand) override {
+    this->commands.push_back(*aCommand.payload.begin());
+    return Bytes{static_cast<std::uint8_t>(this->commands.size())};
+  }
+  Bytes TakeSnapshot() override { return this->commands; }
+  bool Restore(consensus::LogIndex, gsl::span<const std::uint8_t> aState,
+               std::string&) override {
+    this->commands.assign(aState.begin(), aState.end());
+    return true;
+  }
+
+  Bytes commands;
+};
+
+struct Member {
+  ReplicaId id;
+  storage::FakeDiskState disk;
+  std::unique_ptr<storage::FileSystem> files =
+      storage::MakeFakeFileSystem(disk);
+  ListMachine machine;
+  // Destroyed after the replica: what it handed over is written before its
+  // files are opened again.
+  std::unique_ptr<storage::DiskThread> thread;
+  std::unique_ptr<Replica> replica;
+  std::string failure;
+  std::vector<bool> fullReports;
+  int gained = 0;
+  int lost = 0;
+  bool witness = false;
+  bool diskless = false;
+};
+
+struct Group {
+  explicit Group(std::size_t aMembers, std::size_t aVoters) {
+    for (std::size_t i = 0; i < aMembers; ++i) {
+      auto member = std::make_unique<Member>();
+      member->id = ReplicaId{"h" + std::to_string(i) + "/initial"};
+      if (i < aVoters) {
+        this->initial.voters.push_back(member->id);
+      }
+      this->members.push_back(std::move(member));
+    }
+  }
+
+  void StartAll() {
+    for (std::size_t i = 0; i < this->members.size(); ++i) {
+      this->Start(i);
+    }
+  }
+
+  void Start(std::size_t aMember) {
+    Member& member = *this->members[aMember];
+    member.machine.commands.clear();
+    storage::OpenedState opened;
+    storage::StorageReason reason;
+    std::unique_ptr<storage::GroupStore> store;
+    if (!member.diskless) {
+      store = storage::GroupStore::Open(*member.files, "data/group",
+                                        storage::StoreSettings{2000, 1000},
+                                        opened, reason);
+      CPPUNIT_ASSERT_MESSAGE(storage::ToText(reason), store != nullptr);
+    }
+    ReplicaSettings settings;
+    settings.self = member.id;
+    if (consensus::IsVoter(this->initial, member.id)) {
+      settings.initial = this->initial;
+    }
+    // About half of the usual times.
+    settings.consensus.heartbeat = Millis(40);
+    settings.consensus.electionMin = Millis(300);
+    settings.consensus.electionMax = Millis(600);
+    settings.consensus.leaderLease = Millis(240);
+    settings.consensus.quorumTimeout = this->quorumTimeout;
+    settings.consensus.keptEntries = 10;
+    settings.seed = 100 + aMember;
+    settings.snapshotEntries = 50;
+    settings.maxCommandBytes = 100;
+    settings.maxPending = 300;
+    settings.mayLead = [this](const ReplicaId& aId) {
+      return !this->Find(aId)->witness;
+    };
+    member.thread = std::make_unique<storage::DiskThread>();
+    member.replica = std::make_unique<Replica>(
+        this->context, member.thread.get(), std::move(store),
+        std::move(opened.restored), std::move(settings),
+        this->Callbacks(member), member.machine);
+    std::string text;
+    CPPUNIT_ASSERT(member.replica->Start(text));
+  }
+
+  void Kill(std::size_t aMember) {
+    this->members[aMember]->replica.reset();
+    this->members[aMember]->thread.reset();
+  }
+
+  ReplicaCallbacks Callbacks(Member& aMember) {
+    ReplicaCallbacks callbacks;
+    callbacks.send = [this](const consensus::Message& aMessage) {
+      const auto decoded =
+          consensus::DecodeMessage(consensus::EncodeMessage(aMessage));
+      CPPUNIT_ASSERT(decoded.has_value());
+      asio::post(this->context, [this, message = *decoded] {
+        Member* to = this->Find(message.to);
+        const bool cut = this->cutOff.count(message.from) > 0 ||
+                         this->cutOff.count(message.to) > 0;
+        if (to != nullptr && to->replica && !cut) {
+          to->replica->Receive(message);
+        }
+      });
+    };
+    callbacks.leadershipGained = [&aMember](consensus::Term) {
+      ++aMember.gained;
+    };
+    callbacks.leadershipLost = [&aMember](consensus::Term) { ++aMember.lost; };
+    callbacks.storageFull = [&aMember](bool aFull) {
+      aMember.fullReports.push_back(aFull);
+    };
+    callbacks.failed = [&aMember](const std::string& aReason) {
+      aMember.failure = aReason;
+    };
+    return callbacks;
+  }
+
+  Member* Find(const ReplicaId& aId) {
+    for (const auto& member : this->members) {
+      if (member->id == aId) {
+        return member.get();
+      }
+    }
+    return nullptr;
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition,
+                Duration aLimit = kPatience) {
+    const auto until = std::chrono::steady_clock::now() +
+                       std::chrono::microseconds(aLimit.micros);
+    while (!aCondition()) {
+      if (std::chrono::steady_clock::now() > until) {
+        return false;
+      }
+      this->context.restart();
+      this->context.run_for(std::chrono::milliseconds(2));
+    }
+    return true;
+  }
+
+  std::size_t LeaderNow() {
+    for (std::size_t i = 0; i < this->members.size(); ++i) {
+      const auto& replica = this->members[i]->replica;
+      if (replica && replica->HasLease()) {
+        return i;
+      }
+    }
+    return this->members.size();
+  }
+
+  std::size_t WaitForLeader() {
+    CPPUNIT_ASSERT(this->RunUntil(
+        [this] { return this->LeaderNow() < this->members.size(); }));
+    return this->LeaderNow();
+  }
+
+  ProposeOutcome Propose(std::size_t aMember, Bytes aCommand,
+                         Duration aTimeout = kPatience) {
+    return this->Await([&](ProposeCallback aDone) {
+      this->members[aMember]->replica->Propose(std::move(aCommand), aTimeout,
+                                               std::move(aDone));
+    });
+  }
+
+  ProposeOutcome Await(const std::function<void(ProposeCallback)>& aStart) {
+    // Shared: a callback may come after the test gave up.
+    auto calls = std::make_shared<std::vector<ProposeOutcome>>();
+    aStart([calls](const ProposeOutcome& aOutcome) {
+      calls->push_back(aOutcome);
+    });
+    CPPUNIT_ASSERT_MESSAGE("called from within", calls->empty());
+    CPPUNIT_ASSERT(
+        this->RunUntil([&] { return !calls->empty(); }, Seconds(10)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, calls->size());
+    return calls->front();
+  }
+
+  bool AllApplied(const Bytes& aCommands) {
+    return this->RunUntil([&] {
+      for (const auto& member : this->members) {
+        if (member->replica && member->machine.commands != aCommands) {
+          return false;
+        }
+      }
+      return true;
+    });
+  }
+
+  asio::io_context context;
+  consensus::Membership initial;
+  Duration quorumTimeout = Millis(1200);
+  std::vector<std::unique_ptr<Member>> members;
+  std::set<ReplicaId> cutOff;
+};
+
+}  // namespace
+
+class ReplicaTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(ReplicaTest);
+  CPPUNIT_TEST(testProposeIsAppliedEverywhere);
+  CPPUNIT_TEST(testLostLeadershipIsUnknown);
+  CPPUNIT_TEST(testTimeoutIsUnknown);
+  CPPUNIT_TEST(testLimitsAreNotAppended);
+  CPPUNIT_TEST(testRestartAndCatchUpThroughSnapshot);
+  CPPUNIT_TEST(testFullDiskRefusesAndHandsOver);
+  CPPUNIT_TEST(testFullFollowerKeepsNothingInMemory);
+  CPPUNIT_TEST(testFailedSyncStopsTheReplica);
+  CPPUNIT_TEST(testRepairOfALostVoter);
+  CPPUNIT_TEST(testWitnessPassesLeadershipOn);
+  CPPUNIT_TEST(testStopLosesNothing);
+  CPPUNIT_TEST(testDisklessLearner);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void testProposeIsAppliedEverywhere() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    CPPUNIT_ASSERT_EQUAL(1, group.members[leader]->gained);
+    const ProposeOutcome first = group.Propose(leader, {7});
+    CPPUNIT_ASSERT(first.Ok() && first.result == Bytes{1});
+    const ProposeOutcome second = group.Propose(leader, {8});
+    CPPUNIT_ASSERT(second.Ok() && second.result == Bytes{2});
+    CPPUNIT_ASSERT(second.index > first.index);
+    CPPUNIT_ASSERT(group.AllApplied({7, 8}));
+    const ProposeOutcome refused = group.Propose((leader + 1) % 3, {9});
+    CPPUNIT_ASSERT(refused.error == ProposeError::NotLeader);
+    CPPUNIT_ASSERT(refused.leaderHint == group.members[leader]->id);
+    CPPUNIT_ASSERT(group.AllApplied({7, 8}));
+  }
+
+  // Guards against a proposer that takes a lost leadership for "not run".
+  void testLostLeadershipIsUnknown() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t old = group.WaitForLeader();
+    group.cutOff.insert(group.members[old]->id);
+    const ProposeOutcome outcome = group.Propose(old, {1}, Seconds(9));
+    CPPUNIT_ASSERT(outcome.error == ProposeError::OutcomeUnknown);
+    CPPUNIT_ASSERT(!IsNotAppended(outcome.error));
+    CPPUNIT_ASSERT_EQUAL(1, group.members[old]->lost);
+    const std::size_t next = group.WaitForLeader();
+    CPPUNIT_ASSERT(next != old);
+    CPPUNIT_ASSERT(group.Propose(next, {2}).Ok());
+    group.cutOff.clear();
+    CPPUNIT_ASSERT(group.AllApplied({2}));
+  }
+
+  void testTimeoutIsUnknown() {
+    Group group(3, 3);
+    group.quorumTimeout = Seconds(60);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    group.cutOff.insert(group.members[leader]->id);
+    const ProposeOutcome outcome = group.Propose(leader, {1}, Millis(60));
+    CPPUNIT_ASSERT(outcome.error == ProposeError::TimedOut);
+    CPPUNIT_ASSERT(!IsNotAppended(outcome.error));
+  }
+
+  void testLimitsAreNotAppended() {
+    Group group(1, 1);
+    group.StartAll();
+    group.WaitForLeader();
+    const ProposeOutcome large = group.Propose(0, Bytes(101, 1));
+    CPPUNIT_ASSERT(large.error == ProposeError::TooLarge);
+    std::size_t committed = 0;
+    std::size_t refused = 0;
+    for (int i = 0; i < 400; ++i) {
+      group.members[0]->replica->Propose(
+          {1}, kPatience, [&](const ProposeOutcome& aOutcome) {
+            committed += aOutcome.Ok() ? 1 : 0;
+            refused += aOutcome.error == ProposeError::Overloaded ? 1 : 0;
+          });
+    }
+    CPPUNIT_ASSERT(group.RunUntil([&] { return committed + refused == 400; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{300}, committed);
+    CPPUNIT_ASSERT_EQUAL(committed, group.members[0]->machine.commands.size());
+  }
+
+  // Guards against commands that are lost or applied twice when a replica
+  // restarts or returns after the log was compacted (rule 13).
+  void testRestartAndCatchUpThroughSnapshot() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    const std::size_t absent = (leader + 1) % 3;
+    group.Kill(absent);
+    Bytes commands;
+    std::size_t done = 0;
+    for (int i = 0; i < 250; ++i) {
+      commands.push_back(static_cast<std::uint8_t>(i));
+      group.members[leader]->replica->Propose(
+          {commands.back()}, kPatience,
+          [&](const ProposeOutcome& aOutcome) { done += aOutcome.Ok(); });
+      group.context.restart();
+      group.context.poll();
+    }
+    CPPUNIT_ASSERT(group.RunUntil([&] { return done == commands.size(); }));
+    group.Start(absent);
+    CPPUNIT_ASSERT(group.AllApplied(commands));
+    for (std::size_t i = 0; i < 3; ++i) {
+      group.Kill(i);
+    }
+    group.StartAll();
+    group.WaitForLeader();
+    CPPUNIT_ASSERT(group.AllApplied(commands));
+  }
+
+  // Guards against a leader that accepts what it can't store, and against a
+  // group that refuses changes although other voters have room (rule 12).
+  void testFullDiskRefusesAndHandsOver() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t full = group.WaitForLeader();
+    this->SetFree(*group.members[full], 500);
+    const ProposeOutcome last = group.Propose(full, {1});
+    CPPUNIT_ASSERT(last.Ok());
+    CPPUNIT_ASSERT(group.RunUntil(
+        [&] { return group.members[full]->replica->IsStorageFull(); }));
+    const ProposeOutcome refused = group.Propose(full, {2});
+    CPPUNIT_ASSERT(refused.error == ProposeError::StorageFull);
+    CPPUNIT_ASSERT(group.RunUntil(
+        [&] { return group.LeaderNow() < 3 && group.LeaderNow() != full; }));
+    CPPUNIT_ASSERT(group.Propose(group.LeaderNow(), {3}).Ok());
+    this->SetFree(*group.members[full], 1U << 30);
+    CPPUNIT_ASSERT(group.RunUntil(
+        [&] { return !group.members[full]->replica->IsStorageFull(); }));
+    CPPUNIT_ASSERT(group.members[full]->fullReports ==
+                   (std::vector<bool>{true, false}));
+    CPPUNIT_ASSERT(group.AllApplied({1, 3}));
+  }
+
+  // A follower without any room: the others go on, and it catches up later.
+  void testFullFollowerKeepsNothingInMemory() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    const std::size_t full = (leader + 1) % 3;
+    this->SetFree(*group.members[full], 0);
+    Bytes commands;
+    for (std::uint8_t i = 0; i < 30; ++i) {
+      commands.push_back(i);
+      CPPUNIT_ASSERT(group.Propose(leader, {i}).Ok());
+    }
+    CPPUNIT_ASSERT(group.members[full]->replica->IsStorageFull());
+    CPPUNIT_ASSERT(group.members[full]->machine.commands.size() < 10);
+    this->SetFree(*group.members[full], 1U << 30);
+    CPPUNIT_ASSERT(group.AllApplied(commands));
+  }
+
+  // Guards against a voter that goes on after a failed sync (rule 12).
+  void testFailedSyncStopsTheReplica() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t bad = group.WaitForLeader();
+    {
+      const std::lock_guard<std::mutex> lock(storage::FakeDiskMutex());
+      group.members[bad]->disk.failSyncs = true;
+    }
+    const ProposeOutcome outcome = group.Propose(bad, {1});
+    // The others may have committed it before the failure was known.
+    CPPUNIT_ASSERT(outcome.Ok() ||
+                   outcome.error == ProposeError::OutcomeUnknown);
+    Member& member = *group.members[bad];
+    CPPUNIT_ASSERT(group.RunUntil([&] { return !member.failure.empty(); }));
+    CPPUNIT_ASSERT(member.replica->HasFailed());
+    CPPUNIT_ASSERT(!member.replica->HasLease());
+    CPPUNIT_ASSERT_EQUAL(1, member.lost);
+    CPPUNIT_ASSERT(group.Propose(bad, {2}).error == ProposeError::Stopped);
+    CPPUNIT_ASSERT(group.RunUntil(
+        [&] { return group.LeaderNow() < 3 && group.LeaderNow() != bad; }));
+    CPPUNIT_ASSERT(group.Propose(group.LeaderNow(), {3}).Ok());
+  }
+
+  // The repair procedure of rule 11, then the loss of a second host.
+  void testRepairOfALostVoter() {
+    Group group(4, 3);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    CPPUNIT_ASSERT(group.Propose(leader, {1}).Ok());
+    const std::size_t lost = (leader + 1) % 3;
+    const std::size_t third = (leader + 2) % 3;
+    group.Kill(lost);
+    Replica& replica = *group.members[leader]->replica;
+    const ReplicaId joining = group.members[3]->id;
+    const auto promote = [&] {
+      return group.Await([&](ProposeCallback aDone) {
+        replica.PromoteLearner(joining, kPatience, std::move(aDone));
+      });
+    };
+    CPPUNIT_ASSERT(promote().error == ProposeError::NotCaughtUp);
+    const auto added = group.Await([&](ProposeCallback aDone) {
+      replica.AddLearner(joining, kPatience, std::move(aDone));
+    });
+    CPPUNIT_ASSERT(added.Ok());
+    CPPUNIT_ASSERT(group.RunUntil([&] { return promote().Ok(); }));
+    const auto removed = group.Await([&](ProposeCallback aDone) {
+      replica.RemoveMember(group.members[lost]->id, kPatience,
+                           std::move(aDone));
+    });
+    CPPUNIT_ASSERT(removed.Ok());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3},
+                         replica.CurrentMembership().voters.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, replica.Progress().size());
+    CPPUNIT_ASSERT(group.Propose(leader, {2}).Ok());
+    group.Kill(leader);
+    const std::size_t next = group.WaitForLeader();
+    CPPUNIT_ASSERT(next == third || next == 3);
+    CPPUNIT_ASSERT(group.Propose(next, {3}).Ok());
+    CPPUNIT_ASSERT(group.AllApplied({1, 2, 3}));
+  }
+
+  // Guards against a cell whose leader runs no scheduler.
+  void testWitnessPassesLeadershipOn() {
+    Group group(3, 3);
+    group.members[0]->witness = true;
+    group.members[1]->witness = true;
+    group.StartAll();
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.LeaderNow() == 2; }));
+    CPPUNIT_ASSERT(group.Propose(2, {1}).Ok());
+    // Without another candidate a witness keeps the group going.
+    group.Kill(2);
+    const std::size_t witness = group.WaitForLeader();
+    CPPUNIT_ASSERT(group.Propose(witness, {2}).Ok());
+    group.Start(2);
+    CPPUNIT_ASSERT(group.RunUntil([&] { return group.LeaderNow() == 2; }));
+  }
+
+  // Rule 9: pending proposals end, leadership is handed over, files are synced.
+  void testStopLosesNothing() {
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    std::size_t committed = 0;
+    for (int i = 0; i < 50; ++i) {
+      group.members[leader]->replica->Propose(
+          {1}, kPatience,
+          [&](const ProposeOutcome& aOutcome) { committed += aOutcome.Ok(); });
+    }
+    bool done = false;
+    group.members[leader]->replica->Stop(kPatience, [&] { done = true; });
+    CPPUNIT_ASSERT(group.Propose(leader, {2}).error == ProposeError::Stopped);
+    CPPUNIT_ASSERT(group.RunUntil([&] { return done; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50}, committed);
+    CPPUNIT_ASSERT(!group.members[leader]->replica->IsLeader());
+    CPPUNIT_ASSERT_EQUAL(1, group.members[leader]->lost);
+    group.Kill(leader);
+    const std::size_t next = group.WaitForLeader();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{50},
+                         group.members[next]->machine.commands.size());
+  }
+
+  void testDisklessLearner() {
+    Group group(3, 2);
+    group.members[2]->diskless = true;
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    const auto added = group.Await([&](ProposeCallback aDone) {
+      group.members[leader]->replica->AddLearner(group.members[2]->id,
+                                                 kPatience, std::move(aDone));
+    });
+    CPPUNIT_ASSERT(added.Ok());
+    CPPUNIT_ASSERT(group.Propose(leader, {5}).Ok());
+    CPPUNIT_ASSERT(group.AllApplied({5}));
+  }
+
+ private:
+  static void SetFree(Member& aMember, std::uint64_t aBytes) {
+    const std::lock_guard<std::mutex> lock(storage::FakeDiskMutex());
+    aMember.disk.freeBytes = aBytes;
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ReplicaTest);
+
+}  // namespace bramleypath::group
--- a/tests/storage/FakeFileSystem.cpp
+++ b/tests/storage/FakeFileSystem.cpp
@@ -40,6 +40,7 @@
 
   bool Append(gsl::span<const std::uint8_t> aData,
               FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!Use(this->state, aReason)) {
       return false;
     }
@@ -52,6 +53,7 @@
            Fail(FileError::NoSpace, "injected full disk", aReason);
   }
   bool Truncate(std::uint64_t aBytes, FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!Use(this->state, aReason)) {
       return false;
     }
@@ -62,6 +64,7 @@
     return true;
   }
   bool Sync(FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!SyncOnce(this->state, aReason)) {
       return false;
     }
@@ -78,7 +81,10 @@
  public:
   FakeLock(FakeDiskState& aState, std::string aPath)
       : state(aState), path(std::move(aPath)) {}
-  ~FakeLock() override { this->state.locks.erase(this->path); }
+  ~FakeLock() override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
+    this->state.locks.erase(this->path);
+  }
 
  private:
   FakeDiskState& state;
@@ -91,6 +97,7 @@
 
   std::unique_ptr<File> Open(const std::string& aPath,
                              FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!Use(this->state, aReason)) {
       return nullptr;
     }
@@ -102,6 +109,7 @@
   }
   std::optional<std::vector<std::uint8_t>> Read(const std::string& aPath,
                                                 FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     const auto found = this->state.names.find(aPath);
     if (found == this->state.names.end()) {
       Fail(FileError::NotFound, "no such file", aReason);
@@ -111,6 +119,7 @@
   }
   std::optional<std::vector<std::string>> List(const std::string& aFolder,
                                                FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (this->state.folders.count(aFolder) == 0) {
       Fail(FileError::NotFound, "no such folder", aReason);
       return std::nullopt;
@@ -132,6 +141,7 @@
     return std::vector<std::string>(names.begin(), names.end());
   }
   bool MakeFolder(const std::string& aFolder, FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!Use(this->state, aReason)) {
       return false;
     }
@@ -139,6 +149,7 @@
     return true;
   }
   bool SyncFolder(const std::string& aFolder, FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!SyncOnce(this->state, aReason)) {
       return false;
     }
@@ -158,6 +169,7 @@
   }
   bool Rename(const std::string& aFrom, const std::string& aTo,
               FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!Use(this->state, aReason)) {
       return false;
     }
@@ -166,6 +178,7 @@
     return true;
   }
   bool Remove(const std::string& aPath, FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!Use(this->state, aReason)) {
       return false;
     }
@@ -179,6 +192,7 @@
   }
   std::unique_ptr<FileLock> Lock(const std::string& aPath,
                                  FileReason& aReason) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     if (!this->state.locks.insert(aPath).second) {
       Fail(FileError::Locked, "locked", aReason);
       return nullptr;
@@ -187,6 +201,7 @@
   }
   std::optional<std::uint64_t> FreeBytes(const std::string&,
                                          FileReason&) override {
+    const std::lock_guard<std::mutex> lock(FakeDiskMutex());
     return this->state.freeBytes;
   }
 
@@ -214,6 +229,11 @@
 
 }  // namespace
 
+std::mutex& FakeDiskMutex() {
+  static std::mutex mutex;
+  return mutex;
+}
+
 std::unique_ptr<FileSystem> MakeFakeFileSystem(FakeDiskState& aState) {
   return std::make_unique<FakeFileSystem>(aState);
 }
--- a/tests/storage/FakeFileSystem.h
+++ b/tests/storage/FakeFileSystem.h
@@ -4,6 +4,7 @@
 #include <limits>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,6 +36,10 @@
   std::uint64_t syncs = 0;
 };
 
+// Held by each operation; a test that changes the state while a disk thread
+// uses it holds it too.
+std::mutex& FakeDiskMutex();
+
 std::unique_ptr<FileSystem> MakeFakeFileSystem(FakeDiskState& aState);
 
 // What is left after a power failure: all that was synced, and of the rest
--- a/tests/storage/GroupStoreTest.cpp
+++ b/tests/storage/GroupStoreTest.cpp
@@ -3,22 +3,19 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
-#include <cstdio>
+#include <cstdlib>
 #include <filesystem>
+#include <future>
 #include <sstream>
 
 #include "bramleypath/storage/DiskThread.h"
 #include "tests/storage/FakeFileSystem.h"
 
-#include <atomic>
-#include <future>
-
 namespace bramleypath::storage {
 
 namespace {
 
 using consensus::Bytes;
-using consensus::EntryKind;
 using consensus::LogEntry;
 using consensus::LogIndex;
 using consensus::PersistEntries;
