--- a/tests/consensus/Cluster.cpp
+++ b/tests/consensus/Cluster.cpp
@@ -267,6 +267,17 @@
       this->Fail(holder->id.value + " and " + host.id.value +
                  " hold a lease at the same time");
     }
+    // What a leader does on its state must rest on all that was committed
+    // before its term.
+    const Term term = host.node->hardState.term;
+    for (auto entry = this->committedIn.rbegin();
+         entry != this->committedIn.rend() && entry->first > host.appliedIndex;
+         ++entry) {
+      if (entry->second < term) {
+        this->Fail(host.id.value + " has a lease and lacks " +
+                   std::to_string(entry->first));
+      }
+    }
     holder = &host;
   }
 }
