--- a/src/bramleypath/routing/Router.h
+++ b/src/bramleypath/routing/Router.h
@@ -38,6 +38,7 @@
   ServiceIndex service = kNoIndex;
   StateIndex state = 0;
   bool used = false;  // the place in the table holds a target
+  bool probeDue = false;
   // This entry host's part of the slots and connections.
   std::uint32_t share = 0;
   double limit = 0;
@@ -49,6 +50,7 @@
   double latencyRatio = 1.0;
   // With a limit below one call, the earliest time of the next dispatch.
   TimePoint pacedUntil;
+  TimePoint timerAt = kNever;
   FailureWindow window;
   TimePoint ejectedUntil;
   std::uint32_t ejections = 0;
@@ -62,27 +64,28 @@
   ClassId id;
   double meanMicros = 0;   // 0: nothing observed
   double quickMicros = 0;  // 5% quantile
+  double slowMicros = 0;   // 95% quantile
   double usualMicros = 0;  // slow average, for the latency gradient
   double arrivalsPerSecond = 0;
   TimePoint lastArrival;
   std::uint32_t inFlight = 0;
   std::uint32_t queued = 0;
-  std::uint64_t quickAnswers = 0;
-  std::uint64_t answers = 0;
+  double quickAnswerRate = 0;  // of all targets, recent
 };
 
 // Calls of one member and class that wait for a slot.
 struct Flow {
   ClassIndex callClass = 0;
-  double startTag = 0;
   double finishTag = 0;
+  // Calls that ended while they waited stay in the list until they reach its
+  // front or the list is compacted.
   std::deque<CallId> calls;
+  std::size_t queued = 0;
 };
 
 // A member's part of the queue of one service.
 struct MemberQueue {
   MemberId member;
-  double startTag = 0;
   double finishTag = 0;
   double flowClock = 0;
   std::vector<Flow> flows;
@@ -94,13 +97,18 @@
   std::vector<TargetIndex> targets;
   // Serving targets that have a free slot.
   std::vector<TargetIndex> freeTargets;
+  // Ejected targets whose next probe is due.
+  std::vector<TargetIndex> probeTargets;
   std::vector<ClassState> classes;
   std::vector<MemberQueue> members;
+  std::unordered_map<MemberId, std::uint32_t> memberIndex;
   double fairClock = 0;
   std::size_t queued = 0;
   std::uint32_t inFlight = 0;
-  std::uint32_t totalShare = 0;
+  std::uint32_t serving = 0;
   std::uint32_t ejected = 0;
+  std::uint32_t totalShare = 0;  // of the serving targets
+  double totalLimit = 0;
   std::uint32_t nextInTurn = 0;
 };
 
@@ -116,7 +124,11 @@
   Generation generation = 0;  // of the present attempt
   Nonce nonce = 0;            // 0: no grant asked for
   bool granted = false;
-  TimePoint grantValidUntil;
+  TimePoint grantValidUntil = kNever;
+  TimePoint timerAt;
+  // An attempt ended without a known outcome: the call can no longer end as
+  // not run.
+  bool mayHaveRun = false;
   Reason lastReason = Reason::NoCapacity;  // of the last attempt
   TargetIndex lastTarget = kNoIndex;
 };
@@ -174,7 +186,7 @@
   std::uint64_t lateAnswers = 0;
   std::uint64_t mismatchedAnswers = 0;
   std::uint64_t unknownEvents = 0;  // of calls or attempts that are over
-  std::uint64_t grantsReleased = 0;
+  std::uint64_t lateGrants = 0;     // released unused
   std::uint64_t ejections = 0;
   std::uint64_t readmissions = 0;
   std::array<std::uint64_t, static_cast<std::size_t>(Reason::Count)> reasons{};
@@ -217,6 +229,9 @@
   std::set<Timer> timers;
   Generation nextGeneration = 1;
   Nonce nextNonce = 1;
+  // Grants asked for that were neither received nor refused, oldest first. A
+  // second copy of a grant finds none here and has no effect.
+  std::map<Nonce, CallId> pendingGrants;
   double retryTokens = 0;
 
   bool stopping = false;
@@ -231,7 +246,8 @@
 Router MakeRouter(const HostId& aSelf, const DataCentreId& aDataCentre,
                   const Settings& aSettings, std::uint64_t aSeed);
 
-// Handles one event.
+// Handles one event. Call it with Tick at NextWake, and at least each 50 ms
+// while calls wait: slots reserved for a class come free as its load falls.
 Actions Step(Router& aRouter, const Event& aEvent, TimePoint aNow);
 
 // When the next Tick is due; kNever when nothing waits.
--- a/src/bramleypath/routing/Settings.h
+++ b/src/bramleypath/routing/Settings.h
@@ -31,6 +31,7 @@
   std::size_t maxFlows = 4096;  // (service, member, class)
   std::size_t maxClassesPerService = 64;
   std::size_t keptRefusals = 256;
+  std::size_t maxPendingGrants = 20000;
 
   Duration connectTimeout = Millis(500);
   // After an attempt was abandoned its slot is counted as used for this long at
@@ -67,17 +68,31 @@
   // Concurrency limit: the recent latency of a target, relative to the usual
   // one of each class, may reach this before the limit falls.
   double gradientTolerance = 1.5;
-  double recentWeight = 0.1;
+  double recentWeight = 0.05;
+  double usualWeight = 0.002;
+  // Weight of one answer in the limit, and what the limit may grow by.
+  double limitWeight = 0.2;
+  double limitHeadroom = 0.25;
   double minLimit = 0.25;
 
   // Reserved slots: classes whose mean service time is shorter by this factor
   // keep slots that longer ones can't use.
   double reserveRatio = 4.0;
   double reserveMaxShare = 0.5;
+  // Arrival rates are averaged over this time.
+  Duration arrivalWindow = Seconds(10);
 
-  // A call is refused on arrival when its expected wait and this multiple of
-  // the mean service time do not fit before the deadline.
-  double serviceTimeFactor = 1.0;
+  // Part of the free slots of another data centre, as it last reported them,
+  // that this entry host may use until the next report: the other entry hosts
+  // see the same slots.
+  double forwardShare = 0.25;
+  // Calls that may be forwarded per report although it shows no free slot, when
+  // no local target is left; the other data centre queues or refuses them.
+  std::uint32_t forwardWithoutLocal = 64;
+
+  // A call is refused when less time is left than the class's slow answers
+  // (95% quantile) take, or this part of what it had at first if that is less.
+  double minRemainingShare = 0.5;
 };
 
 }  // namespace bramleypath::routing
--- a/src/bramleypath/routing/Types.h
+++ b/src/bramleypath/routing/Types.h
@@ -120,6 +120,12 @@
   Nonce nonce = 0;
   GrantRefusal refusal = GrantRefusal::OwnerUnreachable;
 };
+// Another request with the same key is running; the answer to RequestGrant
+// follows when it has ended. Until then this call can't end as not run.
+struct GrantWaiting {
+  CallId call = 0;
+  Nonce nonce = 0;
+};
 struct GrantTimeout {
   CallId call = 0;
   Nonce nonce = 0;
@@ -178,10 +184,10 @@
 
 using Event =
     std::variant<CallAccepted, CallerGone, NothingSent, ConnectionLost,
-                 AnswerReceived, GrantReceived, GrantRefused, GrantTimeout,
-                 TargetUp, TargetLeaving, TargetGone, LocalHostsChanged,
-                 PeerLoads, SummaryChanged, PoliciesChanged, StopRequested,
-                 Tick>;
+                 AnswerReceived, GrantReceived, GrantRefused, GrantWaiting,
+                 GrantTimeout, TargetUp, TargetLeaving, TargetGone,
+                 LocalHostsChanged, PeerLoads, SummaryChanged, PoliciesChanged,
+                 StopRequested, Tick>;
 
 // Actions from Step, to be carried out in their order.
 
@@ -223,7 +229,7 @@
   Nonce nonce = 0;
   TimePoint deadline;
 };
-// The grant was not and will not be used.
+// The request did not run under the grant and will not.
 struct ReleaseGrant {
   CallId call = 0;
   Nonce nonce = 0;
--- /dev/null
+++ b/src/bramleypath/routing/internal/Queues.cpp
@@ -0,0 +1,337 @@
+#include "bramleypath/routing/internal/Queues.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "bramleypath/routing/internal/Latency.h"
+
+namespace bramleypath::routing::detail {
+
+namespace {
+
+// Assumed until the first answer of a class.
+constexpr double kUnknownMeanMicros = 10000;
+
+double MeanOf(const ClassState& aClass) {
+  return aClass.meanMicros > 0 ? aClass.meanMicros : kUnknownMeanMicros;
+}
+
+bool IsWaiting(const Router& aRouter, CallId aId) {
+  const auto found = aRouter.calls.find(aId);
+  return found != aRouter.calls.end() &&
+         found->second.stage == CallStage::Queued;
+}
+
+void DropEnded(const Router& aRouter, Flow& aFlow) {
+  while (!aFlow.calls.empty() && !IsWaiting(aRouter, aFlow.calls.front())) {
+    aFlow.calls.pop_front();
+  }
+}
+
+// Calls that ended in the middle of the list would otherwise pile up while the
+// flow can't send.
+void Compact(const Router& aRouter, Flow& aFlow) {
+  constexpr std::size_t kSlack = 64;
+  if (aFlow.calls.size() <= 2 * aFlow.queued + kSlack) {
+    return;
+  }
+  aFlow.calls.erase(
+      std::remove_if(aFlow.calls.begin(), aFlow.calls.end(),
+                     [&](CallId aId) { return !IsWaiting(aRouter, aId); }),
+      aFlow.calls.end());
+}
+
+void ForgetIdleMembers(Router& aRouter) {
+  aRouter.flows = 0;
+  for (ServiceState& service : aRouter.services) {
+    auto& members = service.members;
+    members.erase(
+        std::remove_if(members.begin(), members.end(),
+                       [](const auto& aMember) { return aMember.queued == 0; }),
+        members.end());
+    service.memberIndex.clear();
+    for (std::uint32_t index = 0; index < members.size(); ++index) {
+      service.memberIndex[members[index].member] = index;
+      aRouter.flows += members[index].flows.size();
+    }
+  }
+}
+
+MemberQueue* FindMember(ServiceState& aService, const MemberId& aMember) {
+  const auto found = aService.memberIndex.find(aMember);
+  return found == aService.memberIndex.end() ? nullptr
+                                             : &aService.members[found->second];
+}
+
+Flow* FindFlow(MemberQueue& aMember, ClassIndex aClass) {
+  for (Flow& flow : aMember.flows) {
+    if (flow.callClass == aClass) {
+      return &flow;
+    }
+  }
+  return nullptr;
+}
+
+Flow* EnsureFlow(Router& aRouter, const Call& aCall) {
+  ServiceState& service = aRouter.services[aCall.service];
+  MemberQueue* member = FindMember(service, aCall.request.member);
+  if (member != nullptr) {
+    Flow* flow = FindFlow(*member, aCall.callClass);
+    if (flow != nullptr) {
+      return flow;
+    }
+  }
+  if (aRouter.flows >= aRouter.settings.maxFlows) {
+    ForgetIdleMembers(aRouter);
+    if (aRouter.flows >= aRouter.settings.maxFlows) {
+      return nullptr;
+    }
+    member = FindMember(service, aCall.request.member);
+  }
+  if (member == nullptr) {
+    service.memberIndex[aCall.request.member] =
+        static_cast<std::uint32_t>(service.members.size());
+    service.members.emplace_back();
+    member = &service.members.back();
+    member->member = aCall.request.member;
+  }
+  member->flows.emplace_back();
+  member->flows.back().callClass = aCall.callClass;
+  ++aRouter.flows;
+  return &member->flows.back();
+}
+
+// Slots that must stay free for classes much shorter than this one. They are
+// sized by Little's law with two standard deviations of a Poisson load.
+double ReservedFor(const Router& aRouter, const ServiceState& aService,
+                   ClassIndex aClass, TimePoint aNow) {
+  const Settings& settings = aRouter.settings;
+  const double mean = aService.classes[aClass].meanMicros;
+  double reserved = 0;
+  for (const ClassState& other : aService.classes) {
+    if (other.meanMicros <= 0 ||
+        other.meanMicros * settings.reserveRatio > mean) {
+      continue;
+    }
+    const double load =
+        ArrivalRate(aRouter, other, aNow) * other.meanMicros / 1e6;
+    const double wanted = std::ceil(load + 2 * std::sqrt(load));
+    reserved += std::max(0.0, wanted - other.inFlight);
+  }
+  const double most =
+      std::floor(aService.totalLimit * settings.reserveMaxShare);
+  return std::min(reserved, most);
+}
+
+bool FitsReserve(const Router& aRouter, const ServiceState& aService,
+                 ClassIndex aClass, TimePoint aNow) {
+  if (aService.classes.size() < 2) {
+    return true;
+  }
+  const double reserved = ReservedFor(aRouter, aService, aClass, aNow);
+  const double available = aService.totalLimit - aService.inFlight;
+  // Ejected targets still hold calls, so that the difference can be negative
+  // while a slot is free.
+  return reserved <= 0 || available - reserved >= 1;
+}
+
+// The member's flow that is next, among those that may send now.
+std::optional<std::uint32_t> NextFlow(Router& aRouter,
+                                      const ServiceState& aService,
+                                      MemberQueue& aMember,
+                                      Destination aDestination,
+                                      TimePoint aNow) {
+  std::optional<std::uint32_t> best;
+  double bestTag = 0;
+  for (std::uint32_t index = 0; index < aMember.flows.size(); ++index) {
+    Flow& flow = aMember.flows[index];
+    DropEnded(aRouter, flow);
+    if (flow.calls.empty()) {
+      continue;
+    }
+    const double tag = std::max(aMember.flowClock, flow.finishTag);
+    if (best && tag >= bestTag) {
+      continue;
+    }
+    const bool may =
+        aDestination == Destination::Remote
+            ? !aRouter.calls.at(flow.calls.front()).request.forwarded
+            : FitsReserve(aRouter, aService, flow.callClass, aNow);
+    if (may) {
+      best = index;
+      bestTag = tag;
+    }
+  }
+  return best;
+}
+
+double WorkOf(const ServiceState& aService, const MemberQueue& aMember) {
+  double work = 0;
+  for (const Flow& flow : aMember.flows) {
+    work += static_cast<double>(flow.queued) *
+            MeanOf(aService.classes[flow.callClass]);
+  }
+  return work;
+}
+
+// Until a slot is free for a call that joins now: all the work ahead of it, or
+// less when its member has less than its weight's part of that work.
+double ExpectedWaitMicros(Router& aRouter, const Call& aCall) {
+  ServiceState& service = aRouter.services[aCall.service];
+  const double own = PolicyOf(aRouter, aCall.request.member).weight;
+  double work = 0;
+  double ownWork = 0;
+  double weights = own;
+  for (const MemberQueue& member : service.members) {
+    if (member.queued == 0) {
+      continue;
+    }
+    const double memberWork = WorkOf(service, member);
+    work += memberWork;
+    if (member.member == aCall.request.member) {
+      ownWork = memberWork;
+    } else {
+      weights += PolicyOf(aRouter, member.member).weight;
+    }
+  }
+  const double capacity = std::max(1.0, service.totalLimit);
+  return std::min(work, ownWork * weights / own) / capacity;
+}
+
+}  // namespace
+
+ClassIndex EnsureClass(Router& aRouter, ServiceState& aService,
+                       const ClassId& aClass) {
+  auto& classes = aService.classes;
+  for (ClassIndex index = 0; index < classes.size(); ++index) {
+    if (classes[index].id == aClass) {
+      return index;
+    }
+  }
+  if (classes.size() < aRouter.settings.maxClassesPerService) {
+    classes.emplace_back();
+    classes.back().id = aClass;
+  }
+  return static_cast<ClassIndex>(classes.size() - 1);
+}
+
+MemberPolicy PolicyOf(const Router& aRouter, const MemberId& aMember) {
+  const auto found = aRouter.policies.find(aMember);
+  return found == aRouter.policies.end() ? MemberPolicy{} : found->second;
+}
+
+bool IsAtLimit(const Router& aRouter, const MemberId& aMember) {
+  const auto policy = aRouter.policies.find(aMember);
+  if (policy == aRouter.policies.end() || policy->second.maxInFlight == 0) {
+    return false;
+  }
+  const auto used = aRouter.memberInFlight.find(aMember);
+  return used != aRouter.memberInFlight.end() &&
+         used->second >= policy->second.maxInFlight;
+}
+
+Duration NeededTime(const Router& aRouter, const Call& aCall) {
+  const ClassState& known =
+      aRouter.services[aCall.service].classes[aCall.callClass];
+  const double atFirst =
+      static_cast<double>((aCall.request.deadline - aCall.acceptedAt).micros);
+  const double part = atFirst * aRouter.settings.minRemainingShare;
+  const double needed =
+      std::max(known.quickMicros, std::min(known.slowMicros, part));
+  return Micros(static_cast<std::int64_t>(needed));
+}
+
+std::optional<Reason> CheckAdmission(Router& aRouter, const Call& aCall,
+                                     TimePoint aNow) {
+  ServiceState& service = aRouter.services[aCall.service];
+  const Duration left = aCall.request.deadline - aNow;
+  const Duration needed = NeededTime(aRouter, aCall);
+  if (left < needed) {
+    return Reason::DeadlineTooShort;
+  }
+  if (service.queued == 0) {
+    return std::nullopt;
+  }
+  MemberQueue* member = FindMember(service, aCall.request.member);
+  const Flow* flow =
+      member == nullptr ? nullptr : FindFlow(*member, aCall.callClass);
+  if (flow != nullptr &&
+      flow->queued >= PolicyOf(aRouter, aCall.request.member).maxQueued) {
+    return IsAtLimit(aRouter, aCall.request.member) ? Reason::MemberLimit
+                                                    : Reason::QueueFull;
+  }
+  const double wait = ExpectedWaitMicros(aRouter, aCall);
+  if (wait + static_cast<double>(needed.micros) >
+      static_cast<double>(left.micros)) {
+    return Reason::DeadlineTooShort;
+  }
+  return std::nullopt;
+}
+
+bool Push(Router& aRouter, CallId aId, const Call& aCall, Place aPlace) {
+  Flow* flow = EnsureFlow(aRouter, aCall);
+  if (flow == nullptr) {
+    return false;
+  }
+  Compact(aRouter, *flow);
+  if (aPlace == Place::Front) {
+    flow->calls.push_front(aId);
+  } else {
+    flow->calls.push_back(aId);
+  }
+  ++flow->queued;
+  ServiceState& service = aRouter.services[aCall.service];
+  ++FindMember(service, aCall.request.member)->queued;
+  ++service.classes[aCall.callClass].queued;
+  ++service.queued;
+  return true;
+}
+
+void LeaveQueue(Router& aRouter, const Call& aCall) {
+  ServiceState& service = aRouter.services[aCall.service];
+  MemberQueue* member = FindMember(service, aCall.request.member);
+  --FindFlow(*member, aCall.callClass)->queued;
+  --member->queued;
+  --service.classes[aCall.callClass].queued;
+  --service.queued;
+}
+
+std::optional<Selected> SelectNext(Router& aRouter, ServiceIndex aService,
+                                   Destination aDestination, TimePoint aNow) {
+  ServiceState& service = aRouter.services[aService];
+  std::optional<Selected> best;
+  double bestTag = 0;
+  for (std::uint32_t index = 0; index < service.members.size(); ++index) {
+    MemberQueue& member = service.members[index];
+    const double tag = std::max(service.fairClock, member.finishTag);
+    if (member.queued == 0 || (best && tag >= bestTag) ||
+        IsAtLimit(aRouter, member.member)) {
+      continue;
+    }
+    const auto flow = NextFlow(aRouter, service, member, aDestination, aNow);
+    if (flow) {
+      best = Selected{index, *flow, member.flows[*flow].calls.front()};
+      bestTag = tag;
+    }
+  }
+  return best;
+}
+
+void Take(Router& aRouter, ServiceIndex aService, const Selected& aSelected) {
+  ServiceState& service = aRouter.services[aService];
+  MemberQueue& member = service.members[aSelected.member];
+  Flow& flow = member.flows[aSelected.flow];
+  // Start-time fair queueing on both levels: the clock follows the start tag of
+  // the call in service.
+  const double cost = MeanOf(service.classes[flow.callClass]);
+  service.fairClock = std::max(service.fairClock, member.finishTag);
+  member.finishTag =
+      service.fairClock + cost / PolicyOf(aRouter, member.member).weight;
+  member.flowClock = std::max(member.flowClock, flow.finishTag);
+  flow.finishTag = member.flowClock + cost;
+  flow.calls.pop_front();
+  LeaveQueue(aRouter, aRouter.calls.at(aSelected.call));
+}
+
+}  // namespace bramleypath::routing::detail
--- /dev/null
+++ b/src/bramleypath/routing/internal/Timers.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "bramleypath/routing/Router.h"
+
+namespace bramleypath::routing::detail {
+
+void SetCallTimer(Router& aRouter, CallId aId, Call& aCall);
+void ClearCallTimer(Router& aRouter, CallId aId, const Call& aCall);
+// kNever clears it.
+void SetTargetTimer(Router& aRouter, TargetIndex aIndex, TimePoint aAt);
+
+}  // namespace bramleypath::routing::detail
