--- /dev/null
+++ b/bench/routing/Costs.cpp
@@ -0,0 +1,201 @@
+#include "bench/routing/Costs.h"
+
+#include <chrono>
+#include <cstdint>
+#include <cstdio>
+#include <cstdlib>
+#include <new>
+#include <string>
+
+#include "bramleypath/membership/Codec.h"
+#include "bramleypath/membership/Members.h"
+#include "bramleypath/routing/Router.h"
+#include "bramleypath/routing/internal/Choice.h"
+
+namespace {
+
+// Bytes asked of the allocator and not yet given back.
+std::int64_t gAllocated = 0;
+
+}  // namespace
+
+// Each block starts with its size.
+void* operator new(std::size_t aSize) {
+  constexpr std::size_t kHeader = 16;
+  auto* block = static_cast<std::size_t*>(std::malloc(aSize + kHeader));
+  if (block == nullptr) {
+    throw std::bad_alloc();
+  }
+  *block = aSize;
+  gAllocated += static_cast<std::int64_t>(aSize);
+  return reinterpret_cast<char*>(block) + kHeader;
+}
+
+void operator delete(void* aPlace) noexcept {
+  constexpr std::size_t kHeader = 16;
+  if (aPlace == nullptr) {
+    return;
+  }
+  auto* block =
+      reinterpret_cast<std::size_t*>(static_cast<char*>(aPlace) - kHeader);
+  gAllocated -= static_cast<std::int64_t>(*block);
+  std::free(block);
+}
+
+void operator delete(void* aPlace, std::size_t) noexcept {
+  operator delete(aPlace);
+}
+
+namespace bramleypath::bench {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+double NanosSince(Clock::time_point aStart, int aCount) {
+  return std::chrono::duration<double, std::nano>(Clock::now() - aStart)
+             .count() /
+         aCount;
+}
+
+membership::TargetRecord RecordOf(int aNumber) {
+  membership::TargetRecord record;
+  record.target = TargetId("delivery-planning-" + std::to_string(aNumber));
+  record.incarnation = 1700000000000;
+  record.service = ServiceId("delivery-planning");
+  record.member = MemberId("harit-angan");
+  record.address = "10.20.30.40:8080";
+  record.slots = 8;
+  record.connections = 60;
+  return record;
+}
+
+routing::Router MakeLoadedRouter(int aTargets) {
+  routing::Router router = routing::MakeRouter(HostId("e0"), DataCentreId("d"),
+                                               routing::Settings{}, 1);
+  const TimePoint now{1000000};
+  routing::PeerLoads loads;
+  loads.host = HostId("e1");
+  for (int target = 0; target < aTargets; ++target) {
+    Step(router, routing::TargetUp{RecordOf(target)}, now);
+    loads.loads.push_back(
+        {RecordOf(target).target, static_cast<std::uint32_t>(target % 8)});
+  }
+  Step(router, loads, now);
+  return router;
+}
+
+void PrintChoice(int aTargets) {
+  constexpr int kChoices = 200000;
+  routing::Router router = MakeLoadedRouter(aTargets);
+  std::uint64_t sum = 0;
+  const auto start = Clock::now();
+  for (int choice = 0; choice < kChoices; ++choice) {
+    sum += *routing::detail::ChooseTarget(router, 0, routing::kNoIndex,
+                                          TimePoint{1050000});
+  }
+  std::printf("choice, %4d targets: %.0f ns (goal under 2000 at 400)%s\n",
+              aTargets, NanosSince(start, kChoices), sum == 0 ? " " : "");
+}
+
+void PrintCall(int aTargets) {
+  constexpr int kCalls = 100000;
+  routing::Router router = MakeLoadedRouter(aTargets);
+  TimePoint now{2000000};
+  routing::CallAccepted call;
+  call.requestId = RequestId("6f1c9a52-0000-4000-8000-000000000000");
+  call.member = MemberId("harit-angan");
+  call.callClass = ClassId("plan");
+  call.service = ServiceId("delivery-planning");
+  const auto start = Clock::now();
+  for (int count = 1; count <= kCalls; ++count) {
+    now = now + Micros(100);
+    call.call = static_cast<routing::CallId>(count);
+    call.deadline = now + Seconds(1);
+    Step(router, call, now);
+    routing::AnswerReceived answer;
+    answer.generation = static_cast<routing::Generation>(count);
+    answer.requestId = call.requestId;
+    Step(router, answer, now + Micros(50));
+  }
+  std::printf("whole call, accept to answer, %4d targets: %.0f ns\n", aTargets,
+              NanosSince(start, kCalls));
+}
+
+void PrintMemory() {
+  constexpr int kTargets = 400;
+  constexpr int kCalls = 2000;
+  const std::int64_t before = gAllocated;
+  routing::Router router = MakeLoadedRouter(kTargets);
+  const std::int64_t withTargets = gAllocated;
+  std::printf("router memory per target: %.0f bytes (400 targets)\n",
+              static_cast<double>(withTargets - before) / kTargets);
+  for (int count = 1; count <= kCalls; ++count) {
+    routing::CallAccepted call;
+    call.call = static_cast<routing::CallId>(count);
+    call.requestId = RequestId("6f1c9a52-0000-4000-8000-000000000000");
+    call.member = MemberId("harit-angan");
+    call.callClass = ClassId("plan");
+    call.service = ServiceId("delivery-planning");
+    call.deadline = TimePoint{90000000};
+    Step(router, call, TimePoint{1000000});
+  }
+  std::printf("router memory per call in flight: %.0f bytes (%d calls)\n",
+              static_cast<double>(gAllocated - withTargets) / kCalls, kCalls);
+}
+
+std::size_t RoundBytes(membership::Members& aMembers, int aTargets,
+                       TimePoint aNow) {
+  for (int target = 0; target < aTargets; ++target) {
+    Step(aMembers, membership::TargetAnnounced{RecordOf(target)}, aNow);
+  }
+  std::size_t bytes = 0;
+  for (const auto& action : Step(aMembers, membership::Tick{}, aNow)) {
+    if (const auto* send = std::get_if<membership::SendGossip>(&action)) {
+      bytes += membership::EncodeGossip(send->message).size();
+    }
+  }
+  return bytes;
+}
+
+// Three local entry hosts; each target is heard once in 500 ms, and by one of
+// the three.
+void PrintGossip(int aTargets) {
+  const std::vector<membership::HostInfo> hosts{
+      {HostId("e0"), DataCentreId("d")},
+      {HostId("e1"), DataCentreId("d")},
+      {HostId("e2"), DataCentreId("d")}};
+  const std::int64_t before = gAllocated;
+  auto members = membership::MakeMembers(hosts[0], hosts, {}, 1, TimePoint{});
+  RoundBytes(members, aTargets, TimePoint{});
+  const double memory = static_cast<double>(gAllocated - before) / aTargets;
+  membership::LocalLoads loads;
+  for (int target = 0; target < aTargets; target += 2) {
+    loads.loads.push_back({RecordOf(target).target, 3});
+  }
+  Step(members, loads, TimePoint{});
+  const int heardEachRound = std::max(1, aTargets / 15);
+  const std::size_t bytes =
+      RoundBytes(members, heardEachRound, TimePoint{} + Millis(100));
+  std::printf(
+      "gossip, %4d targets, 3 entry hosts: %zu bytes a round sent by each "
+      "(%.1f KB/s); membership memory per target %.0f bytes\n",
+      aTargets, bytes, static_cast<double>(bytes) * 10 / 1000, memory);
+}
+
+}  // namespace
+
+void PrintCosts() {
+  for (const int targets : {50, 100, 400, 1600}) {
+    PrintChoice(targets);
+  }
+  for (const int targets : {50, 400, 1600}) {
+    PrintCall(targets);
+  }
+  PrintMemory();
+  for (const int targets : {50, 400, 1600}) {
+    PrintGossip(targets);
+  }
+}
+
+}  // namespace bramleypath::bench
--- /dev/null
+++ b/bench/routing/RoutingBench.cpp
@@ -0,0 +1,261 @@
+#include <algorithm>
+#include <cstdio>
+#include <cstring>
+#include <string>
+#include <vector>
+
+#include "bench/routing/Costs.h"
+#include "bench/routing/SharedQueue.h"
+#include "bench/routing/Simulation.h"
+
+namespace bramleypath::bench {
+
+namespace {
+
+using routing::ChoicePolicy;
+using routing::LimitPolicy;
+using routing::Settings;
+
+const std::vector<std::uint64_t> kSeeds{1, 2, 3};
+
+struct Policy {
+  const char* name;
+  bool shared;  // the bound
+  Settings settings;
+};
+
+Settings With(ChoicePolicy aChoice, LimitPolicy aLimit) {
+  Settings settings;
+  settings.choice = aChoice;
+  settings.limit = aLimit;
+  return settings;
+}
+
+// The other policies send at once to the chosen target, whose own queue takes
+// what exceeds its slots.
+std::vector<Policy> AllPolicies() {
+  return {
+      {"shared queue", true, {}},
+      {"bramleypath", false, Settings{}},
+      {"own outstanding", false,
+       With(ChoicePolicy::OwnOutstanding, LimitPolicy::None)},
+      {"round robin", false, With(ChoicePolicy::RoundRobin, LimitPolicy::None)},
+      {"random", false, With(ChoicePolicy::Random, LimitPolicy::None)},
+  };
+}
+
+Summary RunPolicy(const Scenario& aScenario, const Policy& aPolicy) {
+  const auto calls = MakeCalls(aScenario);
+  // Where classes differ, the latency that counts is that of the short one.
+  const int counted = aScenario.deployment.classes.size() > 1 ? 0 : -1;
+  if (aPolicy.shared) {
+    return Summarise(aScenario, calls, RunSharedQueue(aScenario, calls),
+                     counted);
+  }
+  const Outcomes outcomes = RunRouters(aScenario, calls, aPolicy.settings);
+  Summary summary = Summarise(aScenario, calls, outcomes.results, counted);
+  summary.attemptsPerCall = static_cast<double>(outcomes.attempts) /
+                            static_cast<double>(outcomes.calls);
+  return summary;
+}
+
+struct Spread {
+  double mean = 0;
+  double least = 0;
+  double most = 0;
+};
+
+template <typename Read>
+Spread SpreadOf(const std::vector<Summary>& aRuns, Read aRead) {
+  Spread spread;
+  spread.least = aRead(aRuns.front());
+  for (const Summary& run : aRuns) {
+    const double value = aRead(run);
+    spread.mean += value / static_cast<double>(aRuns.size());
+    spread.least = std::min(spread.least, value);
+    spread.most = std::max(spread.most, value);
+  }
+  return spread;
+}
+
+std::vector<Summary> RunSeeds(Scenario aScenario, const Policy& aPolicy) {
+  std::vector<Summary> runs;
+  for (const std::uint64_t seed : kSeeds) {
+    aScenario.seed = seed;
+    runs.push_back(RunPolicy(aScenario, aPolicy));
+  }
+  return runs;
+}
+
+void PrintRow(const std::string& aLabel, const std::vector<Summary>& aRuns,
+              const std::vector<Summary>& aBound) {
+  std::vector<Summary> ratios;
+  for (std::size_t run = 0; run < aRuns.size(); ++run) {
+    Summary ratio;
+    ratio.p99 = aRuns[run].p99 / std::max(0.001, aBound[run].p99);
+    ratios.push_back(ratio);
+  }
+  const auto mean = [&](auto aRead) { return SpreadOf(aRuns, aRead).mean; };
+  const Spread ratio =
+      SpreadOf(ratios, [](const Summary& aRun) { return aRun.p99; });
+  std::printf(
+      "%-52s p50 %7.1f p99 %7.1f p99.9 %7.1f ms  refused %5.2f%%  goodput "
+      "%7.0f/s  attempts %.3f  p99 ratio %.2f [%.2f-%.2f]\n",
+      aLabel.c_str(), mean([](const Summary& aRun) { return aRun.p50; }),
+      mean([](const Summary& aRun) { return aRun.p99; }),
+      mean([](const Summary& aRun) { return aRun.p999; }),
+      mean([](const Summary& aRun) { return aRun.refused * 100; }),
+      mean([](const Summary& aRun) { return aRun.goodput; }),
+      mean([](const Summary& aRun) { return aRun.attemptsPerCall; }),
+      ratio.mean, ratio.least, ratio.most);
+  std::fflush(stdout);
+}
+
+void Compare(const std::string& aTitle, const Scenario& aScenario,
+             const std::vector<Policy>& aPolicies) {
+  std::vector<Summary> bound;
+  for (const Policy& policy : aPolicies) {
+    const auto runs = RunSeeds(aScenario, policy);
+    if (bound.empty()) {
+      bound = runs;
+    }
+    PrintRow(aTitle + ", " + policy.name, runs, bound);
+  }
+}
+
+std::string TitleOf(const Scenario& aScenario, const char* aWhat) {
+  char text[128];
+  std::snprintf(text, sizeof text, "%s %u hosts %s %.0f%%",
+                aScenario.deployment.name.c_str(), aScenario.deployment.hosts,
+                aWhat, aScenario.load * 100);
+  return text;
+}
+
+std::vector<Deployment> AllDeployments() {
+  return {HaritAngan(7), HaritAngan(9), Cairnmuir(7), Cairnmuir(9)};
+}
+
+void PrintLoads() {
+  for (const Deployment& deployment : AllDeployments()) {
+    std::vector<Summary> full;
+    for (const double load : {0.6, 0.85, 1.0, 1.5}) {
+      Scenario scenario;
+      scenario.deployment = deployment;
+      scenario.load = load;
+      Compare(TitleOf(scenario, "load"), scenario, AllPolicies());
+      const auto runs = RunSeeds(scenario, AllPolicies()[1]);
+      if (load == 1.0) {
+        full = runs;
+      }
+      if (load > 1.0) {
+        const auto read = [](const Summary& aRun) { return aRun.goodput; };
+        std::printf(
+            "%s %u hosts: goodput at 150%% is %.3f of that at 100%% "
+            "(goal 0.95)\n",
+            deployment.name.c_str(), deployment.hosts,
+            SpreadOf(runs, read).mean / SpreadOf(full, read).mean);
+      }
+    }
+  }
+}
+
+void PrintDisturbances() {
+  const auto policies = AllPolicies();
+  for (const Deployment& deployment : {HaritAngan(7), Cairnmuir(9)}) {
+    Scenario scenario;
+    scenario.deployment = deployment;
+    scenario.load = 0.7;
+    scenario.disturbance.slow = 0.1;
+    Compare(TitleOf(scenario, "slow targets"), scenario, policies);
+    scenario.disturbance = Disturbance{};
+    scenario.disturbance.waves = true;
+    Compare(TitleOf(scenario, "batch waves"), scenario, policies);
+    scenario.disturbance = Disturbance{};
+    scenario.disturbance.fastFailing = 0.1;
+    Compare(TitleOf(scenario, "fast-failing"), scenario, policies);
+    scenario.load = 0.5;
+    scenario.disturbance = Disturbance{};
+    scenario.disturbance.refusing = 1.0 / 3;
+    Compare(TitleOf(scenario, "third refuses"), scenario, policies);
+  }
+}
+
+void PrintLimits() {
+  for (const Deployment& deployment : {HaritAngan(3), HaritAngan(7)}) {
+    for (const double load : {0.5, 0.7}) {
+      Scenario scenario;
+      scenario.deployment = deployment;
+      scenario.load = load;
+      scenario.warmUp = Seconds(4);
+      scenario.disturbance.shift = true;
+      Settings noLimit;
+      noLimit.limit = LimitPolicy::None;
+      Settings fixed;
+      fixed.limit = LimitPolicy::Share;
+      Compare(TitleOf(scenario, "load shift"), scenario,
+              {{"shared queue", true, {}},
+               {"adaptive limit", false, Settings{}},
+               {"fixed limit", false, fixed},
+               {"no limit", false, noLimit}});
+    }
+  }
+}
+
+void PrintFairness() {
+  Scenario calm;
+  calm.deployment = HaritAngan(7);
+  calm.members = {{"small-1", 1}, {"small-2", 1}, {"small-3", 1}};
+  calm.load = 0.45;
+  Scenario flood = calm;
+  // The largest member alone asks for twice the capacity.
+  flood.members.push_back({"largest", 2.0 / 0.15});
+  flood.load = 2.45;
+  const Policy policy = AllPolicies()[1];
+  const auto before = RunSeeds(calm, policy);
+  const auto after = RunSeeds(flood, policy);
+  for (std::size_t member = 0; member < flood.members.size(); ++member) {
+    const auto p99 = [&](const Summary& aRun) {
+      return member < aRun.memberP99.size() ? aRun.memberP99[member] : 0.0;
+    };
+    const auto goodput = [&](const Summary& aRun) {
+      return member < aRun.memberGoodput.size() ? aRun.memberGoodput[member]
+                                                : 0.0;
+    };
+    std::printf(
+        "fairness, member %s: p99 %.1f ms alone, %.1f ms while the "
+        "largest floods; goodput %.0f/s and %.0f/s\n",
+        flood.members[member].name.c_str(), SpreadOf(before, p99).mean,
+        SpreadOf(after, p99).mean, SpreadOf(before, goodput).mean,
+        SpreadOf(after, goodput).mean);
+  }
+}
+
+bool Wants(int aCount, char** aValues, const char* aName) {
+  return aCount < 2 || std::strcmp(aValues[1], aName) == 0;
+}
+
+}  // namespace
+
+}  // namespace bramleypath::bench
+
+// Runs all parts, or the one named: loads, disturbances, limits, fairness,
+// costs.
+int main(int aCount, char** aValues) {
+  using namespace bramleypath::bench;
+  if (Wants(aCount, aValues, "loads")) {
+    PrintLoads();
+  }
+  if (Wants(aCount, aValues, "disturbances")) {
+    PrintDisturbances();
+  }
+  if (Wants(aCount, aValues, "limits")) {
+    PrintLimits();
+  }
+  if (Wants(aCount, aValues, "fairness")) {
+    PrintFairness();
+  }
+  if (Wants(aCount, aValues, "costs")) {
+    PrintCosts();
+  }
+  return 0;
+}
--- /dev/null
+++ b/bench/routing/Simulation.cpp
@@ -0,0 +1,311 @@
+#include "bench/routing/Simulation.h"
+
+#include <deque>
+#include <functional>
+#include <queue>
+#include <unordered_map>
+#include <utility>
+
+namespace bramleypath::bench {
+
+namespace {
+
+constexpr Duration kGossipInterval = Millis(100);
+constexpr Duration kGossipDelay = Millis(1);
+constexpr Duration kTickInterval = Millis(5);
+constexpr Duration kFastFailure = Micros(200);
+// Requests that wait at a target beyond its slots.
+constexpr std::size_t kTargetQueue = 1000;
+
+enum class Kind : std::uint8_t { Request, ServiceEnd, Answer, Gossip, Tick };
+
+struct Occurrence {
+  std::int64_t at = 0;
+  std::uint64_t order = 0;
+  Kind kind = Kind::Tick;
+  std::uint32_t host = 0;
+  std::uint32_t target = 0;
+  routing::Generation generation = 0;
+  bool refused = false;
+  std::uint32_t status = 200;
+};
+
+bool operator>(const Occurrence& aLeft, const Occurrence& aRight) {
+  return std::tie(aLeft.at, aLeft.order) > std::tie(aRight.at, aRight.order);
+}
+
+struct Waiting {
+  std::uint32_t host = 0;
+  routing::Generation generation = 0;
+};
+
+struct QueueTarget {
+  std::uint32_t busy = 0;
+  std::deque<Waiting> waiting;
+};
+
+struct Simulation {
+  const Scenario& scenario;
+  const std::vector<CallSpec>& calls;
+  std::vector<routing::Router> routers;
+  std::vector<QueueTarget> targets;
+  // Call of each attempt, per host.
+  std::vector<std::unordered_map<routing::Generation, std::size_t>> attempts;
+  std::priority_queue<Occurrence, std::vector<Occurrence>, std::greater<>>
+      agenda;
+  std::uint64_t order = 0;
+  TimePoint now;
+  Outcomes outcomes;
+};
+
+void Plan(Simulation& aSimulation, Duration aAfter, Occurrence aOccurrence) {
+  aOccurrence.at = (aSimulation.now + aAfter).micros;
+  aOccurrence.order = aSimulation.order++;
+  aSimulation.agenda.push(aOccurrence);
+}
+
+std::uint32_t TargetNumber(const TargetId& aTarget) {
+  return static_cast<std::uint32_t>(std::stoul(aTarget.value.substr(1)));
+}
+
+void Carry(Simulation& aSimulation, std::uint32_t aHost,
+           const routing::SendRequest& aAction) {
+  aSimulation.attempts[aHost][aAction.generation] = aAction.call - 1;
+  Occurrence request;
+  request.kind = Kind::Request;
+  request.host = aHost;
+  request.target = TargetNumber(aAction.target);
+  request.generation = aAction.generation;
+  Plan(aSimulation, kNetworkDelay, request);
+}
+
+void Carry(Simulation& aSimulation, std::uint32_t,
+           const routing::FinishCall& aAction) {
+  Result& result = aSimulation.outcomes.results[aAction.call - 1];
+  result.latency = aSimulation.now - aSimulation.calls[aAction.call - 1].at;
+  switch (aAction.outcome) {
+    case routing::Outcome::Completed:
+      if (result.fate == Fate::Open) {
+        result.fate = Fate::Completed;
+      }
+      break;
+    case routing::Outcome::NotRun:
+      result.fate = Fate::Refused;
+      break;
+    case routing::Outcome::OutcomeUnknown:
+      result.fate = Fate::Unknown;
+      break;
+  }
+}
+
+template <typename Action>
+void Carry(Simulation&, std::uint32_t, const Action&) {}
+
+void Drive(Simulation& aSimulation, std::uint32_t aHost,
+           const routing::Event& aEvent) {
+  for (const routing::Action& action :
+       Step(aSimulation.routers[aHost], aEvent, aSimulation.now)) {
+    std::visit([&](const auto& aAction) { Carry(aSimulation, aHost, aAction); },
+               action);
+  }
+}
+
+void SendAnswer(Simulation& aSimulation, std::uint32_t aHost,
+                routing::Generation aGeneration, Duration aAfter, bool aRefused,
+                std::uint32_t aStatus) {
+  Occurrence answer;
+  answer.kind = Kind::Answer;
+  answer.host = aHost;
+  answer.generation = aGeneration;
+  answer.refused = aRefused;
+  answer.status = aStatus;
+  Plan(aSimulation, aAfter + kNetworkDelay, answer);
+}
+
+void BeginService(Simulation& aSimulation, std::uint32_t aTarget,
+                  const Waiting& aRequest) {
+  QueueTarget& target = aSimulation.targets[aTarget];
+  const std::size_t call =
+      aSimulation.attempts[aRequest.host].at(aRequest.generation);
+  const double factor =
+      SlowDown(aSimulation.scenario, aTarget, target.busy, aSimulation.now);
+  ++target.busy;
+  Occurrence end;
+  end.kind = Kind::ServiceEnd;
+  end.host = aRequest.host;
+  end.target = aTarget;
+  end.generation = aRequest.generation;
+  Plan(aSimulation,
+       Micros(static_cast<std::int64_t>(
+           static_cast<double>(aSimulation.calls[call].service.micros) *
+           factor)),
+       end);
+}
+
+void OnRequest(Simulation& aSimulation, const Occurrence& aRequest) {
+  QueueTarget& target = aSimulation.targets[aRequest.target];
+  const Scenario& scenario = aSimulation.scenario;
+  if (IsFastFailing(scenario, aRequest.target)) {
+    SendAnswer(aSimulation, aRequest.host, aRequest.generation, kFastFailure,
+               false, 500);
+    return;
+  }
+  if (IsRefusing(scenario, aRequest.target) ||
+      target.waiting.size() >= kTargetQueue) {
+    SendAnswer(aSimulation, aRequest.host, aRequest.generation, Duration{},
+               true, 503);
+    return;
+  }
+  const Waiting request{aRequest.host, aRequest.generation};
+  if (target.busy < scenario.deployment.slots) {
+    BeginService(aSimulation, aRequest.target, request);
+  } else {
+    target.waiting.push_back(request);
+  }
+}
+
+void OnServiceEnd(Simulation& aSimulation, const Occurrence& aEnd) {
+  QueueTarget& target = aSimulation.targets[aEnd.target];
+  --target.busy;
+  SendAnswer(aSimulation, aEnd.host, aEnd.generation, Duration{}, false, 200);
+  if (!target.waiting.empty()) {
+    const Waiting next = target.waiting.front();
+    target.waiting.pop_front();
+    BeginService(aSimulation, aEnd.target, next);
+  }
+}
+
+std::string RequestName(std::size_t aCall) {
+  return "r" + std::to_string(aCall);
+}
+
+void OnAnswer(Simulation& aSimulation, const Occurrence& aAnswer) {
+  auto& attempts = aSimulation.attempts[aAnswer.host];
+  const auto found = attempts.find(aAnswer.generation);
+  const std::size_t call = found->second;
+  attempts.erase(found);
+  routing::AnswerReceived answer;
+  answer.generation = aAnswer.generation;
+  answer.requestId = RequestId(RequestName(call));
+  answer.refused = aAnswer.refused;
+  answer.status = aAnswer.status;
+  constexpr std::uint32_t kFirstServerError = 500;
+  if (!aAnswer.refused && aAnswer.status >= kFirstServerError) {
+    aSimulation.outcomes.results[call].fate = Fate::Error;
+  }
+  Drive(aSimulation, aAnswer.host, answer);
+}
+
+void OnGossip(Simulation& aSimulation, const Occurrence& aRound) {
+  routing::PeerLoads loads;
+  loads.host = HostId("e" + std::to_string(aRound.host));
+  loads.loads = OwnLoads(aSimulation.routers[aRound.host]);
+  for (std::uint32_t host = 0; host < aSimulation.routers.size(); ++host) {
+    if (host != aRound.host) {
+      Drive(aSimulation, host, loads);
+    }
+  }
+  Plan(aSimulation, kGossipInterval, aRound);
+}
+
+void OnOccurrence(Simulation& aSimulation, const Occurrence& aOccurrence) {
+  switch (aOccurrence.kind) {
+    case Kind::Request:
+      OnRequest(aSimulation, aOccurrence);
+      break;
+    case Kind::ServiceEnd:
+      OnServiceEnd(aSimulation, aOccurrence);
+      break;
+    case Kind::Answer:
+      OnAnswer(aSimulation, aOccurrence);
+      break;
+    case Kind::Gossip:
+      OnGossip(aSimulation, aOccurrence);
+      break;
+    case Kind::Tick:
+      Drive(aSimulation, aOccurrence.host, routing::Tick{});
+      Plan(aSimulation, kTickInterval, aOccurrence);
+      break;
+  }
+}
+
+void OnArrival(Simulation& aSimulation, std::size_t aCall) {
+  const CallSpec& spec = aSimulation.calls[aCall];
+  const ClassSpec& callClass =
+      aSimulation.scenario.deployment.classes[spec.callClass];
+  routing::CallAccepted call;
+  call.call = aCall + 1;
+  call.requestId = RequestId(RequestName(aCall));
+  call.member = MemberId(aSimulation.scenario.members[spec.member].name);
+  call.callClass = ClassId(callClass.name);
+  call.service = ServiceId("service");
+  call.deadline = spec.at + callClass.deadline;
+  Drive(aSimulation, spec.host, call);
+}
+
+void Prepare(Simulation& aSimulation, const routing::Settings& aSettings) {
+  const Deployment& deployment = aSimulation.scenario.deployment;
+  routing::LocalHostsChanged hosts;
+  for (std::uint32_t host = 0; host < deployment.hosts; ++host) {
+    hosts.hosts.emplace_back("e" + std::to_string(host));
+  }
+  aSimulation.targets.resize(deployment.targets);
+  aSimulation.attempts.resize(deployment.hosts);
+  for (std::uint32_t host = 0; host < deployment.hosts; ++host) {
+    aSimulation.routers.push_back(
+        routing::MakeRouter(hosts.hosts[host], DataCentreId("d"), aSettings,
+                            aSimulation.scenario.seed * 100 + host));
+    Drive(aSimulation, host, hosts);
+    for (std::uint32_t target = 0; target < deployment.targets; ++target) {
+      membership::TargetRecord record;
+      record.target = TargetId("t" + std::to_string(target));
+      record.incarnation = 1;
+      record.service = ServiceId("service");
+      record.slots = deployment.slots;
+      record.connections = 60;
+      Drive(aSimulation, host, routing::TargetUp{record});
+    }
+    Occurrence round;
+    round.host = host;
+    round.kind = Kind::Gossip;
+    Plan(aSimulation, kGossipDelay + Millis(host * 13), round);
+    round.kind = Kind::Tick;
+    Plan(aSimulation, Micros(host * 500), round);
+  }
+}
+
+}  // namespace
+
+Outcomes RunRouters(const Scenario& aScenario,
+                    const std::vector<CallSpec>& aCalls,
+                    const routing::Settings& aSettings) {
+  Simulation simulation{aScenario, aCalls, {}, {}, {}, {}, 0, {}, {}};
+  simulation.outcomes.results.resize(aCalls.size());
+  Prepare(simulation, aSettings);
+  // Calls that are open at the end get time to finish.
+  const std::int64_t end =
+      (TimePoint{} + aScenario.length + Seconds(11)).micros;
+  std::size_t next = 0;
+  while (true) {
+    const std::int64_t planned = simulation.agenda.top().at;
+    if (next < aCalls.size() && aCalls[next].at.micros <= planned) {
+      simulation.now = aCalls[next].at;
+      OnArrival(simulation, next++);
+      continue;
+    }
+    if (planned > end) {
+      break;
+    }
+    const Occurrence occurrence = simulation.agenda.top();
+    simulation.agenda.pop();
+    simulation.now = TimePoint{occurrence.at};
+    OnOccurrence(simulation, occurrence);
+  }
+  for (const routing::Router& router : simulation.routers) {
+    simulation.outcomes.attempts += router.counters.attempts;
+    simulation.outcomes.calls += router.counters.accepted;
+  }
+  return std::move(simulation.outcomes);
+}
+
+}  // namespace bramleypath::bench
--- a/tests/routing/RouterPropertyTest.cpp
+++ b/tests/routing/RouterPropertyTest.cpp
@@ -213,8 +213,7 @@
     case OpKind::Stop:
       // Rare, since it ends what can be seen.
       if (aOp.variant == 0) {
-        Apply(aWorld, StopRequested{aWorld.now + Millis(50),
-                                    aWorld.now + Millis(1000)});
+        Stop(aWorld, Millis(50), Millis(1000));
       }
       return;
     case OpKind::DeliverLate:
--- a/tests/routing/World.h
+++ b/tests/routing/World.h
@@ -61,6 +61,8 @@
   std::uint64_t completed = 0;
   bool drained = false;
   std::uint32_t interrupted = 0;
+  // From then on a planned stop may interrupt calls.
+  TimePoint interruptFrom = kNever;
 };
 
 inline bool MayHaveRun(const AttemptFacts& aAttempt) {
@@ -148,6 +150,8 @@
   Require(!aWorld.drained, "drained twice");
   aWorld.drained = true;
   aWorld.interrupted = aAction.interrupted;
+  Require(aAction.interrupted == 0 || aWorld.now >= aWorld.interruptFrom,
+          "P8: a planned stop interrupted calls before its deadline");
   for (const auto& [id, call] : aWorld.calls) {
     Require(call.finished, "P8: drained with an open call");
   }
@@ -162,6 +166,13 @@
   }
 }
 
+// A second request ends the stop at once.
+inline void Stop(World& aWorld, Duration aClose, Duration aDrain) {
+  const bool second = aWorld.router.stopping;
+  aWorld.interruptFrom = second ? aWorld.now : aWorld.now + aDrain;
+  Apply(aWorld, StopRequested{aWorld.now + aClose, aWorld.now + aDrain});
+}
+
 inline World MakeWorld(const Settings& aSettings, std::uint64_t aSeed) {
   World world;
   world.router = MakeRouter(HostId("e1"), DataCentreId("d1"), aSettings, aSeed);
