Spread the remainder of slots by the target's rank

The remainder of 8 slots over 7 hosts went by a hash of the target, so that the hosts' totals differed by several slots while their arrivals were equal.

--- a/bench/routing/RoutingBench.cpp
+++ b/bench/routing/RoutingBench.cpp
@@ -87,27 +87,48 @@
   return runs;
 }
 
-void PrintRow(const std::string& aLabel, const std::vector<Summary>& aRuns,
-              const std::vector<Summary>& aBound) {
+// The ratio means nothing where the bound completes next to nothing, as one
+// first-come queue does under overload.
+std::string RatioText(const std::vector<Summary>& aRuns,
+                      const std::vector<Summary>& aBound) {
+  constexpr double kLeastGoodput = 0.5;
   std::vector<Summary> ratios;
   for (std::size_t run = 0; run < aRuns.size(); ++run) {
+    if (aBound[run].goodput < kLeastGoodput * aRuns[run].goodput ||
+        aBound[run].goodput < 100) {
+      return "-";
+    }
     Summary ratio;
-    ratio.p99 = aRuns[run].p99 / std::max(0.001, aBound[run].p99);
+    ratio.p99 = aRuns[run].p99 / aBound[run].p99;
     ratios.push_back(ratio);
   }
-  const auto mean = [&](auto aRead) { return SpreadOf(aRuns, aRead).mean; };
   const Spread ratio =
       SpreadOf(ratios, [](const Summary& aRun) { return aRun.p99; });
+  char text[64];
+  std::snprintf(text, sizeof text, "%.2f [%.2f-%.2f]", ratio.mean, ratio.least,
+                ratio.most);
+  return text;
+}
+
+void PrintRow(const std::string& aLabel, const std::vector<Summary>& aRuns,
+              const std::vector<Summary>& aBound) {
+  const auto mean = [&](auto aRead) { return SpreadOf(aRuns, aRead).mean; };
   std::printf(
-      "%-52s p50 %7.1f p99 %7.1f p99.9 %7.1f ms  refused %5.2f%%  goodput "
-      "%7.0f/s  attempts %.3f  p99 ratio %.2f [%.2f-%.2f]\n",
+      "%-52s p50 %6.1f p99 %6.1f p99.9 %6.1f ms  refused %6.2f%%  goodput "
+      "%6.0f/s",
       aLabel.c_str(), mean([](const Summary& aRun) { return aRun.p50; }),
       mean([](const Summary& aRun) { return aRun.p99; }),
       mean([](const Summary& aRun) { return aRun.p999; }),
       mean([](const Summary& aRun) { return aRun.refused * 100; }),
-      mean([](const Summary& aRun) { return aRun.goodput; }),
-      mean([](const Summary& aRun) { return aRun.attemptsPerCall; }),
-      ratio.mean, ratio.least, ratio.most);
+      mean([](const Summary& aRun) { return aRun.goodput; }));
+  if (aRuns.front().classGoodput.size() > 1) {
+    std::printf(" (long %4.0f/s)", mean([](const Summary& aRun) {
+                  return aRun.classGoodput.back();
+                }));
+  }
+  std::printf("  attempts %.3f  p99 ratio %s\n",
+              mean([](const Summary& aRun) { return aRun.attemptsPerCall; }),
+              RatioText(aRuns, aBound).c_str());
   std::fflush(stdout);
 }
 
@@ -135,14 +156,14 @@
   return {HaritAngan(7), HaritAngan(9), Cairnmuir(7), Cairnmuir(9)};
 }
 
-void PrintLoads() {
+void PrintLoads(const std::vector<Policy>& aPolicies) {
   for (const Deployment& deployment : AllDeployments()) {
     std::vector<Summary> full;
     for (const double load : {0.6, 0.85, 1.0, 1.5}) {
       Scenario scenario;
       scenario.deployment = deployment;
       scenario.load = load;
-      Compare(TitleOf(scenario, "load"), scenario, AllPolicies());
+      Compare(TitleOf(scenario, "load"), scenario, aPolicies);
       const auto runs = RunSeeds(scenario, AllPolicies()[1]);
       if (load == 1.0) {
         full = runs;
@@ -239,11 +260,15 @@
 }  // namespace bramleypath::bench
 
 // Runs all parts, or the one named: loads, disturbances, limits, fairness,
-// costs.
+// costs; own-loads is loads without the other policies.
 int main(int aCount, char** aValues) {
   using namespace bramleypath::bench;
   if (Wants(aCount, aValues, "loads")) {
-    PrintLoads();
+    PrintLoads(AllPolicies());
+  }
+  if (aCount > 1 && Wants(aCount, aValues, "own-loads")) {
+    const auto policies = AllPolicies();
+    PrintLoads({policies[0], policies[1]});
   }
   if (Wants(aCount, aValues, "disturbances")) {
     PrintDisturbances();
--- a/bench/routing/Workload.cpp
+++ b/bench/routing/Workload.cpp
@@ -104,6 +104,7 @@
   std::vector<double> all;
   std::vector<std::vector<double>> byMember(aScenario.members.size());
   std::vector<double> goodByMember(aScenario.members.size());
+  std::vector<double> goodByClass(aScenario.deployment.classes.size());
   double counted = 0;
   double refused = 0;
   double good = 0;
@@ -120,6 +121,7 @@
     }
     good += 1;
     goodByMember[call.member] += 1;
+    goodByClass[call.callClass] += 1;
     if (aClass < 0 || call.callClass == static_cast<std::uint32_t>(aClass)) {
       const double millis = static_cast<double>(result.latency.micros) / 1000;
       all.push_back(millis);
@@ -139,6 +141,9 @@
     summary.memberP99.push_back(Quantile(byMember[member], 0.99));
     summary.memberGoodput.push_back(goodByMember[member] / seconds);
   }
+  for (const double count : goodByClass) {
+    summary.classGoodput.push_back(count / seconds);
+  }
   return summary;
 }
 
--- a/bench/routing/Workload.h
+++ b/bench/routing/Workload.h
@@ -83,6 +83,7 @@
   double attemptsPerCall = 0;  // 0 for the shared queue
   std::vector<double> memberP99;
   std::vector<double> memberGoodput;
+  std::vector<double> classGoodput;
 };
 
 // Of the calls after the warm-up; aClass < 0: latencies of all classes.
--- a/src/bramleypath/routing/Router.h
+++ b/src/bramleypath/routing/Router.h
@@ -94,7 +94,7 @@
 
 struct ServiceState {
   ServiceId id;
-  std::vector<TargetIndex> targets;
+  std::vector<TargetIndex> targets;  // sorted by id
   // Serving targets that have a free slot.
   std::vector<TargetIndex> freeTargets;
   // Ejected targets whose next probe is due.
--- a/src/bramleypath/routing/Settings.h
+++ b/src/bramleypath/routing/Settings.h
@@ -79,6 +79,8 @@
   // keep slots that longer ones can't use.
   double reserveRatio = 4.0;
   double reserveMaxShare = 0.5;
+  // Reserve above the mean load, in standard deviations of a Poisson load.
+  double reserveDeviations = 2.0;
   // Arrival rates are averaged over this time.
   Duration arrivalWindow = Seconds(10);
 
--- a/src/bramleypath/routing/internal/Queues.cpp
+++ b/src/bramleypath/routing/internal/Queues.cpp
@@ -103,7 +103,7 @@
 }
 
 // Slots that must stay free for classes much shorter than this one. They are
-// sized by Little's law with two standard deviations of a Poisson load.
+// sized by Little's law with some standard deviations of a Poisson load.
 double ReservedFor(const Router& aRouter, const ServiceState& aService,
                    ClassIndex aClass, TimePoint aNow) {
   const Settings& settings = aRouter.settings;
@@ -116,7 +116,8 @@
     }
     const double load =
         ArrivalRate(aRouter, other, aNow) * other.meanMicros / 1e6;
-    const double wanted = std::ceil(load + 2 * std::sqrt(load));
+    const double wanted =
+        std::ceil(load + settings.reserveDeviations * std::sqrt(load));
     reserved += std::max(0.0, wanted - other.inFlight);
   }
   const double most =
--- a/src/bramleypath/routing/internal/Shares.cpp
+++ b/src/bramleypath/routing/internal/Shares.cpp
@@ -1,7 +1,5 @@
 #include "bramleypath/routing/internal/Shares.h"
 
-#include <xxhash.h>
-
 #include <algorithm>
 
 #include "bramleypath/routing/internal/Timers.h"
@@ -49,7 +47,7 @@
 
 }  // namespace
 
-std::uint32_t PartOf(std::uint32_t aWhole, const TargetId& aTarget,
+std::uint32_t PartOf(std::uint32_t aWhole, std::uint32_t aTargetRank,
                      const std::vector<HostId>& aHosts, const HostId& aSelf) {
   if (aHosts.empty()) {
     return aWhole;
@@ -57,15 +55,14 @@
   const auto count = static_cast<std::uint32_t>(aHosts.size());
   const auto found = std::find(aHosts.begin(), aHosts.end(), aSelf);
   const auto rank = static_cast<std::uint32_t>(found - aHosts.begin()) % count;
-  const auto offset = static_cast<std::uint32_t>(
-      XXH64(aTarget.value.data(), aTarget.value.size(), 0) % count);
-  const std::uint32_t place = (rank + offset) % count;
+  const std::uint32_t place = (rank + aTargetRank) % count;
   return aWhole / count + (place < aWhole % count ? 1 : 0);
 }
 
 void UpdateShares(Router& aRouter, ServiceIndex aService, TimePoint aNow) {
   ServiceState& service = aRouter.services[aService];
   std::uint32_t total = 0;
+  std::uint32_t rank = 0;
   for (const TargetIndex index : service.targets) {
     TargetState& target = aRouter.targets[index];
     const auto& record = target.record;
@@ -73,9 +70,9 @@
     // hosts does not undo what was learned.
     target.limit = target.share == 0 ? 1.0 : target.limit / target.share;
     target.share = std::min(
-        PartOf(record.slots, record.target, aRouter.localHosts, aRouter.self),
-        PartOf(record.connections, record.target, aRouter.localHosts,
-               aRouter.self));
+        PartOf(record.slots, rank, aRouter.localHosts, aRouter.self),
+        PartOf(record.connections, rank, aRouter.localHosts, aRouter.self));
+    ++rank;
     total += target.share;
   }
   if (total == 0) {
--- a/src/bramleypath/routing/internal/Shares.h
+++ b/src/bramleypath/routing/internal/Shares.h
@@ -5,9 +5,10 @@
 namespace bramleypath::routing::detail {
 
 // This entry host's part of a number of slots or connections of a target. The
-// parts of all live hosts add up to the whole number; which hosts get the
-// remainder differs from target to target.
-std::uint32_t PartOf(std::uint32_t aWhole, const TargetId& aTarget,
+// parts of all live hosts add up to the whole number. Which hosts get the
+// remainder moves on with the target's rank in its service, so that the hosts'
+// totals differ by one per kind of target at most.
+std::uint32_t PartOf(std::uint32_t aWhole, std::uint32_t aTargetRank,
                      const std::vector<HostId>& aHosts, const HostId& aSelf);
 
 // Recomputes the shares of a service's targets and what follows from them.
--- a/src/bramleypath/routing/internal/Targets.cpp
+++ b/src/bramleypath/routing/internal/Targets.cpp
@@ -14,6 +14,17 @@
   aList.erase(std::remove(aList.begin(), aList.end(), aIndex), aList.end());
 }
 
+// All entry hosts must rank the targets alike.
+void InsertSorted(Router& aRouter, ServiceIndex aService, TargetIndex aIndex,
+                  const TargetId& aTarget) {
+  auto& list = aRouter.services[aService].targets;
+  const auto place =
+      std::find_if(list.begin(), list.end(), [&](TargetIndex aOther) {
+        return aTarget < aRouter.targets[aOther].record.target;
+      });
+  list.insert(place, aIndex);
+}
+
 std::optional<TargetIndex> FindTarget(const Router& aRouter,
                                       const TargetId& aTarget) {
   const auto found = aRouter.targetIndex.find(aTarget);
@@ -146,7 +157,7 @@
   if (target.service != *service) {
     RemoveFromService(aRouter, *index, aNow);
     target.service = *service;
-    aRouter.services[*service].targets.push_back(*index);
+    InsertSorted(aRouter, *service, *index, aEvent.record.target);
   } else if (newer && target.state == aRouter.chart.ejected) {
     ApplyTargetEvent(aRouter, *index, aRouter.chart.probePassed, false, aNow);
   }
