--- a/src/bramleypath/config/Codec.cpp
+++ b/src/bramleypath/config/Codec.cpp
@@ -136,6 +136,19 @@
   return value;
 }
 
+bool ReadOperatorCommand(const codec::Json& aJson, Command& aCommand,
+                         codec::FieldError& aError) {
+  if (!detail::CommandFromJsonValue(aJson, aCommand, aError)) {
+    return false;
+  }
+  if (std::holds_alternative<ActivateKeyOwners>(aCommand.change)) {
+    return codec::detail::Fail(aError, "change.kind",
+                               "activate_key_owners is made by the system "
+                               "once the wait is over");
+  }
+  return true;
+}
+
 }  // namespace
 
 Bytes EncodeCommand(const Command& aCommand) {
@@ -156,15 +169,24 @@
 
 std::optional<Command> CommandFromJson(std::string_view aText,
                                        JsonReason& aReason) {
-  auto command =
-      FromText<Command>(aText, false, detail::CommandFromJsonValue, aReason);
-  if (command && std::holds_alternative<ActivateKeyOwners>(command->change)) {
-    aReason = JsonReason{"change.kind",
-                         "activate_key_owners is made by the system once the "
-                         "wait is over"};
-    return std::nullopt;
-  }
-  return command;
+  return FromText<Command>(aText, false, ReadOperatorCommand, aReason);
+}
+
+std::optional<ChangeRequest> ChangeRequestFromJson(std::string_view aText,
+                                                   JsonReason& aReason) {
+  const auto read = [](const codec::Json& aJson, ChangeRequest& aValue,
+                       codec::FieldError& aError) {
+    codec::Json command = aJson;
+    if (aJson.is_object() && aJson.contains("dry_run")) {
+      command.erase("dry_run");
+      if (!codec::FromJson(aJson["dry_run"], "dry_run", aValue.dryRun,
+                           aError)) {
+        return false;
+      }
+    }
+    return ReadOperatorCommand(command, aValue.command, aError);
+  };
+  return FromText<ChangeRequest>(aText, false, read, aReason);
 }
 
 std::string CommandToJson(const Command& aCommand) {
--- a/src/bramleypath/config/Codec.h
+++ b/src/bramleypath/config/Codec.h
@@ -27,6 +27,16 @@
 std::optional<Command> CommandFromJson(std::string_view aText,
                                        JsonReason& aReason);
 std::string CommandToJson(const Command& aCommand);
+
+// The body of POST /v1/ops/config: a command and optionally "dry_run".
+struct ChangeRequest {
+  Command command;
+  // Only the outcome of Check is wanted.
+  bool dryRun = false;
+};
+std::optional<ChangeRequest> ChangeRequestFromJson(std::string_view aText,
+                                                   JsonReason& aReason);
+
 // {"accepted", "version"} and for a refusal {"code", "field", "detail"}.
 std::string OutcomeToJson(const Outcome& aOutcome);
 std::optional<Outcome> OutcomeFromJson(std::string_view aText,
--- a/src/bramleypath/config/internal/Validation.cpp
+++ b/src/bramleypath/config/internal/Validation.cpp
@@ -336,6 +336,16 @@
   return Accept();
 }
 
+// The owners that must keep an entry host: all but the lost ones.
+std::set<DataCentreId> OwnersWithHosts(const KeyOwners& aOwners) {
+  std::set<DataCentreId> needed = aOwners.current;
+  needed.insert(aOwners.next.begin(), aOwners.next.end());
+  for (const DataCentreId& lost : aOwners.lost) {
+    needed.erase(lost);
+  }
+  return needed;
+}
+
 Outcome CheckReplacedKeyOwners(const Configuration& aOld,
                                const Configuration& aNew) {
   const KeyOwners& old = aOld.keyOwners;
@@ -348,18 +358,15 @@
     }
     return CheckOwnersHaveHosts(aNew, owners.current, field + ".current");
   }
-  const bool equal = owners.current == old.current && owners.next == old.next &&
-                     owners.lost == old.lost &&
-                     owners.generation == old.generation &&
-                     owners.moveWaitMs == old.moveWaitMs &&
-                     owners.pendingSince == old.pendingSince;
-  if (!equal) {
+  // A file that names the same owners, or none, leaves them as they are.
+  const bool sameCurrent =
+      owners.current.empty() || owners.current == old.current;
+  const bool sameNext = owners.next.empty() || owners.next == old.next;
+  if (!sameCurrent || !sameNext) {
     return Refuse(RefusalCode::Invalid, field,
                   "must be left as it is; change it with set_key_owners");
   }
-  std::set<DataCentreId> needed = old.current;
-  needed.insert(old.next.begin(), old.next.end());
-  return CheckOwnersHaveHosts(aNew, needed, field);
+  return CheckOwnersHaveHosts(aNew, OwnersWithHosts(old), field);
 }
 
 // Adds the entries of a map one by one, so that each is checked like a change.
@@ -553,12 +560,8 @@
   }
 
   Outcome CheckOwnersKeepHosts(const std::string& aField) {
-    const KeyOwners& owners = this->configuration.keyOwners;
-    std::set<DataCentreId> needed = owners.current;
-    needed.insert(owners.next.begin(), owners.next.end());
-    for (const DataCentreId& lost : owners.lost) {
-      needed.erase(lost);
-    }
+    const std::set<DataCentreId> needed =
+        OwnersWithHosts(this->configuration.keyOwners);
     Outcome outcome = CheckOwnersHaveHosts(this->configuration, needed, aField);
     if (!outcome.accepted) {
       outcome.code = RefusalCode::InUse;
