--- /dev/null
+++ b/tests/journal/AtMostOnceTest.cpp
@@ -0,0 +1,392 @@
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <array>
+#include <map>
+#include <tuple>
+#include <vector>
+
+#include "bramleypath/journal/Codec.h"
+#include "bramleypath/journal/Coordinator.h"
+
+namespace bramleypath::journal {
+
+namespace {
+
+// (what, number, number)
+using Operation = std::tuple<unsigned char, unsigned char, unsigned char>;
+
+constexpr std::size_t kReplicas = 3;
+constexpr std::size_t kEntryHosts = 2;
+constexpr std::size_t kKeys = 3;
+// Answers are kept so long, so at most one run is promised until then.
+constexpr TimePoint kEnd = TimePoint{} + Seconds(590);
+
+const DataCentreId kCentre{"a"};
+
+RequestKey KeyOf(std::size_t aKey) {
+  return {MemberId{"m"}, "key-" + std::to_string(aKey)};
+}
+
+enum class CallStage {
+  Reserving,
+  Dispatching,
+  MaySend,
+  Sent,
+  Releasing,
+  Ended
+};
+
+// One attempt of an entry host to run a keyed request. It keeps the rules of
+// the protocol: it sends only on a grant to its own latest question, in time,
+// and releases only what it never sent.
+struct Call {
+  Holder holder;
+  RequestKey key;
+  Fingerprint body;
+  bool dispatchAtOnce = false;
+  CallStage stage = CallStage::Reserving;
+  AskId askId = 0;
+  TimePoint askedAt;
+  StoredAnswer answer;
+};
+
+struct InFlight {
+  std::size_t replica = 0;
+  std::variant<Ask, Reply> message;
+};
+
+struct Replica {
+  Coordinator coordinator;
+  JournalState state;
+  std::size_t applied = 0;
+};
+
+// A group of replicas whose log is given, two entry hosts, and a network that
+// drops, repeats, delays and reorders messages.
+struct World {
+  TimePoint now;
+  std::vector<Bytes> log;
+  std::array<Replica, kReplicas> replicas;
+  std::size_t leader = 0;
+  std::vector<ProposeCommand> pending;  // proposed by the leader
+  std::vector<InFlight> network;
+  std::vector<Call> calls;
+  AskId lastAsk = 0;
+  std::map<std::string, int> runs;                  // by key
+  std::map<std::string, StoredAnswer> trueAnswers;  // by key
+  std::map<std::string, Fingerprint> ranBodies;     // by key
+
+  World() {
+    config::KeyOwners owners;
+    owners.generation = 1;
+    owners.current = {kCentre};
+    for (std::size_t index = 0; index < kReplicas; ++index) {
+      this->Handle(index, OwnersInForce{owners, kCentre});
+    }
+    this->Handle(this->leader, GainedLeadership{});
+  }
+
+  void Handle(std::size_t aReplica, const CoordinatorEvent& aEvent) {
+    Replica& replica = this->replicas[aReplica];
+    auto actions = Step(replica.coordinator, replica.state, aEvent, this->now);
+    for (CoordinatorAction& action : actions) {
+      if (auto* const reply = std::get_if<Reply>(&action)) {
+        this->network.push_back(InFlight{aReplica, *reply});
+      } else if (aReplica == this->leader) {
+        this->pending.push_back(std::get<ProposeCommand>(action));
+      }
+    }
+  }
+
+  // Applies the log on a replica; the leader tells its coordinator.
+  void ApplyNext(std::size_t aReplica, ProposalToken aToken) {
+    Replica& replica = this->replicas[aReplica];
+    const auto command = DecodeCommand(this->log[replica.applied++]);
+    RC_ASSERT(command.has_value());
+    const Outcome outcome = Apply(replica.state, *command, this->now);
+    if (aToken != 0) {
+      this->Handle(aReplica, Committed{aToken, outcome});
+    }
+  }
+
+  void CatchUp(std::size_t aReplica) {
+    while (this->replicas[aReplica].applied < this->log.size()) {
+      this->ApplyNext(aReplica, 0);
+    }
+  }
+
+  void CommitNext() {
+    if (!this->pending.empty()) {
+      const ProposeCommand proposal = this->pending.front();
+      this->pending.erase(this->pending.begin());
+      this->log.push_back(EncodeCommand(proposal.command));
+      this->ApplyNext(this->leader, proposal.token);
+    }
+  }
+
+  // The old leader's first proposals may survive; the others are lost.
+  void ChangeLeader(std::size_t aNew, std::size_t aSurvivors) {
+    for (std::size_t index = 0;
+         index < this->pending.size() && index < aSurvivors; ++index) {
+      this->log.push_back(EncodeCommand(this->pending[index].command));
+    }
+    this->pending.clear();
+    this->Handle(this->leader, LostLeadership{});
+    this->leader = aNew;
+    this->CatchUp(aNew);
+    this->Handle(aNew, GainedLeadership{});
+  }
+
+  void Restart(std::size_t aReplica) {
+    if (aReplica == this->leader) {
+      this->ChangeLeader((aReplica + 1) % kReplicas, 0);
+    }
+    Replica& replica = this->replicas[aReplica];
+    const auto state =
+        RestoreSnapshot(TakeSnapshot(replica.state), Periods{}, this->now);
+    RC_ASSERT(state.has_value());
+    replica.state = *state;
+  }
+
+  void AskFor(Call& aCall, decltype(Command::body) aBody) {
+    aCall.askId = ++this->lastAsk;
+    aCall.askedAt = this->now;
+    this->network.push_back(
+        InFlight{this->leader, Ask{aCall.holder.host, aCall.askId,
+                                   Command{std::move(aBody)}, Seconds(3), 1}});
+  }
+
+  // Sends the question of the call's present stage, also once more.
+  void AskAgain(Call& aCall) {
+    switch (aCall.stage) {
+      case CallStage::Reserving:
+        this->AskFor(aCall, Reserve{aCall.key, aCall.body, aCall.holder,
+                                    aCall.dispatchAtOnce});
+        break;
+      case CallStage::Dispatching:
+        this->AskFor(aCall, Dispatch{aCall.key, aCall.holder});
+        break;
+      case CallStage::Sent:
+        this->AskFor(aCall, Answer{aCall.key, aCall.holder, aCall.answer});
+        break;
+      case CallStage::Releasing:
+        this->AskFor(aCall, Release{aCall.key, aCall.holder});
+        break;
+      default:
+        break;
+    }
+  }
+
+  void StartCall(std::size_t aHost, unsigned char aNumber) {
+    Call call;
+    call.holder = {HostId{"e" + std::to_string(aHost)}, this->calls.size() + 1};
+    call.key = KeyOf(aNumber % kKeys);
+    call.body = Fingerprint{0, aNumber > 230 ? 1U : 0U};
+    call.dispatchAtOnce = aNumber % 2 == 0;
+    this->calls.push_back(call);
+    this->AskAgain(this->calls.back());
+  }
+
+  void Send(Call& aCall) {
+    if (aCall.stage != CallStage::MaySend) {
+      return;
+    }
+    if (this->now > aCall.askedAt + kSendWithin) {
+      this->GiveUp(aCall);
+      return;
+    }
+    const int run = ++this->runs[aCall.key.key];
+    RC_ASSERT(run == 1);
+    aCall.answer = {
+        200, "t", {static_cast<std::uint8_t>(aCall.holder.nonce)}, false};
+    this->trueAnswers[aCall.key.key] = aCall.answer;
+    this->ranBodies[aCall.key.key] = aCall.body;
+    aCall.stage = CallStage::Sent;
+  }
+
+  void GiveUp(Call& aCall) {
+    if (aCall.stage != CallStage::Sent && aCall.stage != CallStage::Ended) {
+      aCall.stage = CallStage::Releasing;
+      this->AskAgain(aCall);
+    }
+  }
+
+  void OnReply(const Reply& aReply) {
+    for (Call& call : this->calls) {
+      if (call.askId == aReply.id && call.holder.host == aReply.to &&
+          aReply.code == ReplyCode::Applied) {
+        this->OnOutcome(call, aReply.outcome);
+      }
+    }
+  }
+
+  void OnOutcome(Call& aCall, const Outcome& aOutcome) {
+    const bool asks = aCall.stage == CallStage::Reserving ||
+                      aCall.stage == CallStage::Dispatching;
+    if (aOutcome.result == Result::Answered && aCall.stage != CallStage::Sent) {
+      RC_ASSERT(asks && aOutcome.answer == this->trueAnswers[aCall.key.key]);
+      RC_ASSERT(aCall.body == this->ranBodies[aCall.key.key]);
+    }
+    if (!asks || aOutcome.result != Result::Granted) {
+      aCall.stage = CallStage::Ended;
+      return;
+    }
+    const bool recorded =
+        aCall.stage == CallStage::Dispatching || aCall.dispatchAtOnce;
+    aCall.stage = recorded ? CallStage::MaySend : CallStage::Dispatching;
+    if (!recorded) {
+      this->AskAgain(aCall);
+    }
+  }
+
+  void Deliver(std::size_t aPlace, bool aKeep) {
+    const InFlight message = this->network[aPlace];
+    if (!aKeep) {
+      this->network.erase(this->network.begin() + static_cast<long>(aPlace));
+    }
+    if (const auto* const reply = std::get_if<Reply>(&message.message)) {
+      this->OnReply(*reply);
+    } else {
+      this->Handle(message.replica, std::get<Ask>(message.message));
+    }
+  }
+
+  void KillEntryHost(std::size_t aHost) {
+    const HostId name{"e" + std::to_string(aHost)};
+    for (Call& call : this->calls) {
+      if (call.holder.host == name) {
+        call.stage = CallStage::Ended;
+      }
+    }
+  }
+
+  void Advance(Duration aLength) {
+    if (this->now + aLength < kEnd) {
+      this->now = this->now + aLength;
+      this->Handle(this->leader, CoordinatorTick{});
+    }
+  }
+
+  void Run(const Operation& aOperation) {
+    const auto& [what, first, second] = aOperation;
+    const std::size_t place =
+        this->network.empty() ? 0 : first % this->network.size();
+    Call* const call = this->calls.empty()
+                           ? nullptr
+                           : &this->calls[first % this->calls.size()];
+    switch (what % 20) {
+      case 0:
+      case 1:
+        this->StartCall(first % kEntryHosts, second);
+        break;
+      case 2:
+        if (call != nullptr) {
+          this->AskAgain(*call);
+        }
+        break;
+      case 3:
+        if (call != nullptr && second % 4 == 0) {
+          this->GiveUp(*call);
+        }
+        break;
+      case 4:
+        if (second % 8 == 0) {
+          this->KillEntryHost(first % kEntryHosts);
+        }
+        break;
+      case 5:
+        this->ChangeLeader(first % kReplicas, second % 4);
+        break;
+      case 6:
+        this->Restart(first % kReplicas);
+        break;
+      case 7:
+        this->Advance(Millis(first * 100));
+        break;
+      case 8:
+        this->Advance(Seconds(second % 8 == 0 ? 130 : 11));
+        break;
+      case 9:
+        if (!this->network.empty()) {
+          this->network.erase(this->network.begin() + static_cast<long>(place));
+        }
+        break;
+      case 10:
+      case 11:
+      case 12:
+        this->CommitNext();
+        break;
+      case 13:
+      case 14:
+        // Every call that may send does.
+        for (Call& one : this->calls) {
+          this->Send(one);
+        }
+        break;
+      default:
+        if (!this->network.empty()) {
+          this->Deliver(place, what % 20 == 15);
+        }
+    }
+  }
+
+  // A calm network. Each key must get a final outcome in bounded time.
+  void Settle() {
+    for (int step = 0; step < 8; ++step) {
+      while (!this->network.empty() || !this->pending.empty()) {
+        while (!this->network.empty()) {
+          this->Deliver(0, false);
+        }
+        for (Call& call : this->calls) {
+          this->Send(call);
+        }
+        this->CommitNext();
+      }
+      this->now = this->now + Seconds(30);
+      this->Handle(this->leader, CoordinatorTick{});
+    }
+    const Replica& last = this->replicas[this->leader];
+    RC_ASSERT(last.coordinator.waitingCount == 0U);
+    RC_ASSERT(last.coordinator.proposed.empty());
+    for (const auto& [key, record] : last.state.records) {
+      const std::string_view stage = StageName(record);
+      RC_ASSERT(stage == "Answered" || stage == "Unknown");
+    }
+    // Replicas agree on all but their local deadlines.
+    for (std::size_t index = 0; index < kReplicas; ++index) {
+      this->CatchUp(index);
+      RC_ASSERT(TakeSnapshot(this->replicas[index].state) ==
+                TakeSnapshot(last.state));
+    }
+  }
+};
+
+}  // namespace
+
+class AtMostOnceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AtMostOnceTest);
+  CPPUNIT_TEST(testKeyedRequestsRunAtMostOnce);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against a keyed request that runs twice, against an answer given to
+  // another body, and against repeats without an outcome: two entry hosts
+  // race, leaders change between dispatch and answer, and messages are lost,
+  // repeated and late.
+  void testKeyedRequestsRunAtMostOnce() {
+    CPPUNIT_ASSERT(rc::check("keyed requests run at most once", [] {
+      const auto operations =
+          *rc::gen::resize(400, rc::gen::arbitrary<std::vector<Operation>>());
+      World world;
+      for (const Operation& operation : operations) {
+        world.Run(operation);
+      }
+      world.Settle();
+    }));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AtMostOnceTest);
+
+}  // namespace bramleypath::journal
--- /dev/null
+++ b/tests/journal/CoordinatorTest.cpp
@@ -0,0 +1,167 @@
+#include "bramleypath/journal/Coordinator.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace bramleypath::journal {
+
+namespace {
+
+const DataCentreId kCentre{"a"};
+const RequestKey kKey{MemberId{"m"}, "k"};
+
+// A coordinator whose proposals are committed at once.
+struct Leader {
+  Coordinator coordinator;
+  JournalState state;
+  TimePoint now;
+  std::vector<Reply> replies;
+
+  Leader() {
+    config::KeyOwners owners;
+    owners.generation = 1;
+    owners.current = {kCentre};
+    this->Do(OwnersInForce{owners, kCentre});
+    this->Do(GainedLeadership{});
+  }
+
+  void Do(const CoordinatorEvent& aEvent) {
+    const auto actions =
+        Step(this->coordinator, this->state, aEvent, this->now);
+    for (const CoordinatorAction& action : actions) {
+      if (const auto* const reply = std::get_if<Reply>(&action)) {
+        this->replies.push_back(*reply);
+        continue;
+      }
+      const auto& proposal = std::get<ProposeCommand>(action);
+      const Outcome outcome = Apply(this->state, proposal.command, this->now);
+      this->Do(Committed{proposal.token, outcome});
+    }
+  }
+
+  void ReserveFor(AskId aId, Duration aWait, std::uint64_t aGeneration = 1) {
+    const Holder holder{HostId{"e" + std::to_string(aId)}, aId};
+    this->Do(Ask{holder.host, aId, Command{Reserve{kKey, {1, 1}, holder, true}},
+                 aWait, aGeneration});
+  }
+
+  // The reply to an ask; fails when there is none.
+  const Reply& ReplyTo(AskId aId) const {
+    for (const Reply& reply : this->replies) {
+      if (reply.id == aId) {
+        return reply;
+      }
+    }
+    CPPUNIT_FAIL("no reply to " + std::to_string(aId));
+    return this->replies.front();
+  }
+};
+
+}  // namespace
+
+class CoordinatorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CoordinatorTest);
+  CPPUNIT_TEST(testRepeatsWaitForTheAnswer);
+  CPPUNIT_TEST(testWaitEndsAndRunsOut);
+  CPPUNIT_TEST(testReleaseGivesTheGrantToOneWaiter);
+  CPPUNIT_TEST(testOwnersAreChecked);
+  CPPUNIT_TEST(testLostLeadershipAnswersAll);
+  CPPUNIT_TEST(testAsksAreBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against repeats that get no answer, or one before there is one.
+  void testRepeatsWaitForTheAnswer() {
+    Leader leader;
+    leader.ReserveFor(1, Seconds(5));
+    leader.ReserveFor(2, Seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leader.replies.size());
+    const StoredAnswer answer{200, "t", {9}, false};
+    leader.Do(Ask{HostId{"e1"},
+                  10,
+                  Command{Answer{kKey, {HostId{"e1"}, 1}, answer}},
+                  {},
+                  1});
+    CPPUNIT_ASSERT(leader.ReplyTo(2).outcome ==
+                   (Outcome{Result::Answered, answer}));
+    CPPUNIT_ASSERT(leader.ReplyTo(10).outcome.result == Result::Answered);
+  }
+
+  // Guards against a repeat that waits longer than its caller, and against one
+  // that waits for a holder that never answers.
+  void testWaitEndsAndRunsOut() {
+    Leader leader;
+    leader.ReserveFor(1, Seconds(5));
+    leader.ReserveFor(2, Seconds(5));
+    leader.ReserveFor(3, Seconds(500));
+    leader.now = TimePoint{} + Seconds(6);
+    leader.Do(CoordinatorTick{});
+    CPPUNIT_ASSERT(leader.ReplyTo(2).code == ReplyCode::WaitEnded);
+    leader.now = TimePoint{} + Seconds(121);
+    leader.Do(CoordinatorTick{});
+    CPPUNIT_ASSERT(leader.ReplyTo(3).outcome.result == Result::Unknown);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, leader.coordinator.waitingCount);
+  }
+
+  // Guards against a release that leaves its waiters waiting, or lets several
+  // of them run.
+  void testReleaseGivesTheGrantToOneWaiter() {
+    Leader leader;
+    for (AskId id = 1; id <= 3; ++id) {
+      leader.ReserveFor(id, Seconds(5));
+    }
+    leader.Do(Ask{
+        HostId{"e1"}, 10, Command{Release{kKey, {HostId{"e1"}, 1}}}, {}, 1});
+    CPPUNIT_ASSERT(leader.ReplyTo(2).outcome.result == Result::Granted);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, leader.replies.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leader.coordinator.waitingCount);
+  }
+
+  // Guards against a grant by a data centre that doesn't own the key, or while
+  // the key moves.
+  void testOwnersAreChecked() {
+    Leader leader;
+    leader.ReserveFor(1, {}, 2);
+    CPPUNIT_ASSERT(leader.ReplyTo(1).code == ReplyCode::NotOwner);
+    config::KeyOwners owners = leader.coordinator.owners;
+    owners.next = {DataCentreId{"b"}};
+    leader.Do(OwnersInForce{owners, kCentre});
+    leader.ReserveFor(2, {});
+    CPPUNIT_ASSERT(leader.ReplyTo(2).code == ReplyCode::Moving);
+    owners.current = owners.next;
+    owners.next.clear();
+    leader.Do(OwnersInForce{owners, kCentre});
+    leader.ReserveFor(3, {});
+    CPPUNIT_ASSERT(leader.ReplyTo(3).code == ReplyCode::NotOwner);
+    CPPUNIT_ASSERT(leader.state.records.empty());
+  }
+
+  // Guards against entry hosts that wait for a leader that is none any more.
+  void testLostLeadershipAnswersAll() {
+    Leader leader;
+    leader.ReserveFor(1, Seconds(5));
+    leader.ReserveFor(2, Seconds(5));
+    leader.Do(LostLeadership{});
+    CPPUNIT_ASSERT(leader.ReplyTo(2).code == ReplyCode::NotLeader);
+    leader.ReserveFor(3, Seconds(5));
+    CPPUNIT_ASSERT(leader.ReplyTo(3).code == ReplyCode::NotLeader);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, leader.coordinator.waitingCount);
+  }
+
+  // Guards against waiting asks that use up the memory of the leader.
+  void testAsksAreBounded() {
+    Leader leader;
+    leader.coordinator.settings.maxAsks = 2;
+    leader.ReserveFor(1, Seconds(5));
+    // The same holder asks twice and counts once.
+    leader.ReserveFor(2, Seconds(5));
+    leader.ReserveFor(2, Seconds(5));
+    leader.ReserveFor(3, Seconds(5));
+    leader.ReserveFor(4, Seconds(5));
+    CPPUNIT_ASSERT(leader.ReplyTo(4).code == ReplyCode::Busy);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, leader.coordinator.waitingCount);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CoordinatorTest);
+
+}  // namespace bramleypath::journal
--- /dev/null
+++ b/tests/journal/JournalStateTest.cpp
@@ -0,0 +1,223 @@
+#include "bramleypath/journal/State.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
+
+#include <map>
+
+#include "bramleypath/journal/Codec.h"
+#include "bramleypath/journal/Owner.h"
+
+namespace bramleypath::journal {
+
+namespace {
+
+const RequestKey kKey{MemberId{"m"}, "order-1"};
+const Fingerprint kBody{1, 2};
+const Holder kFirst{HostId{"e1"}, 1};
+const Holder kSecond{HostId{"e2"}, 2};
+const StoredAnswer kAnswer{200, "text/plain", {1, 2, 3}, false};
+
+Result Run(JournalState& aState, decltype(Command::body) aBody,
+           TimePoint aNow = {}) {
+  return Apply(aState, Command{std::move(aBody)}, aNow).result;
+}
+
+Reserve ReserveBy(const Holder& aHolder, bool aDispatch = false,
+                  Fingerprint aBody = kBody) {
+  return Reserve{kKey, aBody, aHolder, aDispatch};
+}
+
+void ExpireAll(JournalState& aState, TimePoint aNow) {
+  for (const Expire& expire : DueExpiries(aState, aNow, 100)) {
+    Run(aState, expire, aNow);
+  }
+}
+
+}  // namespace
+
+class JournalStateTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(JournalStateTest);
+  CPPUNIT_TEST(testOnlyTheHolderMayAct);
+  CPPUNIT_TEST(testExpiredGrantMayNotBeDispatched);
+  CPPUNIT_TEST(testOwnerLostBetweenDispatchAndAnswer);
+  CPPUNIT_TEST(testReleasedAttemptIsNotGrantedAgain);
+  CPPUNIT_TEST(testKeyWithAnotherBody);
+  CPPUNIT_TEST(testLateExpiryHasNoEffect);
+  CPPUNIT_TEST(testBounds);
+  CPPUNIT_TEST(testCodecRoundTripsAndDamage);
+  CPPUNIT_TEST(testOwnersAreSpreadAndStable);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against two entry hosts that both run a request.
+  void testOnlyTheHolderMayAct() {
+    JournalState state;
+    CPPUNIT_ASSERT(Run(state, ReserveBy(kFirst)) == Result::Granted);
+    CPPUNIT_ASSERT(Run(state, ReserveBy(kFirst)) == Result::Granted);
+    CPPUNIT_ASSERT(Run(state, ReserveBy(kSecond)) == Result::Running);
+    CPPUNIT_ASSERT(Run(state, Dispatch{kKey, kSecond}) == Result::NotHolder);
+    CPPUNIT_ASSERT(Run(state, Dispatch{kKey, kFirst}) == Result::Granted);
+    CPPUNIT_ASSERT(Run(state, Release{kKey, kSecond}) == Result::NotHolder);
+    CPPUNIT_ASSERT(Run(state, Answer{kKey, kSecond, kAnswer}) ==
+                   Result::NotHolder);
+    CPPUNIT_ASSERT(Run(state, Answer{kKey, kFirst, kAnswer}) ==
+                   Result::Answered);
+    const Outcome repeat = Apply(state, Command{ReserveBy(kSecond)}, {});
+    CPPUNIT_ASSERT(repeat == (Outcome{Result::Answered, kAnswer}));
+  }
+
+  // Guards against a holder whose grant was given to another one.
+  void testExpiredGrantMayNotBeDispatched() {
+    JournalState state;
+    Run(state, ReserveBy(kFirst));
+    ExpireAll(state, TimePoint{} + Seconds(11));
+    CPPUNIT_ASSERT(Run(state, ReserveBy(kSecond, true)) == Result::Granted);
+    CPPUNIT_ASSERT(Run(state, Dispatch{kKey, kFirst}) == Result::NotHolder);
+  }
+
+  // Guards against a second run after the leader that knew of the dispatch was
+  // killed, and against an answer that is lost because it came late.
+  void testOwnerLostBetweenDispatchAndAnswer() {
+    JournalState old;
+    Run(old, ReserveBy(kFirst, true));
+    const TimePoint start = TimePoint{} + Seconds(1000);
+    auto state = RestoreSnapshot(TakeSnapshot(old), Periods{}, start);
+    CPPUNIT_ASSERT(state.has_value());
+    CPPUNIT_ASSERT(DueExpiries(*state, start + Seconds(119), 9).empty());
+    ExpireAll(*state, start + Seconds(121));
+    CPPUNIT_ASSERT(Run(*state, ReserveBy(kSecond, true)) == Result::Unknown);
+    CPPUNIT_ASSERT(Run(*state, Answer{kKey, kFirst, kAnswer}) ==
+                   Result::Answered);
+    CPPUNIT_ASSERT(Run(*state, ReserveBy(kSecond, true)) == Result::Answered);
+  }
+
+  // Guards against a repeated message that takes the grant for a call that has
+  // ended, which would block the key.
+  void testReleasedAttemptIsNotGrantedAgain() {
+    JournalState state;
+    Run(state, ReserveBy(kFirst, true));
+    CPPUNIT_ASSERT(Run(state, Release{kKey, kFirst}) == Result::Done);
+    CPPUNIT_ASSERT(Run(state, Release{kKey, kFirst}) == Result::Done);
+    CPPUNIT_ASSERT(Run(state, ReserveBy(kFirst, true)) == Result::NotHolder);
+    CPPUNIT_ASSERT(Run(state, ReserveBy(kSecond, true)) == Result::Granted);
+  }
+
+  // Guards against the answer to one request that is given to another.
+  void testKeyWithAnotherBody() {
+    JournalState state;
+    Run(state, ReserveBy(kFirst, true));
+    const Reserve other = ReserveBy(kSecond, true, Fingerprint{1, 3});
+    CPPUNIT_ASSERT(Run(state, other) == Result::KeyReused);
+    Run(state, Answer{kKey, kFirst, kAnswer});
+    CPPUNIT_ASSERT(Run(state, other) == Result::KeyReused);
+    CPPUNIT_ASSERT(!(FingerprintOf(ServiceId{"s"}, ClassId{"ab"}, "c") ==
+                     FingerprintOf(ServiceId{"s"}, ClassId{"a"}, "bc")));
+  }
+
+  // Guards against an expiry that ends a newer stage than the one it was
+  // proposed for.
+  void testLateExpiryHasNoEffect() {
+    JournalState state;
+    Run(state, ReserveBy(kFirst));
+    const Expire late{kKey, FindRecord(state, kKey)->revision};
+    Run(state, Dispatch{kKey, kFirst});
+    CPPUNIT_ASSERT(Run(state, late) == Result::Done);
+    CPPUNIT_ASSERT(StageName(*FindRecord(state, kKey)) == "Dispatched");
+  }
+
+  // Guards against a journal that outgrows the memory of a host, and against
+  // one that never shrinks again.
+  void testBounds() {
+    JournalState state;
+    state.limits = Limits{3, 2000, 1000};
+    const auto reserve = [&](const std::string& aKey) {
+      return Run(state, Reserve{{MemberId{"m"}, aKey}, kBody, kFirst, true});
+    };
+    CPPUNIT_ASSERT(reserve("") == Result::Invalid);
+    CPPUNIT_ASSERT(reserve(std::string(kMaxKeyBytes + 1, 'k')) ==
+                   Result::Invalid);
+    CPPUNIT_ASSERT(reserve("a") == Result::Granted);
+    CPPUNIT_ASSERT(reserve("b") == Result::Granted);
+    // One answer too large by itself, and one for which there is no room.
+    Run(state,
+        Answer{{MemberId{"m"}, "a"}, kFirst, {200, "", Bytes(1001), false}});
+    CPPUNIT_ASSERT(FindRecord(state, {MemberId{"m"}, "a"})->answer->omitted);
+    CPPUNIT_ASSERT(reserve("c") == Result::Granted);
+    CPPUNIT_ASSERT(reserve("d") == Result::Full);
+    Run(state,
+        Answer{{MemberId{"m"}, "b"}, kFirst, {200, "", Bytes(1000), false}});
+    Run(state,
+        Answer{{MemberId{"m"}, "c"}, kFirst, {200, "", Bytes(1000), false}});
+    CPPUNIT_ASSERT(!FindRecord(state, {MemberId{"m"}, "b"})->answer->omitted);
+    CPPUNIT_ASSERT(FindRecord(state, {MemberId{"m"}, "c"})->answer->omitted);
+    CPPUNIT_ASSERT(state.bytes <= state.limits.bytes);
+    ExpireAll(state, TimePoint{} + Seconds(601));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, state.bytes);
+    CPPUNIT_ASSERT(state.records.empty() && state.deadlines.empty());
+  }
+
+  // Guards against a command that changes on its way through the log, and
+  // against damaged bytes that end the process.
+  void testCodecRoundTripsAndDamage() {
+    const std::vector<Command> commands{{ReserveBy(kFirst, true)},
+                                        {Dispatch{kKey, kFirst}},
+                                        {Answer{kKey, kFirst, kAnswer}},
+                                        {Release{kKey, kFirst}},
+                                        {Expire{kKey, 7}}};
+    CPPUNIT_ASSERT_EQUAL(std::variant_size_v<decltype(Command::body)>,
+                         commands.size());
+    for (const Command& command : commands) {
+      const auto decoded = DecodeCommand(EncodeCommand(command));
+      CPPUNIT_ASSERT(decoded.has_value());
+      CPPUNIT_ASSERT(EncodeCommand(*decoded) == EncodeCommand(command));
+    }
+    const Outcome outcome{Result::Answered, kAnswer};
+    CPPUNIT_ASSERT(DecodeOutcome(EncodeOutcome(outcome)) == outcome);
+    JournalState state;
+    Run(state, ReserveBy(kFirst, true));
+    Run(state, Answer{kKey, kFirst, kAnswer});
+    const std::vector<Bytes> samples{EncodeCommand(commands[2]),
+                                     EncodeOutcome(outcome),
+                                     TakeSnapshot(state)};
+    CPPUNIT_ASSERT(rc::check("damaged bytes", [&] {
+      Bytes bytes = *rc::gen::elementOf(samples);
+      const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+      bytes[at] = *rc::gen::arbitrary<std::uint8_t>();
+      DecodeCommand(bytes);
+      DecodeOutcome(bytes);
+      RestoreSnapshot(bytes, Periods{}, {});
+      bytes.resize(at);
+      RC_ASSERT(!DecodeCommand(bytes) && !DecodeOutcome(bytes) &&
+                !RestoreSnapshot(bytes, Periods{}, {}));
+    }));
+  }
+
+  // Guards against keys that crowd one data centre, that move without need, or
+  // that get a new grant while they move.
+  void testOwnersAreSpreadAndStable() {
+    config::KeyOwners owners;
+    CPPUNIT_ASSERT(!OwnerOf(kKey.member, "k", owners));
+    owners.current = {DataCentreId{"a"}, DataCentreId{"b"}, DataCentreId{"c"}};
+    config::KeyOwners moving = owners;
+    moving.next = {DataCentreId{"a"}, DataCentreId{"b"}};
+    std::map<DataCentreId, int> counts;
+    for (int index = 0; index < 3000; ++index) {
+      const std::string key = "key-" + std::to_string(index);
+      const KeyOwner now = *OwnerOf(kKey.member, key, owners);
+      ++counts[now.dataCentre];
+      const KeyOwner then = *OwnerOf(kKey.member, key, moving);
+      CPPUNIT_ASSERT(now.acceptsNew);
+      CPPUNIT_ASSERT(then.dataCentre == now.dataCentre);
+      CPPUNIT_ASSERT_EQUAL(now.dataCentre != DataCentreId{"c"},
+                           then.acceptsNew);
+    }
+    for (const auto& [centre, count] : counts) {
+      CPPUNIT_ASSERT(count > 850 && count < 1150);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(JournalStateTest);
+
+}  // namespace bramleypath::journal
