--- /dev/null
+++ b/src/bramleypath/net/Http.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace bramleypath::net {
+
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+struct HttpRequest {
+  std::string method;  // "GET", "POST"
+  std::string path;    // without the query
+  std::string query;   // without the "?"
+  std::vector<Header> headers;
+  std::string body;
+};
+
+struct HttpResponse {
+  std::uint32_t status = 200;
+  std::string contentType = "application/json";
+  std::vector<Header> headers;
+  std::string body;
+};
+
+// The value of the first header of that name, ignoring case; null when there
+// is none.
+const std::string* FindHeader(const std::vector<Header>& aHeaders,
+                              std::string_view aName);
+
+// The value of one "name=value" of a query; empty when there is none.
+std::string FindQueryValue(std::string_view aQuery, std::string_view aName);
+
+// A dotted address and a port from "ip:port"; false when it has another form.
+bool SplitAddress(std::string_view aText, std::string& aIp,
+                  std::uint16_t& aPort);
+
+// The answer {"error": aDetail, "field": aField}.
+HttpResponse ErrorResponse(std::uint32_t aStatus, std::string_view aField,
+                           std::string_view aDetail);
+
+}  // namespace bramleypath::net
