--- a/src/bramleypath/net/Http.cpp
+++ b/src/bramleypath/net/Http.cpp
@@ -66,8 +66,8 @@
   }
   HttpResponse response;
   response.status = aStatus;
-  response.body = body.dump(-1, ' ', false,
-                            nlohmann::json::error_handler_t::replace);
+  response.body =
+      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   return response;
 }
 
--- /dev/null
+++ b/src/bramleypath/net/HttpClient.cpp
@@ -0,0 +1,403 @@
+#include "bramleypath/net/HttpClient.h"
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <set>
+#include <string_view>
+#include <thread>
+#include <unordered_map>
+#include <utility>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <curl/curl.h>
+
+#include "bramleypath/net/Clock.h"
+
+namespace bramleypath::net {
+
+namespace {
+
+constexpr int kPollMs = 1000;
+constexpr long kSpareConnections = 64;
+
+// One request in the thread of libcurl.
+struct Transfer {
+  ClientRequestId id = 0;
+  ClientRequest request;
+  ClientHandler handler;
+  std::size_t maxAnswerBytes = 0;
+  CURL* easy = nullptr;
+  curl_slist* headers = nullptr;
+  // Set just before the first byte is handed to the connection.
+  bool sent = false;
+  bool tooLarge = false;
+  bool framed = false;  // the answer has a length or chunks
+  HttpResponse response;
+};
+
+bool StartsWithIgnoringCase(std::string_view aText, std::string_view aPrefix) {
+  return aText.size() >= aPrefix.size() &&
+         std::equal(aPrefix.begin(), aPrefix.end(), aText.begin(),
+                    [](unsigned char aLeft, unsigned char aRight) {
+                      return aLeft == std::tolower(aRight);
+                    });
+}
+
+std::string_view Trim(std::string_view aText) {
+  constexpr std::string_view kSpace = " \t\r\n";
+  const std::size_t begin = aText.find_first_not_of(kSpace);
+  if (begin == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(begin, aText.find_last_not_of(kSpace) - begin + 1);
+}
+
+// libcurl repeats a request on a new connection when one from its pool was
+// closed before an answer came. The other side may have run it, so the second
+// sending is refused here.
+int OnBeforeRequest(void* aTransfer, char* /*aRemoteIp*/, char* /*aLocalIp*/,
+                    int /*aRemotePort*/, int /*aLocalPort*/) {
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  if (transfer.sent || Now() >= transfer.request.connectBy) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  transfer.sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount,
+                     void* aTransfer) {
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  const std::string_view line(aData, aSize * aCount);
+  if (StartsWithIgnoringCase(line, "http/")) {
+    // A new header block, after a 1xx answer.
+    transfer.response.headers.clear();
+    transfer.framed = false;
+    return line.size();
+  }
+  const std::size_t colon = line.find(':');
+  if (colon == std::string_view::npos) {
+    return line.size();
+  }
+  const std::string_view name = Trim(line.substr(0, colon));
+  const std::string_view value = Trim(line.substr(colon + 1));
+  if (StartsWithIgnoringCase(name, "content-length") ||
+      StartsWithIgnoringCase(name, "transfer-encoding")) {
+    transfer.framed = true;
+  }
+  constexpr std::size_t kMaxHeaders = 64;
+  if (transfer.response.headers.size() < kMaxHeaders) {
+    transfer.response.headers.push_back(
+        Header{std::string(name), std::string(value)});
+  }
+  return line.size();
+}
+
+std::size_t OnBody(char* aData, std::size_t aSize, std::size_t aCount,
+                   void* aTransfer) {
+  auto& transfer = *static_cast<Transfer*>(aTransfer);
+  const std::size_t bytes = aSize * aCount;
+  if (transfer.response.body.size() + bytes > transfer.maxAnswerBytes) {
+    transfer.tooLarge = true;
+    return 0;
+  }
+  transfer.response.body.append(aData, bytes);
+  return bytes;
+}
+
+void SetUp(Transfer& aTransfer, const HttpClientLimits& aLimits) {
+  const ClientRequest& request = aTransfer.request;
+  CURL* const easy = curl_easy_init();
+  aTransfer.easy = easy;
+  aTransfer.maxAnswerBytes = aLimits.maxAnswerBytes;
+  curl_slist* headers = nullptr;
+  // Waiting for "100 Continue" would add a delay to each large request.
+  headers = curl_slist_append(headers, "Expect:");
+  headers = curl_slist_append(headers,
+                              ("Content-Type: " + request.contentType).c_str());
+  for (const Header& header : request.headers) {
+    headers =
+        curl_slist_append(headers, (header.name + ": " + header.value).c_str());
+  }
+  aTransfer.headers = headers;
+  const std::string url = "http://" + request.address + request.path;
+  curl_easy_setopt(easy, CURLOPT_URL, url.c_str());
+  curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+  curl_easy_setopt(easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt(easy, CURLOPT_PROXY, "");
+  curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(easy, CURLOPT_FOLLOWLOCATION, 0L);
+  curl_easy_setopt(easy, CURLOPT_MAXAGE_CONN,
+                   static_cast<long>(aLimits.maxIdle.micros / 1000000));
+  if (request.method == "POST") {
+    curl_easy_setopt(easy, CURLOPT_POST, 1L);
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                     static_cast<curl_off_t>(request.body.size()));
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, request.body.data());
+  } else {
+    curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, request.method.c_str());
+  }
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
+  curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
+  curl_easy_setopt(easy, CURLOPT_WRITEDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_PRIVATE, &aTransfer);
+}
+
+bool HasNoBody(std::uint32_t aStatus) {
+  return aStatus == 204 || aStatus == 304;
+}
+
+ClientResult ResultOf(Transfer& aTransfer, CURLcode aCode) {
+  ClientResult result;
+  long status = 0;
+  curl_easy_getinfo(aTransfer.easy, CURLINFO_RESPONSE_CODE, &status);
+  aTransfer.response.status = static_cast<std::uint32_t>(status);
+  if (!aTransfer.sent) {
+    result.delivery = Delivery::NothingSent;
+    result.detail = curl_easy_strerror(aCode);
+    return result;
+  }
+  const bool complete =
+      aCode == CURLE_OK &&
+      (aTransfer.framed || HasNoBody(aTransfer.response.status));
+  if (!complete) {
+    result.delivery = Delivery::Unknown;
+    result.truncated = status != 0;
+    result.detail = aTransfer.tooLarge  ? "the answer is too large"
+                    : aCode == CURLE_OK ? "the answer has no length"
+                                        : curl_easy_strerror(aCode);
+    return result;
+  }
+  result.delivery = Delivery::Answered;
+  result.response = std::move(aTransfer.response);
+  const std::string* const type =
+      FindHeader(result.response.headers, "Content-Type");
+  result.response.contentType = type ? *type : std::string();
+  return result;
+}
+
+ClientResult CancelledResult(const Transfer& aTransfer, const char* aDetail) {
+  ClientResult result;
+  result.delivery = aTransfer.sent ? Delivery::Unknown : Delivery::NothingSent;
+  result.detail = aDetail;
+  return result;
+}
+
+using Deadline = std::pair<std::int64_t, ClientRequestId>;
+
+// Belongs to the thread of libcurl.
+struct Engine {
+  HttpClientLimits limits;
+  CURLM* multi = nullptr;
+  std::unordered_map<ClientRequestId, std::unique_ptr<Transfer>> transfers;
+  std::set<Deadline> connectDeadlines;
+  std::set<Deadline> deadlines;
+};
+
+void Release(Engine& aEngine, Transfer& aTransfer) {
+  aEngine.connectDeadlines.erase(
+      {aTransfer.request.connectBy.micros, aTransfer.id});
+  aEngine.deadlines.erase({aTransfer.request.deadline.micros, aTransfer.id});
+  curl_multi_remove_handle(aEngine.multi, aTransfer.easy);
+  curl_easy_cleanup(aTransfer.easy);
+  curl_slist_free_all(aTransfer.headers);
+}
+
+std::int64_t NextDeadline(const Engine& aEngine) {
+  std::int64_t next = kNever.micros;
+  if (!aEngine.connectDeadlines.empty()) {
+    next = aEngine.connectDeadlines.begin()->first;
+  }
+  if (!aEngine.deadlines.empty()) {
+    next = std::min(next, aEngine.deadlines.begin()->first);
+  }
+  return next;
+}
+
+}  // namespace
+
+struct HttpClient::State {
+  struct Finished {
+    ClientHandler handler;
+    ClientResult result;
+  };
+
+  State(asio::io_context& aContext, const HttpClientLimits& aLimits)
+      : context(aContext) {
+    this->engine.limits = aLimits;
+  }
+
+  asio::io_context& context;
+  Engine engine;
+  std::thread thread;
+  std::atomic<bool> stopping{false};
+  std::atomic<std::size_t> open{0};
+  ClientRequestId lastId = 0;  // thread of the io_context
+
+  std::mutex mutex;
+  std::deque<std::unique_ptr<Transfer>> arriving;
+  std::deque<ClientRequestId> cancelled;
+
+  void Run() {
+    while (!this->stopping) {
+      this->TakeCommands();
+      int running = 0;
+      curl_multi_perform(this->engine.multi, &running);
+      this->FinishTransfers();
+      this->EndOverdue();
+      curl_multi_poll(this->engine.multi, nullptr, 0, this->PollMs(), nullptr);
+    }
+    for (auto& [id, transfer] : this->engine.transfers) {
+      Release(this->engine, *transfer);
+    }
+    this->engine.transfers.clear();
+  }
+
+  int PollMs() const {
+    const std::int64_t next = NextDeadline(this->engine);
+    const std::int64_t now = Now().micros;
+    constexpr std::int64_t kMicrosPerMs = 1000;
+    if (next <= now) {
+      return 0;
+    }
+    return static_cast<int>(
+        std::min<std::int64_t>(kPollMs, (next - now) / kMicrosPerMs + 1));
+  }
+
+  void TakeCommands() {
+    std::deque<std::unique_ptr<Transfer>> added;
+    std::deque<ClientRequestId> ended;
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      added.swap(this->arriving);
+      ended.swap(this->cancelled);
+    }
+    for (std::unique_ptr<Transfer>& transfer : added) {
+      this->Add(std::move(transfer));
+    }
+    for (const ClientRequestId id : ended) {
+      this->End(id, "cancelled");
+    }
+  }
+
+  void Add(std::unique_ptr<Transfer> aTransfer) {
+    Transfer& transfer = *aTransfer;
+    SetUp(transfer, this->engine.limits);
+    this->engine.connectDeadlines.insert(
+        {transfer.request.connectBy.micros, transfer.id});
+    this->engine.deadlines.insert(
+        {transfer.request.deadline.micros, transfer.id});
+    this->engine.transfers.emplace(transfer.id, std::move(aTransfer));
+    curl_multi_add_handle(this->engine.multi, transfer.easy);
+  }
+
+  void End(ClientRequestId aId, const char* aDetail) {
+    const auto found = this->engine.transfers.find(aId);
+    if (found == this->engine.transfers.end()) {
+      return;
+    }
+    this->Post(*found->second, CancelledResult(*found->second, aDetail));
+    Release(this->engine, *found->second);
+    this->engine.transfers.erase(found);
+  }
+
+  void EndOverdue() {
+    const std::int64_t now = Now().micros;
+    while (!this->engine.connectDeadlines.empty() &&
+           this->engine.connectDeadlines.begin()->first <= now) {
+      const ClientRequestId id = this->engine.connectDeadlines.begin()->second;
+      this->engine.connectDeadlines.erase(
+          this->engine.connectDeadlines.begin());
+      const auto found = this->engine.transfers.find(id);
+      if (found != this->engine.transfers.end() && !found->second->sent) {
+        this->End(id, "no connection in time");
+      }
+    }
+    while (!this->engine.deadlines.empty() &&
+           this->engine.deadlines.begin()->first <= now) {
+      this->End(this->engine.deadlines.begin()->second, "deadline passed");
+    }
+  }
+
+  void FinishTransfers() {
+    int left = 0;
+    while (CURLMsg* const message =
+               curl_multi_info_read(this->engine.multi, &left)) {
+      if (message->msg != CURLMSG_DONE) {
+        continue;
+      }
+      const CURLcode code = message->data.result;
+      Transfer* transfer = nullptr;
+      curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
+      this->Post(*transfer, ResultOf(*transfer, code));
+      Release(this->engine, *transfer);
+      this->engine.transfers.erase(transfer->id);
+    }
+  }
+
+  void Post(Transfer& aTransfer, ClientResult aResult) {
+    auto finished = std::make_shared<Finished>();
+    finished->handler = std::move(aTransfer.handler);
+    finished->result = std::move(aResult);
+    asio::post(this->context, [this, finished] {
+      --this->open;
+      if (!this->stopping) {
+        finished->handler(std::move(finished->result));
+      }
+    });
+  }
+};
+
+HttpClient::HttpClient(asio::io_context& aContext,
+                       const HttpClientLimits& aLimits)
+    : state(std::make_shared<State>(aContext, aLimits)) {
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  this->state->engine.multi = curl_multi_init();
+  curl_multi_setopt(this->state->engine.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+                    static_cast<long>(aLimits.maxConnectionsPerHost));
+  curl_multi_setopt(
+      this->state->engine.multi, CURLMOPT_MAXCONNECTS,
+      static_cast<long>(aLimits.maxIdleConnections) + kSpareConnections);
+  this->state->thread = std::thread([this] { this->state->Run(); });
+}
+
+HttpClient::~HttpClient() {
+  this->state->stopping = true;
+  curl_multi_wakeup(this->state->engine.multi);
+  this->state->thread.join();
+  curl_multi_cleanup(this->state->engine.multi);
+}
+
+ClientRequestId HttpClient::Send(ClientRequest aRequest,
+                                 ClientHandler aHandler) {
+  auto transfer = std::make_unique<Transfer>();
+  transfer->id = ++this->state->lastId;
+  transfer->request = std::move(aRequest);
+  transfer->handler = std::move(aHandler);
+  const ClientRequestId id = transfer->id;
+  ++this->state->open;
+  {
+    const std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->arriving.push_back(std::move(transfer));
+  }
+  curl_multi_wakeup(this->state->engine.multi);
+  return id;
+}
+
+void HttpClient::Cancel(ClientRequestId aId) {
+  {
+    const std::lock_guard<std::mutex> lock(this->state->mutex);
+    this->state->cancelled.push_back(aId);
+  }
+  curl_multi_wakeup(this->state->engine.multi);
+}
+
+std::size_t HttpClient::OpenRequests() const { return this->state->open; }
+
+}  // namespace bramleypath::net
--- /dev/null
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -0,0 +1,300 @@
+#include "bramleypath/net/HttpListener.h"
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+#include <utility>
+
+#include <restinio/all.hpp>
+
+#include "bramleypath/net/Clock.h"
+
+namespace bramleypath::net {
+
+namespace {
+
+using Handle = restinio::request_handle_t;
+
+// Reason phrases of the status codes that the daemon itself uses.
+const char* ReasonPhrase(std::uint32_t aStatus) {
+  switch (aStatus) {
+    case 200:
+      return "OK";
+    case 202:
+      return "Accepted";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Payload Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 500:
+      return "Internal Server Error";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+  }
+}
+
+std::chrono::microseconds ToChrono(Duration aLength) {
+  return std::chrono::microseconds(aLength.micros);
+}
+
+struct ListenerTraits : restinio::default_single_thread_traits_t {
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+};
+using Server = restinio::http_server_t<ListenerTraits>;
+
+HttpRequest ToRequest(const restinio::request_t& aRequest) {
+  HttpRequest request;
+  request.method = aRequest.header().method().c_str();
+  const auto path = aRequest.header().path();
+  const auto query = aRequest.header().query();
+  request.path.assign(path.data(), path.size());
+  request.query.assign(query.data(), query.size());
+  aRequest.header().for_each_field([&request](const auto& aField) {
+    request.headers.push_back(Header{aField.name(), aField.value()});
+  });
+  request.body = aRequest.body();
+  return request;
+}
+
+}  // namespace
+
+struct HttpListener::State {
+  State(asio::io_context& aContext, std::string aAddress,
+        const HttpLimits& aLimits, HttpHandler aHandler)
+      : context(aContext),
+        address(std::move(aAddress)),
+        limits(aLimits),
+        handler(std::move(aHandler)) {}
+
+  asio::io_context& context;
+  std::string address;
+  std::string boundAddress;
+  HttpLimits limits;
+  HttpHandler handler;
+  std::unique_ptr<Server> server;
+  HttpListenerCounters counters;
+  std::size_t openRequests = 0;
+  bool closeConnections = false;
+  TimePoint lastRequestAt;
+  double rateTokens = 0;
+  TimePoint rateAt;
+};
+
+struct HttpResponder::Exchange {
+  using ListenerState = std::weak_ptr<void>;
+
+  ~Exchange() {
+    if (this->request) {
+      this->Finish(ErrorResponse(500, "", "the request was not handled"));
+    }
+  }
+
+  void Finish(HttpResponse aResponse) {
+    const Handle handle = std::move(this->request);
+    this->request.reset();
+    try {
+      this->Write(*handle, std::move(aResponse));
+    } catch (const std::exception&) {
+      // The connection is gone; nobody is left to answer.
+      this->done();
+    }
+  }
+
+  void Write(restinio::request_t& aRequest, HttpResponse aResponse) {
+    auto response = aRequest.create_response(restinio::http_status_line_t{
+        restinio::http_status_code_t{
+            static_cast<std::uint16_t>(aResponse.status)},
+        ReasonPhrase(aResponse.status)});
+    if (this->close() || !aRequest.header().should_keep_alive()) {
+      response.connection_close();
+    } else {
+      response.connection_keep_alive();
+    }
+    if (!aResponse.contentType.empty()) {
+      response.append_header(restinio::http_field::content_type,
+                             aResponse.contentType);
+    }
+    for (Header& header : aResponse.headers) {
+      response.append_header(header.name, header.value);
+    }
+    response.set_body(std::move(aResponse.body));
+    response.done([finished = this->done](const auto&) { finished(); });
+  }
+
+  Handle request;
+  // Whether the connection is to be closed after the response.
+  std::function<bool()> close;
+  // Called once when the response was written or could not be.
+  std::function<void()> done;
+};
+
+HttpResponder::HttpResponder(std::shared_ptr<Exchange> aExchange)
+    : exchange(std::move(aExchange)) {}
+
+void HttpResponder::Send(HttpResponse aResponse) const {
+  if (this->exchange->request) {
+    this->exchange->Finish(std::move(aResponse));
+  }
+}
+
+namespace {
+
+bool TakeRateToken(const HttpLimits& aLimits, double& aTokens,
+                   TimePoint& aRefilledAt, TimePoint aNow) {
+  if (aLimits.maxRequestsPerSecond <= 0) {
+    return true;
+  }
+  constexpr double kMicrosPerSecond = 1e6;
+  const double elapsed =
+      static_cast<double>((aNow - aRefilledAt).micros) / kMicrosPerSecond;
+  aTokens = std::min(aLimits.maxRequestsPerSecond,
+                     aTokens + elapsed * aLimits.maxRequestsPerSecond);
+  aRefilledAt = aNow;
+  if (aTokens < 1) {
+    return false;
+  }
+  aTokens -= 1;
+  return true;
+}
+
+}  // namespace
+
+HttpListener::HttpListener(asio::io_context& aContext, std::string aAddress,
+                           const HttpLimits& aLimits, HttpHandler aHandler)
+    : state(std::make_shared<State>(aContext, std::move(aAddress), aLimits,
+                                    std::move(aHandler))) {}
+
+HttpListener::~HttpListener() { this->StopAccepting(); }
+
+bool HttpListener::Open(NetReason& aReason) {
+  std::string ip;
+  std::uint16_t port = 0;
+  std::error_code error;
+  asio::ip::address parsed;
+  if (SplitAddress(this->state->address, ip, port)) {
+    parsed = asio::ip::make_address(ip, error);
+  }
+  if (ip.empty() || error) {
+    aReason = {NetError::InvalidAddress,
+               "\"" + this->state->address + "\" is not an address ip:port"};
+    return false;
+  }
+  const std::weak_ptr<State> weak = this->state;
+  auto onRequest = [weak](const Handle& aHandle) {
+    const std::shared_ptr<State> state = weak.lock();
+    if (!state || aHandle->header().connection() ==
+                      restinio::http_connection_header_t::upgrade) {
+      return restinio::request_rejected();
+    }
+    const TimePoint now = Now();
+    ++state->counters.requests;
+    ++state->openRequests;
+    state->lastRequestAt = now;
+    const bool tooLarge = aHandle->body().size() > state->limits.maxBodyBytes;
+    auto exchange = std::make_shared<HttpResponder::Exchange>();
+    exchange->request = aHandle;
+    exchange->close = [weak, tooLarge] {
+      const std::shared_ptr<State> listener = weak.lock();
+      return tooLarge || !listener || listener->closeConnections;
+    };
+    exchange->done = [weak] {
+      if (const std::shared_ptr<State> listener = weak.lock()) {
+        --listener->openRequests;
+      }
+    };
+    const HttpResponder responder(exchange);
+    if (tooLarge) {
+      ++state->counters.tooLarge;
+      responder.Send(ErrorResponse(
+          413, "body",
+          "the body has " + std::to_string(aHandle->body().size()) +
+              " bytes; the limit is " +
+              std::to_string(state->limits.maxBodyBytes)));
+    } else if (!TakeRateToken(state->limits, state->rateTokens, state->rateAt,
+                              now)) {
+      ++state->counters.rateLimited;
+      responder.Send(ErrorResponse(429, "", "too many requests per second"));
+    } else {
+      state->handler(ToRequest(*aHandle), responder);
+    }
+    return restinio::request_accepted();
+  };
+  const HttpLimits& limits = this->state->limits;
+  this->state->rateTokens = limits.maxRequestsPerSecond;
+  this->state->rateAt = Now();
+  try {
+    auto configure = [&](auto& aSettings) {
+      aSettings.address(parsed)
+          .port(port)
+          .request_handler(onRequest)
+          .max_parallel_connections(limits.maxConnections)
+          .read_next_http_message_timelimit(ToChrono(limits.idleTimeout))
+          .write_http_response_timelimit(ToChrono(limits.writeTimeout))
+          .handle_request_timeout(ToChrono(limits.handleTimeout))
+          .socket_options_setter([](auto& aOptions) {
+            aOptions.set_option(asio::ip::tcp::no_delay(true));
+          })
+          .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aBound) {
+            const auto endpoint = aBound.local_endpoint();
+            this->state->boundAddress = endpoint.address().to_string() + ":" +
+                                        std::to_string(endpoint.port());
+          })
+          .incoming_http_msg_limits(
+              restinio::incoming_http_msg_limits_t{}
+                  .max_url_size(limits.maxUrlBytes)
+                  .max_field_name_size(256)
+                  .max_field_value_size(limits.maxHeaderValueBytes)
+                  .max_field_count(limits.maxHeaders)
+                  .max_body_size(
+                      std::max(limits.maxReadBytes, limits.maxBodyBytes)));
+    };
+    this->state->server = std::make_unique<Server>(
+        restinio::external_io_context(this->state->context), configure);
+    this->state->server->open_sync();
+  } catch (const std::exception& error_) {
+    aReason = {NetError::CannotBind,
+               this->state->address + ": " + error_.what()};
+    return false;
+  }
+  return true;
+}
+
+std::string HttpListener::BoundAddress() const {
+  return this->state->boundAddress;
+}
+
+void HttpListener::CloseConnectionsAfterResponse() {
+  this->state->closeConnections = true;
+}
+
+void HttpListener::StopAccepting() {
+  if (this->state->server) {
+    this->state->server->close_sync();
+  }
+}
+
+std::size_t HttpListener::OpenRequests() const {
+  return this->state->openRequests;
+}
+
+TimePoint HttpListener::LastRequestAt() const {
+  return this->state->lastRequestAt;
+}
+
+const HttpListenerCounters& HttpListener::Counters() const {
+  return this->state->counters;
+}
+
+}  // namespace bramleypath::net
