--- /dev/null
+++ b/src/bramleypath/wire/TargetMessages.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "bramleypath/membership/Types.h"
+#include "bramleypath/wire/WireReason.h"
+
+namespace bramleypath::wire {
+
+// Bodies of POST /v1/targets/announce and /v1/targets/leave, in JSON.
+
+std::string ToJson(const membership::TargetRecord& aRecord);
+std::optional<membership::TargetRecord> ParseTargetAnnounce(
+    std::string_view aText, WireReason& aReason);
+
+std::string ToJson(const membership::TargetLeft& aLeft);
+std::optional<membership::TargetLeft> ParseTargetLeave(std::string_view aText,
+                                                       WireReason& aReason);
+
+}  // namespace bramleypath::wire
--- /dev/null
+++ b/src/bramleypath/wire/internal/JsonBody.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+#include <utility>
+
+#include "bramleypath/codec/Fields.h"
+#include "bramleypath/wire/WireReason.h"
+
+namespace bramleypath::wire::detail {
+
+// A struct with VisitFields from the JSON text of an HTTP body.
+template <typename T>
+std::optional<T> ParseBody(std::string_view aText, WireReason& aReason) {
+  const codec::Json json = codec::Json::parse(aText, nullptr, false);
+  if (json.is_discarded()) {
+    aReason = {"", "the body is not JSON"};
+    return std::nullopt;
+  }
+  T value;
+  codec::FieldError error;
+  if (!codec::FromJson(json, "", value, error)) {
+    aReason = {std::move(error.field), std::move(error.detail)};
+    return std::nullopt;
+  }
+  return value;
+}
+
+}  // namespace bramleypath::wire::detail
