--- /dev/null
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -0,0 +1,565 @@
+#include "bramleypath/daemon/CellService.h"
+
+#include <utility>
+#include <variant>
+
+#include <asio/post.hpp>
+#include <nlohmann/json.hpp>
+
+#include "bramleypath/codec/Fields.h"
+#include "bramleypath/daemon/EventLog.h"
+#include "bramleypath/journal/Codec.h"
+#include "bramleypath/net/Clock.h"
+#include "bramleypath/wire/JobMessages.h"
+#include "bramleypath/wire/JournalMessages.h"
+
+namespace bramleypath::daemon {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kProposeTimeout = Seconds(5);
+// A command must leave while the leader lease that was checked holds; the lease
+// is 400 ms, and a check may find it up to one heartbeat old.
+constexpr Duration kCommandConnectLimit = Millis(300);
+constexpr Duration kCommandLimit = Seconds(2);
+
+constexpr const char* kJobsPath = "/v1/ops/jobs";
+constexpr const char* kCancelPath = "/v1/ops/jobs/cancel";
+constexpr const char* kExplainPath = "/v1/ops/explain/job/";
+
+bool StartsWith(const std::string& aText, const std::string& aPrefix) {
+  return aText.compare(0, aPrefix.size(), aPrefix) == 0;
+}
+
+net::HttpResponse JsonResponse(std::uint32_t aStatus, const json& aBody) {
+  net::HttpResponse response;
+  response.status = aStatus;
+  response.body =
+      aBody.dump(-1, ' ', false, json::error_handler_t::replace);
+  return response;
+}
+
+const char* StateOf(const cell::Job& aJob) {
+  if (cell::HasEnded(aJob)) {
+    return aJob.cancelled ? "Cancelled" : "Ended";
+  }
+  for (const cell::Task& task : aJob.tasks) {
+    if (task.live) {
+      return "Running";
+    }
+  }
+  return "Queued";
+}
+
+const char* NameOf(cell::TaskState aState) {
+  switch (aState) {
+    case cell::TaskState::Pending:
+      return "Waiting";
+    case cell::TaskState::Running:
+      return "Running";
+    case cell::TaskState::Finished:
+      return "Finished";
+    case cell::TaskState::Failed:
+      return "Failed";
+    case cell::TaskState::Cancelled:
+      return "Cancelled";
+  }
+  return "";
+}
+
+}  // namespace
+
+CellService::CellService(asio::io_context& aContext, HostId aSelf,
+                         DataCentreId aDataCentre, std::uint64_t aProposer,
+                         Groups& aGroups, PeerRpc& aRpc,
+                         net::HttpClient& aClient, metrics::Registry& aMetrics)
+    : context(aContext),
+      self(std::move(aSelf)),
+      dataCentre(std::move(aDataCentre)),
+      group(CellGroup(this->dataCentre)),
+      groups(aGroups),
+      rpc(aRpc),
+      client(aClient),
+      metrics(aMetrics),
+      machine(aProposer, journal::Periods()) {
+  // The scheduler sees each command with the state as it is just after it;
+  // what it wants done in turn is done after the replica's own step.
+  this->machine.onApplied = [this](std::uint64_t aToken,
+                                   const cell::Command& aCommand,
+                                   const cell::Outcome& aOutcome) {
+    this->StepScheduler(cell::CommandCommitted{aToken, aCommand, aOutcome});
+  };
+}
+
+GroupHooks CellService::Hooks() {
+  GroupHooks hooks;
+  hooks.gained = [this](consensus::Term aTerm) {
+    this->StepScheduler(cell::LeadershipGained{aTerm});
+    this->StepCoordinator(journal::GainedLeadership());
+  };
+  hooks.lost = [this](consensus::Term) {
+    this->StepScheduler(cell::LeadershipLost());
+    this->StepCoordinator(journal::LostLeadership());
+  };
+  return hooks;
+}
+
+bool CellService::HasLease() const {
+  const group::Replica* const replica = this->groups.Find(this->group);
+  return replica && replica->HasLease();
+}
+
+void CellService::Tick(TimePoint aNow) {
+  this->StepScheduler(cell::Tick());
+  this->StepCoordinator(journal::CoordinatorTick());
+  for (auto ask = this->asks.begin(); ask != this->asks.end();) {
+    ask = ask->second.until <= aNow ? this->asks.erase(ask) : std::next(ask);
+  }
+}
+
+void CellService::OnConfiguration(
+    const config::Configuration& aConfiguration) {
+  std::vector<cell::MemberQuota> quotas;
+  for (const auto& [name, member] : aConfiguration.members) {
+    // A quota of nothing at all means that none was set.
+    const config::Quota& quota = member.quota;
+    if (quota.processorsMilli == 0 && quota.memoryMb == 0) {
+      continue;
+    }
+    quotas.push_back(
+        {name,
+         {static_cast<std::int64_t>(quota.processorsMilli),
+          static_cast<std::int64_t>(quota.memoryMb),
+          static_cast<std::int64_t>(quota.accelerators)}});
+  }
+  this->StepScheduler(cell::QuotasChanged{std::move(quotas)});
+  this->StepScheduler(cell::PlacementChanged());
+  this->StepCoordinator(
+      journal::OwnersInForce{aConfiguration.keyOwners, this->dataCentre});
+}
+
+void CellService::StepScheduler(cell::EventBody aBody) {
+  cell::Event event;
+  event.leaseHeld = this->HasLease();
+  event.body = std::move(aBody);
+  this->Enqueue(
+      cell::Step(this->scheduler, this->machine.Cell(), event, net::Now()));
+}
+
+void CellService::Enqueue(cell::Actions aActions) {
+  for (cell::Action& action : aActions) {
+    this->pending.push_back(std::move(action));
+  }
+  if (this->pending.empty() || this->pendingPosted) {
+    return;
+  }
+  this->pendingPosted = true;
+  asio::post(this->context, [this] { this->RunActions(); });
+}
+
+void CellService::RunActions() {
+  this->pendingPosted = false;
+  const std::vector<cell::Action> actions = std::move(this->pending);
+  this->pending.clear();
+  for (const cell::Action& action : actions) {
+    if (const auto* const propose =
+            std::get_if<cell::ProposeCommand>(&action)) {
+      this->Propose(*propose);
+    } else if (const auto* const send =
+                   std::get_if<cell::SendCommands>(&action)) {
+      this->SendBatch(send->batch);
+    } else {
+      this->Note(std::get<cell::Notice>(action));
+    }
+  }
+}
+
+void CellService::Propose(const cell::ProposeCommand& aProposal) {
+  ++this->counters.proposals;
+  const std::uint64_t token = aProposal.token;
+  const auto failed = [this, token] {
+    ++this->counters.proposalsFailed;
+    this->StepScheduler(cell::ProposalFailed{token});
+  };
+  group::Replica* const replica = this->groups.Find(this->group);
+  if (!replica) {
+    failed();
+    return;
+  }
+  replica->Propose(this->machine.Encode(aProposal.command, token),
+                   kProposeTimeout,
+                   [failed](const group::ProposeOutcome& aOutcome) {
+                     if (!aOutcome.Ok()) {
+                       failed();
+                     }
+                   });
+}
+
+void CellService::SendBatch(const cell::CommandBatch& aBatch) {
+  const auto address = this->addresses.find(aBatch.worker);
+  if (address == this->addresses.end()) {
+    return;
+  }
+  net::ClientRequest request;
+  request.address = address->second;
+  request.path = "/v1/commands";
+  request.body = wire::ToJson(aBatch);
+  // The last check before the command leaves: this process may have been
+  // paused since the scheduler decided.
+  if (!this->HasLease()) {
+    ++this->counters.batchesWithheld;
+    return;
+  }
+  const TimePoint now = net::Now();
+  request.connectBy = now + kCommandConnectLimit;
+  request.deadline = now + kCommandLimit;
+  ++this->counters.batchesSent;
+  this->client.Send(std::move(request), [this](net::ClientResult aResult) {
+    if (aResult.delivery != net::Delivery::Answered ||
+        aResult.response.status != 200) {
+      ++this->counters.batchesFailed;
+      return;
+    }
+    wire::WireReason reason;
+    const auto message =
+        wire::ParseWorkerMessage(aResult.response.body, reason);
+    if (!message) {
+      ++this->counters.batchesFailed;
+      LogEvent(LogLevel::Warn, "cell", "malformed_worker_reply",
+               {{"field", reason.field}, {"reason", reason.detail}});
+      return;
+    }
+    this->StepScheduler(cell::WorkerReported{*message});
+  });
+}
+
+void CellService::Note(const cell::Notice& aNotice) {
+  const char* event = "notice";
+  LogLevel level = LogLevel::Info;
+  switch (aNotice.kind) {
+    case cell::NoticeKind::JobEnded:
+      event = "job_ended";
+      break;
+    case cell::NoticeKind::AttemptStarted:
+      event = "attempt_started";
+      level = LogLevel::Debug;
+      break;
+    case cell::NoticeKind::AttemptEnded:
+      event = "attempt_ended";
+      level = LogLevel::Debug;
+      break;
+    case cell::NoticeKind::WorkerSilent:
+      event = "worker_silent";
+      level = LogLevel::Warn;
+      break;
+    case cell::NoticeKind::WorkerBackOff:
+      event = "worker_back_off";
+      level = LogLevel::Warn;
+      break;
+    case cell::NoticeKind::JobBackOff:
+      event = "job_back_off";
+      level = LogLevel::Warn;
+      break;
+    case cell::NoticeKind::Preemption:
+      event = "preemption";
+      break;
+  }
+  LogEvent(level, "cell", event,
+           {{"job", aNotice.job.value},
+            {"task", std::to_string(aNotice.taskIndex)},
+            {"attempt", std::to_string(aNotice.attempt)},
+            {"worker", aNotice.worker.value},
+            {"detail", aNotice.detail}});
+  if (const cell::Job* const job =
+          cell::FindJob(this->machine.Cell(), aNotice.job)) {
+    this->metrics.RecordTask(job->spec.member, job->spec.classId, event);
+  }
+}
+
+void CellService::Forward(const net::HttpRequest& aRequest,
+                          const std::string& aGroup, TimePoint aDeadline,
+                          PeerRpc::Respond aRespond) {
+  const auto leader = this->groups.LeaderOf(aGroup);
+  if (!leader || *leader == this->self) {
+    aRespond(OperatorError(503, "no_leader", "",
+                           "the group " + aGroup + " has no leader that can "
+                           "be reached"));
+    return;
+  }
+  const bool sent = this->rpc.Send(
+      this->self, *leader, aRequest, aDeadline,
+      [aRespond](std::optional<net::HttpResponse> aResponse) {
+        aRespond(aResponse ? std::move(*aResponse)
+                           : OperatorError(503, "timeout", "",
+                                           "the leader did not answer"));
+      });
+  if (!sent) {
+    aRespond(OperatorError(503, "no_leader", "",
+                           "no connection to the leader " + leader->value));
+  }
+}
+
+void CellService::HandleWorker(const net::HttpRequest& aRequest,
+                               bool aForwarded, TimePoint aDeadline,
+                               PeerRpc::Respond aRespond) {
+  if (!this->groups.Leads(this->group)) {
+    if (aForwarded) {
+      aRespond(OperatorError(503, "no_leader", "", "this host doesn't lead"));
+    } else {
+      this->Forward(aRequest, this->group, aDeadline, std::move(aRespond));
+    }
+    return;
+  }
+  wire::WireReason reason;
+  if (aRequest.path == "/v1/workers/announce") {
+    const auto announce = wire::ParseWorkerAnnounce(aRequest.body, reason);
+    if (!announce) {
+      aRespond(net::ErrorResponse(400, reason.field, reason.detail));
+      return;
+    }
+    this->addresses[announce->record.worker] = announce->record.address;
+    cell::WorkerAnnounced event;
+    event.message = announce->message;
+    event.capacity = {announce->record.processorsMilli,
+                      announce->record.memoryMb, announce->record.accelerators};
+    event.rack = announce->record.rack;
+    this->StepScheduler(std::move(event));
+  } else {
+    const auto report = wire::ParseWorkerReport(aRequest.body, reason);
+    if (!report) {
+      aRespond(net::ErrorResponse(400, reason.field, reason.detail));
+      return;
+    }
+    this->StepScheduler(cell::WorkerReported{report->message});
+  }
+  aRespond(JsonResponse(200, {{"leader", this->self.value}}));
+}
+
+void CellService::HandleJournal(const HostId& aFrom,
+                                const net::HttpRequest& aRequest,
+                                PeerRpc::Respond aRespond) {
+  const auto question = wire::DecodeJournalQuestion(aRequest.body);
+  const auto command = question ? journal::DecodeCommand(question->command)
+                                : std::nullopt;
+  if (!command) {
+    aRespond(net::ErrorResponse(400, "", "malformed question"));
+    return;
+  }
+  journal::Ask ask;
+  ask.from = aFrom;
+  ask.id = ++this->lastAsk;
+  ask.command = *command;
+  ask.wait = Millis(question->waitMs);
+  ask.generation = question->generation;
+  constexpr Duration kSpare = Seconds(10);
+  this->asks[ask.id] =
+      WaitingAsk{net::Now() + ask.wait + kSpare, std::move(aRespond)};
+  this->StepCoordinator(ask);
+}
+
+void CellService::StepCoordinator(const journal::CoordinatorEvent& aEvent) {
+  const auto actions = journal::Step(this->coordinator, this->machine.Journal(),
+                                     aEvent, net::Now());
+  for (const journal::CoordinatorAction& action : actions) {
+    if (const auto* const reply = std::get_if<journal::Reply>(&action)) {
+      const auto waiting = this->asks.find(reply->id);
+      if (waiting == this->asks.end()) {
+        continue;
+      }
+      const PeerRpc::Respond respond = std::move(waiting->second.respond);
+      this->asks.erase(waiting);
+      wire::JournalAnswer answer;
+      answer.code = static_cast<std::uint32_t>(reply->code);
+      answer.outcome = journal::EncodeOutcome(reply->outcome);
+      net::HttpResponse response;
+      response.body = wire::EncodeText(answer);
+      respond(std::move(response));
+      continue;
+    }
+    const auto& proposal = std::get<journal::ProposeCommand>(action);
+    const journal::ProposalToken token = proposal.token;
+    group::Replica* const replica = this->groups.Find(this->group);
+    if (!replica) {
+      continue;
+    }
+    replica->Propose(
+        this->machine.Encode(proposal.command), kProposeTimeout,
+        [this, token](const group::ProposeOutcome& aOutcome) {
+          const auto outcome = aOutcome.Ok()
+                                   ? journal::DecodeOutcome(aOutcome.result)
+                                   : std::nullopt;
+          if (outcome) {
+            this->StepCoordinator(journal::Committed{token, *outcome});
+          } else {
+            this->StepCoordinator(journal::ProposalFailed{token});
+          }
+        });
+  }
+}
+
+void CellService::HandleJobs(const net::HttpRequest& aRequest, bool aForwarded,
+                             TimePoint aDeadline, PeerRpc::Respond aRespond) {
+  DataCentreId cell = this->dataCentre;
+  if (aRequest.method == "POST") {
+    const json body = json::parse(aRequest.body, nullptr, false);
+    if (body.is_object() && body.contains("data_centre") &&
+        body["data_centre"].is_string()) {
+      cell = DataCentreId(body["data_centre"].get<std::string>());
+    }
+  } else {
+    const std::string named =
+        net::FindQueryValue(aRequest.query, "data_centre");
+    if (!named.empty()) {
+      cell = DataCentreId(named);
+    }
+  }
+  const std::string cellGroup = CellGroup(cell);
+  if (!this->groups.Leads(cellGroup) || cell != this->dataCentre) {
+    if (aForwarded) {
+      aRespond(OperatorError(503, "no_leader", "", "this host doesn't lead"));
+    } else {
+      this->Forward(aRequest, cellGroup, aDeadline, std::move(aRespond));
+    }
+    return;
+  }
+  if (aRequest.path == kCancelPath && aRequest.method == "POST") {
+    this->CancelJob(aRequest, std::move(aRespond));
+  } else if (aRequest.path == kJobsPath && aRequest.method == "POST") {
+    this->SubmitJob(aRequest, std::move(aRespond));
+  } else if (aRequest.path == kJobsPath) {
+    aRespond(this->ListJobs(aRequest));
+  } else if (StartsWith(aRequest.path, kExplainPath)) {
+    aRespond(this->ExplainJob(
+        aRequest.path.substr(std::string(kExplainPath).size())));
+  } else {
+    aRespond(OperatorError(404, "not_found", "", "no such endpoint"));
+  }
+}
+
+void CellService::ProposeForOperator(const cell::Command& aCommand,
+                                     const JobId& aJob,
+                                     PeerRpc::Respond aRespond) {
+  group::Replica* const replica = this->groups.Find(this->group);
+  replica->Propose(
+      this->machine.Encode(aCommand, 0), kProposeTimeout,
+      [aJob, respond = std::move(aRespond)](
+          const group::ProposeOutcome& aOutcome) {
+        constexpr std::size_t kFixedBytes = 2;
+        if (!aOutcome.Ok() || aOutcome.result.size() < kFixedBytes) {
+          const std::string text(group::ToText(aOutcome.error));
+          const char* const error =
+              aOutcome.error == group::ProposeError::StorageFull ? "disk_full"
+              : aOutcome.error == group::ProposeError::NotLeader ? "no_leader"
+                                                                 : "timeout";
+          respond(OperatorError(503, error, "", text));
+          return;
+        }
+        if (aOutcome.result[0] != 0) {
+          respond(
+              JsonResponse(200, {{"accepted", true}, {"job", aJob.value}}));
+          return;
+        }
+        const auto code = static_cast<cell::RefusalCode>(aOutcome.result[1]);
+        const std::string detail(aOutcome.result.begin() + kFixedBytes,
+                                 aOutcome.result.end());
+        const bool conflict = code == cell::RefusalCode::RequestIdReused ||
+                              code == cell::RefusalCode::JobExists;
+        respond(JsonResponse(conflict ? 409 : 422,
+                             {{"accepted", false},
+                              {"job", aJob.value},
+                              {"code", wire::NameOf(code)},
+                              {"field", ""},
+                              {"detail", cell::Describe(code) +
+                                             (detail.empty() ? "" : ": ") +
+                                             detail}}));
+      });
+}
+
+void CellService::SubmitJob(const net::HttpRequest& aRequest,
+                            PeerRpc::Respond aRespond) {
+  wire::WireReason reason;
+  const auto submitted = wire::ParseJobSubmission(aRequest.body, reason);
+  if (!submitted) {
+    aRespond(OperatorError(400, "malformed", reason.field, reason.detail));
+    return;
+  }
+  this->ProposeForOperator(*submitted, submitted->spec.id,
+                           std::move(aRespond));
+}
+
+void CellService::CancelJob(const net::HttpRequest& aRequest,
+                            PeerRpc::Respond aRespond) {
+  wire::WireReason reason;
+  const auto cancelled = wire::ParseJobCancellation(aRequest.body, reason);
+  if (!cancelled) {
+    aRespond(OperatorError(400, "malformed", reason.field, reason.detail));
+    return;
+  }
+  this->ProposeForOperator(*cancelled, cancelled->jobs.front(),
+                           std::move(aRespond));
+}
+
+net::HttpResponse CellService::ListJobs(
+    const net::HttpRequest& aRequest) const {
+  const std::string member = net::FindQueryValue(aRequest.query, "member");
+  const std::string state = net::FindQueryValue(aRequest.query, "state");
+  json jobs = json::array();
+  for (const auto& [id, job] : this->machine.Cell().jobs) {
+    if ((!member.empty() && job.spec.member.value != member) ||
+        (!state.empty() && state != StateOf(job))) {
+      continue;
+    }
+    std::size_t running = 0;
+    std::size_t finished = 0;
+    for (const cell::Task& task : job.tasks) {
+      running += task.live ? 1 : 0;
+      finished += task.state == cell::TaskState::Finished ? 1 : 0;
+    }
+    const auto explanation =
+        cell::Explain(this->machine.Cell(), this->scheduler, id);
+    jobs.push_back({{"job", id.value},
+                    {"member", job.spec.member.value},
+                    {"class", job.spec.classId.value},
+                    {"data_centre", this->dataCentre.value},
+                    {"state", StateOf(job)},
+                    {"tasks", job.spec.taskCount},
+                    {"running", running},
+                    {"finished", finished},
+                    {"ended", job.endedTasks},
+                    {"evictions", job.evictionsUsed},
+                    {"reason", explanation && explanation->waiting > 0
+                                   ? explanation->text
+                                   : ""}});
+  }
+  return JsonResponse(200, {{"jobs", std::move(jobs)}});
+}
+
+net::HttpResponse CellService::ExplainJob(const std::string& aJob) const {
+  const cell::Job* const job =
+      cell::FindJob(this->machine.Cell(), JobId(aJob));
+  if (!job) {
+    return OperatorError(404, "not_found", "job", "no job " + aJob);
+  }
+  const auto explanation =
+      cell::Explain(this->machine.Cell(), this->scheduler, JobId(aJob));
+  const std::string reason = explanation ? explanation->text : std::string();
+  json tasks = json::array();
+  for (std::size_t i = 0; i < job->tasks.size(); ++i) {
+    const cell::Task& task = job->tasks[i];
+    const bool waits = task.state == cell::TaskState::Pending && !task.live;
+    tasks.push_back({{"index", i},
+                     {"state", NameOf(task.state)},
+                     {"attempt", task.attempts},
+                     {"worker", task.live ? task.live->worker.value : ""},
+                     {"reason", waits ? reason : ""}});
+  }
+  return JsonResponse(200, {{"job", aJob},
+                            {"data_centre", this->dataCentre.value},
+                            {"state", StateOf(*job)},
+                            {"reason", reason},
+                            {"tasks", std::move(tasks)}});
+}
+
+}  // namespace bramleypath::daemon
--- /dev/null
+++ b/src/bramleypath/daemon/EventLog.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+
+namespace bramleypath::daemon {
+
+enum class LogLevel { Debug, Info, Warn, Error };
+
+struct LogField {
+  std::string_view name;
+  std::string value;
+};
+
+// Sends one event a line to standard error, or to a file when it is not empty:
+// time, level, component, event=..., then name=value for each field. Values
+// with spaces, quotes or control characters are quoted.
+void StartEventLog(const std::string& aFile, LogLevel aLevel);
+void StopEventLog();
+
+void LogEvent(LogLevel aLevel, std::string_view aComponent,
+              std::string_view aEvent,
+              std::initializer_list<LogField> aFields = {});
+
+// Changes the level at run time. False for a name other than "debug", "info",
+// "warn" and "error".
+bool SetLogLevel(std::string_view aName);
+
+}  // namespace bramleypath::daemon
--- /dev/null
+++ b/src/bramleypath/daemon/Layout.cpp
@@ -0,0 +1,119 @@
+#include "bramleypath/daemon/Layout.h"
+
+#include <algorithm>
+#include <set>
+
+namespace bramleypath::daemon {
+
+namespace {
+
+constexpr std::size_t kMaxConfigVoters = 5;
+constexpr const char* kCellPrefix = "cell-";
+
+// Hosts with a disk that are not being drained, by name.
+std::vector<HostId> DiskHosts(const Hosts& aHosts,
+                              const DataCentreId& aDataCentre) {
+  std::vector<HostId> names;
+  for (const auto& [name, host] : aHosts) {
+    if (host.hasDisk && host.dataCentre == aDataCentre) {
+      names.push_back(name);
+    }
+  }
+  return names;
+}
+
+}  // namespace
+
+std::string CellGroup(const DataCentreId& aDataCentre) {
+  return kCellPrefix + aDataCentre.value;
+}
+
+DataCentreId DataCentreOfGroup(const std::string& aGroup) {
+  const std::string prefix = kCellPrefix;
+  if (aGroup.compare(0, prefix.size(), prefix) != 0) {
+    return DataCentreId();
+  }
+  return DataCentreId(aGroup.substr(prefix.size()));
+}
+
+std::vector<DataCentreId> DataCentres(const Hosts& aHosts) {
+  std::set<DataCentreId> names;
+  for (const auto& [name, host] : aHosts) {
+    names.insert(host.dataCentre);
+  }
+  return {names.begin(), names.end()};
+}
+
+std::vector<HostId> ConfigVoters(const Hosts& aHosts) {
+  std::vector<std::vector<HostId>> perDataCentre;
+  for (const DataCentreId& dataCentre : DataCentres(aHosts)) {
+    perDataCentre.push_back(DiskHosts(aHosts, dataCentre));
+  }
+  std::vector<HostId> voters;
+  bool found = true;
+  for (std::size_t round = 0; found; ++round) {
+    found = false;
+    for (const std::vector<HostId>& hosts : perDataCentre) {
+      if (round < hosts.size() && voters.size() < kMaxConfigVoters) {
+        voters.push_back(hosts[round]);
+        found = true;
+      }
+    }
+  }
+  if (voters.size() % 2 == 0 && !voters.empty()) {
+    voters.pop_back();
+  }
+  std::sort(voters.begin(), voters.end());
+  return voters;
+}
+
+std::vector<HostId> CellVoters(const Hosts& aHosts,
+                               const DataCentreId& aDataCentre) {
+  std::vector<HostId> voters = DiskHosts(aHosts, aDataCentre);
+  if (voters.size() != 2) {
+    return voters;
+  }
+  // The next data centre by name, so that witnesses are spread.
+  const std::vector<DataCentreId> all = DataCentres(aHosts);
+  const auto self = std::find(all.begin(), all.end(), aDataCentre);
+  const std::size_t start = static_cast<std::size_t>(self - all.begin());
+  for (std::size_t step = 1; step < all.size(); ++step) {
+    const std::vector<HostId> other =
+        DiskHosts(aHosts, all[(start + step) % all.size()]);
+    if (!other.empty()) {
+      voters.push_back(other.front());
+      break;
+    }
+  }
+  return voters;
+}
+
+std::vector<HostId> VotersOf(const Hosts& aHosts, const std::string& aGroup) {
+  return aGroup == kConfigGroup
+             ? ConfigVoters(aHosts)
+             : CellVoters(aHosts, DataCentreOfGroup(aGroup));
+}
+
+std::vector<std::string> LayoutWarnings(const Hosts& aHosts) {
+  std::vector<std::string> warnings;
+  for (const DataCentreId& dataCentre : DataCentres(aHosts)) {
+    const std::size_t disks = DiskHosts(aHosts, dataCentre).size();
+    if (disks == 0) {
+      warnings.push_back("data centre " + dataCentre.value +
+                         " has no entry host with a disk: it has no cell");
+    } else if (disks == 1) {
+      warnings.push_back("data centre " + dataCentre.value +
+                         " has one entry host with a disk: its cell has no "
+                         "local redundancy");
+    }
+  }
+  constexpr std::size_t kMinConfigVoters = 3;
+  if (ConfigVoters(aHosts).size() < kMinConfigVoters) {
+    warnings.push_back(
+        "fewer than three entry hosts with a disk: the configuration group "
+        "does not survive the loss of a host");
+  }
+  return warnings;
+}
+
+}  // namespace bramleypath::daemon
--- /dev/null
+++ b/src/bramleypath/metrics/Registry.cpp
@@ -0,0 +1,184 @@
+#include "bramleypath/metrics/Registry.h"
+
+#include <array>
+#include <sstream>
+#include <utility>
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/max.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+namespace bramleypath::metrics {
+
+namespace {
+
+namespace acc = boost::accumulators;
+
+using LatencyAccumulator = acc::accumulator_set<
+    double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
+                       acc::tag::extended_p_square_quantile>>;
+
+// The P-square estimate of a quantile needs neighbours to interpolate between.
+const std::array<double, 7> kProbabilities{0.25, 0.5,  0.75, 0.9,
+                                           0.99, 0.999, 0.9999};
+constexpr double kMicrosPerSecond = 1e6;
+
+// Member and class.
+using SeriesKey = std::pair<std::string, std::string>;
+
+struct Series {
+  LatencyAccumulator latency{acc::tag::extended_p_square::probabilities =
+                                 kProbabilities};
+  std::map<std::string, std::uint64_t, std::less<>> outcomes;
+  std::map<std::string, std::uint64_t, std::less<>> tasks;
+};
+
+LatencySummary Summarise(const Series& aSeries) {
+  LatencySummary summary;
+  summary.count = acc::count(aSeries.latency);
+  if (summary.count == 0) {
+    return summary;
+  }
+  summary.sumSeconds = acc::sum(aSeries.latency);
+  summary.maxSeconds = acc::max(aSeries.latency);
+  // The estimates need as many samples as there are markers.
+  constexpr std::size_t kMinSamples = 2 * kProbabilities.size() + 3;
+  if (summary.count < kMinSamples) {
+    summary.p50Seconds = summary.sumSeconds / summary.count;
+    summary.p99Seconds = summary.maxSeconds;
+    summary.p999Seconds = summary.maxSeconds;
+    return summary;
+  }
+  const auto quantile = [&aSeries](double aProbability) {
+    return acc::quantile(aSeries.latency,
+                         acc::quantile_probability = aProbability);
+  };
+  summary.p50Seconds = quantile(0.5);
+  summary.p99Seconds = quantile(0.99);
+  summary.p999Seconds = quantile(0.999);
+  return summary;
+}
+
+// Label values are chosen by callers and may hold any byte.
+std::string Escape(const std::string& aText) {
+  std::string escaped;
+  for (const char letter : aText) {
+    if (letter == '"' || letter == '\\') {
+      escaped += '\\';
+    }
+    const auto code = static_cast<unsigned char>(letter);
+    escaped += code < 0x20 || code == 0x7f ? '?' : letter;
+  }
+  return escaped;
+}
+
+std::string Labels(const SeriesKey& aKey) {
+  return "member=\"" + Escape(aKey.first) + "\",class=\"" +
+         Escape(aKey.second) + "\"";
+}
+
+void WriteType(std::ostream& aOut, const std::string& aName,
+               const char* aType) {
+  aOut << "# TYPE bramleypath_" << aName << ' ' << aType << '\n';
+}
+
+}  // namespace
+
+struct Registry::Impl {
+  std::map<SeriesKey, Series> series;
+  std::map<std::string, std::uint64_t> counters;
+  std::map<std::string, double> gauges;
+
+  Series& Find(const MemberId& aMember, const ClassId& aClass) {
+    SeriesKey key{aMember.value, aClass.value};
+    if (this->series.count(key) == 0 && this->series.size() >= kMaxSeries) {
+      key = {"other", "other"};
+    }
+    return this->series[std::move(key)];
+  }
+};
+
+Registry::Registry() : impl(std::make_unique<Impl>()) {}
+Registry::~Registry() = default;
+
+void Registry::RecordCall(const MemberId& aMember, const ClassId& aClass,
+                          std::string_view aOutcome, Duration aLatency) {
+  Series& series = this->impl->Find(aMember, aClass);
+  ++series.outcomes[std::string(aOutcome)];
+  series.latency(static_cast<double>(aLatency.micros) / kMicrosPerSecond);
+}
+
+void Registry::RecordTask(const MemberId& aMember, const ClassId& aClass,
+                          std::string_view aEvent) {
+  ++this->impl->Find(aMember, aClass).tasks[std::string(aEvent)];
+}
+
+void Registry::SetCounter(const std::string& aName, std::uint64_t aValue) {
+  this->impl->counters[aName] = aValue;
+}
+
+void Registry::SetGauge(const std::string& aName, double aValue) {
+  this->impl->gauges[aName] = aValue;
+}
+
+LatencySummary Registry::Latency(const MemberId& aMember,
+                                 const ClassId& aClass) const {
+  const auto found =
+      this->impl->series.find(SeriesKey{aMember.value, aClass.value});
+  return found == this->impl->series.end() ? LatencySummary()
+                                           : Summarise(found->second);
+}
+
+std::string Registry::WriteExposition() const {
+  std::ostringstream out;
+  WriteType(out, "calls_total", "counter");
+  for (const auto& [key, series] : this->impl->series) {
+    for (const auto& [outcome, count] : series.outcomes) {
+      out << "bramleypath_calls_total{" << Labels(key) << ",outcome=\""
+          << outcome << "\"} " << count << '\n';
+    }
+  }
+  WriteType(out, "tasks_total", "counter");
+  for (const auto& [key, series] : this->impl->series) {
+    for (const auto& [event, count] : series.tasks) {
+      out << "bramleypath_tasks_total{" << Labels(key) << ",event=\"" << event
+          << "\"} " << count << '\n';
+    }
+  }
+  WriteType(out, "call_seconds", "summary");
+  for (const auto& [key, series] : this->impl->series) {
+    const LatencySummary summary = Summarise(series);
+    if (summary.count == 0) {
+      continue;
+    }
+    const std::string labels = Labels(key);
+    const std::array<std::pair<const char*, double>, 3> quantiles{
+        {{"0.5", summary.p50Seconds},
+         {"0.99", summary.p99Seconds},
+         {"0.999", summary.p999Seconds}}};
+    for (const auto& [name, value] : quantiles) {
+      out << "bramleypath_call_seconds{" << labels << ",quantile=\"" << name
+          << "\"} " << value << '\n';
+    }
+    out << "bramleypath_call_seconds_sum{" << labels << "} "
+        << summary.sumSeconds << '\n'
+        << "bramleypath_call_seconds_count{" << labels << "} " << summary.count
+        << '\n'
+        << "bramleypath_call_seconds_max{" << labels << "} "
+        << summary.maxSeconds << '\n';
+  }
+  for (const auto& [name, value] : this->impl->counters) {
+    WriteType(out, name, "counter");
+    out << "bramleypath_" << name << ' ' << value << '\n';
+  }
+  for (const auto& [name, value] : this->impl->gauges) {
+    WriteType(out, name, "gauge");
+    out << "bramleypath_" << name << ' ' << value << '\n';
+  }
+  return out.str();
+}
+
+}  // namespace bramleypath::metrics
--- /dev/null
+++ b/src/bramleypath/wire/JobMessages.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "bramleypath/cell/CellState.h"
+#include "bramleypath/cell/Command.h"
+#include "bramleypath/wire/WireReason.h"
+
+namespace bramleypath::wire {
+
+// Bodies of POST /v1/ops/jobs and /v1/ops/jobs/cancel; see
+// docs/operator-api.md.
+std::optional<cell::SubmitJob> ParseJobSubmission(std::string_view aText,
+                                                  WireReason& aReason);
+std::optional<cell::CancelJobs> ParseJobCancellation(std::string_view aText,
+                                                     WireReason& aReason);
+
+// The name of a refusal in JSON, such as "no_worker_could_hold".
+const char* NameOf(cell::RefusalCode aCode);
+
+}  // namespace bramleypath::wire
