--- /dev/null
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -0,0 +1,502 @@
+#include "bramleypath/daemon/Daemon.h"
+
+#include <chrono>
+#include <csignal>
+#include <functional>
+#include <map>
+#include <set>
+#include <utility>
+
+#include <asio/io_context.hpp>
+#include <asio/post.hpp>
+#include <asio/signal_set.hpp>
+#include <asio/steady_timer.hpp>
+
+#include "bramleypath/daemon/CallService.h"
+#include "bramleypath/daemon/CellMachine.h"
+#include "bramleypath/daemon/CellService.h"
+#include "bramleypath/daemon/ConfigService.h"
+#include "bramleypath/daemon/EventLog.h"
+#include "bramleypath/daemon/Groups.h"
+#include "bramleypath/daemon/Layout.h"
+#include "bramleypath/daemon/MemberService.h"
+#include "bramleypath/daemon/OperatorService.h"
+#include "bramleypath/daemon/PeerRpc.h"
+#include "bramleypath/metrics/Registry.h"
+#include "bramleypath/net/Clock.h"
+#include "bramleypath/net/HttpClient.h"
+#include "bramleypath/net/HttpListener.h"
+#include "bramleypath/net/PeerLinks.h"
+#include "bramleypath/wire/WorkerMessages.h"
+
+namespace bramleypath::daemon {
+
+namespace {
+
+constexpr std::chrono::milliseconds kShortTick{20};
+constexpr std::chrono::milliseconds kLongTick{100};
+constexpr std::chrono::milliseconds kStopPoll{20};
+// For leaderships to move on and for the last writes.
+constexpr Duration kGroupStopLimit = Seconds(2);
+// For responses that are being written, and for answers that the owners of keys
+// have not acknowledged yet.
+constexpr Duration kLastResponsesLimit = Seconds(2);
+// An announcement that the leader has not handled by then is sent again by the
+// worker anyway.
+constexpr Duration kWorkerForwardLimit = Seconds(1);
+// Batches to one worker; they are small and answered at once.
+constexpr std::size_t kWorkerConnections = 4;
+
+// Grows with each start of this process, also after a restart within the same
+// second.
+std::uint64_t SessionNumber() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(now).count());
+}
+
+net::HttpLimits LimitsOf(const settings::Listener& aListener) {
+  net::HttpLimits limits;
+  limits.maxConnections = aListener.maxConnections;
+  limits.maxBodyBytes = aListener.maxBodyBytes;
+  limits.idleTimeout = aListener.idleTimeout;
+  return limits;
+}
+
+net::PeerLimits PeerLimitsOf(const settings::Listener& aListener) {
+  net::PeerLimits limits;
+  limits.maxMessageBytes = aListener.maxBodyBytes;
+  limits.maxIncomingConnections = aListener.maxConnections;
+  return limits;
+}
+
+net::HttpClientLimits WorkerClientLimits() {
+  net::HttpClientLimits limits;
+  limits.maxConnectionsPerHost = kWorkerConnections;
+  limits.maxAnswerBytes = 1024 * 1024;
+  return limits;
+}
+
+net::HttpResponse HealthResponse(bool aGood, const char* aText) {
+  net::HttpResponse response;
+  response.status = aGood ? 200 : 503;
+  response.contentType = "text/plain";
+  response.body = aText;
+  return response;
+}
+
+// The responder of a listener as a function.
+PeerRpc::Respond ToRespond(const net::HttpResponder& aResponder) {
+  return [aResponder](net::HttpResponse aResponse) {
+    aResponder.Send(std::move(aResponse));
+  };
+}
+
+}  // namespace
+
+struct Daemon::Impl {
+  Impl(const settings::Settings& aSettings, bool aBootstrap)
+      : settings(aSettings),
+        bootstrap(aBootstrap),
+        session(SessionNumber()),
+        firstHosts(HostsOf(aSettings)),
+        signals(this->context),
+        shortTimer(this->context),
+        longTimer(this->context),
+        stopTimer(this->context),
+        targetClient(this->context, net::HttpClientLimits()),
+        workerClient(this->context, WorkerClientLimits()),
+        links(this->context, aSettings.host, aSettings.listeners.peers.address,
+              PeerLimitsOf(aSettings.listeners.peers),
+              [this](net::PeerFrame aFrame) { this->OnFrame(aFrame); }),
+        rpc(this->links, this->session,
+            [this](ReceivedRequest aRequest, PeerRpc::Respond aRespond) {
+              this->OnPeerRequest(std::move(aRequest), std::move(aRespond));
+            }),
+        groups(this->context, aSettings.host, this->links, this->session),
+        config(aSettings.host, aSettings.dataCentre, this->session,
+               this->firstHosts, this->groups, this->links, this->rpc),
+        cell(this->context, aSettings.host, aSettings.dataCentre,
+             this->session ^ std::hash<HostId>()(aSettings.host), this->groups,
+             this->rpc, this->workerClient, this->metrics),
+        members(aSettings.host, aSettings.dataCentre, this->firstHosts,
+                this->session, this->links),
+        calls(this->context, aSettings.host, aSettings.dataCentre,
+              this->session, this->groups, this->rpc, this->targetClient,
+              this->metrics),
+        operators(OperatorParts{aSettings.host, aSettings.dataCentre,
+                                this->groups, this->config, &this->cell,
+                                this->members, this->calls, this->links,
+                                this->metrics}),
+        callerListener(
+            this->context, aSettings.listeners.callers.address,
+            LimitsOf(aSettings.listeners.callers),
+            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
+              this->OnCaller(std::move(aRequest), aResponder);
+            }),
+        targetListener(
+            this->context, aSettings.listeners.targets.address,
+            LimitsOf(aSettings.listeners.targets),
+            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
+              this->OnTarget(aRequest, aResponder);
+            }),
+        operatorListener(
+            this->context, aSettings.listeners.operators.address,
+            LimitsOf(aSettings.listeners.operators),
+            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
+              this->operators.Handle(aRequest, ToRespond(aResponder));
+            }) {
+    this->Connect();
+  }
+
+  settings::Settings settings;
+  bool bootstrap;
+  std::uint64_t session;
+  Hosts firstHosts;
+  asio::io_context context;
+  asio::signal_set signals;
+  asio::steady_timer shortTimer;
+  asio::steady_timer longTimer;
+  asio::steady_timer stopTimer;
+  metrics::Registry metrics;
+  net::HttpClient targetClient;
+  net::HttpClient workerClient;
+  net::PeerLinks links;
+  PeerRpc rpc;
+  // Machines of groups that this host is a witness of; they outlive the
+  // replicas.
+  std::map<std::string, std::unique_ptr<CellMachine>> witnessMachines;
+  Groups groups;
+  ConfigService config;
+  CellService cell;
+  MemberService members;
+  CallService calls;
+  OperatorService operators;
+  net::HttpListener callerListener;
+  net::HttpListener targetListener;
+  net::HttpListener operatorListener;
+  bool stopping = false;
+  std::uint32_t interrupted = 0;
+  ExitStatus exitStatus = ExitStatus::Stopped;
+
+  void Connect() {
+    this->members.onRouterEvent = [this](const routing::Event& aEvent) {
+      this->calls.OnRouterEvent(aEvent);
+    };
+    this->members.ownLoads = [this] {
+      return routing::OwnLoads(this->calls.State());
+    };
+    this->calls.configuration = [this]() -> const config::Configuration& {
+      return this->config.Current();
+    };
+    this->calls.onDrained = [this](std::uint32_t aInterrupted) {
+      this->interrupted = aInterrupted;
+      this->FinishStop(net::Now() + kLastResponsesLimit);
+    };
+    this->config.onInForce = [this] { this->OnConfiguration(); };
+    this->operators.onStop = [this] { this->RequestStop("operator"); };
+    this->groups.onUnknownGroup = [this](const std::string& aGroup) {
+      std::string reason;
+      if (!this->StartGroup(aGroup, reason)) {
+        LogEvent(LogLevel::Error, "groups", "replica_not_started",
+                 {{"group", aGroup}, {"reason", reason}});
+      }
+    };
+    this->groups.onFailed = [this](const std::string&) {
+      this->exitStatus = ExitStatus::Failed;
+      this->context.stop();
+    };
+  }
+
+  bool Start(std::string& aReason) {
+    this->SetPeers();
+    this->SetGroupHosts();
+    if (this->settings.hasDisk &&
+        !this->groups.OpenFolder(this->settings.dataFolder,
+                                 this->bootstrap ? storage::Birth::Bootstrap
+                                                 : storage::Birth::Join,
+                                 aReason)) {
+      return false;
+    }
+    net::NetReason reason;
+    if (!this->links.Open(reason) || !this->callerListener.Open(reason) ||
+        !this->targetListener.Open(reason) ||
+        !this->operatorListener.Open(reason)) {
+      aReason = "can't listen: " + reason.detail;
+      return false;
+    }
+    if (this->settings.hasDisk && !this->StartGroups(aReason)) {
+      return false;
+    }
+    this->OnConfiguration();
+    this->signals.add(SIGTERM);
+    this->signals.add(SIGINT);
+    this->WaitForSignal();
+    this->ScheduleShortTick();
+    this->ScheduleLongTick();
+    for (const std::string& warning :
+         LayoutWarnings(this->config.CurrentHosts())) {
+      LogEvent(LogLevel::Warn, "daemon", "layout", {{"warning", warning}});
+    }
+    LogEvent(LogLevel::Info, "daemon", "started",
+             {{"host", this->settings.host.value},
+              {"data_centre", this->settings.dataCentre.value},
+              {"callers", this->callerListener.BoundAddress()},
+              {"session", std::to_string(this->session)}});
+    return true;
+  }
+
+  // Replicas of the groups that the settings name this host in.
+  bool StartGroups(std::string& aReason) {
+    std::vector<std::string> names{kConfigGroup};
+    for (const settings::CellSettings& group : this->settings.cells) {
+      names.push_back(CellGroup(group.dataCentre));
+    }
+    for (const std::string& name : names) {
+      const std::vector<HostId> voters = FirstVoters(this->settings, name);
+      if (std::find(voters.begin(), voters.end(), this->settings.host) !=
+              voters.end() &&
+          !this->StartGroup(name, aReason)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  bool StartGroup(const std::string& aGroup, std::string& aReason) {
+    if (this->groups.Find(aGroup)) {
+      return true;
+    }
+    const std::vector<HostId> first = FirstVoters(this->settings, aGroup);
+    if (aGroup == kConfigGroup) {
+      GroupHooks hooks;
+      hooks.lost = [this](consensus::Term) { this->config.OnLeadershipLost(); };
+      return this->groups.Start(aGroup, this->config, first, hooks, aReason);
+    }
+    if (aGroup == this->cell.GroupName()) {
+      return this->groups.Start(aGroup, this->cell.Machine(), first,
+                                this->cell.Hooks(), aReason);
+    }
+    if (DataCentreOfGroup(aGroup).empty()) {
+      aReason = "the group is not known";
+      return false;
+    }
+    auto& machine = this->witnessMachines[aGroup];
+    machine = std::make_unique<CellMachine>(this->session, journal::Periods());
+    return this->groups.Start(aGroup, *machine, first, GroupHooks(), aReason);
+  }
+
+  void OnFrame(const net::PeerFrame& aFrame) {
+    if (this->groups.OnFrame(aFrame) || this->rpc.OnFrame(aFrame)) {
+      return;
+    }
+    if (aFrame.kind == kConfigKind) {
+      this->config.OnFrame(aFrame);
+    } else if (aFrame.kind == kGossipKind) {
+      this->members.OnFrame(aFrame);
+    } else {
+      LogEvent(LogLevel::Warn, "peers", "unknown_kind",
+               {{"from", aFrame.from.value}, {"kind", aFrame.kind}});
+    }
+  }
+
+  void OnPeerRequest(ReceivedRequest aRequest, PeerRpc::Respond aRespond) {
+    const std::string& path = aRequest.request.path;
+    const auto under = [&path](const std::string& aPrefix) {
+      return path.compare(0, aPrefix.size(), aPrefix) == 0;
+    };
+    constexpr bool kForwarded = true;
+    if (under("/v1/call/")) {
+      this->calls.HandleCall(std::move(aRequest.request), kForwarded,
+                             aRequest.deadline, std::move(aRespond));
+    } else if (under("/v1/workers/")) {
+      this->cell.HandleWorker(aRequest.request, kForwarded, aRequest.deadline,
+                              std::move(aRespond));
+    } else if (path == kJournalPath) {
+      this->cell.HandleJournal(aRequest.from, aRequest.request,
+                               std::move(aRespond));
+    } else if (path == "/v1/ops/config") {
+      this->config.HandleChange(aRequest.request.body, kForwarded,
+                                aRequest.deadline, std::move(aRespond));
+    } else if (under("/v1/ops/jobs") || under("/v1/ops/explain/job/")) {
+      this->cell.HandleJobs(aRequest.request, kForwarded, aRequest.deadline,
+                            std::move(aRespond));
+    } else {
+      aRespond(OperatorError(404, "not_found", "", "no such request"));
+    }
+  }
+
+  void OnCaller(net::HttpRequest aRequest,
+                const net::HttpResponder& aResponder) {
+    if (aRequest.path == "/health/live") {
+      aResponder.Send(HealthResponse(true, "live"));
+    } else if (aRequest.path == "/health/ready") {
+      const bool ready = this->IsReady();
+      aResponder.Send(HealthResponse(ready, ready ? "ready" : "not ready"));
+    } else if (aRequest.method != "POST") {
+      aResponder.Send(net::ErrorResponse(405, "", "calls are sent by POST"));
+    } else {
+      this->calls.HandleCall(std::move(aRequest), false, TimePoint(),
+                             ToRespond(aResponder));
+    }
+  }
+
+  bool IsReady() const {
+    const auto& hosts = this->config.Current().hosts;
+    const auto own = hosts.find(this->settings.host);
+    const bool draining = own != hosts.end() && own->second.draining;
+    return this->config.IsReady() && !this->stopping && !draining;
+  }
+
+  void OnTarget(const net::HttpRequest& aRequest,
+                const net::HttpResponder& aResponder) {
+    if (aRequest.path == "/v1/targets/announce" ||
+        aRequest.path == "/v1/targets/leave") {
+      aResponder.Send(this->members.HandleTarget(aRequest));
+      return;
+    }
+    if (aRequest.path == "/v1/workers/announce") {
+      wire::WireReason reason;
+      const auto announce = wire::ParseWorkerAnnounce(aRequest.body, reason);
+      if (!announce) {
+        aResponder.Send(net::ErrorResponse(400, reason.field, reason.detail));
+        return;
+      }
+      this->members.OnWorker(announce->record);
+    } else if (aRequest.path != "/v1/workers/report") {
+      aResponder.Send(net::ErrorResponse(404, "", "no such endpoint"));
+      return;
+    }
+    this->cell.HandleWorker(aRequest, false, net::Now() + kWorkerForwardLimit,
+                            ToRespond(aResponder));
+  }
+
+  void OnConfiguration() {
+    const config::Configuration& current = this->config.Current();
+    this->SetPeers();
+    this->SetGroupHosts();
+    this->members.OnConfiguration(current, this->config.CurrentHosts());
+    this->calls.OnConfiguration(current);
+    this->cell.OnConfiguration(current);
+  }
+
+  // The addresses of the settings come before those of the configuration, so
+  // that a host can reach its peers another way than the others do.
+  void SetPeers() {
+    std::map<HostId, std::string> addresses;
+    for (const auto& [name, host] : this->config.CurrentHosts()) {
+      const auto first = this->firstHosts.find(name);
+      addresses[name] = first != this->firstHosts.end()
+                            ? first->second.addresses.peers
+                            : host.addresses.peers;
+    }
+    this->links.SetPeers(addresses);
+  }
+
+  void SetGroupHosts() {
+    const Hosts hosts = this->config.CurrentHosts();
+    this->groups.SetHosts(hosts, [this, hosts](const std::string& aGroup) {
+      return WantedVoters(this->settings, hosts, aGroup);
+    });
+  }
+
+  void ScheduleShortTick() {
+    this->shortTimer.expires_after(kShortTick);
+    this->shortTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        this->rpc.Tick(net::Now());
+        this->ScheduleShortTick();
+      }
+    });
+  }
+
+  void ScheduleLongTick() {
+    this->longTimer.expires_after(kLongTick);
+    this->longTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        const TimePoint now = net::Now();
+        this->members.Tick(now);
+        this->groups.Tick(now);
+        this->config.Tick(now);
+        this->cell.Tick(now);
+        this->ScheduleLongTick();
+      }
+    });
+  }
+
+  void WaitForSignal() {
+    this->signals.async_wait([this](const asio::error_code& aError, int) {
+      if (!aError) {
+        this->RequestStop("signal");
+        this->WaitForSignal();
+      }
+    });
+  }
+
+  // The first request begins the planned stop; a second one ends it early.
+  void RequestStop(const char* aBy) {
+    const TimePoint now = net::Now();
+    routing::StopRequested request;
+    request.closeAt = now + this->settings.timings.loadBalancerDelay;
+    request.drainDeadline =
+        request.closeAt + this->settings.timings.drainDeadline;
+    LogEvent(LogLevel::Info, "daemon",
+             this->stopping ? "stop_ends_early" : "stop_begins",
+             {{"by", aBy},
+              {"calls", std::to_string(this->calls.OpenCalls())}});
+    if (!this->stopping) {
+      this->stopping = true;
+      this->members.AnnounceStop();
+      this->callerListener.CloseConnectionsAfterResponse();
+      this->CloseListenerAt(request.closeAt);
+    }
+    this->calls.OnRouterEvent(request);
+  }
+
+  void CloseListenerAt(TimePoint aTime) {
+    this->stopTimer.expires_after(
+        std::chrono::microseconds((aTime - net::Now()).micros));
+    this->stopTimer.async_wait([this](const asio::error_code& aError) {
+      if (!aError) {
+        this->callerListener.StopAccepting();
+      }
+    });
+  }
+
+  // Waits for the last responses, then hands leaderships over and ends.
+  void FinishStop(TimePoint aDeadline) {
+    const bool busy = this->callerListener.OpenRequests() > 0 ||
+                      this->calls.OpenTells() > 0;
+    if (busy && net::Now() < aDeadline) {
+      this->stopTimer.expires_after(kStopPoll);
+      this->stopTimer.async_wait([this, aDeadline](const asio::error_code& aError) {
+        if (!aError) {
+          this->FinishStop(aDeadline);
+        }
+      });
+      return;
+    }
+    this->callerListener.StopAccepting();
+    this->groups.Stop(kGroupStopLimit, [this] {
+      LogEvent(LogLevel::Info, "daemon", "stopped",
+               {{"interrupted", std::to_string(this->interrupted)}});
+      this->exitStatus = this->interrupted == 0 ? ExitStatus::Stopped
+                                                : ExitStatus::Interrupted;
+      this->context.stop();
+    });
+  }
+};
+
+Daemon::Daemon(const settings::Settings& aSettings, bool aBootstrap)
+    : impl(std::make_unique<Impl>(aSettings, aBootstrap)) {}
+
+Daemon::~Daemon() = default;
+
+bool Daemon::Start(std::string& aReason) { return this->impl->Start(aReason); }
+
+ExitStatus Daemon::Run() {
+  this->impl->context.run();
+  return this->impl->exitStatus;
+}
+
+}  // namespace bramleypath::daemon
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -1,6 +1,7 @@
 #include "bramleypath/daemon/Groups.h"
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "bramleypath/consensus/Codec.h"
@@ -62,7 +63,7 @@
 }
 
 bool Groups::Start(const std::string& aGroup, group::StateMachine& aMachine,
-                   const Hosts& aFirstHosts, GroupHooks aHooks,
+                   const std::vector<HostId>& aFirstVoters, GroupHooks aHooks,
                    std::string& aReason) {
   storage::StorageReason reason;
   storage::OpenedState opened;
@@ -84,11 +85,10 @@
   settings.self = this->folder->identity;
   settings.seed =
       this->seed ^ std::hash<std::string>()(aGroup + this->self.value);
-  const std::vector<HostId> first = VotersOf(aFirstHosts, aGroup);
   const bool bootstrapped =
       settings.self == storage::InitialIdentity(this->self);
-  if (bootstrapped && Contains(first, this->self)) {
-    for (const HostId& host : first) {
+  if (bootstrapped && Contains(aFirstVoters, this->self)) {
+    for (const HostId& host : aFirstVoters) {
       settings.initial.voters.push_back(storage::InitialIdentity(host));
     }
   }
@@ -243,11 +243,16 @@
   }
 }
 
-void Groups::SetHosts(const Hosts& aHosts) { this->hosts = aHosts; }
+void Groups::SetHosts(
+    const Hosts& aHosts,
+    std::function<std::vector<HostId>(const std::string&)> aVotersOf) {
+  this->hosts = aHosts;
+  this->votersOf = std::move(aVotersOf);
+}
 
 // One step towards the wanted voters: add, promote, and only then remove.
 void Groups::Reconcile(Running& aGroup) {
-  const std::vector<HostId> wanted = VotersOf(this->hosts, aGroup.name);
+  const std::vector<HostId> wanted = this->votersOf(aGroup.name);
   if (wanted.empty()) {
     return;
   }
--- a/src/bramleypath/daemon/Groups.h
+++ b/src/bramleypath/daemon/Groups.h
@@ -60,10 +60,11 @@
   // Of the data folder; empty without one.
   std::string Identity() const;
 
-  // Starts the replica of a group. aFirstHosts are those of the settings, which
-  // give the first members on a bootstrapped host.
+  // Starts the replica of a group. aFirstVoters are those of the settings, which
+  // are the first members on a bootstrapped host.
   bool Start(const std::string& aGroup, group::StateMachine& aMachine,
-             const Hosts& aFirstHosts, GroupHooks aHooks, std::string& aReason);
+             const std::vector<HostId>& aFirstVoters, GroupHooks aHooks,
+             std::string& aReason);
   // Null when no replica runs here.
   group::Replica* Find(const std::string& aGroup);
 
@@ -76,8 +77,9 @@
   // Handles frames of the kinds above; false for others.
   bool OnFrame(const net::PeerFrame& aFrame);
   void Tick(TimePoint aNow);
-  // The hosts whose layout the memberships follow.
-  void SetHosts(const Hosts& aHosts);
+  // The hosts, and the voters that each group should have.
+  void SetHosts(const Hosts& aHosts, std::function<std::vector<HostId>(
+                                         const std::string&)> aVotersOf);
 
   // This host while it leads; otherwise what its replica or the leader itself
   // said last.
@@ -109,6 +111,7 @@
   std::unique_ptr<storage::DiskThread> disk;
   std::map<std::string, std::unique_ptr<Running>> running;
   Hosts hosts;
+  std::function<std::vector<HostId>(const std::string&)> votersOf;
   std::map<HostId, consensus::ReplicaId> identities;
   std::map<std::string, HeardLeader> heardLeaders;
   TimePoint helloAt;
--- a/src/bramleypath/daemon/Layout.cpp
+++ b/src/bramleypath/daemon/Layout.cpp
@@ -10,7 +10,7 @@
 constexpr std::size_t kMaxConfigVoters = 5;
 constexpr const char* kCellPrefix = "cell-";
 
-// Hosts with a disk that are not being drained, by name.
+// Hosts with a disk, by name.
 std::vector<HostId> DiskHosts(const Hosts& aHosts,
                               const DataCentreId& aDataCentre) {
   std::vector<HostId> names;
@@ -44,6 +44,8 @@
   return {names.begin(), names.end()};
 }
 
+namespace {
+
 std::vector<HostId> ConfigVoters(const Hosts& aHosts) {
   std::vector<std::vector<HostId>> perDataCentre;
   for (const DataCentreId& dataCentre : DataCentres(aHosts)) {
@@ -88,7 +90,49 @@
   return voters;
 }
 
-std::vector<HostId> VotersOf(const Hosts& aHosts, const std::string& aGroup) {
+bool AreSameHosts(const settings::Settings& aSettings, const Hosts& aHosts) {
+  return aSettings.entryHosts.size() == aHosts.size() &&
+         std::all_of(aSettings.entryHosts.begin(), aSettings.entryHosts.end(),
+                     [&aHosts](const settings::EntryHostSettings& aHost) {
+                       return aHosts.count(aHost.host) != 0;
+                     });
+}
+
+}  // namespace
+
+Hosts HostsOf(const settings::Settings& aSettings) {
+  Hosts hosts;
+  for (const settings::EntryHostSettings& entry : aSettings.entryHosts) {
+    config::EntryHost& host = hosts[entry.host];
+    host.name = entry.host;
+    host.dataCentre = entry.dataCentre;
+    host.addresses.peers = entry.peerAddress;
+    host.hasDisk = entry.hasDisk;
+  }
+  return hosts;
+}
+
+std::vector<HostId> FirstVoters(const settings::Settings& aSettings,
+                                const std::string& aGroup) {
+  if (aGroup == kConfigGroup) {
+    return aSettings.configurationVoters;
+  }
+  const settings::CellSettings* const cell =
+      settings::FindCell(aSettings, DataCentreOfGroup(aGroup));
+  if (!cell) {
+    return {};
+  }
+  std::vector<HostId> voters = cell->voters;
+  voters.insert(voters.end(), cell->witnesses.begin(), cell->witnesses.end());
+  return voters;
+}
+
+std::vector<HostId> WantedVoters(const settings::Settings& aSettings,
+                                 const Hosts& aHosts,
+                                 const std::string& aGroup) {
+  if (AreSameHosts(aSettings, aHosts)) {
+    return FirstVoters(aSettings, aGroup);
+  }
   return aGroup == kConfigGroup
              ? ConfigVoters(aHosts)
              : CellVoters(aHosts, DataCentreOfGroup(aGroup));
--- a/src/bramleypath/daemon/Layout.h
+++ b/src/bramleypath/daemon/Layout.h
@@ -6,6 +6,7 @@
 
 #include "bramleypath/base/Ids.h"
 #include "bramleypath/config/Types.h"
+#include "bramleypath/settings/Settings.h"
 
 namespace bramleypath::daemon {
 
@@ -19,18 +20,22 @@
 
 std::vector<DataCentreId> DataCentres(const Hosts& aHosts);
 
-// The hosts that vote in the configuration group: up to five with a disk,
-// spread evenly over the data centres, an odd number of them.
-std::vector<HostId> ConfigVoters(const Hosts& aHosts);
-
-// The hosts that vote in a cell group: the local ones with a disk, and for two
-// of them one witness elsewhere, so that the local hosts alone are a strict
-// majority.
-std::vector<HostId> CellVoters(const Hosts& aHosts,
-                               const DataCentreId& aDataCentre);
-
-// The voters of any group by its name.
-std::vector<HostId> VotersOf(const Hosts& aHosts, const std::string& aGroup);
+// The entry hosts of the settings.
+Hosts HostsOf(const settings::Settings& aSettings);
+
+// The first voters of a group; empty for a group that the settings don't name.
+std::vector<HostId> FirstVoters(const settings::Settings& aSettings,
+                                const std::string& aGroup);
+
+// The voters that a group should have. While the hosts are those of the
+// settings, the settings name them. After hosts were added or removed they
+// follow from the hosts: in the configuration group up to five with a disk,
+// spread evenly over the data centres, an odd number; in a cell group the local
+// ones with a disk, and for two of them one witness elsewhere, so that the
+// local hosts alone are a strict majority.
+std::vector<HostId> WantedVoters(const settings::Settings& aSettings,
+                                 const Hosts& aHosts,
+                                 const std::string& aGroup);
 
 // What an operator should know: cells without local redundancy, too few disks.
 std::vector<std::string> LayoutWarnings(const Hosts& aHosts);
--- /dev/null
+++ b/src/bramleypath/daemon/OperatorService.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "bramleypath/daemon/CallService.h"
+#include "bramleypath/daemon/CellService.h"
+#include "bramleypath/daemon/ConfigService.h"
+#include "bramleypath/daemon/Groups.h"
+#include "bramleypath/daemon/MemberService.h"
+#include "bramleypath/metrics/Registry.h"
+#include "bramleypath/net/HttpListener.h"
+#include "bramleypath/net/PeerLinks.h"
+
+namespace bramleypath::daemon {
+
+// The parts of the daemon that operators ask about. cell is null in a data
+// centre without a cell.
+struct OperatorParts {
+  HostId self;
+  DataCentreId dataCentre;
+  Groups& groups;
+  ConfigService& config;
+  CellService* cell = nullptr;
+  MemberService& members;
+  CallService& calls;
+  net::PeerLinks& links;
+  metrics::Registry& metrics;
+};
+
+// The endpoints of docs/operator-api.md.
+class OperatorService {
+ public:
+  explicit OperatorService(OperatorParts aParts);
+
+  // Starts the planned stop.
+  std::function<void()> onStop;
+
+  void Handle(const net::HttpRequest& aRequest, PeerRpc::Respond aRespond);
+
+ private:
+  net::HttpResponse Config() const;
+  net::HttpResponse Status() const;
+  net::HttpResponse Targets() const;
+  net::HttpResponse Metrics() const;
+  net::HttpResponse ExplainCall(const std::string& aRequestId) const;
+  void Drain(const net::HttpRequest& aRequest, PeerRpc::Respond aRespond);
+  net::HttpResponse ChangeLogLevel(const net::HttpRequest& aRequest) const;
+
+  OperatorParts parts;
+};
+
+}  // namespace bramleypath::daemon
