--- a/src/bramleypath/daemon/CallService.cpp
+++ b/src/bramleypath/daemon/CallService.cpp
@@ -6,6 +6,8 @@
 #include <utility>
 #include <variant>
 
+#include <asio/post.hpp>
+
 #include "bramleypath/daemon/EventLog.h"
 #include "bramleypath/journal/Codec.h"
 #include "bramleypath/journal/Owner.h"
@@ -136,10 +138,8 @@
   this->Step(aEvent);
 }
 
-void CallService::OnConfiguration(
-    const config::Configuration& aConfiguration) {
-  const auto preset =
-      aConfiguration.presets.find(aConfiguration.presetInForce);
+void CallService::OnConfiguration(const config::Configuration& aConfiguration) {
+  const auto preset = aConfiguration.presets.find(aConfiguration.presetInForce);
   routing::PoliciesChanged changed;
   for (const auto& [name, member] : aConfiguration.members) {
     routing::MemberPolicy policy;
@@ -199,9 +199,8 @@
       if (found != this->grants.end()) {
         const Grant held = found->second;
         this->grants.erase(found);
-        this->TellOwner(
-            {journal::Release{held.key, {this->self, held.nonce}}}, held.key,
-            net::Now() + kOwnerTellLimit);
+        this->TellOwner({journal::Release{held.key, {this->self, held.nonce}}},
+                        held.key, net::Now() + kOwnerTellLimit);
       }
     } else if (const auto* const report =
                    std::get_if<routing::ReportAnswer>(&action)) {
@@ -323,8 +322,8 @@
              {{"request", call.requestId.value},
               {"outcome", outcome},
               {"reason", reason}});
-    call.respond(wire::RefusalResponse(status, outcome, reason,
-                                       call.requestId));
+    call.respond(
+        wire::RefusalResponse(status, outcome, reason, call.requestId));
     return;
   }
   net::HttpResponse response;
@@ -381,16 +380,16 @@
   reserve.holder = {this->self, aGrant.nonce};
   // The dispatch is recorded with the grant, which saves one commit per call.
   reserve.dispatch = true;
-  const Duration wait = Least(kOwnerWait, left - kRefusalTime);
+  const Duration wait =
+      Least(kOwnerWait, Micros(left.micros - kRefusalTime.micros));
   const TimePoint until = now + Least(kOwnerAnswerLimit, left);
-  const bool sent = this->AskOwner(
-      {reserve}, aGrant.key, wait, until,
-      [this, aGrant](std::optional<net::HttpResponse> aAnswer) {
-        this->OnReserveAnswer(aGrant, std::move(aAnswer));
-      });
+  const bool sent =
+      this->AskOwner({reserve}, aGrant.key, wait, until,
+                     [this, aGrant](std::optional<net::HttpResponse> aAnswer) {
+                       this->OnReserveAnswer(aGrant, std::move(aAnswer));
+                     });
   if (!sent) {
-    this->After(kOwnerRetryDelay,
-                [this, aGrant] { this->Reserve(aGrant); });
+    this->After(kOwnerRetryDelay, [this, aGrant] { this->Reserve(aGrant); });
   }
 }
 
@@ -400,10 +399,9 @@
   if (held == this->grants.end()) {
     return;
   }
-  const auto answer =
-      aAnswer && aAnswer->status == 200
-          ? wire::DecodeJournalAnswer(aAnswer->body)
-          : std::nullopt;
+  const auto answer = aAnswer && aAnswer->status == 200
+                          ? wire::DecodeJournalAnswer(aAnswer->body)
+                          : std::nullopt;
   const auto outcome =
       answer ? journal::DecodeOutcome(answer->outcome) : std::nullopt;
   const auto code = outcome ? static_cast<journal::ReplyCode>(answer->code)
@@ -425,8 +423,8 @@
   switch (outcome->result) {
     case journal::Result::Granted: {
       const TimePoint now = net::Now();
-      this->Step(routing::GrantReceived{aGrant.call, aGrant.nonce,
-                                        now + kGrantLife});
+      this->Step(
+          routing::GrantReceived{aGrant.call, aGrant.nonce, now + kGrantLife});
       return;
     }
     case journal::Result::Answered: {
@@ -464,15 +462,14 @@
     this->TellOwner({journal::Release{aGrant.key, {this->self, aGrant.nonce}}},
                     aGrant.key, net::Now() + kOwnerTellLimit);
   }
-  this->Step(
-      routing::GrantRefused{aGrant.call, aGrant.nonce, aRefusal});
+  this->Step(routing::GrantRefused{aGrant.call, aGrant.nonce, aRefusal});
 }
 
 bool CallService::AskOwner(const journal::Command& aCommand,
                            const journal::RequestKey& aKey, Duration aWait,
                            TimePoint aDeadline, PeerRpc::Callback aCallback) {
-  const auto owner = journal::OwnerOf(aKey.member, aKey.key,
-                                      this->configuration().keyOwners);
+  const auto owner =
+      journal::OwnerOf(aKey.member, aKey.key, this->configuration().keyOwners);
   if (!owner) {
     return false;
   }
@@ -511,13 +508,11 @@
   const bool sent = this->AskOwner(
       aCommand, aKey, Millis(0), now + kOwnerAnswerLimit,
       [this, again](std::optional<net::HttpResponse> aAnswer) {
-        const auto answer =
-            aAnswer && aAnswer->status == 200
-                ? wire::DecodeJournalAnswer(aAnswer->body)
-                : std::nullopt;
-        if (!answer ||
-            static_cast<journal::ReplyCode>(answer->code) ==
-                journal::ReplyCode::NotLeader) {
+        const auto answer = aAnswer && aAnswer->status == 200
+                                ? wire::DecodeJournalAnswer(aAnswer->body)
+                                : std::nullopt;
+        if (!answer || static_cast<journal::ReplyCode>(answer->code) ==
+                           journal::ReplyCode::NotLeader) {
           again();
         } else {
           --this->openTells;
--- a/src/bramleypath/daemon/CallService.h
+++ b/src/bramleypath/daemon/CallService.h
@@ -31,8 +31,8 @@
  public:
   // aSession differs between starts; it makes request ids and nonces unique.
   CallService(asio::io_context& aContext, HostId aSelf,
-              DataCentreId aDataCentre, std::uint64_t aSession,
-              Groups& aGroups, PeerRpc& aRpc, net::HttpClient& aClient,
+              DataCentreId aDataCentre, std::uint64_t aSession, Groups& aGroups,
+              PeerRpc& aRpc, net::HttpClient& aClient,
               metrics::Registry& aMetrics);
 
   // The configuration in force.
--- a/src/bramleypath/daemon/CellMachine.h
+++ b/src/bramleypath/daemon/CellMachine.h
@@ -32,8 +32,7 @@
 
   consensus::Bytes Apply(const group::CommittedCommand& aCommand) override;
   consensus::Bytes TakeSnapshot() override;
-  bool Restore(consensus::LogIndex aIndex,
-               gsl::span<const std::uint8_t> aState,
+  bool Restore(consensus::LogIndex aIndex, gsl::span<const std::uint8_t> aState,
                std::string& aReason) override;
 
   const cell::CellState& Cell() const { return this->cellState; }
--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -36,8 +36,7 @@
 net::HttpResponse JsonResponse(std::uint32_t aStatus, const json& aBody) {
   net::HttpResponse response;
   response.status = aStatus;
-  response.body =
-      aBody.dump(-1, ' ', false, json::error_handler_t::replace);
+  response.body = aBody.dump(-1, ' ', false, json::error_handler_t::replace);
   return response;
 }
 
@@ -119,8 +118,7 @@
   }
 }
 
-void CellService::OnConfiguration(
-    const config::Configuration& aConfiguration) {
+void CellService::OnConfiguration(const config::Configuration& aConfiguration) {
   std::vector<cell::MemberQuota> quotas;
   for (const auto& [name, member] : aConfiguration.members) {
     // A quota of nothing at all means that none was set.
@@ -128,11 +126,10 @@
     if (quota.processorsMilli == 0 && quota.memoryMb == 0) {
       continue;
     }
-    quotas.push_back(
-        {name,
-         {static_cast<std::int64_t>(quota.processorsMilli),
-          static_cast<std::int64_t>(quota.memoryMb),
-          static_cast<std::int64_t>(quota.accelerators)}});
+    quotas.push_back({name,
+                      {static_cast<std::int64_t>(quota.processorsMilli),
+                       static_cast<std::int64_t>(quota.memoryMb),
+                       static_cast<std::int64_t>(quota.accelerators)}});
   }
   this->StepScheduler(cell::QuotasChanged{std::move(quotas)});
   this->StepScheduler(cell::PlacementChanged());
@@ -284,8 +281,9 @@
   const auto leader = this->groups.LeaderOf(aGroup);
   if (!leader || *leader == this->self) {
     aRespond(OperatorError(503, "no_leader", "",
-                           "the group " + aGroup + " has no leader that can "
-                           "be reached"));
+                           "the group " + aGroup +
+                               " has no leader that can "
+                               "be reached"));
     return;
   }
   const bool sent = this->rpc.Send(
@@ -341,8 +339,8 @@
                                 const net::HttpRequest& aRequest,
                                 PeerRpc::Respond aRespond) {
   const auto question = wire::DecodeJournalQuestion(aRequest.body);
-  const auto command = question ? journal::DecodeCommand(question->command)
-                                : std::nullopt;
+  const auto command =
+      question ? journal::DecodeCommand(question->command) : std::nullopt;
   if (!command) {
     aRespond(net::ErrorResponse(400, "", "malformed question"));
     return;
@@ -444,8 +442,8 @@
   group::Replica* const replica = this->groups.Find(this->group);
   replica->Propose(
       this->machine.Encode(aCommand, 0), kProposeTimeout,
-      [aJob, respond = std::move(aRespond)](
-          const group::ProposeOutcome& aOutcome) {
+      [aJob,
+       respond = std::move(aRespond)](const group::ProposeOutcome& aOutcome) {
         constexpr std::size_t kFixedBytes = 2;
         if (!aOutcome.Ok() || aOutcome.result.size() < kFixedBytes) {
           const std::string text(group::ToText(aOutcome.error));
@@ -457,8 +455,7 @@
           return;
         }
         if (aOutcome.result[0] != 0) {
-          respond(
-              JsonResponse(200, {{"accepted", true}, {"job", aJob.value}}));
+          respond(JsonResponse(200, {{"accepted", true}, {"job", aJob.value}}));
           return;
         }
         const auto code = static_cast<cell::RefusalCode>(aOutcome.result[1]);
@@ -466,14 +463,14 @@
                                  aOutcome.result.end());
         const bool conflict = code == cell::RefusalCode::RequestIdReused ||
                               code == cell::RefusalCode::JobExists;
-        respond(JsonResponse(conflict ? 409 : 422,
-                             {{"accepted", false},
-                              {"job", aJob.value},
-                              {"code", wire::NameOf(code)},
-                              {"field", ""},
-                              {"detail", cell::Describe(code) +
-                                             (detail.empty() ? "" : ": ") +
-                                             detail}}));
+        respond(JsonResponse(
+            conflict ? 409 : 422,
+            {{"accepted", false},
+             {"job", aJob.value},
+             {"code", wire::NameOf(code)},
+             {"field", ""},
+             {"detail", std::string(cell::Describe(code)) +
+                            (detail.empty() ? "" : ": ") + detail}}));
       });
 }
 
@@ -485,8 +482,7 @@
     aRespond(OperatorError(400, "malformed", reason.field, reason.detail));
     return;
   }
-  this->ProposeForOperator(*submitted, submitted->spec.id,
-                           std::move(aRespond));
+  this->ProposeForOperator(*submitted, submitted->spec.id, std::move(aRespond));
 }
 
 void CellService::CancelJob(const net::HttpRequest& aRequest,
@@ -519,26 +515,25 @@
     }
     const auto explanation =
         cell::Explain(this->machine.Cell(), this->scheduler, id);
-    jobs.push_back({{"job", id.value},
-                    {"member", job.spec.member.value},
-                    {"class", job.spec.classId.value},
-                    {"data_centre", this->dataCentre.value},
-                    {"state", StateOf(job)},
-                    {"tasks", job.spec.taskCount},
-                    {"running", running},
-                    {"finished", finished},
-                    {"ended", job.endedTasks},
-                    {"evictions", job.evictionsUsed},
-                    {"reason", explanation && explanation->waiting > 0
-                                   ? explanation->text
-                                   : ""}});
+    jobs.push_back(
+        {{"job", id.value},
+         {"member", job.spec.member.value},
+         {"class", job.spec.classId.value},
+         {"data_centre", this->dataCentre.value},
+         {"state", StateOf(job)},
+         {"tasks", job.spec.taskCount},
+         {"running", running},
+         {"finished", finished},
+         {"ended", job.endedTasks},
+         {"evictions", job.evictionsUsed},
+         {"reason",
+          explanation && explanation->waiting > 0 ? explanation->text : ""}});
   }
   return JsonResponse(200, {{"jobs", std::move(jobs)}});
 }
 
 net::HttpResponse CellService::ExplainJob(const std::string& aJob) const {
-  const cell::Job* const job =
-      cell::FindJob(this->machine.Cell(), JobId(aJob));
+  const cell::Job* const job = cell::FindJob(this->machine.Cell(), JobId(aJob));
   if (!job) {
     return OperatorError(404, "not_found", "job", "no job " + aJob);
   }
--- a/src/bramleypath/daemon/ConfigService.cpp
+++ b/src/bramleypath/daemon/ConfigService.cpp
@@ -96,8 +96,7 @@
   return configured.empty() ? this->firstHosts : configured;
 }
 
-consensus::Bytes ConfigService::Apply(
-    const group::CommittedCommand& aCommand) {
+consensus::Bytes ConfigService::Apply(const group::CommittedCommand& aCommand) {
   const config::Bytes bytes(aCommand.payload.begin(), aCommand.payload.end());
   const auto command = config::DecodeCommand(bytes);
   if (!command) {
@@ -128,9 +127,8 @@
     return false;
   }
   this->replicated = std::move(*restored);
-  this->Handle(config::Step(this->distribution,
-                            config::LocallyRestored{aIndex, bytes},
-                            net::Now()));
+  this->Handle(config::Step(
+      this->distribution, config::LocallyRestored{aIndex, bytes}, net::Now()));
   return true;
 }
 
@@ -175,7 +173,8 @@
       frame.kind = kConfigKind;
       frame.payload = config::EncodeMessage(send->message);
       this->links.Send(std::move(frame), net::FramePriority::Normal);
-    } else if (const auto* const force = std::get_if<config::InForce>(&action)) {
+    } else if (const auto* const force =
+                   std::get_if<config::InForce>(&action)) {
       changed = true;
       LogEvent(LogLevel::Info, "config", "in_force",
                {{"version", std::to_string(force->version)},
@@ -183,12 +182,12 @@
                 {"preset", this->Current().presetInForce.value}});
     } else if (const auto* const ready =
                    std::get_if<config::BecameReady>(&action)) {
-      LogEvent(LogLevel::Info, "config", "ready",
-               {{"index", std::to_string(ready->index)},
-                {"because",
-                 ready->because == config::ReadyBecause::QuorumConfirmed
-                     ? "quorum_confirmed"
-                     : "highest_of_data_centre"}});
+      LogEvent(
+          LogLevel::Info, "config", "ready",
+          {{"index", std::to_string(ready->index)},
+           {"because", ready->because == config::ReadyBecause::QuorumConfirmed
+                           ? "quorum_confirmed"
+                           : "highest_of_data_centre"}});
     } else if (const auto* const fault =
                    std::get_if<config::DistributionFault>(&action)) {
       LogEvent(LogLevel::Warn, "config", "message_dropped",
@@ -214,8 +213,8 @@
   bool dryRun = false;
   if (body.is_object() && body.contains("dry_run")) {
     if (!body["dry_run"].is_boolean()) {
-      aRespond(OperatorError(400, "malformed", "dry_run",
-                             "must be true or false"));
+      aRespond(
+          OperatorError(400, "malformed", "dry_run", "must be true or false"));
       return;
     }
     dryRun = body["dry_run"].get<bool>();
@@ -263,9 +262,9 @@
 void ConfigService::Propose(const config::Command& aCommand,
                             TimePoint aDeadline, PeerRpc::Respond aRespond) {
   group::Replica* const replica = this->groups.Find(kConfigGroup);
-  const Duration timeout = std::min(
-      aDeadline - net::Now(), kProposeTimeout,
-      [](Duration aLeft, Duration aRight) { return aLeft < aRight; });
+  const Duration timeout =
+      std::min(aDeadline - net::Now(), kProposeTimeout,
+               [](Duration aLeft, Duration aRight) { return aLeft < aRight; });
   replica->Propose(
       config::EncodeCommand(aCommand), timeout,
       [respond = std::move(aRespond)](const group::ProposeOutcome& aOutcome) {
--- a/src/bramleypath/daemon/ConfigService.h
+++ b/src/bramleypath/daemon/ConfigService.h
@@ -29,8 +29,7 @@
 
   consensus::Bytes Apply(const group::CommittedCommand& aCommand) override;
   consensus::Bytes TakeSnapshot() override;
-  bool Restore(consensus::LogIndex aIndex,
-               gsl::span<const std::uint8_t> aState,
+  bool Restore(consensus::LogIndex aIndex, gsl::span<const std::uint8_t> aState,
                std::string& aReason) override;
 
   // A frame of the kind "config".
--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -212,10 +212,10 @@
     this->SetPeers();
     this->SetGroupHosts();
     if (this->settings.hasDisk &&
-        !this->groups.OpenFolder(this->settings.dataFolder,
-                                 this->bootstrap ? storage::Birth::Bootstrap
-                                                 : storage::Birth::Join,
-                                 aReason)) {
+        !this->groups.OpenFolder(
+            this->settings.dataFolder,
+            this->bootstrap ? storage::Birth::Bootstrap : storage::Birth::Join,
+            aReason)) {
       return false;
     }
     net::NetReason reason;
@@ -442,8 +442,7 @@
         request.closeAt + this->settings.timings.drainDeadline;
     LogEvent(LogLevel::Info, "daemon",
              this->stopping ? "stop_ends_early" : "stop_begins",
-             {{"by", aBy},
-              {"calls", std::to_string(this->calls.OpenCalls())}});
+             {{"by", aBy}, {"calls", std::to_string(this->calls.OpenCalls())}});
     if (!this->stopping) {
       this->stopping = true;
       this->members.AnnounceStop();
@@ -465,15 +464,16 @@
 
   // Waits for the last responses, then hands leaderships over and ends.
   void FinishStop(TimePoint aDeadline) {
-    const bool busy = this->callerListener.OpenRequests() > 0 ||
-                      this->calls.OpenTells() > 0;
+    const bool busy =
+        this->callerListener.OpenRequests() > 0 || this->calls.OpenTells() > 0;
     if (busy && net::Now() < aDeadline) {
       this->stopTimer.expires_after(kStopPoll);
-      this->stopTimer.async_wait([this, aDeadline](const asio::error_code& aError) {
-        if (!aError) {
-          this->FinishStop(aDeadline);
-        }
-      });
+      this->stopTimer.async_wait(
+          [this, aDeadline](const asio::error_code& aError) {
+            if (!aError) {
+              this->FinishStop(aDeadline);
+            }
+          });
       return;
     }
     this->callerListener.StopAccepting();
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -30,8 +30,8 @@
   bool changing = false;
 };
 
-Groups::Groups(asio::io_context& aContext, HostId aSelf,
-               net::PeerLinks& aLinks, std::uint64_t aSeed)
+Groups::Groups(asio::io_context& aContext, HostId aSelf, net::PeerLinks& aLinks,
+               std::uint64_t aSeed)
     : context(aContext),
       self(std::move(aSelf)),
       links(aLinks),
@@ -43,8 +43,8 @@
 bool Groups::OpenFolder(const std::string& aPath, storage::Birth aBirth,
                         std::string& aReason) {
   storage::StorageReason reason;
-  this->folder = storage::OpenDataFolder(*this->files, aPath, this->self,
-                                         aBirth, reason);
+  this->folder =
+      storage::OpenDataFolder(*this->files, aPath, this->self, aBirth, reason);
   if (!this->folder) {
     aReason = storage::ToText(reason);
     return false;
--- a/src/bramleypath/daemon/Groups.h
+++ b/src/bramleypath/daemon/Groups.h
@@ -60,8 +60,8 @@
   // Of the data folder; empty without one.
   std::string Identity() const;
 
-  // Starts the replica of a group. aFirstVoters are those of the settings, which
-  // are the first members on a bootstrapped host.
+  // Starts the replica of a group. aFirstVoters are those of the settings,
+  // which are the first members on a bootstrapped host.
   bool Start(const std::string& aGroup, group::StateMachine& aMachine,
              const std::vector<HostId>& aFirstVoters, GroupHooks aHooks,
              std::string& aReason);
@@ -78,8 +78,9 @@
   bool OnFrame(const net::PeerFrame& aFrame);
   void Tick(TimePoint aNow);
   // The hosts, and the voters that each group should have.
-  void SetHosts(const Hosts& aHosts, std::function<std::vector<HostId>(
-                                         const std::string&)> aVotersOf);
+  void SetHosts(
+      const Hosts& aHosts,
+      std::function<std::vector<HostId>(const std::string&)> aVotersOf);
 
   // This host while it leads; otherwise what its replica or the leader itself
   // said last.
--- a/src/bramleypath/daemon/Layout.cpp
+++ b/src/bramleypath/daemon/Layout.cpp
@@ -133,9 +133,8 @@
   if (AreSameHosts(aSettings, aHosts)) {
     return FirstVoters(aSettings, aGroup);
   }
-  return aGroup == kConfigGroup
-             ? ConfigVoters(aHosts)
-             : CellVoters(aHosts, DataCentreOfGroup(aGroup));
+  return aGroup == kConfigGroup ? ConfigVoters(aHosts)
+                                : CellVoters(aHosts, DataCentreOfGroup(aGroup));
 }
 
 std::vector<std::string> LayoutWarnings(const Hosts& aHosts) {
--- a/src/bramleypath/daemon/MemberService.cpp
+++ b/src/bramleypath/daemon/MemberService.cpp
@@ -66,8 +66,8 @@
   this->Step(membership::GossipReceived{std::move(*message)});
 }
 
-void MemberService::OnConfiguration(
-    const config::Configuration& aConfiguration, const Hosts& aHosts) {
+void MemberService::OnConfiguration(const config::Configuration& aConfiguration,
+                                    const Hosts& aHosts) {
   this->Step(membership::HostsConfigured{InfoOf(aHosts)});
   const std::set<TargetId> before = std::move(this->drained);
   this->drained = aConfiguration.drainedTargets;
@@ -91,8 +91,7 @@
 
 void MemberService::Handle(const membership::Actions& aActions) {
   for (const membership::Action& action : aActions) {
-    if (const auto* const send =
-            std::get_if<membership::SendGossip>(&action)) {
+    if (const auto* const send = std::get_if<membership::SendGossip>(&action)) {
       net::PeerFrame frame;
       frame.to = send->message.to;
       frame.kind = kGossipKind;
@@ -121,8 +120,7 @@
                    std::get_if<membership::TargetGone>(&action)) {
       LogEvent(LogLevel::Info, "membership", "target_gone",
                {{"target", gone->target.value}});
-      this->onRouterEvent(
-          routing::TargetGone{gone->target, gone->incarnation});
+      this->onRouterEvent(routing::TargetGone{gone->target, gone->incarnation});
     } else if (const auto* const hosts =
                    std::get_if<membership::LocalHostsChanged>(&action)) {
       this->onRouterEvent(routing::LocalHostsChanged{hosts->hosts});
--- a/src/bramleypath/daemon/MemberService.h
+++ b/src/bramleypath/daemon/MemberService.h
@@ -15,8 +15,8 @@
 
 constexpr const char* kGossipKind = "gossip";
 
-// The live targets and workers on this host: announcements and gossip in, events
-// for the router out.
+// The live targets and workers on this host: announcements and gossip in,
+// events for the router out.
 class MemberService {
  public:
   MemberService(HostId aSelf, DataCentreId aDataCentre, const Hosts& aHosts,
--- a/src/bramleypath/daemon/OperatorService.cpp
+++ b/src/bramleypath/daemon/OperatorService.cpp
@@ -23,8 +23,7 @@
 
 net::HttpResponse JsonResponse(const json& aBody) {
   net::HttpResponse response;
-  response.body =
-      aBody.dump(-1, ' ', false, json::error_handler_t::replace);
+  response.body = aBody.dump(-1, ' ', false, json::error_handler_t::replace);
   return response;
 }
 
@@ -39,9 +38,9 @@
 }
 
 json ToJson(const config::HostInForce& aRow) {
-  return {{"host", aRow.host.value},     {"data_centre", aRow.dataCentre.value},
-          {"known", aRow.known},         {"stale", aRow.stale},
-          {"ready", aRow.ready},         {"version", aRow.version},
+  return {{"host", aRow.host.value},    {"data_centre", aRow.dataCentre.value},
+          {"known", aRow.known},        {"stale", aRow.stale},
+          {"ready", aRow.ready},        {"version", aRow.version},
           {"preset", aRow.preset.value}};
 }
 
@@ -87,8 +86,8 @@
   } else if (path == "/v1/ops/log-level" && post) {
     aRespond(this->ChangeLogLevel(aRequest));
   } else if (path == "/v1/ops/stop" && post) {
-    aRespond(JsonResponse(
-        {{"accepted", true}, {"host", this->parts.self.value}}));
+    aRespond(
+        JsonResponse({{"accepted", true}, {"host", this->parts.self.value}}));
     this->onStop();
   } else if (StartsWith(path, "/v1/ops/jobs") ||
              StartsWith(path, "/v1/ops/explain/job/")) {
@@ -96,8 +95,8 @@
       this->parts.cell->HandleJobs(aRequest, false, deadline,
                                    std::move(aRespond));
     } else {
-      aRespond(OperatorError(503, "no_leader", "",
-                             "this data centre has no cell"));
+      aRespond(
+          OperatorError(503, "no_leader", "", "this data centre has no cell"));
     }
   } else {
     aRespond(OperatorError(404, "not_found", "", "no such endpoint"));
@@ -176,8 +175,9 @@
   metrics.SetCounter("target_ejections_total", calls.ejections);
   metrics.SetGauge("calls_open",
                    static_cast<double>(this->parts.calls.OpenCalls()));
-  metrics.SetGauge("config_version",
-                   static_cast<double>(this->parts.config.State().state.version));
+  metrics.SetGauge(
+      "config_version",
+      static_cast<double>(this->parts.config.State().state.version));
   metrics.SetGauge("ready", this->parts.config.IsReady() ? 1 : 0);
   bool full = false;
   for (const GroupStatus& group : this->parts.groups.Status()) {
@@ -200,8 +200,8 @@
 
 net::HttpResponse OperatorService::ExplainCall(
     const std::string& aRequestId) const {
-  const auto refusal = routing::ExplainCall(this->parts.calls.State(),
-                                            RequestId(aRequestId));
+  const auto refusal =
+      routing::ExplainCall(this->parts.calls.State(), RequestId(aRequestId));
   if (!refusal) {
     return OperatorError(404, "not_found", "request_id",
                          "no refusal of this call is remembered here");
@@ -230,16 +230,15 @@
                     {"target", target},
                     {"draining", body["draining"]}};
   body.erase("draining");
-  this->parts.config.HandleChange(body.dump(), false,
-                                  net::Now() + kOperatorLimit,
-                                  std::move(aRespond));
+  this->parts.config.HandleChange(
+      body.dump(), false, net::Now() + kOperatorLimit, std::move(aRespond));
 }
 
 net::HttpResponse OperatorService::ChangeLogLevel(
     const net::HttpRequest& aRequest) const {
   const json body = json::parse(aRequest.body, nullptr, false);
-  const bool valid = body.is_object() && body.contains("level") &&
-                     body["level"].is_string();
+  const bool valid =
+      body.is_object() && body.contains("level") && body["level"].is_string();
   if (!valid || !SetLogLevel(body["level"].get<std::string>())) {
     return OperatorError(400, "malformed", "level",
                          "must be debug, info, warn or error");
--- a/src/bramleypath/daemon/PeerRpc.cpp
+++ b/src/bramleypath/daemon/PeerRpc.cpp
@@ -69,20 +69,20 @@
   received.deadline = net::Now() + Millis(decoded->remainingMs);
   const std::uint64_t id = decoded->id;
   const HostId to = aFrame.from;
-  this->handler(std::move(received), [this, id, to](
-                                         const net::HttpResponse& aResponse) {
-    wire::PeerAnswer answer;
-    answer.id = id;
-    answer.status = aResponse.status;
-    answer.contentType = aResponse.contentType;
-    answer.headers = aResponse.headers;
-    answer.body.assign(aResponse.body.begin(), aResponse.body.end());
-    net::PeerFrame frame;
-    frame.to = to;
-    frame.kind = kAnswerKind;
-    frame.payload = wire::Encode(answer);
-    this->links.Send(std::move(frame), net::FramePriority::Normal);
-  });
+  this->handler(
+      std::move(received), [this, id, to](const net::HttpResponse& aResponse) {
+        wire::PeerAnswer answer;
+        answer.id = id;
+        answer.status = aResponse.status;
+        answer.contentType = aResponse.contentType;
+        answer.headers = aResponse.headers;
+        answer.body.assign(aResponse.body.begin(), aResponse.body.end());
+        net::PeerFrame frame;
+        frame.to = to;
+        frame.kind = kAnswerKind;
+        frame.payload = wire::Encode(answer);
+        this->links.Send(std::move(frame), net::FramePriority::Normal);
+      });
 }
 
 void PeerRpc::OnAnswer(const net::PeerFrame& aFrame) {
--- a/src/bramleypath/metrics/Registry.cpp
+++ b/src/bramleypath/metrics/Registry.cpp
@@ -6,7 +6,7 @@
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/max.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
@@ -19,11 +19,14 @@
 
 using LatencyAccumulator = acc::accumulator_set<
     double, acc::stats<acc::tag::count, acc::tag::sum, acc::tag::max,
-                       acc::tag::extended_p_square_quantile>>;
+                       acc::tag::extended_p_square>>;
 
-// The P-square estimate of a quantile needs neighbours to interpolate between.
-const std::array<double, 7> kProbabilities{0.25, 0.5,  0.75, 0.9,
+// The P-square estimates are better with neighbours on both sides.
+const std::array<double, 7> kProbabilities{0.25, 0.5,   0.75,  0.9,
                                            0.99, 0.999, 0.9999};
+constexpr std::size_t kP50 = 1;
+constexpr std::size_t kP99 = 4;
+constexpr std::size_t kP999 = 5;
 constexpr double kMicrosPerSecond = 1e6;
 
 // Member and class.
@@ -52,13 +55,10 @@
     summary.p999Seconds = summary.maxSeconds;
     return summary;
   }
-  const auto quantile = [&aSeries](double aProbability) {
-    return acc::quantile(aSeries.latency,
-                         acc::quantile_probability = aProbability);
-  };
-  summary.p50Seconds = quantile(0.5);
-  summary.p99Seconds = quantile(0.99);
-  summary.p999Seconds = quantile(0.999);
+  const auto estimates = acc::extended_p_square(aSeries.latency);
+  summary.p50Seconds = estimates[kP50];
+  summary.p99Seconds = estimates[kP99];
+  summary.p999Seconds = estimates[kP999];
   return summary;
 }
 
