--- a/src/bramleypath/daemon/ConfigService.cpp
+++ b/src/bramleypath/daemon/ConfigService.cpp
@@ -142,14 +142,22 @@
   config::MessageArrived arrived;
   arrived.from = aFrame.from;
   arrived.message = std::move(*message);
-  const group::Replica* const replica = this->groups.Find(kConfigGroup);
-  arrived.leaseHeld = replica && replica->HasLease() &&
-                      replica->AppliedIndex() >= replica->CommitIndex();
+  arrived.leaseHeld = this->HoldsConfirmedIndex();
   this->Handle(
       config::Step(this->distribution, std::move(arrived), net::Now()));
 }
 
+bool ConfigService::HoldsConfirmedIndex() const {
+  const group::Replica* const replica = this->groups.Find(kConfigGroup);
+  return replica && replica->HasLease() &&
+         replica->AppliedIndex() >= replica->CommitIndex();
+}
+
 void ConfigService::Tick(TimePoint aNow) {
+  // The leader confirms its own index; the others ask it.
+  if (!this->distribution.ready && this->HoldsConfirmedIndex()) {
+    this->distribution.confirmedIndex = this->distribution.appliedIndex;
+  }
   this->Handle(
       config::Step(this->distribution, config::DistributionTick(), aNow));
   const group::Replica* const replica = this->groups.Find(kConfigGroup);
--- a/src/bramleypath/daemon/ConfigService.h
+++ b/src/bramleypath/daemon/ConfigService.h
@@ -52,6 +52,8 @@
   Hosts CurrentHosts() const;
 
  private:
+  // This host leads with a lease and has applied all it committed.
+  bool HoldsConfirmedIndex() const;
   void Handle(const config::DistributionActions& aActions);
   void Propose(const config::Command& aCommand, TimePoint aDeadline,
                PeerRpc::Respond aRespond);
--- /dev/null
+++ b/tests/standins/caller.py
@@ -0,0 +1,68 @@
+"""A stand-in for callers: sends calls and records each request and answer."""
+
+import http.client
+import json
+import threading
+import time
+
+
+class Caller:
+    """Sends calls one after the other on a connection of its own per entry host.
+
+    The ledger has one entry per sending: the call's number, whether it was
+    idempotent, its key, and how it ended: completed, not_run, unknown, or
+    broken when the connection to the entry host was lost.
+    """
+
+    def __init__(self, ledger_path):
+        self.ledger = open(ledger_path, "a", encoding="utf-8")
+        self.lock = threading.Lock()
+        self.connections = threading.local()
+
+    def close(self):
+        self.ledger.close()
+
+    def connection(self, address, timeout_s):
+        pool = self.connections.__dict__.setdefault("pool", {})
+        if address not in pool:
+            host, port = address.rsplit(":", 1)
+            pool[address] = http.client.HTTPConnection(host, int(port),
+                                                       timeout=timeout_s)
+        pool[address].timeout = timeout_s
+        return pool[address]
+
+    def call(self, address, number, body, service="ledger", member="leith-assay",
+             call_class="check", idempotent=True, key=None, deadline_ms=5000):
+        headers = {"Bramleypath-Member": member, "Bramleypath-Class": call_class,
+                   "Bramleypath-Deadline-Ms": str(deadline_ms),
+                   "Bramleypath-Idempotent": "true" if idempotent else "false"}
+        if key:
+            headers["Bramleypath-Key"] = key
+        entry = {"number": number, "body": body, "idempotent": idempotent,
+                 "key": key, "entry": address, "member": member,
+                 "class": call_class, "sent": time.time()}
+        started = time.monotonic()
+        connection = self.connection(address, deadline_ms / 1000 + 15)
+        try:
+            connection.request("POST", f"/v1/call/{service}", body=body,
+                               headers=headers)
+            response = connection.getresponse()
+            answer = response.read().decode()
+            entry.update(status=response.status,
+                         outcome=response.getheader("Bramleypath-Outcome"),
+                         request=response.getheader("Bramleypath-Request-Id"),
+                         answer=answer[:300])
+            if response.getheader("Connection") == "close":
+                connection.close()
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            entry.update(status=0, outcome="broken", error=repr(error))
+        entry["seconds"] = time.monotonic() - started
+        with self.lock:
+            self.ledger.write(json.dumps(entry) + "\n")
+            self.ledger.flush()
+        return entry
+
+
+def expected_answer(body):
+    return "answer:" + body
