Connect the placement core to the cell's scheduler

The advisor learns from usage reports, chooses workers, sizes tasks and asks for relief. It is leader-only state: a new leader rebuilds compositions from the replicated reservations and learns the pairs again.

--- a/src/bramleypath/cell/Placement.h
+++ b/src/bramleypath/cell/Placement.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "bramleypath/base/TimePoint.h"
 #include "bramleypath/cell/CellState.h"
 #include "bramleypath/cell/Types.h"
 
@@ -31,6 +32,8 @@
   Resources demand;
   // Racks that run a task of the job, for rackSpread.
   std::vector<std::uint32_t> usedRacks;
+  // Since the job's oldest waiting task began to wait.
+  Duration waited;
   // Workers to avoid while another has room: the task failed there.
   gsl::span<const WorkerId> avoided;
 };
--- a/src/bramleypath/cell/internal/Placing.cpp
+++ b/src/bramleypath/cell/internal/Placing.cpp
@@ -100,6 +100,7 @@
   const SizeTaskFunction& sizeTask = aContext.scheduler.sizeTask;
   request.demand = sizeTask ? sizeTask(aJob.spec) : aJob.spec.perTask;
   request.avoided = aJob.tasks[aIndex].failedOn;
+  request.waited = aContext.now - aTrack.waitingSince;
   if (aJob.spec.rackSpread) {
     for (const auto& [rack, count] : aTrack.racks) {
       request.usedRacks.push_back(rack);
--- /dev/null
+++ b/src/bramleypath/cellplacement/Advisor.cpp
@@ -0,0 +1,429 @@
+#include "bramleypath/cellplacement/Advisor.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+#include <utility>
+
+namespace bramleypath::cellplacement {
+
+namespace {
+
+// What a stop costs beyond the work since the last checkpoint.
+constexpr double kRestartSeconds = 20;
+constexpr double kMicrosPerSecond = 1e6;
+constexpr double kMillisPerSecond = 1e3;
+
+placement::Demand ToDemand(const cell::Resources& aResources) {
+  return placement::Demand{aResources.processorsMilli, aResources.memoryMb,
+                           aResources.accelerators};
+}
+
+double SecondsBetween(TimePoint aFrom, TimePoint aTo) {
+  return static_cast<double>((aTo - aFrom).micros) / kMicrosPerSecond;
+}
+
+double CountsAs(const AttemptRecord& aAttempt,
+                const placement::TailSettings& aSettings) {
+  return aAttempt.throttled ? aSettings.throttleShare : 1;
+}
+
+// Load per service class, kept over changes of the other attempts.
+double KnownLoad(const WorkerRecord& aRecord, placement::ClassIndex aClass) {
+  for (const placement::ServiceView& service : aRecord.services) {
+    if (service.classIndex == aClass) {
+      return service.load;
+    }
+  }
+  return 0;
+}
+
+void RefreshViews(Advisor& aAdvisor, WorkerRecord& aRecord, TimePoint aNow) {
+  placement::Composition batch;
+  std::vector<placement::ServiceView> services;
+  for (const auto& [id, attempt] : aRecord.attempts) {
+    if (attempt.kind == cell::JobKind::Service) {
+      services.push_back(
+          {attempt.classIndex, KnownLoad(aRecord, attempt.classIndex)});
+    } else {
+      placement::AddToComposition(batch, attempt.classIndex,
+                                  CountsAs(attempt, aAdvisor.settings.tail));
+    }
+  }
+  aRecord.services = std::move(services);
+  aRecord.batch = batch;
+  placement::RecordComposition(aRecord.history, std::move(batch), aNow);
+}
+
+double RatioOf(std::int64_t aUsed, std::int64_t aDeclared) {
+  return aDeclared > 0
+             ? static_cast<double>(aUsed) / static_cast<double>(aDeclared)
+             : 1;
+}
+
+void LearnSizes(Advisor& aAdvisor, const AttemptRecord& aAttempt,
+                TimePoint aNow) {
+  const bool sampled = aAttempt.peakProcessorsMilli > 0;
+  if (aAttempt.kind == cell::JobKind::Service || !sampled) {
+    return;
+  }
+  placement::CorrectionFactors ratios;
+  ratios.processors =
+      RatioOf(aAttempt.peakProcessorsMilli, aAttempt.declared.processorsMilli);
+  ratios.memory = RatioOf(aAttempt.peakMemoryMb, aAttempt.declared.memoryMb);
+  if (aAttempt.declaredRunMs > 0) {
+    ratios.runTime = SecondsBetween(aAttempt.startedAt, aNow) *
+                     kMillisPerSecond /
+                     static_cast<double>(aAttempt.declaredRunMs);
+  }
+  placement::ObserveAttempt(aAdvisor.sizes, aAttempt.classIndex, ratios);
+}
+
+AttemptRecord RecordOf(Advisor& aAdvisor, const cell::CellState& aState,
+                       const cell::AttemptId& aId,
+                       const cell::Resources& aReserved, TimePoint aNow) {
+  AttemptRecord record;
+  record.declared = aReserved;
+  record.startedAt = aNow;
+  record.number = ++aAdvisor.lastNumber;
+  const cell::Job* const job = cell::FindJob(aState, aId.task.job);
+  if (job != nullptr) {
+    record.classIndex = IndexOf(aAdvisor.classes, job->spec.classId);
+    record.kind = job->spec.kind;
+    record.declared = job->spec.perTask;
+    record.declaredRunMs = job->spec.declaredRunMs;
+    record.evictions = job->evictionsUsed;
+  }
+  return record;
+}
+
+void NoteUse(WorkerRecord& aRecord, const UsageView& aSample) {
+  const auto found = aRecord.attempts.find(aSample.attempt);
+  if (found == aRecord.attempts.end()) {
+    return;
+  }
+  AttemptRecord& attempt = found->second;
+  attempt.peakProcessorsMilli =
+      std::max(attempt.peakProcessorsMilli, aSample.processorsMilli);
+  attempt.peakMemoryMb = std::max(attempt.peakMemoryMb, aSample.memoryMb);
+}
+
+std::vector<placement::AttemptView> BatchViews(const WorkerRecord& aRecord,
+                                               TimePoint aNow) {
+  std::vector<placement::AttemptView> views;
+  for (const auto& [id, attempt] : aRecord.attempts) {
+    if (attempt.kind == cell::JobKind::Service) {
+      continue;
+    }
+    placement::AttemptView view;
+    view.attempt = attempt.number;
+    view.classIndex = attempt.classIndex;
+    view.throttled = attempt.throttled;
+    // A checkpoint is taken before the stop, so the work since the start is
+    // lost only in part; a tenth stands for taking and loading it.
+    view.lostSeconds =
+        kRestartSeconds + SecondsBetween(attempt.startedAt, aNow) / 10;
+    view.evictions = attempt.evictions;
+    views.push_back(view);
+  }
+  return views;
+}
+
+std::optional<cell::ReliefRequested> ToRequest(WorkerRecord& aRecord,
+                                               const placement::Relief& aStep) {
+  for (auto& [id, attempt] : aRecord.attempts) {
+    if (attempt.number != aStep.attempt) {
+      continue;
+    }
+    switch (aStep.kind) {
+      case placement::ReliefKind::Throttle:
+        attempt.throttled = true;
+        return cell::ReliefRequested{id.task, cell::AttemptMark::Throttle};
+      case placement::ReliefKind::Unthrottle:
+        attempt.throttled = false;
+        return cell::ReliefRequested{id.task, cell::AttemptMark::Unthrottle};
+      case placement::ReliefKind::Evict:
+        return cell::ReliefRequested{id.task, cell::AttemptMark::Evict};
+      case placement::ReliefKind::StopAdmission:
+      case placement::ReliefKind::ResumeAdmission:
+        return std::nullopt;
+    }
+  }
+  return std::nullopt;
+}
+
+void SetLoad(WorkerRecord& aRecord, placement::ClassIndex aClass,
+             double aLoad) {
+  for (placement::ServiceView& service : aRecord.services) {
+    if (service.classIndex == aClass) {
+      service.load = aLoad;
+    }
+  }
+}
+
+// Learns from one service's tail and returns it as a report, once the class
+// has a baseline.
+std::optional<placement::TailReport> LearnTail(Advisor& aAdvisor,
+                                               WorkerRecord& aRecord,
+                                               const UsageView& aSample,
+                                               TimePoint aSampledAt) {
+  const auto found = aRecord.attempts.find(aSample.attempt);
+  if (found == aRecord.attempts.end() || aSample.p99Micros <= 0 ||
+      found->second.kind != cell::JobKind::Service) {
+    return std::nullopt;
+  }
+  const AttemptRecord& attempt = found->second;
+  const double load = std::clamp(
+      RatioOf(aSample.processorsMilli, attempt.declared.processorsMilli), 0.0,
+      1.0);
+  const placement::LoadBand band = placement::BandOf(load);
+  SetLoad(aRecord, attempt.classIndex, load);
+  AddReport(aAdvisor.baseline, attempt.classIndex, band, aSample.p99Micros);
+  const auto slowdown = SlowdownOf(aAdvisor.baseline, attempt.classIndex, band,
+                                   aSample.p99Micros);
+  if (!slowdown) {
+    return std::nullopt;
+  }
+  const auto neighbours = placement::CompositionAt(aRecord.history, aSampledAt,
+                                                   aAdvisor.settings.settle);
+  if (neighbours) {
+    placement::Observe(aAdvisor.table, attempt.classIndex, *neighbours, band,
+                       std::log(*slowdown));
+  }
+  placement::TailReport report;
+  report.service = attempt.classIndex;
+  report.load = load;
+  report.slowdown = *slowdown;
+  report.sampledAt = aSampledAt;
+  return report;
+}
+
+cell::WaitReason ToWaitReason(placement::NoChoice aReason) {
+  switch (aReason) {
+    case placement::NoChoice::NoSuchWorker:
+      return cell::WaitReason::NoWorkerCouldHold;
+    case placement::NoChoice::NoRoomNow:
+      return cell::WaitReason::NoRoomNow;
+    case placement::NoChoice::WouldHurtService:
+      return cell::WaitReason::WouldHurtService;
+    case placement::NoChoice::Excluded:
+      return cell::WaitReason::WorkersExcluded;
+  }
+  return cell::WaitReason::NoRoomNow;
+}
+
+void FillView(const Advisor& aAdvisor, const cell::WorkerRoom& aRoom,
+              gsl::span<const WorkerId> aAvoided,
+              placement::WorkerView& aView) {
+  aView.capacity = ToDemand(aRoom.capacity);
+  aView.room = ToDemand(aRoom.room);
+  aView.rack = aRoom.rack;
+  aView.excluded = aRoom.excluded || std::find(aAvoided.begin(), aAvoided.end(),
+                                               aRoom.worker) != aAvoided.end();
+  aView.admissionStopped = false;
+  aView.services.clear();
+  aView.batch.classes.clear();
+  const auto found = aAdvisor.workers.find(aRoom.worker);
+  if (found == aAdvisor.workers.end()) {
+    return;
+  }
+  aView.admissionStopped = found->second.response.admissionStopped;
+  aView.services.assign(found->second.services.begin(),
+                        found->second.services.end());
+  aView.batch.classes.assign(found->second.batch.classes.begin(),
+                             found->second.batch.classes.end());
+}
+
+std::optional<std::size_t> Choose(Advisor& aAdvisor,
+                                  gsl::span<const cell::WorkerRoom> aRooms,
+                                  const cell::PlacementRequest& aRequest,
+                                  gsl::span<const WorkerId> aAvoided,
+                                  cell::WaitReason& aReason) {
+  aAdvisor.views.resize(aRooms.size());
+  for (std::size_t index = 0; index < aRooms.size(); ++index) {
+    FillView(aAdvisor, aRooms[index], aAvoided, aAdvisor.views[index]);
+    aAdvisor.largestMemoryMb =
+        std::max(aAdvisor.largestMemoryMb, aRooms[index].capacity.memoryMb);
+  }
+  const cell::JobSpec& job = *aRequest.job;
+  placement::TaskRequest task;
+  task.demand = ToDemand(aRequest.demand);
+  task.classIndex = IndexOf(aAdvisor.classes, job.classId);
+  task.isService = job.kind == cell::JobKind::Service;
+  task.urgent = job.urgent;
+  task.spreadRacks = job.rackSpread;
+  task.usedRacks = aRequest.usedRacks;
+  task.waitedSeconds =
+      static_cast<double>(aRequest.waited.micros) / kMicrosPerSecond;
+  task.expectedSeconds =
+      static_cast<double>(job.declaredRunMs) / kMillisPerSecond *
+      placement::FactorsFor(aAdvisor.sizes, task.classIndex).runTime;
+  placement::NoChoice reason = placement::NoChoice::NoSuchWorker;
+  const auto choice = placement::ChooseWorker(aAdvisor.views, aAdvisor.table,
+                                              task, aAdvisor.weights, reason);
+  if (!choice) {
+    aReason = ToWaitReason(reason);
+    return std::nullopt;
+  }
+  return choice->worker;
+}
+
+std::vector<MemberId> MembersOf(const Advisor& aAdvisor,
+                                const cell::CellState& aState,
+                                placement::ClassIndex aClass) {
+  std::set<MemberId> members;
+  for (const auto& [worker, record] : aAdvisor.workers) {
+    for (const auto& [id, attempt] : record.attempts) {
+      if (attempt.classIndex != aClass) {
+        continue;
+      }
+      const cell::Job* const job = cell::FindJob(aState, id.task.job);
+      if (job != nullptr) {
+        members.insert(job->spec.member);
+      }
+    }
+  }
+  return {members.begin(), members.end()};
+}
+
+}  // namespace
+
+Advisor MakeAdvisor(const AdvisorSettings& aSettings) {
+  Advisor advisor;
+  advisor.settings = aSettings;
+  advisor.classes.bound = aSettings.maxClasses;
+  placement::InterferenceSettings interference;
+  interference.maxClasses = aSettings.maxClasses;
+  advisor.table =
+      placement::MakeInterference(aSettings.maxClasses, interference);
+  advisor.sizes =
+      placement::MakeSizeCorrection(aSettings.maxClasses, aSettings.sizes);
+  return advisor;
+}
+
+void Rebuild(Advisor& aAdvisor, const cell::CellState& aState, TimePoint aNow) {
+  aAdvisor.workers.clear();
+  for (const auto& [id, worker] : aState.workers) {
+    OnWorkerChanged(aAdvisor, aState, id, aNow);
+  }
+}
+
+void OnWorkerChanged(Advisor& aAdvisor, const cell::CellState& aState,
+                     const WorkerId& aWorker, TimePoint aNow) {
+  const cell::Worker* const worker = cell::FindWorker(aState, aWorker);
+  if (worker == nullptr) {
+    aAdvisor.workers.erase(aWorker);
+    return;
+  }
+  WorkerRecord& record = aAdvisor.workers[aWorker];
+  for (auto entry = record.attempts.begin(); entry != record.attempts.end();) {
+    if (worker->reservations.count(entry->first) != 0) {
+      ++entry;
+      continue;
+    }
+    LearnSizes(aAdvisor, entry->second, aNow);
+    entry = record.attempts.erase(entry);
+  }
+  for (const auto& [id, reserved] : worker->reservations) {
+    if (record.attempts.count(id) == 0) {
+      record.attempts.emplace(id,
+                              RecordOf(aAdvisor, aState, id, reserved, aNow));
+    }
+  }
+  RefreshViews(aAdvisor, record, aNow);
+}
+
+std::vector<cell::ReliefRequested> OnUsage(Advisor& aAdvisor,
+                                           const WorkerId& aWorker,
+                                           gsl::span<const UsageView> aSamples,
+                                           TimePoint aSampledAt,
+                                           TimePoint aNow) {
+  std::vector<cell::ReliefRequested> requests;
+  const auto found = aAdvisor.workers.find(aWorker);
+  if (found == aAdvisor.workers.end()) {
+    return requests;
+  }
+  WorkerRecord& record = found->second;
+  std::optional<placement::TailReport> worst;
+  for (const UsageView& sample : aSamples) {
+    NoteUse(record, sample);
+    const auto report = LearnTail(aAdvisor, record, sample, aSampledAt);
+    if (report && (!worst || report->slowdown > worst->slowdown)) {
+      worst = report;
+    }
+  }
+  if (!worst) {
+    return requests;
+  }
+  const auto steps = placement::RespondToTail(
+      record.response, aAdvisor.settings.tail, aAdvisor.table, *worst,
+      BatchViews(record, aNow), aNow);
+  for (const placement::Relief& step : steps) {
+    auto request = ToRequest(record, step);
+    if (request) {
+      requests.push_back(std::move(*request));
+    }
+  }
+  if (!requests.empty()) {
+    RefreshViews(aAdvisor, record, aNow);
+  }
+  return requests;
+}
+
+cell::ChooseWorkerFunction MakeChooser(Advisor& aAdvisor) {
+  return [&aAdvisor](gsl::span<const cell::WorkerRoom> aRooms,
+                     const cell::PlacementRequest& aRequest,
+                     cell::WaitReason& aReason) {
+    const auto choice =
+        Choose(aAdvisor, aRooms, aRequest, aRequest.avoided, aReason);
+    if (choice || aRequest.avoided.empty()) {
+      return choice;
+    }
+    // A worker where the task failed is better than none at all.
+    return Choose(aAdvisor, aRooms, aRequest, {}, aReason);
+  };
+}
+
+cell::SizeTaskFunction MakeSizer(Advisor& aAdvisor) {
+  return [&aAdvisor](const cell::JobSpec& aJob) {
+    const placement::CorrectionFactors factors = placement::FactorsFor(
+        aAdvisor.sizes, IndexOf(aAdvisor.classes, aJob.classId));
+    const auto scale = [](std::int64_t aAmount, double aFactor) {
+      return static_cast<std::int64_t>(
+          std::ceil(static_cast<double>(aAmount) * aFactor));
+    };
+    cell::Resources sized = aJob.perTask;
+    sized.processorsMilli = scale(sized.processorsMilli, factors.processors);
+    // A correction must not make a task too large for every worker.
+    const std::int64_t limit =
+        std::max(aJob.perTask.memoryMb, aAdvisor.largestMemoryMb / 2);
+    sized.memoryMb = std::min(limit, scale(sized.memoryMb, factors.memory));
+    return sized;
+  };
+}
+
+std::vector<PairDescription> DescribeWorstPairs(const Advisor& aAdvisor,
+                                                const cell::CellState& aState,
+                                                std::size_t aCount) {
+  std::vector<PairDescription> pairs;
+  for (const placement::PairReport& report :
+       placement::WorstPairs(aAdvisor.table, aCount)) {
+    const auto victim = NameOf(aAdvisor.classes, report.victim);
+    const auto aggressor = NameOf(aAdvisor.classes, report.aggressor);
+    if (!victim || !aggressor) {
+      continue;
+    }
+    PairDescription pair;
+    pair.victim = *victim;
+    pair.aggressor = *aggressor;
+    pair.band = report.band;
+    pair.slowdown = std::exp(report.estimate.mean);
+    pair.deviation = std::sqrt(report.estimate.variance);
+    pair.samples = report.estimate.samples;
+    pair.members = MembersOf(aAdvisor, aState, report.aggressor);
+    pairs.push_back(std::move(pair));
+  }
+  return pairs;
+}
+
+}  // namespace bramleypath::cellplacement
--- /dev/null
+++ b/src/bramleypath/cellplacement/Advisor.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <cstdint>
+#include <gsl/span>
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "bramleypath/base/TimePoint.h"
+#include "bramleypath/cell/Placement.h"
+#include "bramleypath/cell/Scheduler.h"
+#include "bramleypath/cellplacement/ClassTable.h"
+#include "bramleypath/cellplacement/TailBaseline.h"
+#include "bramleypath/placement/ChooseWorker.h"
+#include "bramleypath/placement/PlacementHistory.h"
+#include "bramleypath/placement/SizeCorrection.h"
+#include "bramleypath/placement/TailResponse.h"
+
+namespace bramleypath::cellplacement {
+
+struct AdvisorSettings {
+  // Classes with estimates of their own; 128 classes take 1.2 MB.
+  std::size_t maxClasses = 128;
+  // A sample this soon after a change of the worker's work mixes two states.
+  Duration settle = Seconds(10);
+  placement::TailSettings tail;
+  placement::SizeCorrectionSettings sizes;
+};
+
+// One reported sample of an attempt.
+struct UsageView {
+  cell::AttemptId attempt;
+  std::int64_t processorsMilli = 0;
+  std::int64_t memoryMb = 0;
+  double p99Micros = 0;  // 0: no answers in the sampled time
+};
+
+// What the advisor keeps of one live attempt.
+struct AttemptRecord {
+  placement::ClassIndex classIndex = 0;
+  cell::JobKind kind = cell::JobKind::Batch;
+  bool throttled = false;
+  std::uint64_t number = 0;  // for the tail response
+  std::uint32_t evictions = 0;
+  cell::Resources declared;
+  std::int64_t declaredRunMs = 0;
+  TimePoint startedAt;
+  std::int64_t peakProcessorsMilli = 0;
+  std::int64_t peakMemoryMb = 0;
+};
+
+struct WorkerRecord {
+  std::map<cell::AttemptId, AttemptRecord> attempts;
+  placement::Composition batch;
+  std::vector<placement::ServiceView> services;
+  placement::PlacementHistory history;
+  placement::TailResponse response;
+};
+
+// The cell leader's knowledge of interference: learns from reports, chooses
+// workers and asks for relief. Not replicated; a new leader starts from the
+// cell's state and learns again.
+struct Advisor {
+  AdvisorSettings settings;
+  placement::Weights weights;
+  ClassTable classes;
+  placement::Interference table;
+  placement::SizeCorrection sizes;
+  TailBaseline baseline;
+  std::unordered_map<WorkerId, WorkerRecord> workers;
+  std::uint64_t lastNumber = 0;
+  // Of the largest worker seen; corrected sizes stay within a part of it.
+  std::int64_t largestMemoryMb = 0;
+  // Reused between choices, so that a choice allocates nothing per worker.
+  std::vector<placement::WorkerView> views;
+};
+
+Advisor MakeAdvisor(const AdvisorSettings& aSettings);
+
+// Replaces what is known of all workers by the state, when leadership is
+// gained.
+void Rebuild(Advisor& aAdvisor, const cell::CellState& aState, TimePoint aNow);
+
+// Takes over the attempts that the state holds for one worker, after a start or
+// an end. An attempt that is gone counts for the size correction.
+void OnWorkerChanged(Advisor& aAdvisor, const cell::CellState& aState,
+                     const WorkerId& aWorker, TimePoint aNow);
+
+// Learns from one report, and says what should be done about the tails in it.
+std::vector<cell::ReliefRequested> OnUsage(Advisor& aAdvisor,
+                                           const WorkerId& aWorker,
+                                           gsl::span<const UsageView> aSamples,
+                                           TimePoint aSampledAt,
+                                           TimePoint aNow);
+
+// For Scheduler::choose. The advisor must outlive the function.
+cell::ChooseWorkerFunction MakeChooser(Advisor& aAdvisor);
+
+// For Scheduler::sizeTask.
+cell::SizeTaskFunction MakeSizer(Advisor& aAdvisor);
+
+// One pair for an operator or a member.
+struct PairDescription {
+  ClassId victim;
+  ClassId aggressor;
+  placement::LoadBand band = placement::LoadBand::Low;
+  // Factor by which one attempt of the aggressor slows the victim.
+  double slowdown = 1;
+  // One standard deviation of its logarithm.
+  double deviation = 0;
+  std::uint32_t samples = 0;
+  // Members with running work of the aggressor's class at present.
+  std::vector<MemberId> members;
+};
+
+std::vector<PairDescription> DescribeWorstPairs(const Advisor& aAdvisor,
+                                                const cell::CellState& aState,
+                                                std::size_t aCount);
+
+}  // namespace bramleypath::cellplacement
--- /dev/null
+++ b/tests/cellplacement/AdvisorTest.cpp
@@ -0,0 +1,187 @@
+#include "bramleypath/cellplacement/Advisor.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+#include <vector>
+
+namespace bramleypath::cellplacement {
+
+namespace {
+
+constexpr double kQuietTailMicros = 10000;
+
+// A cell with two workers, each with a task of one service.
+struct Scene {
+  cell::CellState state;
+  Advisor advisor = MakeAdvisor(AdvisorSettings{});
+  TimePoint now{1000000000};
+  int jobs = 0;
+
+  Scene() {
+    for (const char* worker : {"w1", "w2"}) {
+      cell::RegisterWorker command;
+      command.worker = WorkerId(worker);
+      command.incarnation = 1;
+      command.capacity = cell::Resources{32000, 125000, 0};
+      command.rack = RackId("r1");
+      this->Do(command);
+      this->Start("planning", cell::JobKind::Service, worker);
+    }
+  }
+
+  void Do(const cell::Command& aCommand) {
+    const cell::Outcome outcome = cell::Apply(this->state, aCommand);
+    CPPUNIT_ASSERT_MESSAGE(outcome.detail, outcome.accepted);
+  }
+
+  cell::AttemptId Start(const char* aClass, cell::JobKind aKind,
+                        const char* aWorker) {
+    cell::SubmitJob submit;
+    submit.spec.id = JobId("job-" + std::to_string(++this->jobs));
+    submit.request = RequestId(submit.spec.id.value);
+    submit.spec.member = MemberId("harit-angan");
+    submit.spec.classId = ClassId(aClass);
+    submit.spec.kind = aKind;
+    submit.spec.checkpointable = true;
+    submit.spec.evictionBudget = 2;
+    submit.spec.perTask = cell::Resources{4000, 8000, 0};
+    submit.spec.declaredRunMs = 60000;
+    this->Do(submit);
+    cell::StartAttempt start;
+    start.attempt = cell::AttemptId{TaskId{submit.spec.id, 0}, 1};
+    start.worker = WorkerId(aWorker);
+    start.incarnation = 1;
+    start.resources = submit.spec.perTask;
+    this->Do(start);
+    OnWorkerChanged(this->advisor, this->state, start.worker, this->now);
+    return start.attempt;
+  }
+
+  std::vector<cell::ReliefRequested> Report(const char* aWorker,
+                                            const cell::AttemptId& aService,
+                                            double aTail) {
+    this->now = this->now + Seconds(60);
+    const std::vector<UsageView> samples{{aService, 1000, 4000, aTail}};
+    return OnUsage(this->advisor, WorkerId(aWorker), samples,
+                   this->now - Seconds(20), this->now);
+  }
+
+  // Reports of both workers' undisturbed services.
+  void LearnBaseline() {
+    for (std::size_t i = 0; i < kLeastBaselineReports; ++i) {
+      this->Report("w1", this->ServiceOn(1), kQuietTailMicros);
+      this->Report("w2", this->ServiceOn(2), kQuietTailMicros);
+    }
+  }
+
+  cell::AttemptId ServiceOn(int aWorker) const {
+    return cell::AttemptId{TaskId{JobId("job-" + std::to_string(aWorker)), 0},
+                           1};
+  }
+};
+
+}  // namespace
+
+class AdvisorTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(AdvisorTest);
+  CPPUNIT_TEST(testLearnsThePairAndAvoidsIt);
+  CPPUNIT_TEST(testAsksForReliefInOrder);
+  CPPUNIT_TEST(testCorrectedMemoryStillFitsAWorker);
+  CPPUNIT_TEST(testForgetsARemovedWorker);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against reports that change nothing about where work is placed.
+  void testLearnsThePairAndAvoidsIt() {
+    Scene scene;
+    scene.LearnBaseline();
+    const auto noisy = scene.Start("report", cell::JobKind::Batch, "w1");
+    CPPUNIT_ASSERT(noisy.number == 1);
+    for (int i = 0; i < 10; ++i) {
+      scene.Report("w1", scene.ServiceOn(1), kQuietTailMicros * 1.4);
+    }
+    const auto pairs = DescribeWorstPairs(scene.advisor, scene.state, 1);
+    CPPUNIT_ASSERT(pairs.size() == 1);
+    CPPUNIT_ASSERT(pairs[0].victim == ClassId("planning"));
+    CPPUNIT_ASSERT(pairs[0].aggressor == ClassId("report"));
+    CPPUNIT_ASSERT(pairs[0].slowdown > 1.2);
+    CPPUNIT_ASSERT(pairs[0].members ==
+                   std::vector<MemberId>{MemberId("harit-angan")});
+
+    std::vector<cell::WorkerRoom> rooms(2);
+    rooms[0].worker = WorkerId("w1");
+    rooms[1].worker = WorkerId("w2");
+    for (cell::WorkerRoom& room : rooms) {
+      room.capacity = cell::Resources{32000, 125000, 0};
+      room.room = cell::Resources{20000, 80000, 0};
+      room.excluded = false;
+    }
+    rooms[0].room.processorsMilli = 8000;
+    cell::JobSpec spec;
+    spec.classId = ClassId("report");
+    spec.perTask = cell::Resources{4000, 8000, 0};
+    cell::PlacementRequest request;
+    request.job = &spec;
+    request.demand = spec.perTask;
+    cell::WaitReason reason = cell::WaitReason::None;
+    const auto chosen = MakeChooser(scene.advisor)(rooms, request, reason);
+    CPPUNIT_ASSERT_MESSAGE("the worker without a noisy task, though emptier",
+                           chosen && *chosen == 1);
+  }
+
+  void testAsksForReliefInOrder() {
+    Scene scene;
+    scene.LearnBaseline();
+    scene.Start("report", cell::JobKind::Batch, "w1");
+    std::vector<cell::AttemptMark> marks;
+    for (int i = 0; i < 6; ++i) {
+      for (const auto& request :
+           scene.Report("w1", scene.ServiceOn(1), kQuietTailMicros * 2.5)) {
+        marks.push_back(request.mark);
+      }
+    }
+    CPPUNIT_ASSERT(marks.size() >= 2);
+    CPPUNIT_ASSERT(marks[0] == cell::AttemptMark::Throttle);
+    CPPUNIT_ASSERT(marks[1] == cell::AttemptMark::Evict);
+  }
+
+  // Guards against a correction that makes a declared job impossible to place.
+  void testCorrectedMemoryStillFitsAWorker() {
+    Scene scene;
+    scene.advisor.largestMemoryMb = 125000;
+    for (int i = 0; i < 50; ++i) {
+      placement::CorrectionFactors ratios;
+      ratios.memory = 10;
+      placement::ObserveAttempt(scene.advisor.sizes,
+                                IndexOf(scene.advisor.classes, ClassId("big")),
+                                ratios);
+    }
+    struct Row {
+      std::int64_t declared;
+      std::int64_t expected;
+    };
+    const Row rows[] = {{2000, 20000}, {20000, 62500}, {100000, 100000}};
+    for (const Row& row : rows) {
+      cell::JobSpec spec;
+      spec.classId = ClassId("big");
+      spec.perTask.memoryMb = row.declared;
+      CPPUNIT_ASSERT_EQUAL(row.expected,
+                           MakeSizer(scene.advisor)(spec).memoryMb);
+    }
+  }
+
+  void testForgetsARemovedWorker() {
+    Scene scene;
+    CPPUNIT_ASSERT(scene.advisor.workers.size() == 2);
+    scene.state.workers.erase(WorkerId("w2"));
+    OnWorkerChanged(scene.advisor, scene.state, WorkerId("w2"), scene.now);
+    CPPUNIT_ASSERT(scene.advisor.workers.size() == 1);
+    CPPUNIT_ASSERT(
+        scene.Report("w2", scene.ServiceOn(2), kQuietTailMicros).empty());
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(AdvisorTest);
+
+}  // namespace bramleypath::cellplacement
