--- a/src/bramleypath/cell/internal/Leases.cpp
+++ b/src/bramleypath/cell/internal/Leases.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1000;
+// Acknowledgements kept for the next batch; without the leader lease none is
+// sent. The worker confirms the others again.
+constexpr std::size_t kMaxAcknowledgements = 4096;
 
 // When the leases granted last have certainly passed on the worker's clock.
 TimePoint LeaseEnd(const SchedulerSettings& aSettings,
@@ -110,7 +113,9 @@
   const Attempt* live = FindLiveAttempt(aContext.state, aConfirmation.attempt);
   if (live == nullptr) {
     // Ended already: a repeated or late confirmation has no other effect.
-    worker.acknowledgements.push_back(aConfirmation.attempt);
+    if (worker.acknowledgements.size() < kMaxAcknowledgements) {
+      worker.acknowledgements.push_back(aConfirmation.attempt);
+    }
     return;
   }
   const auto track = worker.attempts.find(aConfirmation.attempt.task);
@@ -195,8 +200,12 @@
   }
   WorkerTrack& worker = aContext.scheduler.workers[aSlot];
   EndOlderAttempts(aContext, aSlot);
-  for (const AttemptStatus& status : aMessage.statuses) {
-    OnStatus(aContext, aSlot, status);
+  // The statuses of a message that was overtaken may be out of date; commands
+  // are repeated until a newer one shows their effect.
+  if (aMessage.stamp >= worker.stamp) {
+    for (const AttemptStatus& status : aMessage.statuses) {
+      OnStatus(aContext, aSlot, status);
+    }
   }
   for (const Confirmation& confirmation : aMessage.confirmations) {
     OnConfirmation(aContext, aSlot, confirmation);
--- a/src/bramleypath/workeragent/WorkerAgent.cpp
+++ b/src/bramleypath/workeragent/WorkerAgent.cpp
@@ -37,6 +37,12 @@
   return digest;
 }
 
+RunningState StateOf(const RunningAttempt& aAttempt) {
+  return aAttempt.sharePercent < cell::kFullSharePercent
+             ? RunningState::Throttled
+             : RunningState::Running;
+}
+
 // State and lease deadline of the batch being carried out.
 struct BatchContext {
   WorkerAgent& agent;
@@ -54,7 +60,7 @@
   const auto running = agent.running.find(aCommand.attempt);
   if (running != agent.running.end()) {
     Extend(running->second, aContext.leaseUntil);
-    AddStatus(agent, aCommand.attempt, RunningState::Running, "");
+    AddStatus(agent, aCommand.attempt, StateOf(running->second), "");
     return;
   }
   // An attempt that ended here is not run again: its confirmation is repeated
@@ -77,9 +83,7 @@
     aAttempt.sharePercent = aCommand.sharePercent;
     aContext.effects.push_back(Effect{EffectKind::Throttle, aCommand});
   }
-  const bool throttled = aCommand.sharePercent < cell::kFullSharePercent;
-  AddStatus(aContext.agent, aCommand.attempt,
-            throttled ? RunningState::Throttled : RunningState::Running, "");
+  AddStatus(aContext.agent, aCommand.attempt, StateOf(aAttempt), "");
 }
 
 void Checkpoint(const BatchContext& aContext, const WorkerCommand& aCommand,
--- a/tests/cell/SchedulerTest.cpp
+++ b/tests/cell/SchedulerTest.cpp
@@ -142,12 +142,17 @@
     Fixture fixture;
     fixture.Lead(kStart);
     fixture.Announce("w", kStart);
+    fixture.Submit(Spec("running", 1000), kStart);
+    fixture.sent.clear();
     const Command submit = SubmitJob{RequestId("r"), Spec("j", 1000)};
     const Outcome outcome = Apply(fixture.state, submit);
     fixture.Handle(CommandCommitted{0, submit, outcome}, kStart, false);
-    fixture.Handle(Tick{}, kStart + Seconds(20), false);
-    CPPUNIT_ASSERT(fixture.proposed.empty());
+    // Past the lease of the running attempt: its end is due but not proposed.
+    const TimePoint late = kStart + Seconds(20);
+    fixture.Handle(Tick{}, late, false);
+    fixture.Handle(WorkerReported{fixture.Message("w", late)}, late, false);
     CPPUNIT_ASSERT(fixture.sent.empty());
+    CPPUNIT_ASSERT(fixture.state.jobs.at(JobId("running")).tasks[0].live);
     CPPUNIT_ASSERT(fixture.state.jobs.at(JobId("j")).tasks[0].attempts == 0);
   }
 
