Let a job's other tasks go before one that failed

The last task was always tried first, so one that had to avoid workers kept the others of its job waiting. The waiting time also starts again with each placement, so a large job that makes progress gets no worker kept free.

--- a/src/bramleypath/cell/Placement.h
+++ b/src/bramleypath/cell/Placement.h
@@ -32,7 +32,7 @@
   Resources demand;
   // Racks that run a task of the job, for rackSpread.
   std::vector<std::uint32_t> usedRacks;
-  // Since the job's oldest waiting task began to wait.
+  // Since a task of the job was placed, or its first one began to wait.
   Duration waited;
   // Workers to avoid while another has room: the task failed there.
   gsl::span<const WorkerId> avoided;
--- a/src/bramleypath/cell/Scheduler.h
+++ b/src/bramleypath/cell/Scheduler.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <limits>
 #include <map>
 #include <optional>
@@ -202,8 +203,9 @@
 struct JobTrack {
   bool urgent = false;
   std::uint64_t sequence = 0;
-  // Indexes of tasks that wait, last first.
-  std::vector<std::uint32_t> pending;
+  // Indexes of tasks that wait; the last one is tried first.
+  std::deque<std::uint32_t> pending;
+  // Since a task was placed, or since the first one began to wait.
   TimePoint waitingSince;
   WaitReason reason = WaitReason::NotScheduledYet;
   FailureRecord failures;
--- a/src/bramleypath/cell/internal/Placing.cpp
+++ b/src/bramleypath/cell/internal/Placing.cpp
@@ -166,6 +166,7 @@
   use = use + aRequest.demand;
   UpdateRoom(aContext, aSlot);
   aTrack.pending.pop_back();
+  aTrack.waitingSince = aContext.now;
   aTrack.reason = WaitReason::CommitInFlight;
   if (scheduler.heldSlot && scheduler.heldFor == aJob.spec.id) {
     scheduler.heldSlot.reset();
--- a/src/bramleypath/cell/internal/Tracking.cpp
+++ b/src/bramleypath/cell/internal/Tracking.cpp
@@ -18,7 +18,10 @@
   return aTrack.urgent ? aScheduler.urgentQueue : aScheduler.normalQueue;
 }
 
-void Enqueue(const Context& aContext, const JobId& aJob, std::uint32_t aIndex) {
+enum class Place : std::uint8_t { First, Last };
+
+void Enqueue(const Context& aContext, const JobId& aJob, std::uint32_t aIndex,
+             Place aPlace = Place::First) {
   const auto found = aContext.scheduler.jobs.find(aJob);
   if (found == aContext.scheduler.jobs.end()) {
     return;
@@ -28,7 +31,11 @@
     track.waitingSince = aContext.now;
     track.reason = WaitReason::NotScheduledYet;
   }
-  track.pending.push_back(aIndex);
+  if (aPlace == Place::First) {
+    track.pending.push_back(aIndex);
+  } else {
+    track.pending.push_front(aIndex);
+  }
   QueueOf(aContext.scheduler, track).emplace(track.sequence, aJob);
   aContext.scheduler.placementDue = true;
 }
@@ -427,7 +434,10 @@
   if (job == nullptr || HasEnded(*job)) {
     RemoveJob(aContext, id.job);
   } else if (job->tasks[id.index].state == TaskState::Pending) {
-    Enqueue(aContext, id.job, id.index);
+    // Behind the others: it may have to wait for workers where it has not
+    // failed.
+    const bool failed = aCommand.kind == EndKind::Failed;
+    Enqueue(aContext, id.job, id.index, failed ? Place::Last : Place::First);
   }
 }
 
