--- a/src/bramleypath/cell/CellState.h
+++ b/src/bramleypath/cell/CellState.h
@@ -26,9 +26,11 @@
 constexpr std::size_t kMaxTextBytes = 256;
 
 // A batch task ends as failed after failures on this many distinct workers, or
-// after this many failures in all.
+// after this many failures in all. The latter counts where few workers are
+// live; with back-off it takes a quarter of an hour, so that a good task
+// outlives a time in which the only live worker is a bad one.
 constexpr std::size_t kMaxFailedWorkers = 3;
-constexpr std::uint32_t kMaxFailures = 12;
+constexpr std::uint32_t kMaxFailures = 20;
 
 // States of the chart task_attempt.json, in its order.
 enum class AttemptState : std::uint8_t {
--- a/src/bramleypath/cell/internal/Tracking.cpp
+++ b/src/bramleypath/cell/internal/Tracking.cpp
@@ -40,10 +40,35 @@
   aContext.scheduler.placementDue = true;
 }
 
+TimePoint BackOffEnd(const Context& aContext, std::uint32_t aCount) {
+  const SchedulerSettings& settings = aContext.scheduler.settings;
+  const std::uint32_t doublings =
+      std::min(aCount == 0 ? 0 : aCount - 1, kMaxDoublings);
+  const std::int64_t length = std::min(settings.backOffMin.micros << doublings,
+                                       settings.backOffMax.micros);
+  return aContext.now + Micros(length);
+}
+
+// The failures of tasks are replicated, so that a change of the leader does not
+// end a back-off.
+void RestoreBackOff(const Context& aContext, const Job& aJob,
+                    JobTrack& aTrack) {
+  std::uint32_t failures = 0;
+  for (const Task& task : aJob.tasks) {
+    if (task.state == TaskState::Pending) {
+      failures = std::max(failures, task.failures);
+    }
+  }
+  if (failures >= kFailuresBeforeBackOff) {
+    aTrack.failures.backOffUntil = BackOffEnd(aContext, failures);
+  }
+}
+
 void AddJob(const Context& aContext, const Job& aJob) {
   JobTrack& track = aContext.scheduler.jobs[aJob.spec.id];
   track.urgent = aJob.spec.urgent;
   track.sequence = aJob.sequence;
+  RestoreBackOff(aContext, aJob, track);
   for (auto index = static_cast<std::uint32_t>(aJob.tasks.size()); index > 0;
        --index) {
     if (aJob.tasks[index - 1].state == TaskState::Pending) {
@@ -196,15 +221,6 @@
 
 // Failures.
 
-TimePoint BackOffEnd(const Context& aContext, std::uint32_t aCount) {
-  const SchedulerSettings& settings = aContext.scheduler.settings;
-  const std::uint32_t doublings =
-      std::min(aCount == 0 ? 0 : aCount - 1, kMaxDoublings);
-  const std::int64_t length = std::min(settings.backOffMin.micros << doublings,
-                                       settings.backOffMax.micros);
-  return aContext.now + Micros(length);
-}
-
 void Record(FailureRecord& aRecord, const std::string& aOther) {
   ++aRecord.count;
   if (aRecord.others.size() < kMaxOthers) {
@@ -238,9 +254,12 @@
   }
   FailureRecord& record = job->second.failures;
   Record(record, workerId.value);
-  if (IsSuspect(record) ||
+  const Task* task = FindTask(aContext.state, aAttempt.task);
+  const std::uint32_t taskFailures = task == nullptr ? 0 : task->failures;
+  if (IsSuspect(record) || taskFailures >= kFailuresBeforeBackOff ||
       (!workerSuspect && record.count >= kFailuresBeforeBackOff)) {
-    record.backOffUntil = BackOffEnd(aContext, record.count);
+    record.backOffUntil =
+        BackOffEnd(aContext, std::max(record.count, taskFailures));
     Notify(aContext, NoticeKind::JobBackOff, aAttempt, workerId, "");
   }
 }
--- a/tests/cell/SchedulerTest.cpp
+++ b/tests/cell/SchedulerTest.cpp
@@ -120,6 +120,7 @@
   CPPUNIT_TEST(testLongWaitGetsAWorker);
   CPPUNIT_TEST(testBadWorkerDoesNotEndGoodJobs);
   CPPUNIT_TEST(testBadJobsEndWhenAllWorkersAreSuspect);
+  CPPUNIT_TEST(testLeaderChangeKeepsBackOff);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -304,6 +305,25 @@
       CPPUNIT_ASSERT(job.tasks[0].failures < kMaxFailures);
     }
   }
+
+  // Guards against leader changes that let a task use up its failures at once
+  // on the only live worker.
+  void testLeaderChangeKeepsBackOff() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    fixture.Submit(Spec("j", 1000), kStart);
+    for (int failure = 0; failure < 3; ++failure) {
+      fixture.EndFirst("w", EndEvent::Failed, kStart);
+    }
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    CPPUNIT_ASSERT(
+        Explain(fixture.state, fixture.scheduler, JobId("j"))->reason ==
+        WaitReason::JobBackOff);
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{3},
+                         fixture.state.jobs.at(JobId("j")).tasks[0].attempts);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SchedulerTest);
