Weigh classes by their service time

Classes of one member shared the slots equally, so that checks got half of them while they ask for 93%. A first try weighed the classes in the queue only; p99 at 100% fell to 104 ms, but goodput at 150% fell to 0.14, since the expected wait counted all long calls that were queued before a check and refused it. Change: the weight of a class is one over its mean service time, in the queue and in the expected wait.

--- a/src/bramleypath/routing/internal/Queues.cpp
+++ b/src/bramleypath/routing/internal/Queues.cpp
@@ -167,37 +167,62 @@
   return best;
 }
 
-double WorkOf(const ServiceState& aService, const MemberQueue& aMember) {
-  double work = 0;
+// A class's weight among those of one member falls with its service time, so
+// that short calls barely wait for long ones and long ones keep a small part
+// under overload.
+double WeightOf(const ClassState& aClass) { return 1.0 / MeanOf(aClass); }
+
+// Work that a call has to wait for, in microseconds of one slot.
+struct WorkAhead {
+  double all = 0;
+  double ofFlow = 0;
+  // Sum of the weights that compete, relative to that of the call.
+  double competition = 1;
+};
+
+// Of the calls of one member, for a call of the class.
+WorkAhead WorkOfMember(const ServiceState& aService, const MemberQueue& aMember,
+                       ClassIndex aClass) {
+  WorkAhead work;
+  const double own = WeightOf(aService.classes[aClass]);
   for (const Flow& flow : aMember.flows) {
-    work += static_cast<double>(flow.queued) *
-            MeanOf(aService.classes[flow.callClass]);
+    const ClassState& state = aService.classes[flow.callClass];
+    const double queued = static_cast<double>(flow.queued) * MeanOf(state);
+    work.all += queued;
+    if (flow.callClass == aClass) {
+      work.ofFlow = queued;
+    } else if (flow.queued > 0) {
+      work.competition += WeightOf(state) / own;
+    }
   }
   return work;
 }
 
 // Until a slot is free for a call that joins now: all the work ahead of it, or
-// less when its member has less than its weight's part of that work.
-double ExpectedWaitMicros(Router& aRouter, const Call& aCall) {
-  ServiceState& service = aRouter.services[aCall.service];
+// less when its member or its class has less than its weight's part of that
+// work.
+double ExpectedWaitMicros(const Router& aRouter, const Call& aCall) {
+  const ServiceState& service = aRouter.services[aCall.service];
   const double own = PolicyOf(aRouter, aCall.request.member).weight;
-  double work = 0;
-  double ownWork = 0;
-  double weights = own;
+  double all = 0;
+  double members = 1;
+  WorkAhead mine;
   for (const MemberQueue& member : service.members) {
     if (member.queued == 0) {
       continue;
     }
-    const double memberWork = WorkOf(service, member);
-    work += memberWork;
+    const WorkAhead work = WorkOfMember(service, member, aCall.callClass);
+    all += work.all;
     if (member.member == aCall.request.member) {
-      ownWork = memberWork;
+      mine = work;
     } else {
-      weights += PolicyOf(aRouter, member.member).weight;
+      members += PolicyOf(aRouter, member.member).weight / own;
     }
   }
+  const double ahead =
+      std::min(mine.all, mine.ofFlow * mine.competition) * members;
   const double capacity = std::max(1.0, service.totalLimit);
-  return std::min(work, ownWork * weights / own) / capacity;
+  return std::min(all, ahead) / capacity;
 }
 
 }  // namespace
@@ -330,7 +355,8 @@
   member.finishTag =
       service.fairClock + cost / PolicyOf(aRouter, member.member).weight;
   member.flowClock = std::max(member.flowClock, flow.finishTag);
-  flow.finishTag = member.flowClock + cost;
+  flow.finishTag =
+      member.flowClock + cost / WeightOf(service.classes[flow.callClass]);
   flow.calls.pop_front();
   LeaveQueue(aRouter, aRouter.calls.at(aSelected.call));
 }
