Average a class's first latencies, and lower the gradient tolerance

Cause: at 85% load 0.1% of the calls of the first two seconds were refused (attempts per call 0.999 in the whole run). The usual latency of a class began with the first answer and moved by 0.2% an answer, so that a quick first answer made all targets look slow and lowered their limits. Change: the first answers weigh alike. The tolerance of the gradient falls from 1.5 to 1.25.

--- a/src/bramleypath/routing/Router.h
+++ b/src/bramleypath/routing/Router.h
@@ -71,6 +71,7 @@
   std::uint32_t inFlight = 0;
   std::uint32_t queued = 0;
   double quickAnswerRate = 0;  // of all targets, recent
+  std::uint64_t answers = 0;
 };
 
 // Calls of one member and class that wait for a slot.
--- a/src/bramleypath/routing/Settings.h
+++ b/src/bramleypath/routing/Settings.h
@@ -67,7 +67,7 @@
 
   // Concurrency limit: the recent latency of a target, relative to the usual
   // one of each class, may reach this before the limit falls.
-  double gradientTolerance = 1.5;
+  double gradientTolerance = 1.25;
   double recentWeight = 0.05;
   double usualWeight = 0.002;
   // Weight of one answer in the limit, and what the limit may grow by.
--- a/src/bramleypath/routing/internal/Latency.cpp
+++ b/src/bramleypath/routing/internal/Latency.cpp
@@ -27,13 +27,19 @@
   }
 }
 
-void MoveAverage(double& aAverage, double aWeight, double aValue) {
-  aAverage = aAverage <= 0 ? aValue : aAverage + aWeight * (aValue - aAverage);
+// The first values weigh alike, so that a single one does not stand for the
+// usual latency until the small weight has worn it off.
+void MoveAverage(double& aAverage, double aWeight, std::uint64_t aCount,
+                 double aValue) {
+  const double weight = std::max(aWeight, 1.0 / static_cast<double>(aCount));
+  aAverage += weight * (aValue - aAverage);
 }
 
 void LearnClass(const Settings& aSettings, ClassState& aClass, double aValue) {
-  MoveAverage(aClass.meanMicros, kMeanWeight, aValue);
-  MoveAverage(aClass.usualMicros, aSettings.usualWeight, aValue);
+  ++aClass.answers;
+  MoveAverage(aClass.meanMicros, kMeanWeight, aClass.answers, aValue);
+  MoveAverage(aClass.usualMicros, aSettings.usualWeight, aClass.answers,
+              aValue);
   MoveQuantile(aClass.quickMicros, kQuick, aValue);
   MoveQuantile(aClass.slowMicros, kSlow, aValue);
 }
