--- /dev/null
+++ b/tests/membership/MembersTest.cpp
@@ -0,0 +1,179 @@
+#include "bramleypath/membership/Members.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/membership/Network.h"
+
+namespace bramleypath::membership {
+
+class MembersTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(MembersTest);
+  CPPUNIT_TEST(testStaysAliveThroughTheBalancer);
+  CPPUNIT_TEST(testLeaveSpreadsAtOnceAndStays);
+  CPPUNIT_TEST(testDrainHoldsForTheIncarnation);
+  CPPUNIT_TEST(testLeaveBeforeFirstAnnouncement);
+  CPPUNIT_TEST(testLateGossipExpiresOnTime);
+  CPPUNIT_TEST(testLiveHostsFollowFailuresAndStops);
+  CPPUNIT_TEST(testPeerLoadsAndSummaries);
+  CPPUNIT_TEST(testTablesAreBounded);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // Guards against expiry of a target each of whose announcements goes to
+  // another entry host.
+  void testStaysAliveThroughTheBalancer() {
+    Network network = MakeNetwork(1);
+    for (int step = 0; step < 400; ++step) {
+      if (step % 10 == 0) {
+        Apply(network, static_cast<std::size_t>(step / 10) % 3,
+              TargetAnnounced{MakeTarget("t")});
+      }
+      Pass(network);
+      for (std::size_t host = 0; host < 3 && step > 4; ++host) {
+        CPPUNIT_ASSERT(Serves(network, host, "t"));
+      }
+    }
+    CPPUNIT_ASSERT(!Serves(network, 3, "t"));
+    CPPUNIT_ASSERT(Logged<TargetGone>(network, 1).empty());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, Logged<TargetUp>(network, 1).size());
+  }
+
+  // Guards P7: without the next gossip round, and against a revival by its own
+  // late announcements.
+  void testLeaveSpreadsAtOnceAndStays() {
+    Network network = MakeNetwork(1);
+    Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+    Pass(network);
+    Pass(network);
+    CPPUNIT_ASSERT(Serves(network, 2, "t"));
+    Apply(network, 1, TargetLeft{TargetId("t"), 1});
+    network.now = network.now + Millis(2);
+    DeliverDue(network);
+    for (std::size_t host = 0; host < 3; ++host) {
+      CPPUNIT_ASSERT(!Serves(network, host, "t"));
+    }
+    for (int step = 0; step < 100; ++step) {
+      Apply(network, static_cast<std::size_t>(step) % 3,
+            TargetAnnounced{MakeTarget("t")});
+      Pass(network);
+      CPPUNIT_ASSERT(!Serves(network, 0, "t") && !Serves(network, 1, "t"));
+    }
+    Apply(network, 0, TargetAnnounced{MakeTarget("t", 2)});
+    Pass(network);
+    Pass(network);
+    CPPUNIT_ASSERT(Serves(network, 0, "t") && Serves(network, 2, "t"));
+  }
+
+  void testDrainHoldsForTheIncarnation() {
+    Network network = MakeNetwork(1);
+    Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+    Pass(network);
+    Pass(network);
+    Apply(network, 2, TargetDrained{TargetId("t")});
+    Pass(network);
+    Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+    CPPUNIT_ASSERT(!Serves(network, 0, "t"));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         Logged<TargetLeaving>(network, 0).size());
+  }
+
+  // Guards against a leave that overtakes the announcement.
+  void testLeaveBeforeFirstAnnouncement() {
+    Network network = MakeNetwork(1);
+    Apply(network, 0, TargetLeft{TargetId("t"), 5});
+    Apply(network, 0, TargetAnnounced{MakeTarget("t", 5)});
+    CPPUNIT_ASSERT(!Serves(network, 0, "t"));
+    Apply(network, 0, TargetAnnounced{MakeTarget("t", 6)});
+    CPPUNIT_ASSERT(Serves(network, 0, "t"));
+  }
+
+  // Guards against gossip that was held up and then makes a dead target live
+  // for another 2 s.
+  void testLateGossipExpiresOnTime() {
+    Network network = MakeNetwork(1);
+    for (int step = 0; step < 20; ++step) {
+      Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+      Pass(network);
+    }
+    const TimePoint last = network.now;
+    // Everything sent from now on is held up for 1.9 s.
+    Pass(network);
+    for (UnderWay& message : network.wire) {
+      message.arrivesAt = last + Millis(1900);
+    }
+    while (network.now < last + Millis(2150)) {
+      Pass(network);
+    }
+    CPPUNIT_ASSERT(!Serves(network, 1, "t") && !Serves(network, 2, "t"));
+  }
+
+  void testLiveHostsFollowFailuresAndStops() {
+    Network network = MakeNetwork(1);
+    Pass(network);
+    Pass(network);
+    const auto hosts = [&] { return network.members[0].localHosts.size(); };
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, hosts());
+    network.running[2] = false;
+    for (int step = 0; step < 24; ++step) {
+      Pass(network);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, hosts());
+    StartHost(network, 2);
+    Pass(network);
+    Pass(network);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, hosts());
+    Apply(network, 1, StopAnnounced{});
+    Pass(network);
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, hosts());
+    CPPUNIT_ASSERT(IsHostLive(network.members[0], HostId("e2")));
+  }
+
+  void testPeerLoadsAndSummaries() {
+    Network network = MakeNetwork(1);
+    Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+    for (int step = 0; step < 4; ++step) {
+      Pass(network);
+    }
+    Apply(network, 1, LocalLoads{{{TargetId("t"), 3}}});
+    for (int step = 0; step < 30; ++step) {
+      Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+      Pass(network);
+    }
+    const auto loads = Logged<PeerLoads>(network, 0);
+    bool seen = false;
+    for (const PeerLoads& report : loads) {
+      seen = seen || (report.host == HostId("e2") && report.loads.size() == 1 &&
+                      report.loads[0].outstanding == 3);
+    }
+    CPPUNIT_ASSERT(seen);
+    const auto summaries = Logged<SummaryChanged>(network, 3);
+    CPPUNIT_ASSERT(!summaries.empty());
+    const DataCentreSummary& last = summaries.back().summary;
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, last.hosts.size());
+    CPPUNIT_ASSERT_EQUAL(5U, last.services.at(0).freeSlots);
+    CPPUNIT_ASSERT_EQUAL(3U, last.services.at(0).outstanding);
+  }
+
+  // Guards the memory limit against floods of announcements and departures.
+  void testTablesAreBounded() {
+    Settings settings;
+    settings.maxTargets = 10;
+    settings.maxDepartures = 5;
+    const HostInfo self{HostId("e1"), DataCentreId("d")};
+    Members members = MakeMembers(self, {self}, settings, 1, TimePoint{});
+    for (int count = 0; count < 100; ++count) {
+      const std::string name = "t" + std::to_string(count);
+      Step(members, TargetAnnounced{MakeTarget(name)}, TimePoint{});
+      Step(members, TargetLeft{TargetId("x" + name), 1}, TimePoint{});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{15}, members.targets.size());
+    Step(members, TargetAnnounced{MakeTarget(std::string(300, 'a'))},
+         TimePoint{});
+    CPPUNIT_ASSERT_EQUAL(std::size_t{15}, members.targets.size());
+    CPPUNIT_ASSERT(members.counters.recordsRefused >= 91);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MembersTest);
+
+}  // namespace bramleypath::membership
