--- a/tests/config/DistributionTest.cpp
+++ b/tests/config/DistributionTest.cpp
@@ -115,6 +115,7 @@
   void testKeyMoveWaitsForReportsAndTime() {
     Distribution host = Moving({});
     const TimePoint later = TimePoint{} + Seconds(100000);
+    CPPUNIT_ASSERT(!DueKeyMove(host, TimePoint{}));
     CPPUNIT_ASSERT(!DueKeyMove(host, later));
     Receive(host, "b1", Digest{Report("b1", "b", 1, 1)}, later);
     CPPUNIT_ASSERT(!DueKeyMove(host, later));
