--- a/src/bramleypath/cli/Arguments.cpp
+++ b/src/bramleypath/cli/Arguments.cpp
@@ -63,6 +63,7 @@
   }
   const std::vector<OptionSpec> specs = OptionsOf(*arguments.command);
   std::vector<option> longOptions;
+  longOptions.reserve(specs.size() + 1);
   for (const OptionSpec& spec : specs) {
     longOptions.push_back(option{
         spec.name.c_str(), spec.value.empty() ? no_argument : required_argument,
@@ -73,6 +74,7 @@
   std::vector<std::string> copy(aWords.begin() + static_cast<long>(used) - 1,
                                 aWords.end());
   std::vector<char*> pointers;
+  pointers.reserve(copy.size() + 1);
   for (std::string& word : copy) {
     pointers.push_back(word.data());
   }
--- a/src/bramleypath/cli/CommandTable.cpp
+++ b/src/bramleypath/cli/CommandTable.cpp
@@ -227,8 +227,8 @@
 }  // namespace
 
 const std::vector<CommandSpec>& Commands() {
-  static const std::vector<CommandSpec> commands = MakeCommands();
-  return commands;
+  static const std::vector<CommandSpec> kCommands = MakeCommands();
+  return kCommands;
 }
 
 const CommandSpec* FindCommand(std::string_view aWords) {
@@ -241,7 +241,7 @@
 }
 
 const std::vector<OptionSpec>& CommonOptions() {
-  static const std::vector<OptionSpec> options{
+  static const std::vector<OptionSpec> kOptions{
       {"host", "ADDRESS",
        "operators' listener of an entry host; repeat it to try several in "
        "order (BRAMLEYPATH_HOSTS)",
@@ -250,11 +250,11 @@
       {"timeout-ms", "MS", "longest wait for the reply of one host (5000)"},
       {"help", "", "prints this text"},
   };
-  return options;
+  return kOptions;
 }
 
 const std::vector<OptionSpec>& ChangeOptions() {
-  static const std::vector<OptionSpec> options{
+  static const std::vector<OptionSpec> kOptions{
       {"request-id", "ID",
        "id of an earlier request, to resend it; generated and printed "
        "otherwise"},
@@ -262,7 +262,7 @@
        "version of the configuration to change; read from a host otherwise"},
       {"dry-run", "", "says what would happen and changes nothing"},
   };
-  return options;
+  return kOptions;
 }
 
 std::vector<OptionSpec> OptionsOf(const CommandSpec& aCommand) {
--- a/src/bramleypath/cli/internal/Session.cpp
+++ b/src/bramleypath/cli/internal/Session.cpp
@@ -7,7 +7,6 @@
 
 namespace {
 
-constexpr long kOk = 200;
 constexpr long kBadRequest = 400;
 constexpr long kConflict = 409;
 constexpr long kUnprocessable = 422;
@@ -78,8 +77,11 @@
   const bool changes = aMethod == "POST";
   const std::string body = changes ? codec::DumpJson(aBody) : "";
   for (const std::string& host : aSession.hosts) {
+    std::string url = "http://";
+    url += host;
+    url += aPath;
     HttpReply reply = aSession.environment.transport(
-        HttpRequest{aMethod, "http://" + host + aPath, body, aSession.timeout});
+        HttpRequest{aMethod, std::move(url), body, aSession.timeout});
     if (auto accepted = Accept(host, std::move(reply), attempts)) {
       return accepted;
     }
--- a/tests/cli/RunTest.cpp
+++ b/tests/cli/RunTest.cpp
@@ -201,8 +201,8 @@
         "config change nonsense",
         "job submit j --member m",
         "job submit j --member m --class c --processors-milli 1 --memory-mb x",
-        "job submit j --member m --class c --processors-milli 1 --memory-mb 1 "
-        "--urgent maybe",
+        "job submit j --member m --class c --processors-milli 1 --memory-mb 1" +
+            std::string(" --urgent maybe"),
     };
     for (const std::string& line : lines) {
       Deployment deployment;
@@ -346,8 +346,9 @@
         "preset set new --throughput 7",
         "member set new --memory-mb 5",
         "service set new --slots 3",
-        "host add h9 --data-centre a --callers 10.0.0.9:1 --targets "
-        "10.0.0.9:2 --peers 10.0.0.9:3 --operators 10.0.0.9:4 --disk true",
+        "host add h9 --data-centre a --callers 10.0.0.9:1" +
+            std::string(" --targets 10.0.0.9:2 --peers 10.0.0.9:3") +
+            " --operators 10.0.0.9:4 --disk true",
         "host drain h9",
         "host drain h9 --off",
         "host remove h9",
--- a/tests/settings/SettingsPageTest.cpp
+++ b/tests/settings/SettingsPageTest.cpp
@@ -19,7 +19,9 @@
                  std::set<std::string>& aRows) {
   const Json properties = aSchema.value("properties", Json::object());
   for (const auto& [name, part] : properties.items()) {
-    const std::string path = aPath.empty() ? name : aPath + "." + name;
+    std::string path = aPath;
+    path += aPath.empty() ? "" : ".";
+    path += name;
     const Json required = aSchema.value("required", Json::array());
     const bool isRequired =
         std::find(required.begin(), required.end(), name) != required.end();
@@ -34,9 +36,15 @@
     for (const Json& value : part.value("enum", Json::array())) {
       range += (range.empty() ? "" : ", ") + value.get<std::string>();
     }
-    aRows.insert("| `" + path + "` | " + part["type"].get<std::string>() +
-                 " | " + fallback + " | " + range + " | " +
-                 part["description"].get<std::string>() + " |");
+    std::string row = "|";
+    for (const std::string& cell :
+         {"`" + path + "`", part["type"].get<std::string>(), fallback, range,
+          part["description"].get<std::string>()}) {
+      row += " ";
+      row += cell;
+      row += " |";
+    }
+    aRows.insert(row);
     CollectRows(part, path, aRows);
     if (part.contains("items")) {
       CollectRows(part["items"], path + "[]", aRows);
