--- a/src/bramleypath/daemon/CallService.cpp
+++ b/src/bramleypath/daemon/CallService.cpp
@@ -359,10 +359,10 @@
   grant.call = aRequest.call;
   grant.deadline = aRequest.deadline;
   this->grants[aRequest.nonce] = grant;
-  this->Reserve(std::move(grant));
+  this->Reserve(grant);
 }
 
-void CallService::Reserve(Grant aGrant) {
+void CallService::Reserve(const Grant& aGrant) {
   if (this->grants.count(aGrant.nonce) == 0) {
     return;  // the call has ended
   }
@@ -413,7 +413,7 @@
   }
   if (code == journal::ReplyCode::WaitEnded) {
     aGrant.lastSawRunning = true;
-    this->Reserve(std::move(aGrant));
+    this->Reserve(aGrant);
     return;
   }
   if (code == journal::ReplyCode::NotLeader) {
--- a/src/bramleypath/daemon/CallService.h
+++ b/src/bramleypath/daemon/CallService.h
@@ -82,7 +82,7 @@
                 bool aFromHost);
   void Finish(const routing::FinishCall& aFinish);
   void AskForGrant(const routing::RequestGrant& aRequest);
-  void Reserve(Grant aGrant);
+  void Reserve(const Grant& aGrant);
   void OnReserveAnswer(Grant aGrant, std::optional<net::HttpResponse> aAnswer);
   void RefuseGrant(const Grant& aGrant, routing::GrantRefusal aRefusal);
   // Sends a command about a key to its owner until it is acknowledged or the
--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -213,23 +213,24 @@
   request.connectBy = now + kCommandConnectLimit;
   request.deadline = now + kCommandLimit;
   ++this->counters.batchesSent;
-  this->client.Send(std::move(request), [this](net::ClientResult aResult) {
-    if (aResult.delivery != net::Delivery::Answered ||
-        aResult.response.status != 200) {
-      ++this->counters.batchesFailed;
-      return;
-    }
-    wire::WireReason reason;
-    const auto message =
-        wire::ParseWorkerMessage(aResult.response.body, reason);
-    if (!message) {
-      ++this->counters.batchesFailed;
-      LogEvent(LogLevel::Warn, "cell", "malformed_worker_reply",
-               {{"field", reason.field}, {"reason", reason.detail}});
-      return;
-    }
-    this->StepScheduler(cell::WorkerReported{*message});
-  });
+  this->client.Send(
+      std::move(request), [this](const net::ClientResult& aResult) {
+        if (aResult.delivery != net::Delivery::Answered ||
+            aResult.response.status != 200) {
+          ++this->counters.batchesFailed;
+          return;
+        }
+        wire::WireReason reason;
+        const auto message =
+            wire::ParseWorkerMessage(aResult.response.body, reason);
+        if (!message) {
+          ++this->counters.batchesFailed;
+          LogEvent(LogLevel::Warn, "cell", "malformed_worker_reply",
+                   {{"field", reason.field}, {"reason", reason.detail}});
+          return;
+        }
+        this->StepScheduler(cell::WorkerReported{*message});
+      });
 }
 
 void CellService::Note(const cell::Notice& aNotice) {
@@ -277,7 +278,7 @@
 
 void CellService::Forward(const net::HttpRequest& aRequest,
                           const std::string& aGroup, TimePoint aDeadline,
-                          PeerRpc::Respond aRespond) {
+                          const PeerRpc::Respond& aRespond) {
   const auto leader = this->groups.LeaderOf(aGroup);
   if (!leader || *leader == this->self) {
     aRespond(OperatorError(503, "no_leader", "",
@@ -306,7 +307,7 @@
     if (aForwarded) {
       aRespond(OperatorError(503, "no_leader", "", "this host doesn't lead"));
     } else {
-      this->Forward(aRequest, this->group, aDeadline, std::move(aRespond));
+      this->Forward(aRequest, this->group, aDeadline, aRespond);
     }
     return;
   }
@@ -418,7 +419,7 @@
     if (aForwarded) {
       aRespond(OperatorError(503, "no_leader", "", "this host doesn't lead"));
     } else {
-      this->Forward(aRequest, cellGroup, aDeadline, std::move(aRespond));
+      this->Forward(aRequest, cellGroup, aDeadline, aRespond);
     }
     return;
   }
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -76,7 +76,7 @@
   void Note(const cell::Notice& aNotice);
   void StepCoordinator(const journal::CoordinatorEvent& aEvent);
   void Forward(const net::HttpRequest& aRequest, const std::string& aGroup,
-               TimePoint aDeadline, PeerRpc::Respond aRespond);
+               TimePoint aDeadline, const PeerRpc::Respond& aRespond);
   void ProposeForOperator(const cell::Command& aCommand, const JobId& aJob,
                           PeerRpc::Respond aRespond);
   void SubmitJob(const net::HttpRequest& aRequest, PeerRpc::Respond aRespond);
--- a/src/bramleypath/daemon/ConfigService.cpp
+++ b/src/bramleypath/daemon/ConfigService.cpp
@@ -78,7 +78,7 @@
   return response;
 }
 
-ConfigService::ConfigService(HostId aSelf, DataCentreId aDataCentre,
+ConfigService::ConfigService(HostId aSelf, const DataCentreId& aDataCentre,
                              std::uint64_t aIncarnation,
                              const Hosts& aFirstHosts, Groups& aGroups,
                              net::PeerLinks& aLinks, PeerRpc& aRpc)
@@ -163,7 +163,8 @@
   const group::Replica* const replica = this->groups.Find(kConfigGroup);
   if (replica && replica->HasLease()) {
     if (const auto move = config::DueKeyMove(this->distribution, aNow)) {
-      this->Propose(*move, aNow + kProposeTimeout, [](net::HttpResponse) {});
+      this->Propose(*move, aNow + kProposeTimeout,
+                    [](const net::HttpResponse&) {});
     }
   }
 }
--- a/src/bramleypath/daemon/ConfigService.h
+++ b/src/bramleypath/daemon/ConfigService.h
@@ -20,7 +20,7 @@
 // The configuration in force on this host and, on a voter, its replica.
 class ConfigService : public group::StateMachine {
  public:
-  ConfigService(HostId aSelf, DataCentreId aDataCentre,
+  ConfigService(HostId aSelf, const DataCentreId& aDataCentre,
                 std::uint64_t aIncarnation, const Hosts& aFirstHosts,
                 Groups& aGroups, net::PeerLinks& aLinks, PeerRpc& aRpc);
 
--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -108,7 +108,7 @@
         workerClient(this->context, WorkerClientLimits()),
         links(this->context, aSettings.host, aSettings.listeners.peers.address,
               PeerLimitsOf(aSettings.listeners.peers),
-              [this](net::PeerFrame aFrame) { this->OnFrame(aFrame); }),
+              [this](const net::PeerFrame& aFrame) { this->OnFrame(aFrame); }),
         rpc(this->links, this->session,
             [this](ReceivedRequest aRequest, PeerRpc::Respond aRespond) {
               this->OnPeerRequest(std::move(aRequest), std::move(aRespond));
@@ -128,24 +128,25 @@
                                 this->groups, this->config, &this->cell,
                                 this->members, this->calls, this->links,
                                 this->metrics}),
-        callerListener(
-            this->context, aSettings.listeners.callers.address,
-            LimitsOf(aSettings.listeners.callers),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->OnCaller(std::move(aRequest), aResponder);
-            }),
-        targetListener(
-            this->context, aSettings.listeners.targets.address,
-            LimitsOf(aSettings.listeners.targets),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->OnTarget(aRequest, aResponder);
-            }),
-        operatorListener(
-            this->context, aSettings.listeners.operators.address,
-            LimitsOf(aSettings.listeners.operators),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->operators.Handle(aRequest, ToRespond(aResponder));
-            }) {
+        callerListener(this->context, aSettings.listeners.callers.address,
+                       LimitsOf(aSettings.listeners.callers),
+                       [this](net::HttpRequest aRequest,
+                              const net::HttpResponder& aResponder) {
+                         this->OnCaller(std::move(aRequest), aResponder);
+                       }),
+        targetListener(this->context, aSettings.listeners.targets.address,
+                       LimitsOf(aSettings.listeners.targets),
+                       [this](const net::HttpRequest& aRequest,
+                              const net::HttpResponder& aResponder) {
+                         this->OnTarget(aRequest, aResponder);
+                       }),
+        operatorListener(this->context, aSettings.listeners.operators.address,
+                         LimitsOf(aSettings.listeners.operators),
+                         [this](const net::HttpRequest& aRequest,
+                                const net::HttpResponder& aResponder) {
+                           this->operators.Handle(aRequest,
+                                                  ToRespond(aResponder));
+                         }) {
     this->Connect();
   }
 
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -63,8 +63,8 @@
 }
 
 bool Groups::Start(const std::string& aGroup, group::StateMachine& aMachine,
-                   const std::vector<HostId>& aFirstVoters, GroupHooks aHooks,
-                   std::string& aReason) {
+                   const std::vector<HostId>& aFirstVoters,
+                   const GroupHooks& aHooks, std::string& aReason) {
   storage::StorageReason reason;
   storage::OpenedState opened;
   std::unique_ptr<storage::GroupStore> store = storage::GroupStore::Open(
@@ -370,7 +370,7 @@
   return list;
 }
 
-void Groups::Stop(Duration aDeadline, std::function<void()> aDone) {
+void Groups::Stop(Duration aDeadline, const std::function<void()>& aDone) {
   this->stopping = true;
   auto left = std::make_shared<std::size_t>(this->running.size());
   if (*left == 0) {
--- a/src/bramleypath/daemon/Groups.h
+++ b/src/bramleypath/daemon/Groups.h
@@ -63,7 +63,7 @@
   // Starts the replica of a group. aFirstVoters are those of the settings,
   // which are the first members on a bootstrapped host.
   bool Start(const std::string& aGroup, group::StateMachine& aMachine,
-             const std::vector<HostId>& aFirstVoters, GroupHooks aHooks,
+             const std::vector<HostId>& aFirstVoters, const GroupHooks& aHooks,
              std::string& aReason);
   // Null when no replica runs here.
   group::Replica* Find(const std::string& aGroup);
@@ -89,7 +89,7 @@
   std::vector<GroupStatus> Status();
 
   // Hands leaderships over and syncs.
-  void Stop(Duration aDeadline, std::function<void()> aDone);
+  void Stop(Duration aDeadline, const std::function<void()>& aDone);
 
  private:
   struct Running;
--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -263,9 +263,9 @@
     this->state->server = std::make_unique<Server>(
         restinio::external_io_context(this->state->context), configure);
     this->state->server->open_sync();
-  } catch (const std::exception& error_) {
+  } catch (const std::exception& failure) {
     aReason = {NetError::CannotBind,
-               this->state->address + ": " + error_.what()};
+               this->state->address + ": " + failure.what()};
     return false;
   }
   return true;
--- a/src/bramleypath/net/PeerLinks.cpp
+++ b/src/bramleypath/net/PeerLinks.cpp
@@ -129,28 +129,30 @@
     this->server.set_max_message_size(this->limits.maxMessageBytes);
     this->server.set_open_handshake_timeout(kHandshakeTimeoutMs);
     const std::weak_ptr<State> weak = this->weak_from_this();
-    this->server.set_tcp_post_init_handler([weak](ConnectionHandle aHandle) {
-      if (const auto state = weak.lock()) {
-        SetNoDelay(state->server, aHandle);
-      }
-    });
-    this->server.set_validate_handler([weak](ConnectionHandle) {
+    this->server.set_tcp_post_init_handler(
+        [weak](const ConnectionHandle& aHandle) {
+          if (const auto state = weak.lock()) {
+            SetNoDelay(state->server, aHandle);
+          }
+        });
+    this->server.set_validate_handler([weak](const ConnectionHandle&) {
       const auto state = weak.lock();
       return state &&
              state->incoming.size() < state->limits.maxIncomingConnections;
     });
-    this->server.set_open_handler([weak](ConnectionHandle aHandle) {
+    this->server.set_open_handler([weak](const ConnectionHandle& aHandle) {
       if (const auto state = weak.lock()) {
         state->incoming.emplace(aHandle, HostId());
       }
     });
-    this->server.set_close_handler([weak](ConnectionHandle aHandle) {
+    this->server.set_close_handler([weak](const ConnectionHandle& aHandle) {
       if (const auto state = weak.lock()) {
         state->incoming.erase(aHandle);
       }
     });
     this->server.set_message_handler(
-        [weak](ConnectionHandle aHandle, Server::message_ptr aMessage) {
+        [weak](const ConnectionHandle& aHandle,
+               const Server::message_ptr& aMessage) {
           if (const auto state = weak.lock()) {
             state->OnMessage(aHandle, aMessage->get_raw_payload());
           }
@@ -164,11 +166,12 @@
     this->client.set_max_message_size(this->limits.maxMessageBytes);
     this->client.set_open_handshake_timeout(kHandshakeTimeoutMs);
     const std::weak_ptr<State> weak = this->weak_from_this();
-    this->client.set_tcp_post_init_handler([weak](ConnectionHandle aHandle) {
-      if (const auto state = weak.lock()) {
-        SetNoDelay(state->client, aHandle);
-      }
-    });
+    this->client.set_tcp_post_init_handler(
+        [weak](const ConnectionHandle& aHandle) {
+          if (const auto state = weak.lock()) {
+            SetNoDelay(state->client, aHandle);
+          }
+        });
   }
 
   template <typename Endpoint>
@@ -220,13 +223,14 @@
       return;
     }
     const std::weak_ptr<State> weak = this->weak_from_this();
-    connection->set_open_handler([weak, aPeer, generation](ConnectionHandle) {
+    connection->set_open_handler([weak, aPeer,
+                                  generation](const ConnectionHandle&) {
       const auto state = weak.lock();
       if (Link* const link = state ? state->Find(aPeer, generation) : nullptr) {
         state->OnOpen(*link);
       }
     });
-    const auto onEnd = [weak, aPeer, generation](ConnectionHandle) {
+    const auto onEnd = [weak, aPeer, generation](const ConnectionHandle&) {
       const auto state = weak.lock();
       if (Link* const link = state ? state->Find(aPeer, generation) : nullptr) {
         state->OnEnd(*link);
@@ -234,13 +238,14 @@
     };
     connection->set_fail_handler(onEnd);
     connection->set_close_handler(onEnd);
-    connection->set_pong_handler([weak, aPeer, generation](ConnectionHandle,
-                                                           std::string) {
-      const auto state = weak.lock();
-      if (Link* const link = state ? state->Find(aPeer, generation) : nullptr) {
-        link->closeAt = Now() + state->limits.pongTimeout;
-      }
-    });
+    connection->set_pong_handler(
+        [weak, aPeer, generation](const ConnectionHandle&, const std::string&) {
+          const auto state = weak.lock();
+          if (Link* const link =
+                  state ? state->Find(aPeer, generation) : nullptr) {
+            link->closeAt = Now() + state->limits.pongTimeout;
+          }
+        });
     aLink.connection = connection;
     this->client.connect(connection);
   }
--- /dev/null
+++ b/tests/demo/demo.py
@@ -0,0 +1,495 @@
+"""A small deployment on loopback under calls, batch work and failures.
+
+Prints progress, a table per member and class, and last one line of counts that
+come from the ledgers of callers, targets and workers only. Ends with status 1
+when a guarantee is broken.
+"""
+
+import random
+import signal
+import sys
+import threading
+import time
+from collections import defaultdict
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).parents[1] / "standins"))
+
+from caller import Caller, expected_answer  # noqa: E402
+from deployment import Deployment, Failed, read_ledger, wait_for  # noqa: E402
+
+SEED = 7
+CALLS = 2400  # at least; each is sent once or, when keyed, sometimes twice
+MAX_CALLS = 20000
+CALLERS = 24
+# Mean pause of a caller between two calls.
+PAUSE_S = 0.08
+TASKS = 200
+TASKS_PER_JOB = 10
+CANCELLED_JOBS = 4
+MEMBERS = ("leith-assay", "dundee-assay")
+BATCH_DEADLINE_S = 40
+
+
+def say(started, text):
+    print(f"[{time.monotonic() - started:5.1f} s] {text}", flush=True)
+
+
+def percentile(values, share):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+class Load:
+    """Callers in threads, each through entry hosts of its data centre."""
+
+    def __init__(self, deployment):
+        self.deployment = deployment
+        self.caller = Caller(deployment.folder / "caller.ledger")
+        self.next_number = 0
+        self.lock = threading.Lock()
+        # Set once the calls may end when there are enough of them.
+        self.enough = threading.Event()
+        self.abandoned = threading.Event()
+        self.threads = [threading.Thread(target=self.run, args=(number,))
+                        for number in range(CALLERS)]
+
+    def start(self):
+        for thread in self.threads:
+            thread.start()
+
+    def done(self):
+        with self.lock:
+            return self.next_number
+
+    def join(self):
+        for thread in self.threads:
+            thread.join()
+
+    def entries(self, source):
+        """Like a load balancer, which leaves out hosts that died."""
+        hosts = [host for host in self.deployment.hosts.values()
+                 if host.running()]
+        source.shuffle(hosts)
+        return hosts
+
+    def run(self, thread):
+        source = random.Random(SEED * 1000 + thread)
+        while True:
+            with self.lock:
+                number = self.next_number
+                if ((number >= CALLS and self.enough.is_set())
+                        or number >= MAX_CALLS):
+                    return
+                self.next_number += 1
+            self.one(source, number)
+            if self.abandoned.wait(source.expovariate(1 / PAUSE_S)):
+                return
+
+    def one(self, source, number):
+        member = source.choice(MEMBERS)
+        kind = source.random()
+        call_class = "check" if source.random() < 0.75 else "recon"
+        hosts = self.entries(source)
+        body = f"call-{number}-{source.randrange(10**9)}"
+        common = {"member": member, "call_class": call_class}
+        if kind < 0.5:
+            self.caller.call(hosts[0].callers, number, body, idempotent=True,
+                             **common)
+        elif kind < 0.75:
+            self.caller.call(hosts[0].callers, number, body, idempotent=False,
+                             **common)
+        elif kind < 0.9:
+            self.caller.call(hosts[0].callers, number, body, idempotent=False,
+                             key=f"key-{number}", **common)
+        else:
+            # The same keyed call at once through two entry hosts.
+            second = threading.Thread(target=self.caller.call, args=(
+                hosts[1].callers, number, body), kwargs={
+                    "idempotent": False, "key": f"key-{number}", **common})
+            second.start()
+            self.caller.call(hosts[0].callers, number, body, idempotent=False,
+                             key=f"key-{number}", **common)
+            second.join()
+
+
+class Counts:
+    """What the ledgers say."""
+
+    def __init__(self, deployment, expected_jobs, cancelled_jobs):
+        self.calls = read_ledger(deployment.folder / "caller.ledger")
+        self.runs = defaultdict(list)
+        for target in deployment.targets.values():
+            for entry in read_ledger(target.ledger):
+                if entry["event"] == "run":
+                    self.runs[entry["body"]].append((target.name, entry))
+        self.attempts = defaultdict(list)
+        for worker in deployment.workers.values():
+            for entry in read_ledger(worker.ledger):
+                if entry["event"] in ("start", "end"):
+                    entry["worker"] = worker
+                    self.attempts[(entry["job"], entry["index"])].append(entry)
+        self.expected_jobs = expected_jobs
+        self.cancelled_jobs = cancelled_jobs
+        self.faults = []
+
+    def count(self, outcome):
+        return sum(1 for call in self.calls if call["outcome"] == outcome)
+
+    def unknown(self):
+        """Includes calls whose connection to the entry host was lost."""
+        return self.count("outcome_unknown") + self.count("broken")
+
+    def lost(self):
+        """Calls without any answer of their own, or answered and never run."""
+        lost = 0
+        for call in self.calls:
+            if call["outcome"] not in ("completed", "not_run",
+                                       "outcome_unknown", "broken"):
+                self.faults.append(f"no outcome: {call}")
+                lost += 1
+            elif call["outcome"] == "completed" and not self.runs[call["body"]]:
+                self.faults.append(f"completed and never run: {call}")
+                lost += 1
+        return lost
+
+    def duplicated(self):
+        """Runs beyond what the answers allow."""
+        by_body = defaultdict(list)
+        for call in self.calls:
+            by_body[call["body"]].append(call)
+        duplicated = 0
+        for body, calls in by_body.items():
+            runs = len(self.runs[body])
+            idempotent = calls[0]["idempotent"]
+            none_ran = all(call["outcome"] == "not_run" for call in calls)
+            if none_ran and runs > 0:
+                self.faults.append(f"not_run and run {runs} times: {calls}")
+                duplicated += runs
+            elif not idempotent and runs > 1:
+                self.faults.append(f"run {runs} times: {calls}")
+                duplicated += runs - 1
+        return duplicated
+
+    def wrong_answers(self):
+        wrong = 0
+        for call in self.calls:
+            if (call["outcome"] == "completed"
+                    and call["answer"] != expected_answer(call["body"])):
+                self.faults.append(f"wrong answer: {call}")
+                wrong += 1
+        return wrong
+
+    def intervals(self, attempts):
+        """(start, end, entry) of each attempt; an end that is missing: never."""
+        open_attempts = {}
+        found = []
+        for entry in sorted(attempts, key=lambda one: one["at"]):
+            key = (entry["attempt"], entry["worker"].name)
+            if entry["event"] == "start":
+                open_attempts[key] = entry
+            elif key in open_attempts:
+                start = open_attempts.pop(key)
+                found.append((start["at"], entry["at"], start))
+        found += [(start["at"], float("inf"), start)
+                  for start in open_attempts.values()]
+        return sorted(found, key=lambda one: one[0])
+
+    def two_places(self):
+        """Attempts that began before the one before had ended."""
+        overlaps = 0
+        for task, attempts in self.attempts.items():
+            intervals = self.intervals(attempts)
+            for before, after in zip(intervals, intervals[1:]):
+                if after[0] < before[1]:
+                    self.faults.append(f"two places: {task} {before} {after}")
+                    overlaps += 1
+        return overlaps
+
+    def ended_once(self):
+        """Tasks that finished exactly once."""
+        ended = 0
+        for job in self.expected_jobs:
+            for index in range(TASKS_PER_JOB):
+                finished = [entry for entry in self.attempts[(job, index)]
+                            if entry["event"] == "end"
+                            and entry["detail"] == "finished"]
+                ended += 1 if len(finished) == 1 else 0
+                if len(finished) != 1:
+                    self.faults.append(
+                        f"task {job}/{index} finished {len(finished)} times")
+        for job in self.cancelled_jobs:
+            for index in range(TASKS_PER_JOB):
+                finished = [entry for entry in self.attempts[(job, index)]
+                            if entry["event"] == "end"
+                            and entry["detail"] == "finished"]
+                if len(finished) > 1:
+                    self.faults.append(f"cancelled task {job}/{index} finished "
+                                       f"{len(finished)} times")
+        return ended
+
+    def overcommitted(self):
+        """Moments at which attempts on a worker took more than it has."""
+        changes = defaultdict(list)
+        for attempts in self.attempts.values():
+            for start, end, entry in self.intervals(attempts):
+                worker = entry["worker"]
+                size = (entry["processors"], entry["memory"])
+                changes[worker].append((start, 1, size))
+                changes[worker].append((end, 0, size))
+        over = 0
+        for worker, list_of_changes in changes.items():
+            processors = memory = 0
+            for _, begins, size in sorted(list_of_changes,
+                                          key=lambda one: one[:2]):
+                sign = 1 if begins else -1
+                processors += sign * size[0]
+                memory += sign * size[1]
+                if processors > worker.processors or memory > worker.memory:
+                    self.faults.append(f"{worker.name} is overcommitted")
+                    over += 1
+                    break
+        return over
+
+    def print_table(self):
+        rows = defaultdict(list)
+        for call in self.calls:
+            rows[(call["member"], call["class"])].append(call)
+        print(f"\n{'member':<14}{'class':<8}{'calls':>7}{'p50 ms':>9}"
+              f"{'p99 ms':>9}{'p99.9 ms':>10}{'refused':>9}{'unknown':>9}")
+        for (member, call_class), calls in sorted(rows.items()):
+            seconds = [call["seconds"] * 1000 for call in calls
+                       if call["outcome"] == "completed"] or [0]
+            refused = sum(call["outcome"] == "not_run" for call in calls)
+            unknown = sum(call["outcome"] in ("outcome_unknown", "broken")
+                          for call in calls)
+            print(f"{member:<14}{call_class:<8}{len(calls):>7}"
+                  f"{percentile(seconds, 0.5):>9.1f}"
+                  f"{percentile(seconds, 0.99):>9.1f}"
+                  f"{percentile(seconds, 0.999):>10.1f}"
+                  f"{refused:>9}{unknown:>9}")
+        print(f"\n{'member':<14}{'class':<8}{'attempts':>9}{'evictions':>11}"
+              f"{'failures':>10}{'tasks ended':>13}")
+        by_member = defaultdict(lambda: [0, 0, 0, 0])
+        for (job, _), entries in self.attempts.items():
+            row = by_member[member_of(job)]
+            row[0] += sum(entry["event"] == "start" for entry in entries)
+            row[1] += sum(entry["event"] == "end"
+                          and entry["detail"] == "stopped" for entry in entries)
+            row[2] += sum(entry["event"] == "end"
+                          and entry["detail"] == "failed" for entry in entries)
+            row[3] += any(entry["event"] == "end"
+                          and entry["detail"] == "finished" for entry in entries)
+        for member, row in sorted(by_member.items()):
+            print(f"{member:<14}{'batch':<8}{row[0]:>9}{row[1]:>11}{row[2]:>10}"
+                  f"{row[3]:>13}")
+        print()
+
+
+def member_of(job):
+    return MEMBERS[int(job.split("-")[1]) % len(MEMBERS)]
+
+
+def job_name(number):
+    return f"job-{number}"
+
+
+def submit_jobs(deployment):
+    """Returns the names of the jobs by data centre."""
+    names = deployment.data_centres()
+    jobs = {name: [] for name in names}
+    for number in range(TASKS // TASKS_PER_JOB + CANCELLED_JOBS):
+        data_centre = names[number % len(names)]
+        status, body = deployment.submit(
+            job_name(number), data_centre, tasks=TASKS_PER_JOB,
+            processors=1000, memory=1000, member=member_of(job_name(number)),
+            checkpointable=True, expected_run_ms=400)
+        if status != 200:
+            raise Failed(f"job {number} refused: {status} {body}")
+        jobs[data_centre].append(job_name(number))
+    return jobs
+
+
+def switch_presets(deployment):
+    """Three switches; in the second one two operators race with one version."""
+    slowest = 0.0
+
+    def switch(preset, hosts):
+        version = deployment.version(hosts[0])
+        answers = []
+
+        def send(host, name):
+            answers.append(deployment.change(
+                {"kind": "use_preset", "preset": name}, host, version))
+        started = time.monotonic()
+        threads = [threading.Thread(target=send, args=(host, name))
+                   for host, name in zip(hosts, preset)]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        accepted = [body for status, body in answers if status == 200]
+        refused = [body for status, body in answers if status == 409]
+        if len(accepted) != 1 or len(refused) != len(hosts) - 1:
+            raise Failed(f"racing operators got {answers}")
+        deployment.wait_in_force(accepted[0]["version"])
+        return time.monotonic() - started
+
+    running = [host for host in deployment.hosts.values() if host.running()]
+    for presets in (["peak"], ["maintenance", "ordinary"], ["peak"]):
+        slowest = max(slowest, switch(presets, running[:len(presets)]))
+    return round(slowest * 1000)
+
+
+def run(deployment, started):
+    deployment.start_hosts()
+    deployment.wait_ready()
+    say(started, f"{len(deployment.hosts)} entry hosts are ready")
+    deployment.configure_default()
+    names = deployment.data_centres()
+    for number in range(12):
+        deployment.add_target(f"target-{number}", names[number % 3],
+                              member=MEMBERS[number % 2],
+                              times="check=4,recon=25")
+        deployment.add_worker(f"worker-{number}", names[number % 3],
+                              rack=f"rack-{number % 4}", processors=8000,
+                              memory=16000, run_ms=400,
+                              fail=1 if number == 11 else 0)
+    for name in deployment.targets:
+        deployment.wait_target_seen(name)
+    say(started, "12 targets and 12 workers announced themselves; "
+        "worker-11 fails everything")
+
+    load = Load(deployment)
+    load.start()
+    try:
+        return run_under_load(deployment, load, started)
+    finally:
+        load.abandoned.set()
+
+
+def run_under_load(deployment, load, started):
+    jobs = submit_jobs(deployment)
+    say(started, f"{sum(map(len, jobs.values()))} jobs of {TASKS_PER_JOB} tasks "
+        "accepted")
+    status, body = deployment.submit("job-0-never", "leith", processors=64000)
+    if status == 200:
+        raise Failed("a job that no worker can hold was accepted")
+    say(started, f"a job that can never run was refused: {body['detail']}")
+    cancelled = [job_name(TASKS // TASKS_PER_JOB + number)
+                 for number in range(CANCELLED_JOBS)]
+    for data_centre, local in jobs.items():
+        wave = [job for job in local if job in cancelled]
+        if wave:
+            status, body = deployment.any_host().post(
+                "/v1/ops/jobs/cancel",
+                {"request_id": f"cancel-{data_centre}",
+                 "data_centre": data_centre, "jobs": wave})
+            if status != 200:
+                raise Failed(f"cancellation refused: {status} {body}")
+    say(started, f"{len(cancelled)} jobs were cancelled in waves")
+
+    in_force_ms = switch_presets(deployment)
+    say(started, "three presets switched, two operators raced in one; slowest "
+        f"in force everywhere after {in_force_ms} ms")
+
+    killed = deployment.hosts["leith-2"]
+    killed.kill()
+    say(started, "entry host leith-2 was killed")
+    deployment.targets["target-1"].kill()
+    say(started, "target-1 was killed")
+    drained = deployment.targets["target-2"]
+    order = {"request_id": "drain-2", "expected_version": deployment.version(),
+             "draining": True}
+
+    def drain():
+        status, body = deployment.any_host().post(
+            "/v1/ops/targets/target-2/drain", order)
+        return None if status == 503 else (status, body)
+    status, body = wait_for("an answer to the drain", drain, every_s=0.1)
+    if status != 200:
+        raise Failed(f"drain refused: {status} {body}")
+    deployment.wait_in_force(body["version"])
+    drained_at = time.time()
+    say(started, "target-2 was drained")
+
+    expected = [job for local in jobs.values() for job in local
+                if job not in cancelled]
+
+    def all_ended():
+        for data_centre, local in jobs.items():
+            listed = deployment.jobs(data_centre)
+            for job in local:
+                if job in listed and listed[job]["state"] not in ("Ended",
+                                                                  "Cancelled"):
+                    return False
+        return True
+    wait_for("all jobs end", all_ended, BATCH_DEADLINE_S, every_s=0.2)
+    say(started, f"all jobs ended; {load.done()} calls were sent so far")
+    load.enough.set()
+    load.join()
+    load.caller.close()
+    say(started, "all calls ended")
+
+    for target in deployment.targets.values():
+        if target.running():
+            target.signal(signal.SIGTERM)
+    for target in deployment.targets.values():
+        target.wait()
+    for worker in deployment.workers.values():
+        worker.signal(signal.SIGTERM)
+        worker.wait()
+    running = [host for host in deployment.hosts.values() if host.running()]
+    for host in running:
+        host.signal(signal.SIGTERM)
+    for host in running:
+        status = host.wait()
+        if status != 0:
+            raise Failed(f"{host.name} stopped with status {status}")
+    say(started, "everything was stopped gracefully")
+    return expected, cancelled, in_force_ms, drained_at
+
+
+def check_drained(deployment, drained_at, counts):
+    """No new call at the drained target 3 s after the drain was in force."""
+    late = [entry for entry in read_ledger(deployment.targets["target-2"].ledger)
+            if entry["event"] == "run" and entry["at"] / 1e6 > drained_at + 3]
+    if late:
+        counts.faults.append(f"{len(late)} calls at the drained target")
+
+
+def main():
+    started = time.monotonic()
+    with Deployment({"leith": 3, "paisley": 2, "dundee": 2}) as deployment:
+        expected, cancelled, in_force_ms, drained_at = run(deployment, started)
+        counts = Counts(deployment, expected, cancelled)
+        counts.print_table()
+        lost = counts.lost()
+        duplicated = counts.duplicated()
+        wrong = counts.wrong_answers()
+        ended_once = counts.ended_once()
+        two_places = counts.two_places()
+        overcommitted = counts.overcommitted()
+        check_drained(deployment, drained_at, counts)
+        tasks = len(expected) * TASKS_PER_JOB
+        broken = (lost or duplicated or wrong or two_places or overcommitted
+                  or ended_once != tasks or counts.faults)
+        for fault in counts.faults[:20]:
+            print(f"broken: {fault}")
+        print(f"demo: calls={len(counts.calls)} "
+              f"completed={counts.count('completed')} "
+              f"not_run={counts.count('not_run')} unknown={counts.unknown()} "
+              f"lost={lost} duplicated={duplicated} wrong_answer={wrong} "
+              f"tasks={tasks} ended_once={ended_once} two_places={two_places} "
+              f"overcommitted={overcommitted} preset_in_force_ms={in_force_ms}",
+              flush=True)
+        if broken:
+            raise Failed("a guarantee is broken")
+
+
+if __name__ == "__main__":
+    try:
+        main()
+    except Failed as failure:
+        print(f"demo failed: {failure}", file=sys.stderr)
+        sys.exit(1)
--- a/tests/standins/Target.cpp
+++ b/tests/standins/Target.cpp
@@ -52,11 +52,11 @@
         ledger(standins::Argument(aCount, aValues, "ledger")),
         entries(Split(standins::Argument(aCount, aValues, "entries"))),
         client(aContext, net::HttpClientLimits()),
-        listener(aContext, standins::Argument(aCount, aValues, "address"),
-                 Limits(),
-                 [this](net::HttpRequest aRequest, net::HttpResponder aOut) {
-                   this->OnRequest(std::move(aRequest), aOut);
-                 }),
+        listener(
+            aContext, standins::Argument(aCount, aValues, "address"), Limits(),
+            [this](net::HttpRequest aRequest, const net::HttpResponder& aOut) {
+              this->OnRequest(std::move(aRequest), aOut);
+            }),
         announceTimer(aContext) {
     this->record.target.value = standins::Argument(aCount, aValues, "name");
     this->record.service.value = standins::Argument(aCount, aValues, "service");
--- a/tests/standins/Worker.cpp
+++ b/tests/standins/Worker.cpp
@@ -63,7 +63,8 @@
         client(aContext, net::HttpClientLimits()),
         listener(aContext, standins::Argument(aCount, aValues, "address"),
                  net::HttpLimits(),
-                 [this](net::HttpRequest aRequest, net::HttpResponder aOut) {
+                 [this](const net::HttpRequest& aRequest,
+                        const net::HttpResponder& aOut) {
                    this->OnRequest(aRequest, aOut);
                  }),
         tick(aContext),
