--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -27,6 +27,8 @@
 
 constexpr const char* kJobsPath = "/v1/ops/jobs";
 constexpr const char* kCancelPath = "/v1/ops/jobs/cancel";
+constexpr const char* kPairsPath = "/v1/ops/explain/pairs";
+constexpr std::size_t kMaxPairs = 200;
 constexpr const char* kExplainPath = "/v1/ops/explain/job/";
 
 bool StartsWith(const std::string& aText, const std::string& aPrefix) {
@@ -82,19 +84,89 @@
       rpc(aRpc),
       client(aClient),
       metrics(aMetrics),
-      machine(aProposer, journal::Periods()) {
+      machine(aProposer, journal::Periods()),
+      advisor(cellplacement::MakeAdvisor(cellplacement::AdvisorSettings())) {
+  this->scheduler.choose = cellplacement::MakeChooser(this->advisor);
+  this->scheduler.sizeTask = cellplacement::MakeSizer(this->advisor);
   // The scheduler sees each command with the state as it is just after it;
   // what it wants done in turn is done after the replica's own step.
   this->machine.onApplied = [this](std::uint64_t aToken,
                                    const cell::Command& aCommand,
                                    const cell::Outcome& aOutcome) {
-    this->StepScheduler(cell::CommandCommitted{aToken, aCommand, aOutcome});
+    this->OnApplied(aToken, aCommand, aOutcome);
   };
 }
 
+void CellService::OnApplied(std::uint64_t aToken, const cell::Command& aCommand,
+                            const cell::Outcome& aOutcome) {
+  if (aOutcome.accepted && this->scheduler.leading) {
+    this->FollowAttempt(aCommand);
+  }
+  this->StepScheduler(cell::CommandCommitted{aToken, aCommand, aOutcome});
+}
+
+// Keeps the advisor's view of the workers in step with the committed attempts.
+void CellService::FollowAttempt(const cell::Command& aCommand) {
+  const TimePoint now = net::Now();
+  if (const auto* const start = std::get_if<cell::StartAttempt>(&aCommand)) {
+    this->places[start->attempt.task] = start->worker;
+    cellplacement::OnWorkerChanged(this->advisor, this->machine.Cell(),
+                                   start->worker, now);
+  } else if (const auto* const end = std::get_if<cell::EndAttempt>(&aCommand)) {
+    const auto place = this->places.find(end->attempt.task);
+    if (place == this->places.end()) {
+      return;
+    }
+    const WorkerId worker = place->second;
+    this->places.erase(place);
+    cellplacement::OnWorkerChanged(this->advisor, this->machine.Cell(), worker,
+                                   now);
+  }
+}
+
+void CellService::RebuildAdvisor() {
+  cellplacement::Rebuild(this->advisor, this->machine.Cell(), net::Now());
+  this->places.clear();
+  for (const auto& [id, job] : this->machine.Cell().jobs) {
+    for (std::size_t i = 0; i < job.tasks.size(); ++i) {
+      if (job.tasks[i].live) {
+        this->places[TaskId{id, static_cast<std::uint32_t>(i)}] =
+            job.tasks[i].live->worker;
+      }
+    }
+  }
+}
+
+void CellService::OnUsage(const wire::WorkerReport& aReport) {
+  std::vector<cellplacement::UsageView> samples;
+  for (const wire::UsageSample& sample : aReport.usage) {
+    samples.push_back({sample.attempt, sample.processorsMilli, sample.memoryMb,
+                       static_cast<double>(sample.p99Micros)});
+  }
+  if (samples.empty()) {
+    return;
+  }
+  const TimePoint now = net::Now();
+  const auto reliefs =
+      cellplacement::OnUsage(this->advisor, aReport.message.worker, samples,
+                             now - Millis(aReport.sampleAgeMs), now);
+  for (const cell::ReliefRequested& relief : reliefs) {
+    LogEvent(LogLevel::Info, "cell", "relief",
+             {{"worker", aReport.message.worker.value},
+              {"job", relief.task.job.value},
+              {"task", std::to_string(relief.task.index)},
+              {"kind", relief.mark == cell::AttemptMark::Evict ? "evict"
+                       : relief.mark == cell::AttemptMark::Throttle
+                           ? "throttle"
+                           : "unthrottle"}});
+    this->StepScheduler(relief);
+  }
+}
+
 GroupHooks CellService::Hooks() {
   GroupHooks hooks;
   hooks.gained = [this](consensus::Term aTerm) {
+    this->RebuildAdvisor();
     this->StepScheduler(cell::LeadershipGained{aTerm});
     this->StepCoordinator(journal::GainedLeadership());
   };
@@ -131,6 +203,13 @@
                        static_cast<std::int64_t>(quota.memoryMb),
                        static_cast<std::int64_t>(quota.accelerators)}});
   }
+  const auto preset = aConfiguration.presets.find(aConfiguration.presetInForce);
+  if (preset != aConfiguration.presets.end()) {
+    const config::GoalWeights& weights = preset->second.weights;
+    this->advisor.weights.tailLatency = weights.tailLatency;
+    this->advisor.weights.evictions = weights.evictions;
+    this->advisor.weights.throughput = weights.throughput;
+  }
   this->StepScheduler(cell::QuotasChanged{std::move(quotas)});
   this->StepScheduler(cell::PlacementChanged());
   this->StepCoordinator(
@@ -331,6 +410,7 @@
       aRespond(net::ErrorResponse(400, reason.field, reason.detail));
       return;
     }
+    this->OnUsage(*report);
     this->StepScheduler(cell::WorkerReported{report->message});
   }
   aRespond(JsonResponse(200, {{"leader", this->self.value}}));
@@ -429,6 +509,8 @@
     this->SubmitJob(aRequest, std::move(aRespond));
   } else if (aRequest.path == kJobsPath) {
     aRespond(this->ListJobs(aRequest));
+  } else if (aRequest.path == kPairsPath) {
+    aRespond(this->ExplainPairs(aRequest));
   } else if (StartsWith(aRequest.path, kExplainPath)) {
     aRespond(this->ExplainJob(
         aRequest.path.substr(std::string(kExplainPath).size())));
@@ -533,6 +615,39 @@
   return JsonResponse(200, {{"jobs", std::move(jobs)}});
 }
 
+net::HttpResponse CellService::ExplainPairs(
+    const net::HttpRequest& aRequest) const {
+  const std::string member = net::FindQueryValue(aRequest.query, "member");
+  const std::string className = net::FindQueryValue(aRequest.query, "class");
+  json pairs = json::array();
+  for (const cellplacement::PairDescription& pair :
+       cellplacement::DescribeWorstPairs(this->advisor, this->machine.Cell(),
+                                         kMaxPairs)) {
+    json members = json::array();
+    bool wanted = member.empty();
+    for (const MemberId& one : pair.members) {
+      members.push_back(one.value);
+      wanted = wanted || one.value == member;
+    }
+    if (!wanted || (!className.empty() && pair.aggressor.value != className &&
+                    pair.victim.value != className)) {
+      continue;
+    }
+    const char* const band = pair.band == placement::LoadBand::Low ? "low"
+                             : pair.band == placement::LoadBand::Middle
+                                 ? "middle"
+                                 : "high";
+    pairs.push_back({{"victim", pair.victim.value},
+                     {"aggressor", pair.aggressor.value},
+                     {"aggressor_members", std::move(members)},
+                     {"load_band", band},
+                     {"slowdown", pair.slowdown},
+                     {"deviation", pair.deviation},
+                     {"samples", pair.samples}});
+  }
+  return JsonResponse(200, {{"pairs", std::move(pairs)}});
+}
+
 net::HttpResponse CellService::ExplainJob(const std::string& aJob) const {
   const cell::Job* const job = cell::FindJob(this->machine.Cell(), JobId(aJob));
   if (!job) {
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "bramleypath/cell/Scheduler.h"
+#include "bramleypath/cellplacement/Advisor.h"
 #include "bramleypath/daemon/CellMachine.h"
 #include "bramleypath/daemon/ConfigService.h"
 #include "bramleypath/daemon/Groups.h"
@@ -59,6 +60,10 @@
   void HandleJobs(const net::HttpRequest& aRequest, bool aForwarded,
                   TimePoint aDeadline, PeerRpc::Respond aRespond);
 
+  // The pairs of classes that interfere most; known to the leader only.
+  // Parameters member, class: of the aggressor.
+  net::HttpResponse ExplainPairs(const net::HttpRequest& aRequest) const;
+
   const CellCounters& Counters() const { return this->counters; }
 
  private:
@@ -68,6 +73,11 @@
   };
 
   bool HasLease() const;
+  void OnApplied(std::uint64_t aToken, const cell::Command& aCommand,
+                 const cell::Outcome& aOutcome);
+  void FollowAttempt(const cell::Command& aCommand);
+  void RebuildAdvisor();
+  void OnUsage(const wire::WorkerReport& aReport);
   void StepScheduler(cell::EventBody aBody);
   void Enqueue(cell::Actions aActions);
   void RunActions();
@@ -94,6 +104,9 @@
   metrics::Registry& metrics;
   CellMachine machine;
   cell::Scheduler scheduler;
+  cellplacement::Advisor advisor;
+  // Where live attempts run, for the advisor.
+  std::map<TaskId, WorkerId> places;
   journal::Coordinator coordinator;
   journal::AskId lastAsk = 0;
   std::map<journal::AskId, WaitingAsk> asks;
--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -319,7 +319,7 @@
     } else if (path == "/v1/ops/config") {
       this->config.HandleChange(aRequest.request.body, kForwarded,
                                 aRequest.deadline, std::move(aRespond));
-    } else if (under("/v1/ops/jobs") || under("/v1/ops/explain/job/")) {
+    } else if (under("/v1/ops/jobs") || under("/v1/ops/explain/")) {
       this->cell.HandleJobs(aRequest.request, kForwarded, aRequest.deadline,
                             std::move(aRespond));
     } else {
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -17,6 +17,9 @@
 constexpr Duration kHeardLeaderLife = Millis(1600);
 constexpr Duration kReconcileInterval = Seconds(1);
 constexpr Duration kChangeTimeout = Seconds(5);
+// A little more than half a day of changes; a host that was away longer gets a
+// snapshot.
+constexpr std::size_t kConfigSnapshotEntries = 512;
 
 bool Contains(const std::vector<HostId>& aHosts, const HostId& aHost) {
   return std::find(aHosts.begin(), aHosts.end(), aHost) != aHosts.end();
@@ -85,6 +88,9 @@
   settings.self = this->folder->identity;
   settings.seed =
       this->seed ^ std::hash<std::string>()(aGroup + this->self.value);
+  if (aGroup == kConfigGroup) {
+    settings.snapshotEntries = kConfigSnapshotEntries;
+  }
   const bool bootstrapped =
       settings.self == storage::InitialIdentity(this->self);
   if (bootstrapped && Contains(aFirstVoters, this->self)) {
--- a/src/bramleypath/daemon/OperatorService.cpp
+++ b/src/bramleypath/daemon/OperatorService.cpp
@@ -90,7 +90,8 @@
         JsonResponse({{"accepted", true}, {"host", this->parts.self.value}}));
     this->onStop();
   } else if (StartsWith(path, "/v1/ops/jobs") ||
-             StartsWith(path, "/v1/ops/explain/job/")) {
+             StartsWith(path, "/v1/ops/explain/job/") ||
+             path == "/v1/ops/explain/pairs") {
     if (this->parts.cell) {
       this->parts.cell->HandleJobs(aRequest, false, deadline,
                                    std::move(aRespond));
--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -5,6 +5,7 @@
 when a guarantee is broken.
 """
 
+import argparse
 import random
 import signal
 import sys
@@ -15,7 +16,9 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "standins"))
 
-from caller import Caller, expected_answer  # noqa: E402
+from caller import Caller  # noqa: E402
+from counts import Counts  # noqa: E402
+import deployment as deployments  # noqa: E402
 from deployment import Deployment, Failed, read_ledger, wait_for  # noqa: E402
 
 SEED = 7
@@ -28,7 +31,10 @@
 TASKS_PER_JOB = 10
 CANCELLED_JOBS = 4
 MEMBERS = ("leith-assay", "dundee-assay")
+TASK_MS = 1200
 BATCH_DEADLINE_S = 40
+# Calls sent before each of the events that disturb them.
+STEP_CALLS = 250
 
 
 def say(started, text):
@@ -62,6 +68,10 @@
         with self.lock:
             return self.next_number
 
+    def wait_for_more(self, count):
+        goal = min(self.done() + count, MAX_CALLS)
+        wait_for(f"{goal} calls", lambda: self.done() >= goal)
+
     def join(self):
         for thread in self.threads:
             thread.join()
@@ -113,177 +123,39 @@
             second.join()
 
 
-class Counts:
-    """What the ledgers say."""
-
-    def __init__(self, deployment, expected_jobs, cancelled_jobs):
-        self.calls = read_ledger(deployment.folder / "caller.ledger")
-        self.runs = defaultdict(list)
-        for target in deployment.targets.values():
-            for entry in read_ledger(target.ledger):
-                if entry["event"] == "run":
-                    self.runs[entry["body"]].append((target.name, entry))
-        self.attempts = defaultdict(list)
-        for worker in deployment.workers.values():
-            for entry in read_ledger(worker.ledger):
-                if entry["event"] in ("start", "end"):
-                    entry["worker"] = worker
-                    self.attempts[(entry["job"], entry["index"])].append(entry)
-        self.expected_jobs = expected_jobs
-        self.cancelled_jobs = cancelled_jobs
-        self.faults = []
-
-    def count(self, outcome):
-        return sum(1 for call in self.calls if call["outcome"] == outcome)
-
-    def unknown(self):
-        """Includes calls whose connection to the entry host was lost."""
-        return self.count("outcome_unknown") + self.count("broken")
-
-    def lost(self):
-        """Calls without any answer of their own, or answered and never run."""
-        lost = 0
-        for call in self.calls:
-            if call["outcome"] not in ("completed", "not_run",
-                                       "outcome_unknown", "broken"):
-                self.faults.append(f"no outcome: {call}")
-                lost += 1
-            elif call["outcome"] == "completed" and not self.runs[call["body"]]:
-                self.faults.append(f"completed and never run: {call}")
-                lost += 1
-        return lost
-
-    def duplicated(self):
-        """Runs beyond what the answers allow."""
-        by_body = defaultdict(list)
-        for call in self.calls:
-            by_body[call["body"]].append(call)
-        duplicated = 0
-        for body, calls in by_body.items():
-            runs = len(self.runs[body])
-            idempotent = calls[0]["idempotent"]
-            none_ran = all(call["outcome"] == "not_run" for call in calls)
-            if none_ran and runs > 0:
-                self.faults.append(f"not_run and run {runs} times: {calls}")
-                duplicated += runs
-            elif not idempotent and runs > 1:
-                self.faults.append(f"run {runs} times: {calls}")
-                duplicated += runs - 1
-        return duplicated
-
-    def wrong_answers(self):
-        wrong = 0
-        for call in self.calls:
-            if (call["outcome"] == "completed"
-                    and call["answer"] != expected_answer(call["body"])):
-                self.faults.append(f"wrong answer: {call}")
-                wrong += 1
-        return wrong
-
-    def intervals(self, attempts):
-        """(start, end, entry) of each attempt; an end that is missing: never."""
-        open_attempts = {}
-        found = []
-        for entry in sorted(attempts, key=lambda one: one["at"]):
-            key = (entry["attempt"], entry["worker"].name)
-            if entry["event"] == "start":
-                open_attempts[key] = entry
-            elif key in open_attempts:
-                start = open_attempts.pop(key)
-                found.append((start["at"], entry["at"], start))
-        found += [(start["at"], float("inf"), start)
-                  for start in open_attempts.values()]
-        return sorted(found, key=lambda one: one[0])
-
-    def two_places(self):
-        """Attempts that began before the one before had ended."""
-        overlaps = 0
-        for task, attempts in self.attempts.items():
-            intervals = self.intervals(attempts)
-            for before, after in zip(intervals, intervals[1:]):
-                if after[0] < before[1]:
-                    self.faults.append(f"two places: {task} {before} {after}")
-                    overlaps += 1
-        return overlaps
-
-    def ended_once(self):
-        """Tasks that finished exactly once."""
-        ended = 0
-        for job in self.expected_jobs:
-            for index in range(TASKS_PER_JOB):
-                finished = [entry for entry in self.attempts[(job, index)]
-                            if entry["event"] == "end"
-                            and entry["detail"] == "finished"]
-                ended += 1 if len(finished) == 1 else 0
-                if len(finished) != 1:
-                    self.faults.append(
-                        f"task {job}/{index} finished {len(finished)} times")
-        for job in self.cancelled_jobs:
-            for index in range(TASKS_PER_JOB):
-                finished = [entry for entry in self.attempts[(job, index)]
-                            if entry["event"] == "end"
-                            and entry["detail"] == "finished"]
-                if len(finished) > 1:
-                    self.faults.append(f"cancelled task {job}/{index} finished "
-                                       f"{len(finished)} times")
-        return ended
-
-    def overcommitted(self):
-        """Moments at which attempts on a worker took more than it has."""
-        changes = defaultdict(list)
-        for attempts in self.attempts.values():
-            for start, end, entry in self.intervals(attempts):
-                worker = entry["worker"]
-                size = (entry["processors"], entry["memory"])
-                changes[worker].append((start, 1, size))
-                changes[worker].append((end, 0, size))
-        over = 0
-        for worker, list_of_changes in changes.items():
-            processors = memory = 0
-            for _, begins, size in sorted(list_of_changes,
-                                          key=lambda one: one[:2]):
-                sign = 1 if begins else -1
-                processors += sign * size[0]
-                memory += sign * size[1]
-                if processors > worker.processors or memory > worker.memory:
-                    self.faults.append(f"{worker.name} is overcommitted")
-                    over += 1
-                    break
-        return over
-
-    def print_table(self):
-        rows = defaultdict(list)
-        for call in self.calls:
-            rows[(call["member"], call["class"])].append(call)
-        print(f"\n{'member':<14}{'class':<8}{'calls':>7}{'p50 ms':>9}"
-              f"{'p99 ms':>9}{'p99.9 ms':>10}{'refused':>9}{'unknown':>9}")
-        for (member, call_class), calls in sorted(rows.items()):
-            seconds = [call["seconds"] * 1000 for call in calls
-                       if call["outcome"] == "completed"] or [0]
-            refused = sum(call["outcome"] == "not_run" for call in calls)
-            unknown = sum(call["outcome"] in ("outcome_unknown", "broken")
-                          for call in calls)
-            print(f"{member:<14}{call_class:<8}{len(calls):>7}"
-                  f"{percentile(seconds, 0.5):>9.1f}"
-                  f"{percentile(seconds, 0.99):>9.1f}"
-                  f"{percentile(seconds, 0.999):>10.1f}"
-                  f"{refused:>9}{unknown:>9}")
-        print(f"\n{'member':<14}{'class':<8}{'attempts':>9}{'evictions':>11}"
-              f"{'failures':>10}{'tasks ended':>13}")
-        by_member = defaultdict(lambda: [0, 0, 0, 0])
-        for (job, _), entries in self.attempts.items():
-            row = by_member[member_of(job)]
-            row[0] += sum(entry["event"] == "start" for entry in entries)
-            row[1] += sum(entry["event"] == "end"
-                          and entry["detail"] == "stopped" for entry in entries)
-            row[2] += sum(entry["event"] == "end"
-                          and entry["detail"] == "failed" for entry in entries)
-            row[3] += any(entry["event"] == "end"
-                          and entry["detail"] == "finished" for entry in entries)
-        for member, row in sorted(by_member.items()):
-            print(f"{member:<14}{'batch':<8}{row[0]:>9}{row[1]:>11}{row[2]:>10}"
-                  f"{row[3]:>13}")
-        print()
+def print_table(counts):
+    rows = defaultdict(list)
+    for call in counts.calls:
+        rows[(call["member"], call["class"])].append(call)
+    print(f"\n{'member':<14}{'class':<8}{'calls':>7}{'p50 ms':>9}"
+          f"{'p99 ms':>9}{'p99.9 ms':>10}{'refused':>9}{'unknown':>9}")
+    for (member, call_class), calls in sorted(rows.items()):
+        seconds = [call["seconds"] * 1000 for call in calls
+                   if call["outcome"] == "completed"] or [0]
+        refused = sum(call["outcome"] == "not_run" for call in calls)
+        unknown = sum(call["outcome"] in ("outcome_unknown", "broken")
+                      for call in calls)
+        print(f"{member:<14}{call_class:<8}{len(calls):>7}"
+              f"{percentile(seconds, 0.5):>9.1f}"
+              f"{percentile(seconds, 0.99):>9.1f}"
+              f"{percentile(seconds, 0.999):>10.1f}"
+              f"{refused:>9}{unknown:>9}")
+    print(f"\n{'member':<14}{'class':<8}{'attempts':>9}{'evictions':>11}"
+          f"{'failures':>10}{'tasks ended':>13}")
+    by_member = defaultdict(lambda: [0, 0, 0, 0])
+    for (job, _), entries in counts.attempts.items():
+        row = by_member[member_of(job)]
+        row[0] += sum(entry["event"] == "start" for entry in entries)
+        row[1] += sum(entry["event"] == "end"
+                      and entry["detail"] == "stopped" for entry in entries)
+        row[2] += sum(entry["event"] == "end"
+                      and entry["detail"] == "failed" for entry in entries)
+        row[3] += any(entry["event"] == "end"
+                      and entry["detail"] == "finished" for entry in entries)
+    for member, row in sorted(by_member.items()):
+        print(f"{member:<14}{'batch':<8}{row[0]:>9}{row[1]:>11}{row[2]:>10}"
+              f"{row[3]:>13}")
+    print()
 
 
 def member_of(job):
@@ -303,13 +175,27 @@
         status, body = deployment.submit(
             job_name(number), data_centre, tasks=TASKS_PER_JOB,
             processors=1000, memory=1000, member=member_of(job_name(number)),
-            checkpointable=True, expected_run_ms=400)
+            checkpointable=True, expected_run_ms=TASK_MS)
         if status != 200:
             raise Failed(f"job {number} refused: {status} {body}")
         jobs[data_centre].append(job_name(number))
     return jobs
 
 
+def submit_urgent(deployment):
+    """One task per data centre that takes a whole worker; by data centre."""
+    jobs = {}
+    for number, data_centre in enumerate(deployment.data_centres()):
+        job = f"urgent-{number}"
+        status, body = deployment.submit(
+            job, data_centre, processors=8000, memory=8000, urgent=True,
+            member=member_of(job), checkpointable=True, expected_run_ms=TASK_MS)
+        if status != 200:
+            raise Failed(f"urgent job refused: {status} {body}")
+        jobs[data_centre] = job
+    return jobs
+
+
 def switch_presets(deployment):
     """Three switches; in the second one two operators race with one version."""
     slowest = 0.0
@@ -353,7 +239,7 @@
                               times="check=4,recon=25")
         deployment.add_worker(f"worker-{number}", names[number % 3],
                               rack=f"rack-{number % 4}", processors=8000,
-                              memory=16000, run_ms=400,
+                              memory=16000, run_ms=TASK_MS,
                               fail=1 if number == 11 else 0)
     for name in deployment.targets:
         deployment.wait_target_seen(name)
@@ -389,16 +275,26 @@
                 raise Failed(f"cancellation refused: {status} {body}")
     say(started, f"{len(cancelled)} jobs were cancelled in waves")
 
+    # Urgent work finds the workers full.
+    wait_for("batch tasks run on all workers", lambda: all(
+        any(entry["event"] == "start" for entry in read_ledger(worker.ledger))
+        for worker in deployment.workers.values()))
+    urgent = submit_urgent(deployment)
+    say(started, f"{len(urgent)} urgent tasks that need a whole worker were "
+        "submitted; batch tasks make room")
+
     in_force_ms = switch_presets(deployment)
     say(started, "three presets switched, two operators raced in one; slowest "
         f"in force everywhere after {in_force_ms} ms")
 
+    load.wait_for_more(STEP_CALLS)
     killed = deployment.hosts["leith-2"]
     killed.kill()
     say(started, "entry host leith-2 was killed")
+    load.wait_for_more(STEP_CALLS)
     deployment.targets["target-1"].kill()
     say(started, "target-1 was killed")
-    drained = deployment.targets["target-2"]
+    load.wait_for_more(STEP_CALLS)
     order = {"request_id": "drain-2", "expected_version": deployment.version(),
              "draining": True}
 
@@ -413,8 +309,11 @@
     drained_at = time.time()
     say(started, "target-2 was drained")
 
-    expected = [job for local in jobs.values() for job in local
-                if job not in cancelled]
+    expected = {job: TASKS_PER_JOB for local in jobs.values() for job in local
+                if job not in cancelled}
+    for data_centre, job in urgent.items():
+        jobs[data_centre].append(job)
+        expected[job] = 1
 
     def all_ended():
         for data_centre, local in jobs.items():
@@ -463,7 +362,7 @@
     with Deployment({"leith": 3, "paisley": 2, "dundee": 2}) as deployment:
         expected, cancelled, in_force_ms, drained_at = run(deployment, started)
         counts = Counts(deployment, expected, cancelled)
-        counts.print_table()
+        print_table(counts)
         lost = counts.lost()
         duplicated = counts.duplicated()
         wrong = counts.wrong_answers()
@@ -471,7 +370,7 @@
         two_places = counts.two_places()
         overcommitted = counts.overcommitted()
         check_drained(deployment, drained_at, counts)
-        tasks = len(expected) * TASKS_PER_JOB
+        tasks = sum(expected.values())
         broken = (lost or duplicated or wrong or two_places or overcommitted
                   or ended_once != tasks or counts.faults)
         for fault in counts.faults[:20]:
@@ -488,6 +387,9 @@
 
 
 if __name__ == "__main__":
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--build-dir", default="build")
+    deployments.use_build(parser.parse_args().build_dir)
     try:
         main()
     except Failed as failure:
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -18,12 +18,23 @@
 import time
 from pathlib import Path
 
-BUILD = Path(os.environ.get("BRAMLEYPATH_BUILD", "build"))
-DAEMON = BUILD / "src/bramleypath/daemon/bramleypathd"
-TARGET = BUILD / "tests/standins/standin_target"
-WORKER = BUILD / "tests/standins/standin_worker"
 RELAY = Path(__file__).parent / "relay.py"
 
+
+class Programs:
+    """Paths of the programs that were built."""
+
+
+def use_build(folder):
+    build = Path(folder).resolve()
+    Programs.daemon = build / "src/bramleypath/daemon/bramleypathd"
+    Programs.target = build / "tests/standins/standin_target"
+    Programs.worker = build / "tests/standins/standin_worker"
+    Programs.cli = build / "src/bramleypath/cli/bramleypath"
+
+
+use_build(os.environ.get("BRAMLEYPATH_BUILD", "build"))
+
 # Generous, since the machine may be busy with other tests.
 DEADLINE_S = 30.0
 
@@ -159,7 +170,7 @@
 
     def start(self, bootstrap=False):
         self.write_settings()
-        self.command = [str(DAEMON), "--settings", str(self.settings_file)]
+        self.command = [str(Programs.daemon), "--settings", str(self.settings_file)]
         if bootstrap and self.has_disk:
             self.command.append("--bootstrap")
         super().start()
@@ -371,7 +382,7 @@
         entries = ",".join(host.targets for host in
                            self.in_data_centre(data_centre))
         ip = self.new_ip()
-        target = Process(name, [TARGET, "--name", name, "--service", service,
+        target = Process(name, [Programs.target, "--name", name, "--service", service,
                                 "--member", member, "--address",
                                 f"{ip}:{free_port(ip)}", "--entries", entries,
                                 "--slots", slots, "--times", times, "--ledger",
@@ -388,7 +399,7 @@
         entries = ",".join(host.targets for host in
                            self.in_data_centre(data_centre))
         ip = self.new_ip()
-        worker = Process(name, [WORKER, "--name", name, "--address",
+        worker = Process(name, [Programs.worker, "--name", name, "--address",
                                 f"{ip}:{free_port(ip)}", "--entries", entries,
                                 "--rack", rack, "--processors", processors,
                                 "--memory", memory, "--run-ms", run_ms,
