--- a/src/bramleypath/daemon/ConfigService.cpp
+++ b/src/bramleypath/daemon/ConfigService.cpp
@@ -80,15 +80,17 @@
 
 ConfigService::ConfigService(HostId aSelf, const DataCentreId& aDataCentre,
                              std::uint64_t aIncarnation,
-                             const Hosts& aFirstHosts, Groups& aGroups,
-                             net::PeerLinks& aLinks, PeerRpc& aRpc)
+                             const Hosts& aFirstHosts,
+                             const config::DistributionSettings& aSettings,
+                             Groups& aGroups, net::PeerLinks& aLinks,
+                             PeerRpc& aRpc)
     : self(std::move(aSelf)),
       firstHosts(aFirstHosts),
       groups(aGroups),
       links(aLinks),
       rpc(aRpc),
       distribution(config::MakeDistribution(
-          this->self, aDataCentre, aIncarnation, config::DistributionSettings(),
+          this->self, aDataCentre, aIncarnation, aSettings,
           PeersOf(this->self, aFirstHosts), net::Now())) {}
 
 Hosts ConfigService::CurrentHosts() const {
--- a/src/bramleypath/daemon/ConfigService.h
+++ b/src/bramleypath/daemon/ConfigService.h
@@ -22,7 +22,8 @@
  public:
   ConfigService(HostId aSelf, const DataCentreId& aDataCentre,
                 std::uint64_t aIncarnation, const Hosts& aFirstHosts,
-                Groups& aGroups, net::PeerLinks& aLinks, PeerRpc& aRpc);
+                const config::DistributionSettings& aSettings, Groups& aGroups,
+                net::PeerLinks& aLinks, PeerRpc& aRpc);
 
   // Called after the configuration in force changed.
   std::function<void()> onInForce;
--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -77,6 +77,22 @@
   return limits;
 }
 
+consensus::Settings TimingsOf(const settings::Settings& aSettings) {
+  consensus::Settings timings;
+  timings.heartbeat = aSettings.timings.heartbeat;
+  timings.electionMin = aSettings.timings.electionMin;
+  timings.electionMax = aSettings.timings.electionMax;
+  timings.leaderLease = aSettings.timings.leaderLease;
+  return timings;
+}
+
+config::DistributionSettings DistributionOf(
+    const settings::Settings& aSettings) {
+  config::DistributionSettings distribution;
+  distribution.digestEvery = aSettings.timings.digestEvery;
+  return distribution;
+}
+
 net::HttpResponse HealthResponse(bool aGood, const char* aText) {
   net::HttpResponse response;
   response.status = aGood ? 200 : 503;
@@ -113,9 +129,11 @@
             [this](ReceivedRequest aRequest, PeerRpc::Respond aRespond) {
               this->OnPeerRequest(std::move(aRequest), std::move(aRespond));
             }),
-        groups(this->context, aSettings.host, this->links, this->session),
+        groups(this->context, aSettings.host, this->links, this->session,
+               TimingsOf(aSettings)),
         config(aSettings.host, aSettings.dataCentre, this->session,
-               this->firstHosts, this->groups, this->links, this->rpc),
+               this->firstHosts, DistributionOf(aSettings), this->groups,
+               this->links, this->rpc),
         cell(this->context, aSettings.host, aSettings.dataCentre,
              this->session ^ std::hash<HostId>()(aSettings.host), this->groups,
              this->rpc, this->workerClient, this->metrics),
--- a/src/bramleypath/daemon/EventLog.cpp
+++ b/src/bramleypath/daemon/EventLog.cpp
@@ -64,7 +64,8 @@
 
 }  // namespace
 
-void StartEventLog(const std::string& aFile, LogLevel aLevel) {
+void StartEventLog(const std::string& aFile, LogLevel aLevel,
+                   std::uint64_t aMaxBytes, std::uint32_t aKeptFiles) {
   Library() = std::make_unique<log4cplus::Initializer>();
   log4cplus::SharedAppenderPtr appender;
   if (aFile.empty()) {
@@ -72,7 +73,8 @@
     constexpr bool kFlush = true;
     appender = new log4cplus::ConsoleAppender(kToStandardError, kFlush);
   } else {
-    appender = new log4cplus::FileAppender(aFile, std::ios_base::app);
+    appender = new log4cplus::RollingFileAppender(
+        aFile, static_cast<long>(aMaxBytes), static_cast<int>(aKeptFiles));
   }
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
   log4cplus::Logger root = log4cplus::Logger::getRoot();
--- a/src/bramleypath/daemon/EventLog.h
+++ b/src/bramleypath/daemon/EventLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -16,7 +17,9 @@
 // Sends one event a line to standard error, or to a file when it is not empty:
 // time, level, component, event=..., then name=value for each field. Values
 // with spaces, quotes or control characters are quoted.
-void StartEventLog(const std::string& aFile, LogLevel aLevel);
+// A file above aMaxBytes is rotated, and aKeptFiles old ones are kept.
+void StartEventLog(const std::string& aFile, LogLevel aLevel,
+                   std::uint64_t aMaxBytes, std::uint32_t aKeptFiles);
 void StopEventLog();
 
 void LogEvent(LogLevel aLevel, std::string_view aComponent,
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -33,12 +33,14 @@
   bool changing = false;
 };
 
-Groups::Groups(asio::io_context& aContext, HostId aSelf, net::PeerLinks& aLinks,
-               std::uint64_t aSeed)
+Groups::Groups(asio::io_context& aContext, HostId aSelf,
+               net::PeerLinks& aLinks, std::uint64_t aSeed,
+               const consensus::Settings& aTimings)
     : context(aContext),
       self(std::move(aSelf)),
       links(aLinks),
       seed(aSeed),
+      timings(aTimings),
       files(storage::MakePosixFileSystem()) {}
 
 Groups::~Groups() = default;
@@ -86,6 +88,7 @@
   }
   group::ReplicaSettings settings;
   settings.self = this->folder->identity;
+  settings.consensus = this->timings;
   settings.seed =
       this->seed ^ std::hash<std::string>()(aGroup + this->self.value);
   if (aGroup == kConfigGroup) {
--- a/src/bramleypath/daemon/Groups.h
+++ b/src/bramleypath/daemon/Groups.h
@@ -48,7 +48,7 @@
 class Groups {
  public:
   Groups(asio::io_context& aContext, HostId aSelf, net::PeerLinks& aLinks,
-         std::uint64_t aSeed);
+         std::uint64_t aSeed, const consensus::Settings& aTimings);
   ~Groups();
   Groups(const Groups&) = delete;
   Groups& operator=(const Groups&) = delete;
@@ -107,6 +107,7 @@
   HostId self;
   net::PeerLinks& links;
   std::uint64_t seed;
+  consensus::Settings timings;
   std::unique_ptr<storage::FileSystem> files;
   std::optional<storage::DataFolder> folder;
   std::unique_ptr<storage::DiskThread> disk;
--- a/src/bramleypath/daemon/Main.cpp
+++ b/src/bramleypath/daemon/Main.cpp
@@ -87,8 +87,9 @@
   if (options.check) {
     return 0;
   }
-  bramleypath::daemon::StartEventLog(settings->logging.file,
-                                     ToLogLevel(settings->logging.level));
+  bramleypath::daemon::StartEventLog(
+      settings->logging.file, ToLogLevel(settings->logging.level),
+      settings->logging.maxFileBytes, settings->logging.keptFiles);
   int status = static_cast<int>(bramleypath::daemon::ExitStatus::Failed);
   {
     bramleypath::daemon::Daemon daemon(*settings, options.bootstrap);
--- /dev/null
+++ b/tests/net/PeerLinksTest.cpp
@@ -0,0 +1,184 @@
+#include "bramleypath/net/PeerLinks.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/net/Loop.h"
+#include "tests/net/RawServer.h"
+
+using namespace bramleypath;
+using namespace bramleypath::net;
+using net_test::RunUntil;
+
+namespace {
+
+const HostId kLeft("left");
+const HostId kRight("right");
+
+PeerFrame FrameTo(const HostId& aTo, const std::string& aKind,
+                  std::size_t aBytes = 4) {
+  PeerFrame frame;
+  frame.group = "config";
+  frame.to = aTo;
+  frame.kind = aKind;
+  frame.payload = Bytes(aBytes, 7);
+  return frame;
+}
+
+// A free address; the port is bound for a moment to find it.
+std::string FreeAddress(asio::io_context& aContext) {
+  net_test::RawServer server(aContext, nullptr);
+  std::string address = server.Address();
+  server.Close();
+  return address;
+}
+
+// Guards against peers that make memory grow without bound, and against frames
+// of hosts that are not peers.
+class PeerLinksTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(PeerLinksTest);
+  CPPUNIT_TEST(testFramesArriveInOrderAndReconnect);
+  CPPUNIT_TEST(testUnknownSenderIsRefused);
+  CPPUNIT_TEST(testSilentPeerCostsBoundedMemory);
+  CPPUNIT_TEST(testOversizedAndMalformedInput);
+  CPPUNIT_TEST(testFrameCodec);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void testFramesArriveInOrderAndReconnect() {
+    asio::io_context context;
+    const std::string leftAddress = FreeAddress(context);
+    const std::string rightAddress = FreeAddress(context);
+    std::vector<PeerFrame> received;
+    NetReason reason;
+    PeerLinks left(context, kLeft, leftAddress, PeerLimits(),
+                   [](const PeerFrame&) {});
+    CPPUNIT_ASSERT(left.Open(reason));
+    left.SetPeers({{kRight, rightAddress}, {kLeft, leftAddress}});
+    const auto onFrame = [&received](const PeerFrame& aFrame) {
+      received.push_back(aFrame);
+    };
+    {
+      PeerLinks right(context, kRight, rightAddress, PeerLimits(), onFrame);
+      CPPUNIT_ASSERT(right.Open(reason));
+      right.SetPeers({{kLeft, leftAddress}});
+      CPPUNIT_ASSERT(
+          RunUntil(context, [&left] { return left.IsConnected(kRight); }));
+      constexpr std::size_t kCount = 200;
+      for (std::size_t i = 0; i < kCount; ++i) {
+        left.Send(FrameTo(kRight, std::to_string(i), 10000),
+                  FramePriority::Normal);
+      }
+      CPPUNIT_ASSERT(
+          RunUntil(context, [&received] { return received.size() == kCount; }));
+      for (std::size_t i = 0; i < kCount; ++i) {
+        CPPUNIT_ASSERT_EQUAL(std::to_string(i), received[i].kind);
+      }
+      CPPUNIT_ASSERT(received[0].from == kLeft);
+    }
+    CPPUNIT_ASSERT(
+        RunUntil(context, [&left] { return !left.IsConnected(kRight); }));
+    received.clear();
+    PeerLinks again(context, kRight, rightAddress, PeerLimits(), onFrame);
+    CPPUNIT_ASSERT(again.Open(reason));
+    again.SetPeers({{kLeft, leftAddress}});
+    CPPUNIT_ASSERT(
+        RunUntil(context, [&left] { return left.IsConnected(kRight); }));
+    left.Send(FrameTo(kRight, "after"), FramePriority::Normal);
+    CPPUNIT_ASSERT(RunUntil(context, [&received] {
+      return !received.empty() && received.back().kind == "after";
+    }));
+    CPPUNIT_ASSERT(
+        !left.Send(FrameTo(HostId("unknown"), "x"), FramePriority::Normal));
+  }
+
+  void testUnknownSenderIsRefused() {
+    asio::io_context context;
+    const std::string address = FreeAddress(context);
+    std::size_t received = 0;
+    NetReason reason;
+    PeerLinks right(context, kRight, address, PeerLimits(),
+                    [&received](const PeerFrame&) { ++received; });
+    CPPUNIT_ASSERT(right.Open(reason));
+    PeerLinks stranger(context, HostId("stranger"), FreeAddress(context),
+                       PeerLimits(), [](const PeerFrame&) {});
+    CPPUNIT_ASSERT(stranger.Open(reason));
+    stranger.SetPeers({{kRight, address}});
+    CPPUNIT_ASSERT(RunUntil(
+        context, [&stranger] { return stranger.IsConnected(kRight); }));
+    stranger.Send(FrameTo(kRight, "x"), FramePriority::Normal);
+    CPPUNIT_ASSERT(RunUntil(
+        context, [&right] { return right.Counters().refusedSender == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received);
+  }
+
+  // Gossip is dropped before other messages, and both before memory grows.
+  void testSilentPeerCostsBoundedMemory() {
+    asio::io_context context;
+    // Accepts connections and never answers the handshake.
+    net_test::RawServer silent(
+        context, [](const auto&, std::size_t, const std::string&) {});
+    NetReason reason;
+    PeerLinks left(context, kLeft, FreeAddress(context), PeerLimits(),
+                   [](const PeerFrame&) {});
+    CPPUNIT_ASSERT(left.Open(reason));
+    left.SetPeers({{kRight, silent.Address()}});
+    constexpr std::size_t kBytes = 10000;
+    for (int i = 0; i < 30; ++i) {
+      left.Send(FrameTo(kRight, "gossip", kBytes), FramePriority::Gossip);
+      left.Send(FrameTo(kRight, "raft", kBytes), FramePriority::Normal);
+    }
+    CPPUNIT_ASSERT(left.Counters().droppedGossip > 0);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, left.Counters().droppedOther);
+    for (int i = 0; i < 300; ++i) {
+      left.Send(FrameTo(kRight, "raft", kBytes), FramePriority::Normal);
+    }
+    CPPUNIT_ASSERT(left.Counters().droppedOther > 0);
+    CPPUNIT_ASSERT(left.QueuedBytes(kRight) <= 512 * 1024);
+    CPPUNIT_ASSERT(!left.IsConnected(kRight));
+  }
+
+  void testOversizedAndMalformedInput() {
+    asio::io_context context;
+    const std::string address = FreeAddress(context);
+    std::size_t received = 0;
+    NetReason reason;
+    PeerLimits limits;
+    limits.maxMessageBytes = 1000;
+    PeerLinks right(context, kRight, address, limits,
+                    [&received](const PeerFrame&) { ++received; });
+    CPPUNIT_ASSERT(right.Open(reason));
+    right.SetPeers({{kLeft, "127.0.0.1:1"}});
+    PeerLinks left(context, kLeft, FreeAddress(context), PeerLimits(),
+                   [](const PeerFrame&) {});
+    CPPUNIT_ASSERT(left.Open(reason));
+    left.SetPeers({{kRight, address}});
+    CPPUNIT_ASSERT(
+        RunUntil(context, [&left] { return left.IsConnected(kRight); }));
+    left.Send(FrameTo(kRight, "large", 5000), FramePriority::Normal);
+    // The receiver closes the connection; the link comes back.
+    CPPUNIT_ASSERT(
+        RunUntil(context, [&left] { return left.Counters().reconnects >= 2; }));
+    left.Send(FrameTo(kRight, "small", 5), FramePriority::Normal);
+    CPPUNIT_ASSERT(RunUntil(context, [&received] { return received == 1; }));
+  }
+
+  void testFrameCodec() {
+    PeerFrame frame = FrameTo(kRight, "raft", 300);
+    frame.from = kLeft;
+    const Bytes bytes = EncodeFrame(frame);
+    const auto decoded = DecodeFrame(bytes);
+    CPPUNIT_ASSERT(decoded);
+    CPPUNIT_ASSERT(decoded->from == kLeft && decoded->to == kRight);
+    CPPUNIT_ASSERT(decoded->payload == frame.payload);
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+      CPPUNIT_ASSERT(
+          !DecodeFrame(Bytes(bytes.begin(), bytes.begin() + length)));
+    }
+    CPPUNIT_ASSERT(!DecodeFrame({0x80}));
+    CPPUNIT_ASSERT(!DecodeFrame({0xa1, 0x61, 0x78, 0x01}));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PeerLinksTest);
+
+}  // namespace
