--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -33,9 +33,8 @@
   bool changing = false;
 };
 
-Groups::Groups(asio::io_context& aContext, HostId aSelf,
-               net::PeerLinks& aLinks, std::uint64_t aSeed,
-               const consensus::Settings& aTimings)
+Groups::Groups(asio::io_context& aContext, HostId aSelf, net::PeerLinks& aLinks,
+               std::uint64_t aSeed, const consensus::Settings& aTimings)
     : context(aContext),
       self(std::move(aSelf)),
       links(aLinks),
--- a/src/bramleypath/daemon/Layout.cpp
+++ b/src/bramleypath/daemon/Layout.cpp
@@ -46,27 +46,42 @@
 
 namespace {
 
+// Takes hosts from each data centre in turn, at most aMost from one.
+std::vector<HostId> TakeInTurn(
+    const std::vector<std::vector<HostId>>& aPerDataCentre, std::size_t aCount,
+    std::size_t aMost) {
+  std::vector<HostId> taken;
+  for (std::size_t round = 0; round < aMost; ++round) {
+    for (const std::vector<HostId>& hosts : aPerDataCentre) {
+      if (round < hosts.size() && taken.size() < aCount) {
+        taken.push_back(hosts[round]);
+      }
+    }
+  }
+  return taken;
+}
+
 std::vector<HostId> ConfigVoters(const Hosts& aHosts) {
   std::vector<std::vector<HostId>> perDataCentre;
   for (const DataCentreId& dataCentre : DataCentres(aHosts)) {
-    perDataCentre.push_back(DiskHosts(aHosts, dataCentre));
-  }
-  std::vector<HostId> voters;
-  bool found = true;
-  for (std::size_t round = 0; found; ++round) {
-    found = false;
-    for (const std::vector<HostId>& hosts : perDataCentre) {
-      if (round < hosts.size() && voters.size() < kMaxConfigVoters) {
-        voters.push_back(hosts[round]);
-        found = true;
-      }
+    std::vector<HostId> hosts = DiskHosts(aHosts, dataCentre);
+    if (!hosts.empty()) {
+      perDataCentre.push_back(std::move(hosts));
     }
   }
-  if (voters.size() % 2 == 0 && !voters.empty()) {
-    voters.pop_back();
+  // Of three or more data centres none may hold a majority, so that the group
+  // survives the loss of any of them.
+  constexpr std::size_t kLeastToSpread = 3;
+  const bool spread = perDataCentre.size() >= kLeastToSpread;
+  for (std::size_t count = kMaxConfigVoters; count > 1; count -= 2) {
+    std::vector<HostId> voters =
+        TakeInTurn(perDataCentre, count, spread ? count / 2 : count);
+    if (voters.size() == count) {
+      std::sort(voters.begin(), voters.end());
+      return voters;
+    }
   }
-  std::sort(voters.begin(), voters.end());
-  return voters;
+  return TakeInTurn(perDataCentre, 1, 1);
 }
 
 std::vector<HostId> CellVoters(const Hosts& aHosts,
--- /dev/null
+++ b/tests/metrics/RegistryTest.cpp
@@ -0,0 +1,75 @@
+#include "bramleypath/metrics/Registry.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+using namespace bramleypath;
+using namespace bramleypath::metrics;
+
+namespace {
+
+// Guards against quantiles that are far off, and against callers that make the
+// page grow without bound by choosing names.
+class RegistryTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RegistryTest);
+  CPPUNIT_TEST(testQuantiles);
+  CPPUNIT_TEST(testSeriesAreBounded);
+  CPPUNIT_TEST(testExposition);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void testQuantiles() {
+    Registry registry;
+    const MemberId member("m");
+    const ClassId callClass("c");
+    constexpr int kSamples = 20000;
+    for (int i = 0; i < kSamples; ++i) {
+      // Each millisecond from 0 to 999 equally often, in a mixed order.
+      registry.RecordCall(member, callClass, "completed",
+                          Millis(i * 7919LL % 1000));
+    }
+    const LatencySummary summary = registry.Latency(member, callClass);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{kSamples}, summary.count);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.5, summary.p50Seconds, 0.02);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.99, summary.p99Seconds, 0.01);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.999, summary.p999Seconds, 0.005);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.999, summary.maxSeconds, 1e-9);
+  }
+
+  void testSeriesAreBounded() {
+    Registry registry;
+    for (std::size_t i = 0; i < 2 * kMaxSeries; ++i) {
+      registry.RecordCall(MemberId("m" + std::to_string(i)), ClassId("c"),
+                          "completed", Millis(1));
+    }
+    const std::string page = registry.WriteExposition();
+    std::size_t lines = 0;
+    for (std::size_t at = page.find("calls_total{"); at != std::string::npos;
+         at = page.find("calls_total{", at + 1)) {
+      ++lines;
+    }
+    CPPUNIT_ASSERT_EQUAL(kMaxSeries + 1, lines);
+    CPPUNIT_ASSERT(page.find("bramleypath_calls_total{member=\"other\",class="
+                             "\"other\",outcome=\"completed\"} " +
+                             std::to_string(kMaxSeries)) != std::string::npos);
+  }
+
+  void testExposition() {
+    Registry registry;
+    registry.RecordCall(MemberId("a\"b\\c\nd"), ClassId("c"), "not_run",
+                        Millis(2));
+    registry.SetCounter("things_total", 3);
+    registry.SetGauge("level", 0.5);
+    const std::string page = registry.WriteExposition();
+    for (const char* line :
+         {"bramleypath_calls_total{member=\"a\\\"b\\\\c?d\",class=\"c\","
+          "outcome=\"not_run\"} 1\n",
+          "# TYPE bramleypath_things_total counter\n",
+          "bramleypath_things_total 3\n", "bramleypath_level 0.5\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(line, page.find(line) != std::string::npos);
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RegistryTest);
+
+}  // namespace
