Let the daemon place by interference and answer which pairs disturb each other

The preset in force sets the weights and how much of a worker batch work may reserve; usage reports feed the estimates and may ask for relief.

--- a/src/bramleypath/cellplacement/Advisor.cpp
+++ b/src/bramleypath/cellplacement/Advisor.cpp
@@ -212,6 +212,18 @@
   return cell::WaitReason::NoRoomNow;
 }
 
+// Takes away from a batch task what the preset keeps free of batch work.
+void LimitBatchRoom(const Advisor& aAdvisor, placement::WorkerView& aView) {
+  constexpr std::int64_t kFullPercent = 100;
+  const auto allowed =
+      static_cast<std::int64_t>(aAdvisor.batchUtilisationPercent);
+  if (allowed >= kFullPercent) {
+    return;
+  }
+  aView.room.processorsMilli -=
+      aView.capacity.processorsMilli * (kFullPercent - allowed) / kFullPercent;
+}
+
 void FillView(const Advisor& aAdvisor, const cell::WorkerRoom& aRoom,
               gsl::span<const WorkerId> aAvoided,
               placement::WorkerView& aView) {
@@ -246,6 +258,11 @@
         std::max(aAdvisor.largestMemoryMb, aRooms[index].capacity.memoryMb);
   }
   const cell::JobSpec& job = *aRequest.job;
+  if (job.kind == cell::JobKind::Batch && !job.urgent) {
+    for (placement::WorkerView& view : aAdvisor.views) {
+      LimitBatchRoom(aAdvisor, view);
+    }
+  }
   placement::TaskRequest task;
   task.demand = ToDemand(aRequest.demand);
   task.classIndex = IndexOf(aAdvisor.classes, job.classId);
--- a/src/bramleypath/cellplacement/Advisor.h
+++ b/src/bramleypath/cellplacement/Advisor.h
@@ -64,7 +64,11 @@
 // cell's state and learns again.
 struct Advisor {
   AdvisorSettings settings;
+  // From the preset in force.
   placement::Weights weights;
+  // Share of a worker's processors that batch work may reserve, in percent;
+  // 0 starts no batch work.
+  std::uint32_t batchUtilisationPercent = 100;
   ClassTable classes;
   placement::Interference table;
   placement::SizeCorrection sizes;
--- a/src/bramleypath/cli/internal/WorkCommands.cpp
+++ b/src/bramleypath/cli/internal/WorkCommands.cpp
@@ -244,8 +244,8 @@
               "/v1/ops/explain/pairs" +
                   QueryOf(aSession, {"member", "class", "data-centre"}),
               "pairs",
-              {"victim", "victim_member", "aggressor", "aggressor_member",
-               "load_band", "slowdown", "confidence"});
+              {"victim", "aggressor", "aggressor_members", "load_band",
+               "slowdown", "samples", "confidence"});
 }
 
 }  // namespace bramleypath::cli::detail
--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -1,5 +1,6 @@
 #include "bramleypath/daemon/CellService.h"
 
+#include <algorithm>
 #include <utility>
 #include <variant>
 
@@ -52,6 +53,23 @@
   return "Queued";
 }
 
+json ToJson(const cellplacement::PairDescription& aPair) {
+  constexpr const char* kBands[] = {"low", "middle", "high"};
+  json members = json::array();
+  for (const MemberId& member : aPair.members) {
+    members.push_back(member.value);
+  }
+  // Half the prior's deviation counts as certain to one half, and so on.
+  const double certainty = 1 / (1 + aPair.deviation / 0.06);
+  return {{"victim", aPair.victim.value},
+          {"aggressor", aPair.aggressor.value},
+          {"aggressor_members", std::move(members)},
+          {"load_band", kBands[static_cast<std::size_t>(aPair.band)]},
+          {"slowdown", aPair.slowdown},
+          {"samples", aPair.samples},
+          {"confidence", certainty}};
+}
+
 const char* NameOf(cell::TaskState aState) {
   switch (aState) {
     case cell::TaskState::Pending:
@@ -82,7 +100,10 @@
       rpc(aRpc),
       client(aClient),
       metrics(aMetrics),
-      machine(aProposer, journal::Periods()) {
+      machine(aProposer, journal::Periods()),
+      advisor(cellplacement::MakeAdvisor(cellplacement::AdvisorSettings())) {
+  this->scheduler.choose = cellplacement::MakeChooser(this->advisor);
+  this->scheduler.sizeTask = cellplacement::MakeSizer(this->advisor);
   // The scheduler sees each command with the state as it is just after it;
   // what it wants done in turn is done after the replica's own step.
   this->machine.onApplied = [this](std::uint64_t aToken,
@@ -95,6 +116,7 @@
 GroupHooks CellService::Hooks() {
   GroupHooks hooks;
   hooks.gained = [this](consensus::Term aTerm) {
+    cellplacement::Rebuild(this->advisor, this->machine.Cell(), net::Now());
     this->StepScheduler(cell::LeadershipGained{aTerm});
     this->StepCoordinator(journal::GainedLeadership());
   };
@@ -132,6 +154,15 @@
                        static_cast<std::int64_t>(quota.accelerators)}});
   }
   this->StepScheduler(cell::QuotasChanged{std::move(quotas)});
+  const auto preset = aConfiguration.presets.find(aConfiguration.presetInForce);
+  if (preset != aConfiguration.presets.end()) {
+    const config::GoalWeights& weights = preset->second.weights;
+    this->advisor.weights.tailLatency = weights.tailLatency;
+    this->advisor.weights.evictions = weights.evictions;
+    this->advisor.weights.throughput = weights.throughput;
+    this->advisor.batchUtilisationPercent =
+        preset->second.batch.workerUtilisationPercent;
+  }
   this->StepScheduler(cell::PlacementChanged());
   this->StepCoordinator(
       journal::OwnersInForce{aConfiguration.keyOwners, this->dataCentre});
@@ -263,6 +294,11 @@
       event = "preemption";
       break;
   }
+  if (aNotice.kind == cell::NoticeKind::AttemptStarted ||
+      aNotice.kind == cell::NoticeKind::AttemptEnded) {
+    cellplacement::OnWorkerChanged(this->advisor, this->machine.Cell(),
+                                   aNotice.worker, net::Now());
+  }
   LogEvent(level, "cell", event,
            {{"job", aNotice.job.value},
             {"task", std::to_string(aNotice.taskIndex)},
@@ -331,10 +367,56 @@
       return;
     }
     this->StepScheduler(cell::WorkerReported{report->message});
+    this->OnUsage(*report);
   }
   aRespond(JsonResponse(200, {{"leader", this->self.value}}));
 }
 
+void CellService::OnUsage(const wire::WorkerReport& aReport) {
+  std::vector<cellplacement::UsageView> samples;
+  samples.reserve(aReport.usage.size());
+  for (const wire::UsageSample& sample : aReport.usage) {
+    samples.push_back({sample.attempt, sample.processorsMilli, sample.memoryMb,
+                       static_cast<double>(sample.p99Micros)});
+  }
+  const TimePoint now = net::Now();
+  const auto requests =
+      cellplacement::OnUsage(this->advisor, aReport.message.worker, samples,
+                             now - Millis(aReport.sampleAgeMs), now);
+  for (const cell::ReliefRequested& request : requests) {
+    this->StepScheduler(request);
+  }
+}
+
+void CellService::HandlePairs(const net::HttpRequest& aRequest, bool aForwarded,
+                              TimePoint aDeadline, PeerRpc::Respond aRespond) {
+  if (!this->groups.Leads(this->group)) {
+    if (aForwarded) {
+      aRespond(OperatorError(503, "no_leader", "", "this host doesn't lead"));
+    } else {
+      this->Forward(aRequest, this->group, aDeadline, std::move(aRespond));
+    }
+    return;
+  }
+  constexpr std::size_t kMaxPairs = 50;
+  const std::string member = net::FindQueryValue(aRequest.query, "member");
+  const std::string classId = net::FindQueryValue(aRequest.query, "class");
+  json pairs = json::array();
+  for (const auto& pair : cellplacement::DescribeWorstPairs(
+           this->advisor, this->machine.Cell(), kMaxPairs)) {
+    const auto& members = pair.members;
+    const bool wantedMember =
+        member.empty() || std::find(members.begin(), members.end(),
+                                    MemberId(member)) != members.end();
+    const bool wantedClass = classId.empty() || pair.victim.value == classId ||
+                             pair.aggressor.value == classId;
+    if (wantedMember && wantedClass) {
+      pairs.push_back(ToJson(pair));
+    }
+  }
+  aRespond(JsonResponse(200, {{"pairs", std::move(pairs)}}));
+}
+
 void CellService::HandleJournal(const HostId& aFrom,
                                 const net::HttpRequest& aRequest,
                                 PeerRpc::Respond aRespond) {
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -10,6 +10,7 @@
 #include <asio/io_context.hpp>
 
 #include "bramleypath/cell/Scheduler.h"
+#include "bramleypath/cellplacement/Advisor.h"
 #include "bramleypath/daemon/CellMachine.h"
 #include "bramleypath/daemon/ConfigService.h"
 #include "bramleypath/daemon/Groups.h"
@@ -59,6 +60,10 @@
   void HandleJobs(const net::HttpRequest& aRequest, bool aForwarded,
                   TimePoint aDeadline, PeerRpc::Respond aRespond);
 
+  // GET /v1/ops/explain/pairs with member and class, on the cell leader.
+  void HandlePairs(const net::HttpRequest& aRequest, bool aForwarded,
+                   TimePoint aDeadline, PeerRpc::Respond aRespond);
+
   const CellCounters& Counters() const { return this->counters; }
 
  private:
@@ -74,6 +79,7 @@
   void Propose(const cell::ProposeCommand& aProposal);
   void SendBatch(const cell::CommandBatch& aBatch);
   void Note(const cell::Notice& aNotice);
+  void OnUsage(const wire::WorkerReport& aReport);
   void StepCoordinator(const journal::CoordinatorEvent& aEvent);
   void Forward(const net::HttpRequest& aRequest, const std::string& aGroup,
                TimePoint aDeadline, PeerRpc::Respond aRespond);
@@ -94,6 +100,7 @@
   metrics::Registry& metrics;
   CellMachine machine;
   cell::Scheduler scheduler;
+  cellplacement::Advisor advisor;
   journal::Coordinator coordinator;
   journal::AskId lastAsk = 0;
   std::map<journal::AskId, WaitingAsk> asks;
--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -318,6 +318,9 @@
     } else if (path == "/v1/ops/config") {
       this->config.HandleChange(aRequest.request.body, kForwarded,
                                 aRequest.deadline, std::move(aRespond));
+    } else if (path == "/v1/ops/explain/pairs") {
+      this->cell.HandlePairs(aRequest.request, kForwarded, aRequest.deadline,
+                             std::move(aRespond));
     } else if (under("/v1/ops/jobs") || under("/v1/ops/explain/job/")) {
       this->cell.HandleJobs(aRequest.request, kForwarded, aRequest.deadline,
                             std::move(aRespond));
--- a/src/bramleypath/daemon/OperatorService.cpp
+++ b/src/bramleypath/daemon/OperatorService.cpp
@@ -83,6 +83,14 @@
   } else if (StartsWith(path, kExplainCallPath)) {
     aRespond(
         this->ExplainCall(path.substr(std::string(kExplainCallPath).size())));
+  } else if (path == "/v1/ops/explain/pairs") {
+    if (this->parts.cell) {
+      this->parts.cell->HandlePairs(aRequest, false, deadline,
+                                    std::move(aRespond));
+    } else {
+      aRespond(
+          OperatorError(503, "no_leader", "", "this data centre has no cell"));
+    }
   } else if (path == "/v1/ops/log-level" && post) {
     aRespond(this->ChangeLogLevel(aRequest));
   } else if (path == "/v1/ops/stop" && post) {
--- a/tests/cellplacement/AdvisorTest.cpp
+++ b/tests/cellplacement/AdvisorTest.cpp
@@ -88,6 +88,7 @@
   CPPUNIT_TEST(testLearnsThePairAndAvoidsIt);
   CPPUNIT_TEST(testAsksForReliefInOrder);
   CPPUNIT_TEST(testCorrectedMemoryStillFitsAWorker);
+  CPPUNIT_TEST(testPresetLimitsBatchWork);
   CPPUNIT_TEST(testForgetsARemovedWorker);
   CPPUNIT_TEST_SUITE_END();
 
@@ -171,6 +172,40 @@
     }
   }
 
+  // Guards against a maintenance preset that still starts batch work.
+  void testPresetLimitsBatchWork() {
+    struct Row {
+      std::uint32_t percent;
+      cell::JobKind kind;
+      bool urgent;
+      bool placed;
+    };
+    const Row rows[] = {{100, cell::JobKind::Batch, false, true},
+                        {50, cell::JobKind::Batch, false, true},
+                        {0, cell::JobKind::Batch, false, false},
+                        {0, cell::JobKind::Batch, true, true},
+                        {0, cell::JobKind::Service, false, true}};
+    Scene scene;
+    std::vector<cell::WorkerRoom> rooms(1);
+    rooms[0].worker = WorkerId("w1");
+    rooms[0].capacity = cell::Resources{32000, 125000, 0};
+    rooms[0].room = cell::Resources{28000, 100000, 0};
+    rooms[0].excluded = false;
+    for (const Row& row : rows) {
+      scene.advisor.batchUtilisationPercent = row.percent;
+      cell::JobSpec spec;
+      spec.kind = row.kind;
+      spec.urgent = row.urgent;
+      spec.perTask = cell::Resources{4000, 8000, 0};
+      cell::PlacementRequest request;
+      request.job = &spec;
+      request.demand = spec.perTask;
+      cell::WaitReason reason = cell::WaitReason::None;
+      const auto chosen = MakeChooser(scene.advisor)(rooms, request, reason);
+      CPPUNIT_ASSERT_EQUAL(row.placed, chosen.has_value());
+    }
+  }
+
   void testForgetsARemovedWorker() {
     Scene scene;
     CPPUNIT_ASSERT(scene.advisor.workers.size() == 2);
