--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -209,6 +209,8 @@
     this->advisor.weights.tailLatency = weights.tailLatency;
     this->advisor.weights.evictions = weights.evictions;
     this->advisor.weights.throughput = weights.throughput;
+    this->advisor.batchUtilisationPercent =
+        preset->second.batch.workerUtilisationPercent;
   }
   this->StepScheduler(cell::QuotasChanged{std::move(quotas)});
   this->StepScheduler(cell::PlacementChanged());
