--- a/Makefile
+++ b/Makefile
@@ -53,3 +53,13 @@
 	@set -e; for program in $$(find $(BUILD_DIR)/tests -type f -name 'test_*' -perm -u+x | sort); do \
 	  echo "== $$(basename $$program)"; \
 	  RC_PARAMS="seed=$(SEED) max_success=$(RUNS)" $$program; done
+
+PREFIX ?= /usr/local
+
+# Installs programs, unit file, manual pages and completion below PREFIX.
+.PHONY: install
+install: packages
+	@cmake -S . -B $(BUILD_DIR) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCMAKE_INSTALL_PREFIX=$(PREFIX) >/dev/null
+	@cmake --build $(BUILD_DIR) -j $(JOBS) --target bramleypathd bramleypath
+	@cmake --install $(BUILD_DIR) --component Unspecified >/dev/null
+	@echo "installed below $(PREFIX)"
