--- a/tests/standins/Worker.cpp
+++ b/tests/standins/Worker.cpp
@@ -4,7 +4,7 @@
 //
 // standin_worker --name W --address IP:PORT --entries IP:PORT,... --rack R
 //   --ledger FILE [--processors 32000] [--memory 128000] [--accelerators 0]
-//   [--run-ms 300] [--fail 0|1] [--incarnation N]
+//   [--run-ms 300] [--fail 0|1] [--incarnation N] [--announce-ms 500]
 // An attempt takes run-ms; a checkpoint says how much of it is done. Resuming
 // from a checkpoint takes the rest.
 
@@ -81,6 +81,7 @@
     this->rack = standins::Argument(aCount, aValues, "rack");
     this->runMs = number("run-ms", "300");
     this->fails = number("fail", "0") != 0;
+    this->announceMs = number("announce-ms", "500");
   }
 
   bool Start() {
@@ -127,7 +128,8 @@
     announce.record.memoryMb = this->state.capacity.memoryMb;
     announce.record.accelerators = this->state.capacity.accelerators;
     this->Send("/v1/workers/announce", wire::ToJson(announce), 2);
-    this->announceTimer.expires_after(std::chrono::milliseconds(500));
+    this->announceTimer.expires_after(
+        std::chrono::milliseconds(this->announceMs));
     this->announceTimer.async_wait([this](const asio::error_code& aError) {
       if (!aError) {
         this->Announce();
@@ -252,6 +254,7 @@
   agent::WorkerAgent state;
   std::string rack;
   long long runMs = 300;
+  long long announceMs = 500;
   bool fails = false;
   std::map<cell::AttemptId, Running> running;
   bool changed = false;
