--- a/src/bramleypath/consensus/internal/SnapshotTransfer.cpp
+++ b/src/bramleypath/consensus/internal/SnapshotTransfer.cpp
@@ -178,6 +178,11 @@
   snapshot.index = aTaken.index;
   snapshot.term = *TermAt(aNode, aTaken.index);
   snapshot.membership = MembershipAt(aNode, aTaken.index);
+  // A replica that joined with the whole log doesn't know the first membership;
+  // it must not hand on a snapshot without one.
+  if (snapshot.membership.voters.empty()) {
+    return;
+  }
   snapshot.state = aTaken.state;
   aNode.snapshot = std::make_shared<const Snapshot>(std::move(snapshot));
   aActions.push_back(PersistSnapshot{NextTicket(aNode), aNode.snapshot, false});
--- a/tests/consensus/StepTest.cpp
+++ b/tests/consensus/StepTest.cpp
@@ -58,6 +58,7 @@
   CPPUNIT_TEST(testSnapshotOfHeldLogKeepsTheRest);
   CPPUNIT_TEST(testVoteWaitsForItsSync);
   CPPUNIT_TEST(testNoLeaseAfterFailedTransfer);
+  CPPUNIT_TEST(testNoSnapshotWithoutMembership);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -170,6 +171,29 @@
     CPPUNIT_ASSERT(node.hardState.votedFor == kSecond);
   }
 
+  // Guards against a snapshot that a joined replica would hand to a voter, and
+  // that would take the voter's membership away.
+  void testNoSnapshotWithoutMembership() {
+    Node node = MakeNode(kSelf, Settings{}, Membership{}, {}, 1, kStart);
+    AppendRequest request;
+    request.commitIndex = 2;
+    request.entries = {Command(1, 1), Command(2, 1)};
+    LogEntry change = Command(3, 1);
+    change.kind = EntryKind::MembershipChange;
+    change.membership = Membership{{kSecond, kThird}, {kSelf}};
+    request.entries.push_back(change);
+    Receive(node, kSecond, 1, request, kStart);
+    Step(node, SnapshotTaken{2, {1}}, kStart);
+    CPPUNIT_ASSERT(node.snapshot == nullptr);
+    request.previousIndex = 3;
+    request.previousTerm = 1;
+    request.commitIndex = 3;
+    request.entries.clear();
+    Receive(node, kSecond, 1, request, kStart);
+    Step(node, SnapshotTaken{3, {1}}, kStart);
+    CPPUNIT_ASSERT(node.snapshot != nullptr);
+  }
+
   // Guards against a lease that comes back after a transfer: the request may
   // arrive late, and voters then ignore the lease.
   void testNoLeaseAfterFailedTransfer() {
