--- a/src/bramleypath/cell/internal/Leases.cpp
+++ b/src/bramleypath/cell/internal/Leases.cpp
@@ -10,6 +10,9 @@
 namespace {
 
 constexpr std::int64_t kPermille = 1000;
+// Acknowledgements kept for the next batch; without the leader lease none is
+// sent. The worker confirms the others again.
+constexpr std::size_t kMaxAcknowledgements = 4096;
 
 // When the leases granted last have certainly passed on the worker's clock.
 TimePoint LeaseEnd(const SchedulerSettings& aSettings,
@@ -95,13 +98,24 @@
   return EndKind::Lost;
 }
 
+// A failure on a worker that fails other jobs too is not laid to the task,
+// unless the job has failed on other workers as well.
+bool CountsAgainstTask(const Scheduler& aScheduler, const WorkerTrack& aWorker,
+                       const JobId& aJob) {
+  const auto job = aScheduler.jobs.find(aJob);
+  return !IsSuspect(aWorker.failures) ||
+         (job != aScheduler.jobs.end() && IsSuspect(job->second.failures));
+}
+
 void OnConfirmation(const Context& aContext, std::size_t aSlot,
                     const Confirmation& aConfirmation) {
   WorkerTrack& worker = aContext.scheduler.workers[aSlot];
   const Attempt* live = FindLiveAttempt(aContext.state, aConfirmation.attempt);
   if (live == nullptr) {
     // Ended already: a repeated or late confirmation has no other effect.
-    worker.acknowledgements.push_back(aConfirmation.attempt);
+    if (worker.acknowledgements.size() < kMaxAcknowledgements) {
+      worker.acknowledgements.push_back(aConfirmation.attempt);
+    }
     return;
   }
   const auto track = worker.attempts.find(aConfirmation.attempt.task);
@@ -110,7 +124,8 @@
   }
   ProposeEnd(aContext, aConfirmation.attempt, track->second,
              KindOf(aConfirmation.event, live->state), aConfirmation.checkpoint,
-             !IsSuspect(worker.failures));
+             CountsAgainstTask(aContext.scheduler, worker,
+                               aConfirmation.attempt.task.job));
 }
 
 // All live attempts are confirmed at once when the worker runs exactly them;
@@ -185,8 +200,12 @@
   }
   WorkerTrack& worker = aContext.scheduler.workers[aSlot];
   EndOlderAttempts(aContext, aSlot);
-  for (const AttemptStatus& status : aMessage.statuses) {
-    OnStatus(aContext, aSlot, status);
+  // The statuses of a message that was overtaken may be out of date; commands
+  // are repeated until a newer one shows their effect.
+  if (aMessage.stamp >= worker.stamp) {
+    for (const AttemptStatus& status : aMessage.statuses) {
+      OnStatus(aContext, aSlot, status);
+    }
   }
   for (const Confirmation& confirmation : aMessage.confirmations) {
     OnConfirmation(aContext, aSlot, confirmation);
--- a/src/bramleypath/cell/internal/Placing.cpp
+++ b/src/bramleypath/cell/internal/Placing.cpp
@@ -9,31 +9,112 @@
 
 namespace {
 
-// Workers looked at for one preemption; bounds its time at 320 workers.
-constexpr std::size_t kMaxPreemptionWorkers = 32;
+// Workers looked at for one preemption, and the pause after one that found no
+// victims. With 320 workers all are looked at within 250 ms, well inside the
+// 1.5 s for urgent work, and one search takes about 100 us.
+constexpr std::size_t kMaxPreemptionWorkers = 64;
+constexpr Duration kPreemptionPause = Millis(50);
 
-// The worker kept free for one job is shown to the others as excluded. Urgent
-// jobs may use it.
-class HoldForOthers {
+// Demands that found no place in this pass. Room only shrinks during a pass, so
+// a demand at least as large finds none either. A full cell with many waiting
+// jobs then costs one scan of the workers for each event instead of dozens.
+struct Pass {
+  std::vector<Resources> withoutRoom;
+  // Distinct capacities of the workers, once they were needed.
+  std::vector<Resources> capacities;
+  // Tries left, and those of them that may find no place.
+  std::size_t budget = 0;
+  std::size_t misses = 0;
+};
+
+bool HasSmaller(const std::vector<Resources>& aList, const Resources& aDemand) {
+  return std::any_of(
+      aList.begin(), aList.end(),
+      [&aDemand](const Resources& aEntry) { return Fits(aEntry, aDemand); });
+}
+
+bool SomeWorkerCouldHold(const Scheduler& aScheduler, Pass& aPass,
+                         const Resources& aDemand) {
+  if (aPass.capacities.empty()) {
+    for (const WorkerRoom& room : aScheduler.rooms) {
+      const auto& known = aPass.capacities;
+      if (std::find(known.begin(), known.end(), room.capacity) == known.end()) {
+        aPass.capacities.push_back(room.capacity);
+      }
+    }
+  }
+  const auto& all = aPass.capacities;
+  return std::any_of(all.begin(), all.end(),
+                     [&aDemand](const Resources& aCapacity) {
+                       return Fits(aDemand, aCapacity);
+                     });
+}
+
+bool Contains(const std::vector<WorkerId>& aWorkers, const WorkerId& aWorker) {
+  return std::find(aWorkers.begin(), aWorkers.end(), aWorker) != aWorkers.end();
+}
+
+// Whether a worker that is heard of could hold the task and has not failed it.
+bool HasAlternative(const Context& aContext, const Task& aTask,
+                    const Resources& aDemand) {
+  const Scheduler& scheduler = aContext.scheduler;
+  for (std::size_t slot = 0; slot < scheduler.rooms.size(); ++slot) {
+    const WorkerRoom& room = scheduler.rooms[slot];
+    if (!IsSilent(aContext, scheduler.workers[slot]) &&
+        Fits(aDemand, room.capacity) &&
+        !Contains(aTask.failedOn, room.worker)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Shows workers as excluded while a place for one task is chosen: the worker
+// kept free for another job, unless the task is urgent, and those on which the
+// task failed. Without the latter a worker that fails everything, and so is
+// always free, would use up the failures of tasks that wait for room.
+class ExcludedForTask {
  public:
-  HoldForOthers(Scheduler& aScheduler, const JobSpec& aJob)
-      : scheduler(aScheduler) {
-    if (aScheduler.heldSlot && !aJob.urgent && aScheduler.heldFor != aJob.id) {
-      this->before = aScheduler.rooms[*aScheduler.heldSlot].excluded;
-      aScheduler.rooms[*aScheduler.heldSlot].excluded = true;
+  ExcludedForTask(const Context& aContext, const JobTrack& aTrack,
+                  const PlacementRequest& aRequest, const Task& aTask)
+      : rooms(aContext.scheduler.rooms) {
+    const Scheduler& scheduler = aContext.scheduler;
+    if (scheduler.heldSlot && !aTrack.urgent &&
+        scheduler.heldFor != aRequest.task.job) {
+      this->Exclude(*scheduler.heldSlot);
+    }
+    // The others may be full of services for ever: not beyond a limit.
+    const bool waitedLong =
+        aContext.now > aTrack.waitingSince + scheduler.settings.holdAfter * 2;
+    if (aTask.failedOn.empty() || waitedLong ||
+        !HasAlternative(aContext, aTask, aRequest.demand)) {
+      return;
+    }
+    for (const WorkerId& worker : aTask.failedOn) {
+      const auto slot = scheduler.slots.find(worker);
+      if (slot != scheduler.slots.end()) {
+        this->Exclude(slot->second);
+      }
     }
   }
-  HoldForOthers(const HoldForOthers&) = delete;
-  HoldForOthers& operator=(const HoldForOthers&) = delete;
-  ~HoldForOthers() {
-    if (this->before) {
-      this->scheduler.rooms[*this->scheduler.heldSlot].excluded = *this->before;
+  ExcludedForTask(const ExcludedForTask&) = delete;
+  ExcludedForTask& operator=(const ExcludedForTask&) = delete;
+  ~ExcludedForTask() {
+    for (const std::size_t slot : this->changed) {
+      this->rooms[slot].excluded = false;
     }
   }
 
  private:
-  Scheduler& scheduler;
-  std::optional<bool> before;
+  void Exclude(std::size_t aSlot) {
+    if (!this->rooms[aSlot].excluded) {
+      this->rooms[aSlot].excluded = true;
+      this->changed.push_back(aSlot);
+    }
+  }
+
+  std::vector<WorkerRoom>& rooms;
+  std::vector<std::size_t> changed;
 };
 
 bool WithinQuota(const Context& aContext, const MemberId& aMember,
@@ -57,6 +138,7 @@
   const SizeTaskFunction& sizeTask = aContext.scheduler.sizeTask;
   request.demand = sizeTask ? sizeTask(aJob.spec) : aJob.spec.perTask;
   request.avoided = aJob.tasks[aIndex].failedOn;
+  request.waited = aContext.now - aTrack.waitingSince;
   if (aJob.spec.rackSpread) {
     for (const auto& [rack, count] : aTrack.racks) {
       request.usedRacks.push_back(rack);
@@ -84,6 +166,7 @@
   use = use + aRequest.demand;
   UpdateRoom(aContext, aSlot);
   aTrack.pending.pop_back();
+  aTrack.waitingSince = aContext.now;
   aTrack.reason = WaitReason::CommitInFlight;
   if (scheduler.heldSlot && scheduler.heldFor == aJob.spec.id) {
     scheduler.heldSlot.reset();
@@ -93,40 +176,46 @@
 
 // Preemption.
 
-bool MayEvict(const Context& aContext, const TaskId& aTask,
+bool MayEvict(const Context& aContext, const Job& aJob, const TaskId& aTask,
               const AttemptTrack& aTrack) {
-  const Job* job = FindJob(aContext.state, aTask.job);
-  return job != nullptr && job->spec.kind == JobKind::Batch &&
-         !job->spec.urgent && job->evictionsUsed < job->spec.evictionBudget &&
-         !aTrack.endProposed &&
+  return aJob.spec.kind == JobKind::Batch && !aJob.spec.urgent &&
+         aJob.evictionsUsed < aJob.spec.evictionBudget && !aTrack.endProposed &&
          (aTrack.goal == Goal::Run || aTrack.goal == Goal::Throttle) &&
          aContext.scheduler.markProposed.count(aTask) == 0;
 }
 
 // The attempts to evict from the worker to make room; none when that is not
-// enough. Those that can be checkpointed come first.
+// enough. Those that can't be checkpointed are taken last.
 std::optional<std::vector<AttemptId>> Victims(const Context& aContext,
                                               std::size_t aSlot,
                                               const Resources& aDemand) {
-  const WorkerTrack& worker = aContext.scheduler.workers[aSlot];
   Resources room = aContext.scheduler.rooms[aSlot].room;
   std::vector<AttemptId> victims;
-  for (const bool checkpointable : {true, false}) {
-    for (const auto& [task, track] : worker.attempts) {
-      if (Fits(aDemand, room)) {
-        return victims;
-      }
-      if (!MayEvict(aContext, task, track)) {
-        continue;
-      }
-      const Job& job = aContext.state.jobs.at(task.job);
-      if (job.spec.checkpointable == checkpointable) {
-        room = room + job.tasks[task.index].live->resources;
-        victims.push_back(AttemptId{task, track.number});
-      }
+  std::vector<std::pair<AttemptId, Resources>> lastResort;
+  for (const auto& [task, track] : aContext.scheduler.workers[aSlot].attempts) {
+    const Job* job = FindJob(aContext.state, task.job);
+    if (job == nullptr || !MayEvict(aContext, *job, task, track)) {
+      continue;
+    }
+    const Resources& held = job->tasks[task.index].live->resources;
+    if (!job->spec.checkpointable) {
+      lastResort.emplace_back(AttemptId{task, track.number}, held);
+      continue;
+    }
+    room = room + held;
+    victims.push_back(AttemptId{task, track.number});
+    if (Fits(aDemand, room)) {
+      return victims;
+    }
+  }
+  for (const auto& [attempt, held] : lastResort) {
+    room = room + held;
+    victims.push_back(attempt);
+    if (Fits(aDemand, room)) {
+      return victims;
     }
   }
-  return Fits(aDemand, room) ? std::optional(std::move(victims)) : std::nullopt;
+  return std::nullopt;
 }
 
 bool ProposeMark(const Context& aContext, const AttemptId& aAttempt,
@@ -169,7 +258,7 @@
   std::vector<AttemptId> best;
   const std::size_t count =
       std::min(kMaxPreemptionWorkers, scheduler.rooms.size());
-  for (std::size_t step = 0; step < count; ++step) {
+  for (std::size_t step = 0; step < count && best.size() != 1; ++step) {
     const std::size_t slot =
         (scheduler.preemptionCursor + step) % scheduler.rooms.size();
     const WorkerRoom& room = scheduler.rooms[slot];
@@ -184,6 +273,7 @@
   }
   scheduler.preemptionCursor += count;
   if (!bestSlot) {
+    scheduler.noPreemptionBefore = aContext.now + kPreemptionPause;
     return false;
   }
   for (const AttemptId& victim : best) {
@@ -210,14 +300,17 @@
   return sum;
 }
 
-void HoldWorker(const Context& aContext, const JobId& aJob,
-                const Resources& aDemand) {
+void HoldWorker(const Context& aContext, const PlacementRequest& aRequest) {
+  const Resources& demand = aRequest.demand;
+  const auto& avoided = aRequest.avoided;
   Scheduler& scheduler = aContext.scheduler;
   std::optional<std::size_t> best;
   for (std::size_t slot = 0; slot < scheduler.rooms.size(); ++slot) {
     const WorkerRoom& room = scheduler.rooms[slot];
-    if (room.excluded || !Fits(aDemand, room.capacity) ||
-        !Fits(aDemand, room.capacity - HeldByServices(aContext, slot))) {
+    if (room.excluded || !Fits(demand, room.capacity) ||
+        std::find(avoided.begin(), avoided.end(), room.worker) !=
+            avoided.end() ||
+        !Fits(demand, room.capacity - HeldByServices(aContext, slot))) {
       continue;
     }
     if (!best || room.room.processorsMilli >
@@ -226,7 +319,7 @@
     }
   }
   scheduler.heldSlot = best;
-  scheduler.heldFor = aJob;
+  scheduler.heldFor = aRequest.task.job;
 }
 
 void CheckHold(const Context& aContext) {
@@ -249,19 +342,52 @@
   }
   Scheduler& scheduler = aContext.scheduler;
   if (aTrack.urgent) {
-    if (Preempt(aContext, aRequest)) {
+    if (aContext.now >= scheduler.noPreemptionBefore &&
+        Preempt(aContext, aRequest)) {
       aTrack.reason = WaitReason::WaitsForEviction;
     }
   } else if (!scheduler.heldSlot &&
              aContext.now >
                  aTrack.waitingSince + scheduler.settings.holdAfter) {
-    HoldWorker(aContext, aRequest.task.job, aRequest.demand);
+    HoldWorker(aContext, aRequest);
   }
 }
 
-// True when a start was proposed; otherwise the track's reason says why not.
-bool PlaceOne(const Context& aContext, const Job& aJob, JobTrack& aTrack) {
+// A worker with room, or none with the track's reason set.
+std::optional<std::size_t> FindPlace(const Context& aContext, const Job& aJob,
+                                     JobTrack& aTrack,
+                                     const PlacementRequest& aRequest,
+                                     Pass& aPass) {
   Scheduler& scheduler = aContext.scheduler;
+  const Task& task = aJob.tasks[aRequest.task.index];
+  const bool held =
+      scheduler.heldSlot && scheduler.heldFor == aRequest.task.job;
+  if (!held && HasSmaller(aPass.withoutRoom, aRequest.demand)) {
+    aTrack.reason = SomeWorkerCouldHold(scheduler, aPass, aRequest.demand)
+                        ? WaitReason::NoRoomNow
+                        : WaitReason::NoWorkerCouldHold;
+    return std::nullopt;
+  }
+  aTrack.reason = WaitReason::NoRoomNow;
+  std::optional<std::size_t> slot;
+  {
+    const ExcludedForTask excluded(aContext, aTrack, aRequest, task);
+    slot = scheduler.choose(scheduler.rooms, aRequest, aTrack.reason);
+  }
+  if (slot && *slot < scheduler.rooms.size() &&
+      !scheduler.rooms[*slot].excluded &&
+      Fits(aRequest.demand, scheduler.rooms[*slot].room)) {
+    return slot;
+  }
+  if (aTrack.reason == WaitReason::NoRoomNow && task.failedOn.empty()) {
+    aPass.withoutRoom.push_back(aRequest.demand);
+  }
+  return std::nullopt;
+}
+
+// True when a start was proposed; otherwise the track's reason says why not.
+bool PlaceOne(const Context& aContext, const Job& aJob, JobTrack& aTrack,
+              Pass& aPass) {
   if (aTrack.failures.backOffUntil > aContext.now) {
     aTrack.reason = WaitReason::JobBackOff;
     return false;
@@ -272,15 +398,8 @@
     aTrack.reason = WaitReason::QuotaExceeded;
     return false;
   }
-  aTrack.reason = WaitReason::NoRoomNow;
-  std::optional<std::size_t> slot;
-  {
-    const HoldForOthers hold(scheduler, aJob.spec);
-    slot = scheduler.choose(scheduler.rooms, request, aTrack.reason);
-  }
-  if (slot && *slot < scheduler.rooms.size() &&
-      !scheduler.rooms[*slot].excluded &&
-      Fits(request.demand, scheduler.rooms[*slot].room)) {
+  const auto slot = FindPlace(aContext, aJob, aTrack, request, aPass);
+  if (slot) {
     return ProposeStart(aContext, aJob, aTrack, request, *slot);
   }
   if (aTrack.urgent && WaitsForPreemption(aContext, request.task)) {
@@ -294,10 +413,11 @@
 // Goes round the queue, one task of a job at a time, until no job of a round
 // could be placed or the budget is spent.
 void PlaceQueue(const Context& aContext, std::map<std::uint64_t, JobId>& aQueue,
-                std::uint64_t& aCursor, std::size_t& aBudget) {
+                std::uint64_t& aCursor, Pass& aPass) {
   std::size_t failures = 0;
-  while (aBudget > 0 && failures < aQueue.size()) {
-    --aBudget;
+  while (aPass.budget > 0 && failures < aQueue.size() &&
+         failures < aPass.misses) {
+    --aPass.budget;
     auto entry = aQueue.upper_bound(aCursor);
     if (entry == aQueue.end()) {
       entry = aQueue.begin();
@@ -310,7 +430,8 @@
       aQueue.erase(entry);
       continue;
     }
-    failures = PlaceOne(aContext, *job, track->second) ? 0 : failures + 1;
+    const bool placed = PlaceOne(aContext, *job, track->second, aPass);
+    failures = placed ? 0 : failures + 1;
     if (track->second.pending.empty()) {
       aQueue.erase(entry);
     }
@@ -319,20 +440,24 @@
 
 }  // namespace
 
-void PlaceWaiting(const Context& aContext) {
+void PlaceWaiting(const Context& aContext, bool aOnTick) {
   Scheduler& scheduler = aContext.scheduler;
   if (!scheduler.placementDue || !aContext.leaseHeld) {
     return;
   }
   scheduler.placementDue = false;
   CheckHold(aContext);
+  const SchedulerSettings& settings = scheduler.settings;
+  Pass pass;
+  pass.budget = settings.maxPlacementsPerStep;
+  pass.misses =
+      aOnTick ? settings.maxPlacementsPerStep : settings.maxMissesPerEvent;
   // Urgent jobs may use the whole budget; the others get at least half of one.
-  std::size_t budget = scheduler.settings.maxPlacementsPerStep;
-  PlaceQueue(aContext, scheduler.urgentQueue, scheduler.urgentCursor, budget);
-  budget = std::max(budget, scheduler.settings.maxPlacementsPerStep / 2);
-  PlaceQueue(aContext, scheduler.normalQueue, scheduler.normalCursor, budget);
+  PlaceQueue(aContext, scheduler.urgentQueue, scheduler.urgentCursor, pass);
+  pass.budget = std::max(pass.budget, settings.maxPlacementsPerStep / 2);
+  PlaceQueue(aContext, scheduler.normalQueue, scheduler.normalCursor, pass);
   // Those not reached are tried at the next event.
-  scheduler.placementDue = budget == 0;
+  scheduler.placementDue = pass.budget == 0;
 }
 
 void OnRelief(const Context& aContext, const ReliefRequested& aEvent) {
