Do not relay the life of targets learned from peers

Each host passed on a record that was new to it with the age as it saw it; a copy seems younger by the least delay of the network at each hop, and on a host where the target had just expired it counted as new and went round again. Change: a record learned from a peer is passed on only as a number for the loads, and gossip extends a life only when it is newer by more than 100 ms.

--- a/src/bramleypath/membership/internal/Gossip.cpp
+++ b/src/bramleypath/membership/internal/Gossip.cpp
@@ -122,8 +122,13 @@
     if (IsDeparted(aMembers, entry)) {
       continue;
     }
-    if (entry.changed) {
+    if (entry.changed && entry.heard) {
       AddTarget(aMembers, entry, aNow, aDelta);
+    } else if (entry.changed) {
+      // Learned from a peer. Only the number is told, for the loads: relayed
+      // life would come back to hosts on which the target has just expired.
+      aDelta.targets.push_back(
+          SharedTarget{entry.number, aMembers.settings.expiry, entry.record});
     } else if (entry.heard) {
       aDelta.targetRefreshes.push_back(
           Refresh{entry.number, AgeOf(aMembers, entry.expiresAt, aNow),
@@ -139,7 +144,7 @@
     if (entry.departed) {
       continue;
     }
-    if (entry.changed) {
+    if (entry.changed && entry.heard) {
       AddWorker(aMembers, entry, aNow, aDelta);
     } else if (entry.heard) {
       aDelta.workerRefreshes.push_back(
--- a/src/bramleypath/membership/internal/Records.cpp
+++ b/src/bramleypath/membership/internal/Records.cpp
@@ -8,6 +8,17 @@
 
 namespace {
 
+// A relayed copy of a known announcement seems younger than it is by the least
+// delay of the network, since ages count from the quickest message. Copies that
+// go round must not extend a life, so gossip counts only when it is newer by
+// more than this; announcements are 500 ms apart.
+constexpr Duration kRelayMargin = Millis(100);
+
+bool IsNewer(TimePoint aExpiresAt, TimePoint aKnown, Source aSource) {
+  return aSource == Source::Direct ? aExpiresAt > aKnown
+                                   : aExpiresAt > aKnown + kRelayMargin;
+}
+
 bool FitsLimits(const Members& aMembers, const std::string& aId,
                 const std::string& aAddress) {
   return !aId.empty() && aId.size() <= aMembers.settings.maxIdBytes &&
@@ -136,7 +147,7 @@
   if (aSource == Source::Direct) {
     entry->heard = true;
   }
-  if (!news && expiresAt <= entry->expiresAt) {
+  if (!news && !IsNewer(expiresAt, entry->expiresAt, aSource)) {
     return;
   }
   const bool changed = news || !SameApartFromLoad(entry->record, aRecord);
@@ -176,7 +187,7 @@
   if (aSource == Source::Direct) {
     entry->heard = true;
   }
-  if (!news && expiresAt <= entry->expiresAt) {
+  if (!news && !IsNewer(expiresAt, entry->expiresAt, aSource)) {
     return;
   }
   const bool changed = news || !Same(entry->record, aRecord);
