--- a/src/bramleypath/consensus/Types.h
+++ b/src/bramleypath/consensus/Types.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -137,6 +138,10 @@
   ProposalToken token = 0;
   Bytes payload;
 };
+// Several commands that go out in one message to each replica.
+struct ProposeBatch {
+  std::vector<Propose> proposals;
+};
 struct ProposeMembership {
   ProposalToken token = 0;
   Membership membership;
@@ -154,8 +159,9 @@
   Bytes state;
 };
 
-using Event = std::variant<MessageReceived, Tick, Propose, ProposeMembership,
-                           TransferLeadership, StorageSynced, SnapshotTaken>;
+using Event = std::variant<MessageReceived, Tick, Propose, ProposeBatch,
+                           ProposeMembership, TransferLeadership, StorageSynced,
+                           SnapshotTaken>;
 
 // Actions from Step, to be carried out in their order. Writes need not be
 // durable before messages are sent; messages that depend on a write are held
@@ -177,14 +183,14 @@
 // discardLog set, the whole log is replaced by the snapshot.
 struct PersistSnapshot {
   SyncTicket ticket = 0;
-  Snapshot snapshot;
+  std::shared_ptr<const Snapshot> snapshot;
   bool discardLog = false;
 };
 struct ApplyEntries {
   std::vector<LogEntry> entries;
 };
 struct RestoreState {
-  Snapshot snapshot;
+  std::shared_ptr<const Snapshot> snapshot;
 };
 struct BecameLeader {
   Term term = 0;
@@ -198,7 +204,13 @@
   Term term = 0;
 };
 
-enum class ProposalError { NotLeader, ChangeInProgress, InvalidMembership };
+enum class ProposalError {
+  NotLeader,
+  ChangeInProgress,
+  InvalidMembership,
+  // A new voter that has not acknowledged every committed entry.
+  NotCaughtUp,
+};
 
 struct ProposalRefused {
   ProposalToken token = 0;
