--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -77,6 +77,22 @@
   return limits;
 }
 
+consensus::Settings TimingsOf(const settings::Settings& aSettings) {
+  consensus::Settings timings;
+  timings.heartbeat = aSettings.timings.heartbeat;
+  timings.electionMin = aSettings.timings.electionMin;
+  timings.electionMax = aSettings.timings.electionMax;
+  timings.leaderLease = aSettings.timings.leaderLease;
+  return timings;
+}
+
+config::DistributionSettings DistributionOf(
+    const settings::Settings& aSettings) {
+  config::DistributionSettings distribution;
+  distribution.digestEvery = aSettings.timings.digestEvery;
+  return distribution;
+}
+
 net::HttpResponse HealthResponse(bool aGood, const char* aText) {
   net::HttpResponse response;
   response.status = aGood ? 200 : 503;
@@ -108,14 +124,16 @@
         workerClient(this->context, WorkerClientLimits()),
         links(this->context, aSettings.host, aSettings.listeners.peers.address,
               PeerLimitsOf(aSettings.listeners.peers),
-              [this](net::PeerFrame aFrame) { this->OnFrame(aFrame); }),
+              [this](const net::PeerFrame& aFrame) { this->OnFrame(aFrame); }),
         rpc(this->links, this->session,
             [this](ReceivedRequest aRequest, PeerRpc::Respond aRespond) {
               this->OnPeerRequest(std::move(aRequest), std::move(aRespond));
             }),
-        groups(this->context, aSettings.host, this->links, this->session),
+        groups(this->context, aSettings.host, this->links, this->session,
+               TimingsOf(aSettings)),
         config(aSettings.host, aSettings.dataCentre, this->session,
-               this->firstHosts, this->groups, this->links, this->rpc),
+               this->firstHosts, DistributionOf(aSettings), this->groups,
+               this->links, this->rpc),
         cell(this->context, aSettings.host, aSettings.dataCentre,
              this->session ^ std::hash<HostId>()(aSettings.host), this->groups,
              this->rpc, this->workerClient, this->metrics),
@@ -128,24 +146,25 @@
                                 this->groups, this->config, &this->cell,
                                 this->members, this->calls, this->links,
                                 this->metrics}),
-        callerListener(
-            this->context, aSettings.listeners.callers.address,
-            LimitsOf(aSettings.listeners.callers),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->OnCaller(std::move(aRequest), aResponder);
-            }),
-        targetListener(
-            this->context, aSettings.listeners.targets.address,
-            LimitsOf(aSettings.listeners.targets),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->OnTarget(aRequest, aResponder);
-            }),
-        operatorListener(
-            this->context, aSettings.listeners.operators.address,
-            LimitsOf(aSettings.listeners.operators),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->operators.Handle(aRequest, ToRespond(aResponder));
-            }) {
+        callerListener(this->context, aSettings.listeners.callers.address,
+                       LimitsOf(aSettings.listeners.callers),
+                       [this](net::HttpRequest aRequest,
+                              const net::HttpResponder& aResponder) {
+                         this->OnCaller(std::move(aRequest), aResponder);
+                       }),
+        targetListener(this->context, aSettings.listeners.targets.address,
+                       LimitsOf(aSettings.listeners.targets),
+                       [this](const net::HttpRequest& aRequest,
+                              const net::HttpResponder& aResponder) {
+                         this->OnTarget(aRequest, aResponder);
+                       }),
+        operatorListener(this->context, aSettings.listeners.operators.address,
+                         LimitsOf(aSettings.listeners.operators),
+                         [this](const net::HttpRequest& aRequest,
+                                const net::HttpResponder& aResponder) {
+                           this->operators.Handle(aRequest,
+                                                  ToRespond(aResponder));
+                         }) {
     this->Connect();
   }
 
@@ -318,7 +337,7 @@
     } else if (path == "/v1/ops/config") {
       this->config.HandleChange(aRequest.request.body, kForwarded,
                                 aRequest.deadline, std::move(aRespond));
-    } else if (under("/v1/ops/jobs") || under("/v1/ops/explain/job/")) {
+    } else if (under("/v1/ops/jobs") || under("/v1/ops/explain/")) {
       this->cell.HandleJobs(aRequest.request, kForwarded, aRequest.deadline,
                             std::move(aRespond));
     } else {
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -17,6 +17,9 @@
 constexpr Duration kHeardLeaderLife = Millis(1600);
 constexpr Duration kReconcileInterval = Seconds(1);
 constexpr Duration kChangeTimeout = Seconds(5);
+// A little more than half a day of changes; a host that was away longer gets a
+// snapshot.
+constexpr std::size_t kConfigSnapshotEntries = 512;
 
 bool Contains(const std::vector<HostId>& aHosts, const HostId& aHost) {
   return std::find(aHosts.begin(), aHosts.end(), aHost) != aHosts.end();
@@ -31,11 +34,12 @@
 };
 
 Groups::Groups(asio::io_context& aContext, HostId aSelf, net::PeerLinks& aLinks,
-               std::uint64_t aSeed)
+               std::uint64_t aSeed, const consensus::Settings& aTimings)
     : context(aContext),
       self(std::move(aSelf)),
       links(aLinks),
       seed(aSeed),
+      timings(aTimings),
       files(storage::MakePosixFileSystem()) {}
 
 Groups::~Groups() = default;
@@ -63,8 +67,8 @@
 }
 
 bool Groups::Start(const std::string& aGroup, group::StateMachine& aMachine,
-                   const std::vector<HostId>& aFirstVoters, GroupHooks aHooks,
-                   std::string& aReason) {
+                   const std::vector<HostId>& aFirstVoters,
+                   const GroupHooks& aHooks, std::string& aReason) {
   storage::StorageReason reason;
   storage::OpenedState opened;
   std::unique_ptr<storage::GroupStore> store = storage::GroupStore::Open(
@@ -83,8 +87,12 @@
   }
   group::ReplicaSettings settings;
   settings.self = this->folder->identity;
+  settings.consensus = this->timings;
   settings.seed =
       this->seed ^ std::hash<std::string>()(aGroup + this->self.value);
+  if (aGroup == kConfigGroup) {
+    settings.snapshotEntries = kConfigSnapshotEntries;
+  }
   const bool bootstrapped =
       settings.self == storage::InitialIdentity(this->self);
   if (bootstrapped && Contains(aFirstVoters, this->self)) {
@@ -370,7 +378,7 @@
   return list;
 }
 
-void Groups::Stop(Duration aDeadline, std::function<void()> aDone) {
+void Groups::Stop(Duration aDeadline, const std::function<void()>& aDone) {
   this->stopping = true;
   auto left = std::make_shared<std::size_t>(this->running.size());
   if (*left == 0) {
