--- a/bench/routing/Costs.cpp
+++ b/bench/routing/Costs.cpp
@@ -179,8 +179,8 @@
   constexpr int kRounds = 100;
   std::size_t bytes = 0;
   for (int round = 1; round <= kRounds; ++round) {
-    bytes +=
-        RoundBytes(members, heardEachRound, TimePoint{} + Millis(100) * round);
+    bytes += RoundBytes(members, round * heardEachRound, heardEachRound,
+                        aTargets, TimePoint{} + Millis(100) * round);
   }
   std::printf(
       "gossip, %4d targets, 3 entry hosts: %zu bytes a round sent by each "
