--- a/bench/routing/RoutingBench.cpp
+++ b/bench/routing/RoutingBench.cpp
@@ -95,7 +95,7 @@
   std::vector<Summary> ratios;
   for (std::size_t run = 0; run < aRuns.size(); ++run) {
     if (aBound[run].goodput < kLeastGoodput * aRuns[run].goodput ||
-        aBound[run].goodput < 100) {
+        aBound[run].goodput < 100 || aBound[run].p99 < 1) {
       return "-";
     }
     Summary ratio;
