Say what is allowed in faults of the settings schema

valijson names the violated constraint ('Value type not permitted by type constraint'), which doesn't tell an operator what to write. The fault now gives the type, range or values of the schema, and names a missing key itself.

--- a/src/bramleypath/settings/internal/Schema.cpp
+++ b/src/bramleypath/settings/internal/Schema.cpp
@@ -112,6 +112,74 @@
          aDescription.find("enum") == std::string::npos;
 }
 
+// The part of the schema for a place of the document; null when there is none.
+const Json* FindPart(const Json& aSchema,
+                     const std::vector<std::string>& aContext) {
+  const Json* part = &aSchema;
+  for (const std::string& step : aContext) {
+    if (step.size() < 2 || step.front() != '[') {
+      continue;
+    }
+    const std::string name = step.substr(1, step.size() - 2);
+    const bool isObject =
+        part->contains("properties") && (*part)["properties"].contains(name);
+    if (!isObject && !part->contains("items")) {
+      return nullptr;
+    }
+    part = isObject ? &(*part)["properties"][name] : &(*part)["items"];
+  }
+  return part;
+}
+
+std::string Range(const Json& aPart, const char* aLow, const char* aHigh) {
+  return aPart[aLow].dump() + " to " + aPart[aHigh].dump();
+}
+
+// What the schema allows at a place, such as "must be of type integer from 1
+// to 9".
+std::string DescribeAllowed(const Json& aPart) {
+  if (aPart.contains("enum")) {
+    std::string values;
+    for (const Json& value : aPart["enum"]) {
+      values += values.empty() ? "" : ", ";
+      values += value.get<std::string>();
+    }
+    return "must be one of " + values;
+  }
+  std::string text = "must be of type " + aPart.value("type", "object");
+  if (aPart.contains("minimum")) {
+    text += " from " + Range(aPart, "minimum", "maximum");
+  }
+  if (aPart.contains("minItems")) {
+    text += " with " + Range(aPart, "minItems", "maxItems") + " items";
+  }
+  if (aPart.contains("minLength")) {
+    text += " with " + Range(aPart, "minLength", "maxLength") + " bytes";
+  }
+  return text;
+}
+
+// Turns an error of valijson, which names the violated constraint, into a
+// fault that says what is allowed.
+Fault ToFault(const valijson::ValidationResults::Error& aError,
+              const Json& aSchema, const std::string& aFile) {
+  Fault fault{Severity::Error, aFile, PathOf(aError.context),
+              aError.description};
+  const std::string missing = "Missing required property '";
+  if (fault.reason.rfind(missing, 0) == 0) {
+    const std::string name = fault.reason.substr(
+        missing.size(), fault.reason.rfind('\'') - missing.size());
+    fault.path = codec::detail::Join(fault.path, name);
+    fault.reason = "is missing";
+    return fault;
+  }
+  const Json* const part = FindPart(aSchema, aError.context);
+  if (part != nullptr) {
+    fault.reason = DescribeAllowed(*part);
+  }
+  return fault;
+}
+
 }  // namespace
 
 std::string SuggestName(std::string_view aName,
@@ -144,8 +212,7 @@
   valijson::ValidationResults::Error error;
   while (results.popError(error)) {
     if (!IsSummary(error.description)) {
-      aReport.faults.push_back(Fault{Severity::Error, aFile,
-                                     PathOf(error.context), error.description});
+      aReport.faults.push_back(ToFault(error, schemaDocument, aFile));
     }
   }
 }
