--- a/src/bramleypath/cell/Scheduler.h
+++ b/src/bramleypath/cell/Scheduler.h
@@ -2,6 +2,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -40,8 +42,11 @@
   Duration removeAfter = Seconds(600);
   // A job that waited longer than this gets a worker kept free for it.
   Duration holdAfter = Seconds(60);
-  // Placements tried in one step, which bounds the time of a step.
+  // Placements tried in one step, which bounds the time of a step, and how many
+  // may find no place: more on a tick than on other events, since these make
+  // room for one task at most and come hundreds of times a second.
   std::size_t maxPlacementsPerStep = 64;
+  std::size_t maxMissesPerEvent = 8;
 };
 
 // Events.
@@ -198,8 +203,9 @@
 struct JobTrack {
   bool urgent = false;
   std::uint64_t sequence = 0;
-  // Indexes of tasks that wait, last first.
-  std::vector<std::uint32_t> pending;
+  // Indexes of tasks that wait; the last one is tried first.
+  std::deque<std::uint32_t> pending;
+  // Since a task was placed, or since the first one began to wait.
   TimePoint waitingSince;
   WaitReason reason = WaitReason::NotScheduledYet;
   FailureRecord failures;
@@ -253,6 +259,8 @@
   std::map<MemberId, Resources> proposedUse;
   std::map<TaskId, Preemption> preemptions;
   std::size_t preemptionCursor = 0;
+  // Set after a search for victims that found none.
+  TimePoint noPreemptionBefore{std::numeric_limits<std::int64_t>::min()};
   // A worker kept free for a job that waited long.
   std::optional<std::size_t> heldSlot;
   JobId heldFor;
--- a/src/bramleypath/cell/internal/Tracking.cpp
+++ b/src/bramleypath/cell/internal/Tracking.cpp
@@ -18,7 +18,10 @@
   return aTrack.urgent ? aScheduler.urgentQueue : aScheduler.normalQueue;
 }
 
-void Enqueue(const Context& aContext, const JobId& aJob, std::uint32_t aIndex) {
+enum class Place : std::uint8_t { First, Last };
+
+void Enqueue(const Context& aContext, const JobId& aJob, std::uint32_t aIndex,
+             Place aPlace = Place::First) {
   const auto found = aContext.scheduler.jobs.find(aJob);
   if (found == aContext.scheduler.jobs.end()) {
     return;
@@ -28,15 +31,44 @@
     track.waitingSince = aContext.now;
     track.reason = WaitReason::NotScheduledYet;
   }
-  track.pending.push_back(aIndex);
+  if (aPlace == Place::First) {
+    track.pending.push_back(aIndex);
+  } else {
+    track.pending.push_front(aIndex);
+  }
   QueueOf(aContext.scheduler, track).emplace(track.sequence, aJob);
   aContext.scheduler.placementDue = true;
 }
 
+TimePoint BackOffEnd(const Context& aContext, std::uint32_t aCount) {
+  const SchedulerSettings& settings = aContext.scheduler.settings;
+  const std::uint32_t doublings =
+      std::min(aCount == 0 ? 0 : aCount - 1, kMaxDoublings);
+  const std::int64_t length = std::min(settings.backOffMin.micros << doublings,
+                                       settings.backOffMax.micros);
+  return aContext.now + Micros(length);
+}
+
+// The failures of tasks are replicated, so that a change of the leader does not
+// end a back-off.
+void RestoreBackOff(const Context& aContext, const Job& aJob,
+                    JobTrack& aTrack) {
+  std::uint32_t failures = 0;
+  for (const Task& task : aJob.tasks) {
+    if (task.state == TaskState::Pending) {
+      failures = std::max(failures, task.failures);
+    }
+  }
+  if (failures >= kFailuresBeforeBackOff) {
+    aTrack.failures.backOffUntil = BackOffEnd(aContext, failures);
+  }
+}
+
 void AddJob(const Context& aContext, const Job& aJob) {
   JobTrack& track = aContext.scheduler.jobs[aJob.spec.id];
   track.urgent = aJob.spec.urgent;
   track.sequence = aJob.sequence;
+  RestoreBackOff(aContext, aJob, track);
   for (auto index = static_cast<std::uint32_t>(aJob.tasks.size()); index > 0;
        --index) {
     if (aJob.tasks[index - 1].state == TaskState::Pending) {
@@ -189,15 +221,6 @@
 
 // Failures.
 
-TimePoint BackOffEnd(const Context& aContext, std::uint32_t aCount) {
-  const SchedulerSettings& settings = aContext.scheduler.settings;
-  const std::uint32_t doublings =
-      std::min(aCount == 0 ? 0 : aCount - 1, kMaxDoublings);
-  const std::int64_t length = std::min(settings.backOffMin.micros << doublings,
-                                       settings.backOffMax.micros);
-  return aContext.now + Micros(length);
-}
-
 void Record(FailureRecord& aRecord, const std::string& aOther) {
   ++aRecord.count;
   if (aRecord.others.size() < kMaxOthers) {
@@ -226,13 +249,17 @@
       Notify(aContext, NoticeKind::WorkerBackOff, aAttempt, workerId, "");
     }
   }
-  if (job == scheduler.jobs.end() || workerSuspect) {
+  if (job == scheduler.jobs.end()) {
     return;
   }
   FailureRecord& record = job->second.failures;
   Record(record, workerId.value);
-  if (IsSuspect(record) || record.count >= kFailuresBeforeBackOff) {
-    record.backOffUntil = BackOffEnd(aContext, record.count);
+  const Task* task = FindTask(aContext.state, aAttempt.task);
+  const std::uint32_t taskFailures = task == nullptr ? 0 : task->failures;
+  if (IsSuspect(record) || taskFailures >= kFailuresBeforeBackOff ||
+      (!workerSuspect && record.count >= kFailuresBeforeBackOff)) {
+    record.backOffUntil =
+        BackOffEnd(aContext, std::max(record.count, taskFailures));
     Notify(aContext, NoticeKind::JobBackOff, aAttempt, workerId, "");
   }
 }
@@ -426,7 +453,10 @@
   if (job == nullptr || HasEnded(*job)) {
     RemoveJob(aContext, id.job);
   } else if (job->tasks[id.index].state == TaskState::Pending) {
-    Enqueue(aContext, id.job, id.index);
+    // Behind the others: it may have to wait for workers where it has not
+    // failed.
+    const bool failed = aCommand.kind == EndKind::Failed;
+    Enqueue(aContext, id.job, id.index, failed ? Place::Last : Place::First);
   }
 }
 
