--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -399,6 +399,12 @@
       aRespond(net::ErrorResponse(400, reason.field, reason.detail));
       return;
     }
+    // Anyone may announce; the cell has room for this many workers.
+    if (this->addresses.size() >= cell::kMaxWorkers &&
+        this->addresses.count(announce->record.worker) == 0) {
+      aRespond(net::ErrorResponse(429, "worker", "too many workers"));
+      return;
+    }
     this->addresses[announce->record.worker] = announce->record.address;
     cell::WorkerAnnounced event;
     event.message = announce->message;
--- a/src/bramleypath/daemon/Groups.cpp
+++ b/src/bramleypath/daemon/Groups.cpp
@@ -103,7 +103,7 @@
   const DataCentreId dataCentre = DataCentreOfGroup(aGroup);
   settings.mayLead = [this, dataCentre](const consensus::ReplicaId& aReplica) {
     const auto found = this->hosts.find(storage::HostOf(aReplica));
-    if (found == this->hosts.end()) {
+    if (found == this->hosts.end() || found->second.draining) {
       return false;
     }
     return dataCentre.empty() || found->second.dataCentre == dataCentre;
@@ -244,7 +244,11 @@
   if (this->reconcileAt <= aNow && !this->stopping) {
     this->reconcileAt = aNow + kReconcileInterval;
     for (const auto& [name, group] : this->running) {
-      if (group->replica->HasLease() && !group->changing) {
+      const auto own = this->hosts.find(this->self);
+      if (own != this->hosts.end() && own->second.draining &&
+          group->replica->IsLeader()) {
+        group->replica->TransferLeadership(consensus::ReplicaId());
+      } else if (group->replica->HasLease() && !group->changing) {
         this->Reconcile(*group);
       }
     }
--- a/tests/process/membership.py
+++ b/tests/process/membership.py
@@ -96,6 +96,20 @@
         raise Failed(f"interrupted: {bad[:3]}")
 
 
+def drain_host(deployment):
+    """A host that is being drained gets no callers and leads no group."""
+    host = deployment.wait_leader("cell-leith")
+    deployment.must_change({"kind": "drain_host", "host": host.name,
+                            "draining": True})
+    wait_for("the drained host is not ready", lambda: not host.is_ready())
+    wait_for("it leads no group", lambda: all(
+        group["role"] == "follower" for group in host.status()["groups"]))
+    deployment.wait_leader("cell-leith", other_than=host)
+    deployment.must_change({"kind": "drain_host", "host": host.name,
+                            "draining": False})
+    wait_for("it is ready again", host.is_ready)
+
+
 def drain_target(deployment):
     """A drained target gets no call after the drain is in force."""
     status, body = deployment.any_host().post(
@@ -132,7 +146,8 @@
         for data_centre in deployment.data_centres():
             deployment.submit(f"job-{data_centre}", data_centre, tasks=40)
             jobs[f"job-{data_centre}"] = 40
-        for step in (add_host, remove_host, rolling_restart, drain_target):
+        for step in (add_host, remove_host, rolling_restart, drain_host,
+                     drain_target):
             step(deployment)
             print(f"{step.__name__} done", flush=True)
         for data_centre in deployment.data_centres():
--- a/tests/process/thin_path.py
+++ b/tests/process/thin_path.py
@@ -53,8 +53,24 @@
             raise Failed(f"{host.name} has preset {preset} in force")
 
 
+def check_restarted_without_disk(deployment):
+    """A host that restarts without a disk is ready only with the newest
+    configuration, and serves it."""
+    host = deployment.hosts["dundee-3"]
+    host.kill()
+    version = deployment.must_change({"kind": "use_preset",
+                                      "preset": "maintenance"})
+    host.start()
+    wait_for("the restarted host is ready", host.is_ready)
+    if deployment.version(host) < version:
+        raise Failed("ready with an old configuration")
+
+
 def main():
-    with Deployment({"leith": 3, "paisley": 2, "dundee": 2}) as deployment:
+    # One host has no disk: it votes nowhere and gets the configuration from the
+    # others.
+    with Deployment({"leith": 3, "paisley": 2, "dundee": 3},
+                    diskless=("dundee-3",)) as deployment:
         deployment.start_hosts()
         deployment.wait_ready()
         print("ready", flush=True)
@@ -69,6 +85,7 @@
         check_job(deployment)
         print("job", flush=True)
         check_preset(deployment)
+        check_restarted_without_disk(deployment)
         print("preset", flush=True)
 
 
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -205,7 +205,8 @@
     """Entry hosts of several data centres with their targets and workers."""
 
     def __init__(self, data_centres, config_voters=None, cells=None,
-                 balancer_delay_ms=300, drain_deadline_ms=10000, keep=None):
+                 balancer_delay_ms=300, drain_deadline_ms=10000, keep=None,
+                 diskless=()):
         """data_centres: {"leith": 3, ...}, the number of entry hosts of each."""
         keep = keep or os.environ.get("BRAMLEYPATH_KEEP")
         self.folder = Path(tempfile.mkdtemp(prefix="bramleypath-"))
@@ -222,7 +223,8 @@
         self.lock = threading.Lock()
         for data_centre, count in data_centres.items():
             for number in range(1, count + 1):
-                self.add_host(f"{data_centre}-{number}", data_centre)
+                name = f"{data_centre}-{number}"
+                self.add_host(name, data_centre, name not in diskless)
         self.known_hosts = list(self.hosts.values())
         self.configuration_voters = config_voters or self.default_voters()
         self.cells = cells or self.default_cells()
@@ -244,11 +246,15 @@
     def data_centres(self):
         return sorted({host.data_centre for host in self.hosts.values()})
 
+    def with_disk(self, data_centre):
+        return [host for host in self.in_data_centre(data_centre)
+                if host.has_disk]
+
     def default_voters(self):
         voters = []
         for number in range(3):
             for data_centre in self.data_centres():
-                local = self.in_data_centre(data_centre)
+                local = self.with_disk(data_centre)
                 if number < len(local) and len(voters) < 5:
                     voters.append(local[number].name)
         return voters if len(voters) % 2 else voters[:-1]
@@ -257,11 +263,11 @@
         cells = []
         names = self.data_centres()
         for place, data_centre in enumerate(names):
-            local = [host.name for host in self.in_data_centre(data_centre)]
+            local = [host.name for host in self.with_disk(data_centre)]
             cell = {"data_centre": data_centre, "voters": local}
             if len(local) == 2 and len(names) > 1:
                 other = names[(place + 1) % len(names)]
-                cell["witnesses"] = [self.in_data_centre(other)[0].name]
+                cell["witnesses"] = [self.with_disk(other)[0].name]
             cells.append(cell)
         return cells
 
