--- a/src/bramleypath/wire/JobMessages.cpp
+++ b/src/bramleypath/wire/JobMessages.cpp
@@ -9,22 +9,20 @@
 
 namespace {
 
-constexpr std::uint32_t kDefaultEvictionBudget = 3;
-
 struct JobJson {
   JobId job;
   MemberId member;
   ClassId className;
+  std::string kind = "batch";
   std::uint32_t tasks = 1;
   std::int64_t processorsMilli = 0;
   std::int64_t memoryMb = 0;
   std::int64_t accelerators = 0;
-  std::int64_t expectedRunMs = 0;
+  std::int64_t declaredRunMs = 0;
   bool urgent = false;
-  bool checkpointable = true;
-  bool service = false;
-  std::uint32_t evictionBudget = kDefaultEvictionBudget;
-  std::uint32_t maxPerRack = 0;
+  bool checkpointable = false;
+  bool rackSpread = false;
+  std::uint32_t evictionBudget = 0;
 };
 
 template <typename Visitor>
@@ -32,16 +30,16 @@
   aVisitor.Required("job", aJob.job);
   aVisitor.Required("member", aJob.member);
   aVisitor.Required("class", aJob.className);
-  aVisitor.Required("tasks", aJob.tasks);
+  aVisitor.Optional("kind", aJob.kind);
+  aVisitor.Optional("tasks", aJob.tasks);
   aVisitor.Required("processors_milli", aJob.processorsMilli);
   aVisitor.Required("memory_mb", aJob.memoryMb);
   aVisitor.Optional("accelerators", aJob.accelerators);
-  aVisitor.Optional("expected_run_ms", aJob.expectedRunMs);
+  aVisitor.Optional("declared_run_ms", aJob.declaredRunMs);
   aVisitor.Optional("urgent", aJob.urgent);
   aVisitor.Optional("checkpointable", aJob.checkpointable);
-  aVisitor.Optional("service", aJob.service);
+  aVisitor.Optional("rack_spread", aJob.rackSpread);
   aVisitor.Optional("eviction_budget", aJob.evictionBudget);
-  aVisitor.Optional("max_per_rack", aJob.maxPerRack);
 }
 
 struct SubmissionJson {
@@ -90,20 +88,24 @@
     return std::nullopt;
   }
   const JobJson& job = parsed->job;
+  if (job.kind != "batch" && job.kind != "service") {
+    aReason = {"job.kind", "must be batch or service"};
+    return std::nullopt;
+  }
   cell::SubmitJob submit;
   submit.request = parsed->request;
   submit.spec.id = job.job;
   submit.spec.member = job.member;
   submit.spec.classId = job.className;
   submit.spec.kind =
-      job.service ? cell::JobKind::Service : cell::JobKind::Batch;
+      job.kind == "service" ? cell::JobKind::Service : cell::JobKind::Batch;
   submit.spec.urgent = job.urgent;
   submit.spec.checkpointable = job.checkpointable;
-  submit.spec.rackSpread = job.maxPerRack > 0;
+  submit.spec.rackSpread = job.rackSpread;
   submit.spec.taskCount = job.tasks;
   submit.spec.evictionBudget = job.evictionBudget;
   submit.spec.perTask = {job.processorsMilli, job.memoryMb, job.accelerators};
-  submit.spec.declaredRunMs = job.expectedRunMs;
+  submit.spec.declaredRunMs = job.declaredRunMs;
   return submit;
 }
 
--- a/tests/wire/MessagesTest.cpp
+++ b/tests/wire/MessagesTest.cpp
@@ -142,6 +142,12 @@
         reason);
     CPPUNIT_ASSERT_MESSAGE(reason.field + reason.detail, job.has_value());
     CPPUNIT_ASSERT_EQUAL(std::uint32_t{3}, job->spec.taskCount);
+    CPPUNIT_ASSERT(!ParseJobSubmission(
+        "{\"request_id\":\"r\",\"job\":{\"job\":\"j\",\"member\":\"m\","
+        "\"class\":\"c\",\"kind\":\"x\",\"processors_milli\":1,"
+        "\"memory_mb\":1}}",
+        reason));
+    CPPUNIT_ASSERT_EQUAL(std::string("job.kind"), reason.field);
     CPPUNIT_ASSERT(!ParseJobSubmission("{\"request_id\":\"r\"}", reason));
     CPPUNIT_ASSERT_EQUAL(std::string("job"), reason.field);
     CPPUNIT_ASSERT(
