Keep the room that evictions free for the urgent task they make room for

Cause: evictions for an urgent task end one by one, and batch work took the room that each of them freed. The urgent task then found too little and evicted the new work as well. Ruled out: repeated confirmations (each evicted attempt had its own number).

Change: while a preemption is pending, its worker takes urgent work only.

--- a/src/bramleypath/cell/internal/Placing.cpp
+++ b/src/bramleypath/cell/internal/Placing.cpp
@@ -70,9 +70,10 @@
 }
 
 // Shows workers as excluded while a place for one task is chosen: the worker
-// kept free for another job, unless the task is urgent, and those on which the
-// task failed. Without the latter a worker that fails everything, and so is
-// always free, would use up the failures of tasks that wait for room.
+// kept free for another job or freed for an urgent task, unless the task is
+// urgent, and those on which the task failed. Without the latter a worker that
+// fails everything, and so is always free, would use up the failures of tasks
+// that wait for room.
 class ExcludedForTask {
  public:
   ExcludedForTask(const Context& aContext, const JobTrack& aTrack,
@@ -83,6 +84,9 @@
         scheduler.heldFor != aRequest.task.job) {
       this->Exclude(*scheduler.heldSlot);
     }
+    if (!aTrack.urgent) {
+      this->ExcludePreempted(aContext);
+    }
     // The others may be full of services for ever: not beyond a limit.
     const bool waitedLong =
         aContext.now > aTrack.waitingSince + scheduler.settings.holdAfter * 2;
@@ -106,6 +110,15 @@
   }
 
  private:
+  // Room that evictions free is for the urgent task that they make room for.
+  void ExcludePreempted(const Context& aContext) {
+    for (const auto& [task, preemption] : aContext.scheduler.preemptions) {
+      if (aContext.now < preemption.until) {
+        this->Exclude(preemption.slot);
+      }
+    }
+  }
+
   void Exclude(std::size_t aSlot) {
     if (!this->rooms[aSlot].excluded) {
       this->rooms[aSlot].excluded = true;
@@ -165,6 +178,7 @@
   Resources& use = scheduler.proposedUse[aJob.spec.member];
   use = use + aRequest.demand;
   UpdateRoom(aContext, aSlot);
+  scheduler.preemptions.erase(aRequest.task);
   aTrack.pending.pop_back();
   aTrack.waitingSince = aContext.now;
   aTrack.reason = WaitReason::CommitInFlight;
--- a/tests/cell/SchedulerTest.cpp
+++ b/tests/cell/SchedulerTest.cpp
@@ -116,6 +116,7 @@
   CPPUNIT_TEST(testNothingWithoutLease);
   CPPUNIT_TEST(testLeaseArithmetic);
   CPPUNIT_TEST(testUrgentPreemption);
+  CPPUNIT_TEST(testFreedRoomIsForTheUrgentTask);
   CPPUNIT_TEST(testReasonsAreVisible);
   CPPUNIT_TEST(testLongWaitGetsAWorker);
   CPPUNIT_TEST(testBadWorkerDoesNotEndGoodJobs);
@@ -177,6 +178,47 @@
     }
   }
 
+  // Guards against batch work that takes the room that was freed for an urgent
+  // task before all of it is free, which evicts it again and again.
+  void testFreedRoomIsForTheUrgentTask() {
+    Fixture fixture;
+    fixture.Lead(kStart);
+    fixture.Announce("w", kStart);
+    JobSpec batch = Spec("batch", 4000);
+    batch.taskCount = 3;
+    batch.evictionBudget = 10;
+    fixture.Submit(batch, kStart);
+    const auto report = [&](const AttemptId& aAttempt, RunningState aState) {
+      WorkerMessage message = fixture.Message("w", kStart);
+      message.statuses = {Status(aAttempt, aState)};
+      fixture.Handle(WorkerReported{message}, kStart);
+    };
+    std::vector<AttemptId> victims;
+    for (const auto& [attempt, resources] :
+         fixture.state.workers.at(WorkerId("w")).reservations) {
+      victims.push_back(attempt);
+      report(attempt, RunningState::Running);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, victims.size());
+    JobSpec urgent = Spec("urgent", 8000);
+    urgent.urgent = true;
+    fixture.Submit(urgent, kStart);
+    for (const AttemptId& victim : victims) {
+      report(victim, RunningState::Throttled);
+      report(victim, RunningState::Checkpointed);
+    }
+    for (const AttemptId& victim : victims) {
+      CPPUNIT_ASSERT_EQUAL(std::size_t{2}, fixture.Sent(CommandKind::Start));
+      WorkerMessage message = fixture.Message("w", kStart);
+      message.confirmations = {Confirmation{victim, EndEvent::Stopped, "c1"}};
+      fixture.Handle(WorkerReported{message}, kStart);
+      fixture.Handle(Tick{}, kStart);
+    }
+    CPPUNIT_ASSERT(fixture.state.jobs.at(JobId("urgent")).tasks[0].live);
+    CPPUNIT_ASSERT_EQUAL(std::uint32_t{2},
+                         fixture.state.jobs.at(JobId("batch")).evictionsUsed);
+  }
+
   // Guards against urgent work waiting behind batch work, and against an
   // eviction that skips a step.
   void testUrgentPreemption() {
