--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -175,7 +175,8 @@
         status, body = deployment.submit(
             job_name(number), data_centre, tasks=TASKS_PER_JOB,
             processors=1000, memory=1000, member=member_of(job_name(number)),
-            checkpointable=True, expected_run_ms=TASK_MS)
+            checkpointable=True, eviction_budget=10,
+            declared_run_ms=TASK_MS)
         if status != 200:
             raise Failed(f"job {number} refused: {status} {body}")
         jobs[data_centre].append(job_name(number))
@@ -189,13 +190,20 @@
         job = f"urgent-{number}"
         status, body = deployment.submit(
             job, data_centre, processors=8000, memory=8000, urgent=True,
-            member=member_of(job), checkpointable=True, expected_run_ms=TASK_MS)
+            member=member_of(job), checkpointable=True, eviction_budget=10,
+            declared_run_ms=TASK_MS)
         if status != 200:
             raise Failed(f"urgent job refused: {status} {body}")
         jobs[data_centre] = job
     return jobs
 
 
+def urgent_starts(deployment):
+    return [entry["at"] / 1e6 for worker in deployment.workers.values()
+            for entry in read_ledger(worker.ledger)
+            if entry["event"] == "start" and entry["job"].startswith("urgent")]
+
+
 def switch_presets(deployment):
     """Three switches; in the second one two operators race with one version."""
     slowest = 0.0
@@ -279,9 +287,13 @@
     wait_for("batch tasks run on all workers", lambda: all(
         any(entry["event"] == "start" for entry in read_ledger(worker.ledger))
         for worker in deployment.workers.values()))
+    urgent_at = time.time()
     urgent = submit_urgent(deployment)
-    say(started, f"{len(urgent)} urgent tasks that need a whole worker were "
-        "submitted; batch tasks make room")
+    wait_for("urgent tasks start", lambda: len(urgent_starts(deployment))
+             == len(urgent))
+    slowest = max(urgent_starts(deployment)) - urgent_at
+    say(started, f"{len(urgent)} urgent tasks that need a whole worker started "
+        f"after at most {slowest * 1000:.0f} ms; batch tasks made room")
 
     in_force_ms = switch_presets(deployment)
     say(started, "three presets switched, two operators raced in one; slowest "
