Pass unchanged worker announcements on as batched heartbeats

Gossip was ruled out: it refreshes workers by number.

Change: an entry host forwards an announcement whole only when it has news, every 30 s, or to another leader; otherwise it adds about 45 bytes of CBOR to a batch that leaves every 200 ms. The leader answers with the workers it doesn't know.

--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -24,6 +24,7 @@
 // is 400 ms, and a check may find it up to one heartbeat old.
 constexpr Duration kCommandConnectLimit = Millis(300);
 constexpr Duration kCommandLimit = Seconds(2);
+constexpr Duration kHeartbeatLimit = Seconds(2);
 
 constexpr const char* kJobsPath = "/v1/ops/jobs";
 constexpr const char* kCancelPath = "/v1/ops/jobs/cancel";
@@ -184,6 +185,7 @@
 
 void CellService::Tick(TimePoint aNow) {
   this->StepScheduler(cell::Tick());
+  this->FlushHeartbeats(aNow);
   this->StepCoordinator(journal::CoordinatorTick());
   for (auto ask = this->asks.begin(); ask != this->asks.end();) {
     ask = ask->second.until <= aNow ? this->asks.erase(ask) : std::next(ask);
@@ -276,12 +278,12 @@
 }
 
 void CellService::SendBatch(const cell::CommandBatch& aBatch) {
-  const auto address = this->addresses.find(aBatch.worker);
-  if (address == this->addresses.end()) {
+  const auto worker = this->known.find(aBatch.worker);
+  if (worker == this->known.end()) {
     return;
   }
   net::ClientRequest request;
-  request.address = address->second;
+  request.address = worker->second.address;
   request.path = "/v1/commands";
   request.body = wire::ToJson(aBatch);
   // The last check before the command leaves: this process may have been
@@ -381,6 +383,104 @@
   }
 }
 
+void CellService::TakeAnnounce(const wire::WorkerAnnounce& aAnnounce) {
+  const membership::WorkerRecord& record = aAnnounce.record;
+  if (this->known.size() >= cell::kMaxWorkers &&
+      this->known.count(record.worker) == 0) {
+    this->known.clear();
+  }
+  this->known[record.worker] = record;
+  cell::WorkerAnnounced event;
+  event.message = aAnnounce.message;
+  event.capacity = {record.processorsMilli, record.memoryMb,
+                    record.accelerators};
+  event.rack = record.rack;
+  this->StepScheduler(std::move(event));
+}
+
+void CellService::HandleAnnounce(const wire::WorkerAnnounce& aAnnounce,
+                                 const net::HttpRequest& aRequest,
+                                 TimePoint aDeadline,
+                                 const PeerRpc::Respond& aRespond) {
+  if (this->groups.Leads(this->group)) {
+    this->TakeAnnounce(aAnnounce);
+    aRespond(JsonResponse(200, {{"leader", this->self.value}}));
+    return;
+  }
+  const auto leader = this->groups.LeaderOf(this->group);
+  if (leader &&
+      TakeHeartbeat(this->heartbeats, *leader, aAnnounce, net::Now())) {
+    aRespond(JsonResponse(200, {{"leader", leader->value}}));
+    return;
+  }
+  const auto record = aAnnounce.record;
+  this->Forward(aRequest, this->group, aDeadline,
+                [this, leader, record, aRespond](net::HttpResponse aResponse) {
+                  if (leader && aResponse.status == 200) {
+                    NotePassed(this->heartbeats, *leader, record, net::Now());
+                  }
+                  aRespond(std::move(aResponse));
+                });
+}
+
+void CellService::FlushHeartbeats(TimePoint aNow) {
+  const auto due = TakeDue(this->heartbeats, aNow);
+  if (due.empty()) {
+    return;
+  }
+  net::HttpRequest request;
+  request.method = "POST";
+  request.path = kHeartbeatsPath;
+  request.body = wire::EncodeHeartbeats(due);
+  // A batch that is lost is like lost announcements: the next ones follow.
+  this->rpc.Send(this->self, this->heartbeats.leader, std::move(request),
+                 aNow + kHeartbeatLimit,
+                 [this](std::optional<net::HttpResponse> aResponse) {
+                   const auto unknown =
+                       aResponse && aResponse->status == 200
+                           ? wire::DecodeWorkerNames(aResponse->body)
+                           : std::nullopt;
+                   if (unknown) {
+                     Forget(this->heartbeats, *unknown);
+                   } else {
+                     this->heartbeats.passed.clear();
+                   }
+                 });
+}
+
+void CellService::HandleHeartbeats(const net::HttpRequest& aRequest,
+                                   const PeerRpc::Respond& aRespond) {
+  const auto batch = wire::DecodeHeartbeats(aRequest.body);
+  if (!batch) {
+    aRespond(net::ErrorResponse(400, "", "malformed heartbeats"));
+    return;
+  }
+  if (!this->groups.Leads(this->group)) {
+    aRespond(OperatorError(503, "no_leader", "", "this host doesn't lead"));
+    return;
+  }
+  std::vector<WorkerId> unknown;
+  for (const wire::WorkerHeartbeat& one : *batch) {
+    const auto found = this->known.find(one.worker);
+    if (found == this->known.end() ||
+        found->second.incarnation != one.incarnation) {
+      unknown.push_back(one.worker);
+      continue;
+    }
+    wire::WorkerAnnounce announce;
+    announce.record = found->second;
+    announce.message.worker = one.worker;
+    announce.message.incarnation = one.incarnation;
+    announce.message.stamp = one.stamp;
+    announce.message.runningDigest = one.runningDigest;
+    announce.message.runningCount = one.runningCount;
+    this->TakeAnnounce(announce);
+  }
+  net::HttpResponse response;
+  response.body = wire::EncodeWorkerNames(unknown);
+  aRespond(std::move(response));
+}
+
 void CellService::HandleWorker(const net::HttpRequest& aRequest,
                                bool aForwarded, TimePoint aDeadline,
                                PeerRpc::Respond aRespond) {
@@ -399,13 +499,7 @@
       aRespond(net::ErrorResponse(400, reason.field, reason.detail));
       return;
     }
-    this->addresses[announce->record.worker] = announce->record.address;
-    cell::WorkerAnnounced event;
-    event.message = announce->message;
-    event.capacity = {announce->record.processorsMilli,
-                      announce->record.memoryMb, announce->record.accelerators};
-    event.rack = announce->record.rack;
-    this->StepScheduler(std::move(event));
+    this->TakeAnnounce(*announce);
   } else {
     const auto report = wire::ParseWorkerReport(aRequest.body, reason);
     if (!report) {
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -14,6 +14,7 @@
 #include "bramleypath/daemon/CellMachine.h"
 #include "bramleypath/daemon/ConfigService.h"
 #include "bramleypath/daemon/Groups.h"
+#include "bramleypath/daemon/HeartbeatBatcher.h"
 #include "bramleypath/daemon/PeerRpc.h"
 #include "bramleypath/journal/Coordinator.h"
 #include "bramleypath/metrics/Registry.h"
@@ -31,6 +32,8 @@
   std::uint64_t proposalsFailed = 0;
 };
 
+constexpr const char* kHeartbeatsPath = "/worker-heartbeats";
+
 // The cell of this data centre on one host: the replica's state machine, and
 // while it leads, the scheduler and the journal's coordinator.
 class CellService {
@@ -48,6 +51,14 @@
   // Quotas, presets and key owners of the configuration in force.
   void OnConfiguration(const config::Configuration& aConfiguration);
 
+  // An announcement that a worker sent to this host: handled by the leader,
+  // passed on whole, or taken into the next batch of heartbeats.
+  void HandleAnnounce(const wire::WorkerAnnounce& aAnnounce,
+                      const net::HttpRequest& aRequest, TimePoint aDeadline,
+                      const PeerRpc::Respond& aRespond);
+  // POST /worker-heartbeats of another host to the leader.
+  void HandleHeartbeats(const net::HttpRequest& aRequest,
+                        const PeerRpc::Respond& aRespond);
   // POST /v1/workers/announce and /v1/workers/report on the cell leader, or
   // forwarded to it unless aForwarded is set.
   void HandleWorker(const net::HttpRequest& aRequest, bool aForwarded,
@@ -75,6 +86,8 @@
   bool HasLease() const;
   void OnApplied(std::uint64_t aToken, const cell::Command& aCommand,
                  const cell::Outcome& aOutcome);
+  void TakeAnnounce(const wire::WorkerAnnounce& aAnnounce);
+  void FlushHeartbeats(TimePoint aNow);
   void FollowAttempt(const cell::Command& aCommand);
   void RebuildAdvisor();
   void OnUsage(const wire::WorkerReport& aReport);
@@ -110,8 +123,9 @@
   journal::Coordinator coordinator;
   journal::AskId lastAsk = 0;
   std::map<journal::AskId, WaitingAsk> asks;
-  // Addresses of workers, from their announcements to this leader.
-  std::map<WorkerId, std::string> addresses;
+  // From announcements to this leader; bounded by the cell's table of workers.
+  std::map<WorkerId, membership::WorkerRecord> known;
+  HeartbeatBatcher heartbeats;
   std::vector<cell::Action> pending;
   bool pendingPosted = false;
   CellCounters counters;
--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -331,6 +331,8 @@
     } else if (under("/v1/workers/")) {
       this->cell.HandleWorker(aRequest.request, kForwarded, aRequest.deadline,
                               std::move(aRespond));
+    } else if (path == kHeartbeatsPath) {
+      this->cell.HandleHeartbeats(aRequest.request, aRespond);
     } else if (path == kJournalPath) {
       this->cell.HandleJournal(aRequest.from, aRequest.request,
                                std::move(aRespond));
@@ -382,7 +384,12 @@
         return;
       }
       this->members.OnWorker(announce->record);
-    } else if (aRequest.path != "/v1/workers/report") {
+      this->cell.HandleAnnounce(*announce, aRequest,
+                                net::Now() + kWorkerForwardLimit,
+                                ToRespond(aResponder));
+      return;
+    }
+    if (aRequest.path != "/v1/workers/report") {
       aResponder.Send(net::ErrorResponse(404, "", "no such endpoint"));
       return;
     }
