--- a/src/bramleypath/cell/Placement.cpp
+++ b/src/bramleypath/cell/Placement.cpp
@@ -66,6 +66,8 @@
       return "waits for the eviction of batch work";
     case WaitReason::CommitInFlight:
       return "its start is being committed";
+    case WaitReason::PresetLimit:
+      return "the preset in force keeps the room free of batch work";
   }
   return "unknown";
 }
--- a/src/bramleypath/cell/Placement.h
+++ b/src/bramleypath/cell/Placement.h
@@ -51,11 +51,14 @@
   WouldHurtService,
   WaitsForEviction,
   CommitInFlight,
+  PresetLimit,
 };
 
 const char* Describe(WaitReason aReason);
 
-// Chooses the place of a worker in the span, or none with the reason.
+// Chooses the place of a worker in the span, or none with the reason. NoRoomNow
+// must depend on the demand alone: after it, a pass over the queue skips
+// demands that are at least as large.
 using ChooseWorkerFunction = std::function<std::optional<std::size_t>(
     gsl::span<const WorkerRoom> aWorkers, const PlacementRequest& aRequest,
     WaitReason& aReason)>;
--- a/src/bramleypath/cellplacement/Advisor.cpp
+++ b/src/bramleypath/cellplacement/Advisor.cpp
@@ -13,6 +13,7 @@
 constexpr double kRestartSeconds = 20;
 constexpr double kMicrosPerSecond = 1e6;
 constexpr double kMillisPerSecond = 1e3;
+constexpr std::int64_t kFullPercent = 100;
 
 placement::Demand ToDemand(const cell::Resources& aResources) {
   return placement::Demand{aResources.processorsMilli, aResources.memoryMb,
@@ -214,12 +215,8 @@
 
 // Takes away from a batch task what the preset keeps free of batch work.
 void LimitBatchRoom(const Advisor& aAdvisor, placement::WorkerView& aView) {
-  constexpr std::int64_t kFullPercent = 100;
   const auto allowed =
       static_cast<std::int64_t>(aAdvisor.batchUtilisationPercent);
-  if (allowed >= kFullPercent) {
-    return;
-  }
   aView.room.processorsMilli -=
       aView.capacity.processorsMilli * (kFullPercent - allowed) / kFullPercent;
 }
@@ -258,7 +255,9 @@
         std::max(aAdvisor.largestMemoryMb, aRooms[index].capacity.memoryMb);
   }
   const cell::JobSpec& job = *aRequest.job;
-  if (job.kind == cell::JobKind::Batch && !job.urgent) {
+  const bool limited = job.kind == cell::JobKind::Batch && !job.urgent &&
+                       aAdvisor.batchUtilisationPercent < kFullPercent;
+  if (limited) {
     for (placement::WorkerView& view : aAdvisor.views) {
       LimitBatchRoom(aAdvisor, view);
     }
@@ -278,11 +277,15 @@
   placement::NoChoice reason = placement::NoChoice::NoSuchWorker;
   const auto choice = placement::ChooseWorker(aAdvisor.views, aAdvisor.table,
                                               task, aAdvisor.weights, reason);
-  if (!choice) {
-    aReason = ToWaitReason(reason);
-    return std::nullopt;
+  if (choice) {
+    return choice->worker;
   }
-  return choice->worker;
+  aReason = ToWaitReason(reason);
+  // Urgent work and services may still find the room that batch work does not.
+  if (limited && aReason == cell::WaitReason::NoRoomNow) {
+    aReason = cell::WaitReason::PresetLimit;
+  }
+  return std::nullopt;
 }
 
 std::vector<MemberId> MembersOf(const Advisor& aAdvisor,
--- a/tests/cellplacement/AdvisorTest.cpp
+++ b/tests/cellplacement/AdvisorTest.cpp
@@ -203,6 +203,8 @@
       cell::WaitReason reason = cell::WaitReason::None;
       const auto chosen = MakeChooser(scene.advisor)(rooms, request, reason);
       CPPUNIT_ASSERT_EQUAL(row.placed, chosen.has_value());
+      // The queue skips larger demands after NoRoomNow, services too.
+      CPPUNIT_ASSERT(row.placed || reason == cell::WaitReason::PresetLimit);
     }
   }
 
