--- a/scripts/run-mutations.sh
+++ b/scripts/run-mutations.sh
@@ -12,11 +12,21 @@
 git ls-files -z --cached --others --exclude-standard | xargs -0 cp --parents -t "$copy"
 export CCACHE_BASEDIR=$copy CCACHE_NOHASHDIR=1
 
+# is_named NAME LIST...: whether the list holds the name.
+is_named() {
+  local wanted=$1 one
+  shift
+  for one in "$@"; do
+    [ "$one" = "$wanted" ] && return 0
+  done
+  return 1
+}
+
 passed=0
 failed=0
 for patch in "$root"/tests/mutations/*.patch; do
   name=$(basename "$patch" .patch)
-  if [ $# -gt 0 ] && ! printf '%s\n' "$@" | grep -qx "$name"; then
+  if [ $# -gt 0 ] && ! is_named "$name" "$@"; then
     continue
   fi
   read -r test filter < <(sed -n 's/^# test: //p' "$patch")
@@ -27,9 +37,15 @@
     continue
   fi
   cmake -S . -B build -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-  cmake --build build --target "$test" >build.log 2>&1 || { tail -n 20 build.log; exit 1; }
+  if ! cmake --build build --target "$test" >build.log 2>&1; then
+    tail -n 20 build.log
+    echo "mutation $name: does not compile"
+    failed=$((failed + 1))
+    patch -p1 -s -R <"$patch"
+    continue
+  fi
   program=$(find build/tests -name "$test" -type f)
-  if RC_PARAMS="seed=1" timeout 300 "$program" ${filter:+"$filter"} >run.log 2>&1; then
+  if RC_PARAMS="seed=1 noshrink=1" timeout 300 "$program" ${filter:+"$filter"} >run.log 2>&1; then
     echo "mutation $name: NOT detected by $test"
     failed=$((failed + 1))
   else
