Keep a listener's server until the context has destroyed its connections

Found by call_failures with the address sanitizer: at the end of a planned stop an idle connection, which lives in a pending handler of the context, was destroyed after its server and used the server's connection counter. The servers now live until the context is destroyed. Without the sanitizer nothing was seen.

Threads of process tests no longer keep a failed test running.

--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -54,6 +54,22 @@
 };
 using Server = restinio::http_server_t<ListenerTraits>;
 
+// Keeps servers until the context has destroyed its handlers: connections that
+// are still open then live in handlers, and refer to their server.
+class ServerKeeper : public asio::execution_context::service {
+ public:
+  inline static asio::execution_context::id id;  // NOLINT
+  explicit ServerKeeper(asio::execution_context& aContext)
+      : asio::execution_context::service(aContext) {}
+  void Keep(std::shared_ptr<Server> aServer) {
+    this->servers.push_back(std::move(aServer));
+  }
+
+ private:
+  void shutdown() override {}  // NOLINT
+  std::vector<std::shared_ptr<Server>> servers;
+};
+
 HttpRequest ToRequest(const restinio::request_t& aRequest) {
   HttpRequest request;
   request.method = aRequest.header().method().c_str();
@@ -83,7 +99,7 @@
   std::string boundAddress;
   HttpLimits limits;
   HttpHandler handler;
-  std::unique_ptr<Server> server;
+  std::shared_ptr<Server> server;
   HttpListenerCounters counters;
   std::size_t openRequests = 0;
   bool closeConnections = false;
@@ -260,8 +276,10 @@
                   .max_body_size(
                       std::max(limits.maxReadBytes, limits.maxBodyBytes)));
     };
-    this->state->server = std::make_unique<Server>(
+    this->state->server = std::make_shared<Server>(
         restinio::external_io_context(this->state->context), configure);
+    asio::use_service<ServerKeeper>(this->state->context)
+        .Keep(this->state->server);
     this->state->server->open_sync();
   } catch (const std::exception& failure) {
     aReason = {NetError::CannotBind,
--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -57,7 +57,7 @@
         # Set once the calls may end when there are enough of them.
         self.enough = threading.Event()
         self.abandoned = threading.Event()
-        self.threads = [threading.Thread(target=self.run, args=(number,))
+        self.threads = [threading.Thread(daemon=True, target=self.run, args=(number,))
                         for number in range(CALLERS)]
 
     def start(self):
@@ -114,7 +114,7 @@
                              key=f"key-{number}", **common)
         else:
             # The same keyed call at once through two entry hosts.
-            second = threading.Thread(target=self.caller.call, args=(
+            second = threading.Thread(daemon=True, target=self.caller.call, args=(
                 hosts[1].callers, number, body), kwargs={
                     "idempotent": False, "key": f"key-{number}", **common})
             second.start()
@@ -216,7 +216,7 @@
             answers.append(deployment.change(
                 {"kind": "use_preset", "preset": name}, host, version))
         started = time.monotonic()
-        threads = [threading.Thread(target=send, args=(host, name))
+        threads = [threading.Thread(daemon=True, target=send, args=(host, name))
                    for host, name in zip(hosts, preset)]
         for thread in threads:
             thread.start()
--- a/tests/process/call_failures.py
+++ b/tests/process/call_failures.py
@@ -52,7 +52,7 @@
     """The same keyed call at once through two entry hosts."""
     body = f"pair-{number}"
     entries = []
-    threads = [threading.Thread(target=lambda host=host: entries.append(
+    threads = [threading.Thread(daemon=True, target=lambda host=host: entries.append(
         caller.call(host.callers, number, body, call_class="recon",
                     idempotent=False, key=key, deadline_ms=8000)))
         for host in hosts]
@@ -107,7 +107,7 @@
         self.prefix = prefix
         self.ended = threading.Event()
         self.entries = []
-        self.threads = [threading.Thread(target=self.run, args=(number,))
+        self.threads = [threading.Thread(daemon=True, target=self.run, args=(number,))
                         for number in range(6)]
         for thread in self.threads:
             thread.start()
@@ -171,7 +171,7 @@
     """A stop whose call takes long ends at a second signal, with status 3."""
     host = deployment.hosts["dundee-2"]
     results = []
-    thread = threading.Thread(target=lambda: results.append(caller.call(
+    thread = threading.Thread(daemon=True, target=lambda: results.append(caller.call(
         host.callers, 0, "slow call", call_class="slow", idempotent=False,
         deadline_ms=60000)))
     thread.start()
--- a/tests/process/config_failures.py
+++ b/tests/process/config_failures.py
@@ -24,7 +24,7 @@
         version = deployment.version()
         answers = []
         hosts = list(deployment.hosts.values())[:4]
-        threads = [threading.Thread(target=lambda host=host, name=name:
+        threads = [threading.Thread(daemon=True, target=lambda host=host, name=name:
                    answers.append((name, deployment.change(
                        {"kind": "use_preset", "preset": name}, host, version,
                        request_id=f"race-{round_number}-{host.name}"))))
@@ -86,7 +86,7 @@
             with lock:
                 deployment.change({"kind": "drain_target", "target": target,
                                    "draining": count % 2 == 1}, host)
-    threads = [threading.Thread(target=change_many, args=(number,))
+    threads = [threading.Thread(daemon=True, target=change_many, args=(number,))
                for number in range(1)]
     for thread in threads:
         thread.start()
--- a/tests/process/membership.py
+++ b/tests/process/membership.py
@@ -72,7 +72,7 @@
                 host.callers, number, f"rolling-{thread}-{number}",
                 idempotent=False))
             number += 1
-    threads = [threading.Thread(target=send, args=(number,))
+    threads = [threading.Thread(daemon=True, target=send, args=(number,))
                for number in range(3)]
     for thread in threads:
         thread.start()
