Do not gossip workers between entry hosts

Cause: the leader sent 66 bytes/s and received 49 for each worker, though batched heartbeats explain only about 8 of those received.

Change: announcements are no longer fed to the membership core.

--- a/src/bramleypath/daemon/Daemon.cpp
+++ b/src/bramleypath/daemon/Daemon.cpp
@@ -383,7 +383,6 @@
         aResponder.Send(net::ErrorResponse(400, reason.field, reason.detail));
         return;
       }
-      this->members.OnWorker(announce->record);
       this->cell.HandleAnnounce(*announce, aRequest,
                                 net::Now() + kWorkerForwardLimit,
                                 ToRespond(aResponder));
--- a/src/bramleypath/daemon/MemberService.cpp
+++ b/src/bramleypath/daemon/MemberService.cpp
@@ -51,10 +51,6 @@
   return response;
 }
 
-void MemberService::OnWorker(const membership::WorkerRecord& aRecord) {
-  this->Step(membership::WorkerAnnounced{aRecord});
-}
-
 void MemberService::OnFrame(const net::PeerFrame& aFrame) {
   membership::CodecReason reason;
   auto message = membership::DecodeGossip(aFrame.payload, reason);
--- a/src/bramleypath/daemon/MemberService.h
+++ b/src/bramleypath/daemon/MemberService.h
@@ -29,7 +29,6 @@
 
   // POST /v1/targets/announce and /v1/targets/leave.
   net::HttpResponse HandleTarget(const net::HttpRequest& aRequest);
-  void OnWorker(const membership::WorkerRecord& aRecord);
   void OnFrame(const net::PeerFrame& aFrame);
   void OnConfiguration(const config::Configuration& aConfiguration,
                        const Hosts& aHosts);
