--- a/src/bramleypath/daemon/Main.cpp
+++ b/src/bramleypath/daemon/Main.cpp
@@ -12,26 +12,28 @@
 constexpr int kUsageStatus = 2;
 
 constexpr const char* kUsage =
-    "usage: bramleypathd --settings FILE [--bootstrap] [--check]\n"
-    "  --settings FILE  the settings of this entry host\n"
-    "  --bootstrap      create the data folder of a first member of a new\n"
-    "                   deployment; refused for a folder that exists\n"
-    "  --check          check the settings and exit\n";
+    "usage: bramleypathd --settings FILE [--bootstrap]\n"
+    "       bramleypathd --check-config FILE\n"
+    "  --settings FILE      the settings of this entry host\n"
+    "  --bootstrap          create the data folder of a first member of a new\n"
+    "                       deployment; refused for a folder that exists\n"
+    "  --check-config FILE  print all faults of the settings and exit\n";
 
 struct Options {
   std::string settingsFile;
   bool bootstrap = false;
   bool check = false;
+  bool help = false;
 };
 
 bool ParseOptions(int aCount, char** aValues, Options& aOptions) {
   const option kKnown[] = {{"settings", required_argument, nullptr, 's'},
                            {"bootstrap", no_argument, nullptr, 'b'},
-                           {"check", no_argument, nullptr, 'c'},
+                           {"check-config", required_argument, nullptr, 'c'},
                            {"help", no_argument, nullptr, 'h'},
                            {nullptr, 0, nullptr, 0}};
   int found = 0;
-  while ((found = getopt_long(aCount, aValues, "s:bch", kKnown, nullptr)) !=
+  while ((found = getopt_long(aCount, aValues, "s:bc:h", kKnown, nullptr)) !=
          -1) {
     switch (found) {
       case 's':
@@ -42,7 +44,11 @@
         break;
       case 'c':
         aOptions.check = true;
+        aOptions.settingsFile = optarg;
         break;
+      case 'h':
+        aOptions.help = true;
+        return true;
       default:
         return false;
     }
@@ -74,6 +80,10 @@
     std::fputs(kUsage, stderr);
     return kUsageStatus;
   }
+  if (options.help) {
+    std::fputs(kUsage, stdout);
+    return 0;
+  }
   bramleypath::settings::Report report;
   const auto settings =
       bramleypath::settings::LoadSettings(options.settingsFile, report);
--- a/src/bramleypath/daemon/OperatorService.cpp
+++ b/src/bramleypath/daemon/OperatorService.cpp
@@ -6,6 +6,7 @@
 
 #include "bramleypath/config/Codec.h"
 #include "bramleypath/daemon/EventLog.h"
+#include "bramleypath/daemon/StatusPage.h"
 #include "bramleypath/net/Clock.h"
 
 namespace bramleypath::daemon {
@@ -71,6 +72,15 @@
                                     std::move(aRespond));
   } else if (path == "/v1/ops/config") {
     aRespond(this->Config());
+  } else if (path == "/") {
+    net::HttpResponse page;
+    page.contentType = "text/html; charset=utf-8";
+    page.headers.push_back(
+        {"Content-Security-Policy",
+         "default-src 'none'; connect-src 'self'; style-src 'unsafe-inline'; "
+         "script-src 'unsafe-inline'"});
+    page.body = StatusPage();
+    aRespond(std::move(page));
   } else if (path == "/v1/ops/status") {
     aRespond(this->Status());
   } else if (path == "/metrics") {
