--- a/bench/placement/Main.cpp
+++ b/bench/placement/Main.cpp
@@ -154,8 +154,8 @@
   const auto table = placement::MakeInterference(kClasses, {});
   std::vector<placement::WorkerView> views(aWorkers);
   for (placement::WorkerView& view : views) {
-    view.capacity = placement::Demand{32000, 125000, 1};
-    view.room = placement::Demand{
+    view.capacity = Resources{32000, 125000, 1};
+    view.room = Resources{
         static_cast<std::int64_t>(8000 + NextBelow(random, 16000)), 60000, 1};
     for (int i = 0; i < 3; ++i) {
       view.services.push_back(placement::ServiceView{
@@ -169,7 +169,7 @@
     }
   }
   placement::TaskRequest task;
-  task.demand = placement::Demand{2000, 4000, 0};
+  task.demand = Resources{2000, 4000, 0};
   task.classIndex = 5;
   placement::Weights weights;
   weights.maxServiceSlowdown = 100;
--- a/bench/placement/Policies.cpp
+++ b/bench/placement/Policies.cpp
@@ -9,7 +9,7 @@
     const placement::TaskRequest& aTask) {
   for (std::size_t index = 0; index < aViews.size(); ++index) {
     if (!aViews[index].admissionStopped &&
-        placement::Fits(aTask.demand, aViews[index].room)) {
+        Fits(aTask.demand, aViews[index].room)) {
       return index;
     }
   }
@@ -23,7 +23,7 @@
   std::optional<std::size_t> best;
   for (std::size_t index = 0; index < aViews.size(); ++index) {
     if (aViews[index].admissionStopped ||
-        !placement::Fits(aTask.demand, aViews[index].room)) {
+        !Fits(aTask.demand, aViews[index].room)) {
       continue;
     }
     if (!best || (aViews[index].room.processorsMilli <
--- a/bench/placement/Run.cpp
+++ b/bench/placement/Run.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 using placement::ClassIndex;
-using placement::Demand;
 
 constexpr double kCheckpointEvery = 60;  // s of work
 constexpr double kRestartCost = 20;      // s
@@ -29,7 +28,7 @@
   double done = 0;  // s of work, including that of earlier attempts
   double attemptStartedAt = 0;
   bool throttled = false;
-  Demand reserved;
+  Resources reserved;
 };
 
 struct Worker {
@@ -94,10 +93,10 @@
   const Deployment& deployment = aSim.settings.deployment;
   Worker& worker = aSim.workers[aWorker];
   placement::WorkerView& view = aSim.views[aWorker];
-  view.capacity = Demand{deployment.processorsMilli, deployment.memoryMb, 0};
+  view.capacity = Resources{deployment.processorsMilli, deployment.memoryMb, 0};
   view.room =
-      Demand{deployment.processorsMilli - deployment.serviceProcessorsMilli,
-             deployment.memoryMb - deployment.serviceMemoryMb, 0};
+      Resources{deployment.processorsMilli - deployment.serviceProcessorsMilli,
+                deployment.memoryMb - deployment.serviceMemoryMb, 0};
   view.batch.classes.clear();
   for (const RunningTask& task : worker.running) {
     view.room.processorsMilli -= task.reserved.processorsMilli;
@@ -127,8 +126,8 @@
   return sum + (share > 1 ? std::log(share) : 0);
 }
 
-Demand ReservationFor(const Simulation& aSim, const TaskTruth& aTask) {
-  Demand demand{aTask.declaredProcessorsMilli, aTask.memoryMb, 0};
+Resources ReservationFor(const Simulation& aSim, const TaskTruth& aTask) {
+  Resources demand{aTask.declaredProcessorsMilli, aTask.memoryMb, 0};
   if (UsesEstimates(aSim.settings.policy)) {
     const auto factors = placement::FactorsFor(aSim.sizes, aTask.classIndex);
     demand.processorsMilli = std::clamp<std::int64_t>(
--- /dev/null
+++ b/src/bramleypath/base/Resources.cpp
@@ -0,0 +1,33 @@
+#include "bramleypath/base/Resources.h"
+
+namespace bramleypath {
+
+bool operator==(const Resources& aLeft, const Resources& aRight) {
+  return aLeft.processorsMilli == aRight.processorsMilli &&
+         aLeft.memoryMb == aRight.memoryMb &&
+         aLeft.accelerators == aRight.accelerators;
+}
+
+bool operator!=(const Resources& aLeft, const Resources& aRight) {
+  return !(aLeft == aRight);
+}
+
+Resources operator+(const Resources& aLeft, const Resources& aRight) {
+  return Resources{aLeft.processorsMilli + aRight.processorsMilli,
+                   aLeft.memoryMb + aRight.memoryMb,
+                   aLeft.accelerators + aRight.accelerators};
+}
+
+Resources operator-(const Resources& aLeft, const Resources& aRight) {
+  return Resources{aLeft.processorsMilli - aRight.processorsMilli,
+                   aLeft.memoryMb - aRight.memoryMb,
+                   aLeft.accelerators - aRight.accelerators};
+}
+
+bool Fits(const Resources& aDemand, const Resources& aRoom) {
+  return aDemand.processorsMilli <= aRoom.processorsMilli &&
+         aDemand.memoryMb <= aRoom.memoryMb &&
+         aDemand.accelerators <= aRoom.accelerators;
+}
+
+}  // namespace bramleypath
--- a/src/bramleypath/cell/Types.cpp
+++ b/src/bramleypath/cell/Types.cpp
@@ -5,34 +5,6 @@
 
 namespace bramleypath::cell {
 
-bool operator==(const Resources& aLeft, const Resources& aRight) {
-  return aLeft.processorsMilli == aRight.processorsMilli &&
-         aLeft.memoryMb == aRight.memoryMb &&
-         aLeft.accelerators == aRight.accelerators;
-}
-
-bool operator!=(const Resources& aLeft, const Resources& aRight) {
-  return !(aLeft == aRight);
-}
-
-Resources operator+(const Resources& aLeft, const Resources& aRight) {
-  return Resources{aLeft.processorsMilli + aRight.processorsMilli,
-                   aLeft.memoryMb + aRight.memoryMb,
-                   aLeft.accelerators + aRight.accelerators};
-}
-
-Resources operator-(const Resources& aLeft, const Resources& aRight) {
-  return Resources{aLeft.processorsMilli - aRight.processorsMilli,
-                   aLeft.memoryMb - aRight.memoryMb,
-                   aLeft.accelerators - aRight.accelerators};
-}
-
-bool Fits(const Resources& aDemand, const Resources& aRoom) {
-  return aDemand.processorsMilli <= aRoom.processorsMilli &&
-         aDemand.memoryMb <= aRoom.memoryMb &&
-         aDemand.accelerators <= aRoom.accelerators;
-}
-
 bool operator==(const AttemptId& aLeft, const AttemptId& aRight) {
   return aLeft.number == aRight.number && aLeft.task == aRight.task;
 }
--- a/src/bramleypath/cell/Types.h
+++ b/src/bramleypath/cell/Types.h
@@ -5,23 +5,12 @@
 #include <string>
 
 #include "bramleypath/base/Ids.h"
+#include "bramleypath/base/Resources.h"
 
 namespace bramleypath::cell {
 
-// Processors in thousandths of one, memory in MB, accelerators by count.
-struct Resources {
-  std::int64_t processorsMilli = 0;
-  std::int64_t memoryMb = 0;
-  std::int64_t accelerators = 0;
-};
-
-bool operator==(const Resources& aLeft, const Resources& aRight);
-bool operator!=(const Resources& aLeft, const Resources& aRight);
-Resources operator+(const Resources& aLeft, const Resources& aRight);
-Resources operator-(const Resources& aLeft, const Resources& aRight);
-
-// True when each part of aDemand is at most that of aRoom.
-bool Fits(const Resources& aDemand, const Resources& aRoom);
+using bramleypath::Fits;
+using bramleypath::Resources;
 
 enum class JobKind : std::uint8_t { Batch, Service };
 
--- a/src/bramleypath/cellplacement/Advisor.cpp
+++ b/src/bramleypath/cellplacement/Advisor.cpp
@@ -15,11 +15,6 @@
 constexpr double kMillisPerSecond = 1e3;
 constexpr std::int64_t kFullPercent = 100;
 
-placement::Demand ToDemand(const cell::Resources& aResources) {
-  return placement::Demand{aResources.processorsMilli, aResources.memoryMb,
-                           aResources.accelerators};
-}
-
 double SecondsBetween(TimePoint aFrom, TimePoint aTo) {
   return static_cast<double>((aTo - aFrom).micros) / kMicrosPerSecond;
 }
@@ -224,8 +219,8 @@
 void FillView(const Advisor& aAdvisor, const cell::WorkerRoom& aRoom,
               gsl::span<const WorkerId> aAvoided,
               placement::WorkerView& aView) {
-  aView.capacity = ToDemand(aRoom.capacity);
-  aView.room = ToDemand(aRoom.room);
+  aView.capacity = aRoom.capacity;
+  aView.room = aRoom.room;
   aView.rack = aRoom.rack;
   aView.excluded = aRoom.excluded || std::find(aAvoided.begin(), aAvoided.end(),
                                                aRoom.worker) != aAvoided.end();
@@ -263,7 +258,7 @@
     }
   }
   placement::TaskRequest task;
-  task.demand = ToDemand(aRequest.demand);
+  task.demand = aRequest.demand;
   task.classIndex = IndexOf(aAdvisor.classes, job.classId);
   task.isService = job.kind == cell::JobKind::Service;
   task.urgent = job.urgent;
--- a/src/bramleypath/placement/ChooseWorker.cpp
+++ b/src/bramleypath/placement/ChooseWorker.cpp
@@ -15,7 +15,7 @@
 // How steeply the risk of an eviction grows as the tail limit comes near.
 constexpr double kEvictionSteepness = 2.4;
 
-double FullnessAfter(const WorkerView& aWorker, const Demand& aDemand) {
+double FullnessAfter(const WorkerView& aWorker, const Resources& aDemand) {
   if (aWorker.capacity.processorsMilli <= 0) {
     return 1;
   }
@@ -124,12 +124,6 @@
 
 }  // namespace
 
-bool Fits(const Demand& aDemand, const Demand& aRoom) {
-  return aDemand.processorsMilli <= aRoom.processorsMilli &&
-         aDemand.memoryMb <= aRoom.memoryMb &&
-         aDemand.accelerators <= aRoom.accelerators;
-}
-
 std::optional<Choice> ChooseWorker(gsl::span<const WorkerView> aWorkers,
                                    const Interference& aTable,
                                    const TaskRequest& aTask,
--- a/src/bramleypath/placement/ChooseWorker.h
+++ b/src/bramleypath/placement/ChooseWorker.h
@@ -7,18 +7,11 @@
 #include <string>
 #include <vector>
 
+#include "bramleypath/base/Resources.h"
 #include "bramleypath/placement/Interference.h"
 
 namespace bramleypath::placement {
 
-struct Demand {
-  std::int64_t processorsMilli = 0;
-  std::int64_t memoryMb = 0;
-  std::int64_t accelerators = 0;
-};
-
-bool Fits(const Demand& aDemand, const Demand& aRoom);
-
 // A latency-critical service on a worker.
 struct ServiceView {
   ClassIndex classIndex = 0;
@@ -29,9 +22,9 @@
 // What the chooser sees of one worker. Workers are numbered by their place in
 // the span, racks and members by numbers of the caller.
 struct WorkerView {
-  Demand capacity;
+  Resources capacity;
   // Capacity less all reservations, those of unknown attempts included.
-  Demand room;
+  Resources room;
   std::uint32_t rack = 0;
   // Draining, backed off after failures, or announced too long ago.
   bool excluded = false;
@@ -42,7 +35,7 @@
 };
 
 struct TaskRequest {
-  Demand demand;
+  Resources demand;
   ClassIndex classIndex = 0;
   bool isService = false;
   // Urgent work accepts a worker that the tail limit would rule out.
--- a/tests/placement/ChooseWorkerTest.cpp
+++ b/tests/placement/ChooseWorkerTest.cpp
@@ -16,8 +16,8 @@
 
 WorkerView MakeWorker(std::int64_t aRoomMilli, double aLoad) {
   WorkerView worker;
-  worker.capacity = Demand{32000, 125000, 1};
-  worker.room = Demand{aRoomMilli, 60000, 1};
+  worker.capacity = Resources{32000, 125000, 1};
+  worker.room = Resources{aRoomMilli, 60000, 1};
   worker.services = {ServiceView{kService, aLoad}};
   return worker;
 }
@@ -41,7 +41,7 @@
 
 TaskRequest MakeTask(ClassIndex aClass) {
   TaskRequest task;
-  task.demand = Demand{2000, 1000, 0};
+  task.demand = Resources{2000, 1000, 0};
   task.classIndex = aClass;
   return task;
 }
@@ -63,7 +63,7 @@
   void testNamesWhyNothingWasChosen() {
     struct Row {
       const char* label;
-      Demand demand;
+      Resources demand;
       std::int64_t room;
       bool excluded;
       bool stopped;
