--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -384,7 +384,7 @@
 }
 
 bool CellService::TakeAnnounce(const wire::WorkerAnnounce& aAnnounce) {
-  const membership::WorkerRecord& record = aAnnounce.record;
+  const wire::WorkerRecord& record = aAnnounce.record;
   // Anyone may announce; the cell has room for this many workers.
   if (this->known.size() >= cell::kMaxWorkers &&
       this->known.count(record.worker) == 0) {
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -125,7 +125,7 @@
   journal::AskId lastAsk = 0;
   std::map<journal::AskId, WaitingAsk> asks;
   // From announcements to this leader; bounded by the cell's table of workers.
-  std::map<WorkerId, membership::WorkerRecord> known;
+  std::map<WorkerId, wire::WorkerRecord> known;
   HeartbeatBatcher heartbeats;
   std::vector<cell::Action> pending;
   bool pendingPosted = false;
--- a/src/bramleypath/daemon/HeartbeatBatcher.cpp
+++ b/src/bramleypath/daemon/HeartbeatBatcher.cpp
@@ -6,8 +6,8 @@
 
 namespace {
 
-bool SameRecord(const membership::WorkerRecord& aLeft,
-                const membership::WorkerRecord& aRight) {
+bool SameRecord(const wire::WorkerRecord& aLeft,
+                const wire::WorkerRecord& aRight) {
   return aLeft.worker == aRight.worker &&
          aLeft.incarnation == aRight.incarnation &&
          aLeft.address == aRight.address && aLeft.rack == aRight.rack &&
@@ -44,7 +44,7 @@
 }
 
 void NotePassed(HeartbeatBatcher& aBatcher, const HostId& aLeader,
-                const membership::WorkerRecord& aRecord, TimePoint aNow) {
+                const wire::WorkerRecord& aRecord, TimePoint aNow) {
   if (aBatcher.leader != aLeader) {
     aBatcher.leader = aLeader;
     aBatcher.passed.clear();
--- a/src/bramleypath/daemon/HeartbeatBatcher.h
+++ b/src/bramleypath/daemon/HeartbeatBatcher.h
@@ -17,7 +17,7 @@
 // cost the leader 1.4 KB each; a heartbeat takes about 45 bytes.
 struct HeartbeatBatcher {
   struct Passed {
-    membership::WorkerRecord record;
+    wire::WorkerRecord record;
     // Then the whole announcement is passed on again.
     TimePoint wholeAt;
   };
@@ -40,7 +40,7 @@
 
 // The leader has taken the whole announcement.
 void NotePassed(HeartbeatBatcher& aBatcher, const HostId& aLeader,
-                const membership::WorkerRecord& aRecord, TimePoint aNow);
+                const wire::WorkerRecord& aRecord, TimePoint aNow);
 
 // The leader does not know these workers.
 void Forget(HeartbeatBatcher& aBatcher, const std::vector<WorkerId>& aWorkers);
--- a/src/bramleypath/membership/Codec.cpp
+++ b/src/bramleypath/membership/Codec.cpp
@@ -62,28 +62,16 @@
                       aRecord.outstanding});
 }
 
-Json ToWire(const WorkerRecord& aRecord) {
-  return Json::array({aRecord.worker.value, aRecord.incarnation,
-                      aRecord.address, aRecord.rack.value,
-                      aRecord.processorsMilli, aRecord.memoryMb,
-                      aRecord.accelerators});
-}
-
 Json ToWire(const SharedTarget& aItem) {
   return Json::array({aItem.number, Millis(aItem.age), ToWire(aItem.record)});
 }
 
-Json ToWire(const SharedWorker& aItem) {
-  return Json::array({aItem.number, Millis(aItem.age), ToWire(aItem.record)});
-}
-
 Json ToWire(const Refresh& aItem) {
   return Json::array({aItem.number, Millis(aItem.age), aItem.outstanding});
 }
 
 Json ToWire(const Departure& aItem) {
-  return Json::array(
-      {aItem.id, aItem.incarnation, aItem.worker, Millis(aItem.age)});
+  return Json::array({aItem.id, aItem.incarnation, Millis(aItem.age)});
 }
 
 Json ToWire(const NumberedLoad& aItem) {
@@ -109,8 +97,7 @@
 
 Json BodyToWire(const Delta& aBody) {
   return Json::array(
-      {ListToWire(aBody.targets), ListToWire(aBody.workers),
-       ListToWire(aBody.targetRefreshes), ListToWire(aBody.workerRefreshes),
+      {ListToWire(aBody.targets), ListToWire(aBody.targetRefreshes),
        ListToWire(aBody.departures), aBody.hasLoads, ListToWire(aBody.loads)});
 }
 Json BodyToWire(const Digest& aBody) {
@@ -221,18 +208,6 @@
   return reader.good;
 }
 
-bool FromWire(const Json& aItem, WorkerRecord& aOut, CodecReason& aReason) {
-  Reader reader = Open(aItem, 7, aReason);
-  Read(reader, aOut.worker);
-  Read(reader, aOut.incarnation);
-  Read(reader, aOut.address);
-  Read(reader, aOut.rack);
-  Read(reader, aOut.processorsMilli);
-  Read(reader, aOut.memoryMb);
-  Read(reader, aOut.accelerators);
-  return reader.good;
-}
-
 template <typename Shared>
 bool SharedFromWire(const Json& aItem, Shared& aOut, CodecReason& aReason) {
   Reader reader = Open(aItem, 3, aReason);
@@ -245,9 +220,6 @@
 bool FromWire(const Json& aItem, SharedTarget& aOut, CodecReason& aReason) {
   return SharedFromWire(aItem, aOut, aReason);
 }
-bool FromWire(const Json& aItem, SharedWorker& aOut, CodecReason& aReason) {
-  return SharedFromWire(aItem, aOut, aReason);
-}
 
 bool FromWire(const Json& aItem, Refresh& aOut, CodecReason& aReason) {
   Reader reader = Open(aItem, 3, aReason);
@@ -258,10 +230,9 @@
 }
 
 bool FromWire(const Json& aItem, Departure& aOut, CodecReason& aReason) {
-  Reader reader = Open(aItem, 4, aReason);
+  Reader reader = Open(aItem, 3, aReason);
   Read(reader, aOut.id);
   Read(reader, aOut.incarnation);
-  Read(reader, aOut.worker);
   Read(reader, aOut.age);
   return reader.good;
 }
@@ -324,11 +295,9 @@
 }
 
 bool BodyFromWire(const Json& aItem, Delta& aOut, CodecReason& aReason) {
-  Reader reader = Open(aItem, 7, aReason);
+  Reader reader = Open(aItem, 5, aReason);
   ReadList(reader, aOut.targets);
-  ReadList(reader, aOut.workers);
   ReadList(reader, aOut.targetRefreshes);
-  ReadList(reader, aOut.workerRefreshes);
   ReadList(reader, aOut.departures);
   Read(reader, aOut.hasLoads);
   ReadList(reader, aOut.loads);
--- a/src/bramleypath/membership/Fwd.h
+++ b/src/bramleypath/membership/Fwd.h
@@ -3,7 +3,6 @@
 namespace bramleypath::membership {
 
 struct TargetRecord;
-struct WorkerRecord;
 struct HostInfo;
 struct TargetLoad;
 struct DataCentreSummary;
--- a/src/bramleypath/membership/Members.cpp
+++ b/src/bramleypath/membership/Members.cpp
@@ -23,8 +23,8 @@
                                    false, aNow, aNow, aActions)) {
     detail::SpreadDeparture(
         aMembers,
-        Departure{aEvent.target.value, aEvent.incarnation, false, Duration{}},
-        aNow, aActions);
+        Departure{aEvent.target.value, aEvent.incarnation, Duration{}}, aNow,
+        aActions);
   }
 }
 
@@ -39,29 +39,11 @@
   if (detail::ApplyTargetDeparture(aMembers, aEvent.target, incarnation, true,
                                    aNow, aNow, aActions)) {
     detail::SpreadDeparture(
-        aMembers,
-        Departure{aEvent.target.value, incarnation, false, Duration{}}, aNow,
+        aMembers, Departure{aEvent.target.value, incarnation, Duration{}}, aNow,
         aActions);
   }
 }
 
-void Handle(Members& aMembers, const WorkerAnnounced& aEvent, TimePoint aNow,
-            Actions& aActions) {
-  detail::ApplyWorker(aMembers, aEvent.record, aNow, detail::Source::Direct,
-                      aNow, aActions);
-}
-
-void Handle(Members& aMembers, const WorkerLeft& aEvent, TimePoint aNow,
-            Actions& aActions) {
-  if (detail::ApplyWorkerDeparture(aMembers, aEvent.worker, aEvent.incarnation,
-                                   aNow, aNow, aActions)) {
-    detail::SpreadDeparture(
-        aMembers,
-        Departure{aEvent.worker.value, aEvent.incarnation, true, Duration{}},
-        aNow, aActions);
-  }
-}
-
 void Handle(Members& aMembers, const GossipReceived& aEvent, TimePoint aNow,
             Actions& aActions) {
   detail::OnGossip(aMembers, aEvent.message, aNow, aActions);
--- a/src/bramleypath/membership/Members.h
+++ b/src/bramleypath/membership/Members.h
@@ -28,7 +28,6 @@
   // under way; late gossip is recognised by its age.
   Duration departureMemory = Seconds(600);
   std::size_t maxTargets = 4096;
-  std::size_t maxWorkers = 4096;
   std::size_t maxDepartures = 8192;
   // Loads per gossip round on average. A host with more outstanding targets
   // sends its loads less often, which bounds the bytes per second.
@@ -52,16 +51,6 @@
   bool changed = false;
 };
 
-struct WorkerEntry {
-  WorkerRecord record;
-  TimePoint expiresAt;
-  bool departed = false;
-  TimePoint forgetAt;
-  std::uint32_t number = 0;
-  bool heard = false;
-  bool changed = false;
-};
-
 // What is known of another entry host.
 struct PeerEntry {
   HostInfo info;
@@ -77,7 +66,6 @@
   TimePoint windowEndsAt;
   // The peer's record numbers of this session.
   std::unordered_map<std::uint32_t, TargetId> targetNumbers;
-  std::unordered_map<std::uint32_t, WorkerId> workerNumbers;
   std::unordered_map<TargetId, std::uint32_t> loads;
   // A record number was unknown; all records are asked for at requestAt.
   bool recordsMissing = false;
@@ -105,7 +93,6 @@
 
   TargetChart chart;
   std::unordered_map<TargetId, TargetEntry> targets;
-  std::unordered_map<WorkerId, WorkerEntry> workers;
   std::size_t departures = 0;
   std::map<HostId, PeerEntry> peers;
   std::vector<TargetLoad> ownLoads;
--- a/src/bramleypath/membership/Types.h
+++ b/src/bramleypath/membership/Types.h
@@ -12,7 +12,7 @@
 namespace bramleypath::membership {
 
 using Bytes = std::vector<std::uint8_t>;
-// Grows with each restart of a target or worker.
+// Grows with each restart of a target.
 using Incarnation = std::uint64_t;
 // Grows with each start of an entry host's process; the start's wall-clock time
 // serves. A smaller one is accepted only from a host that is not live.
@@ -30,17 +30,6 @@
   std::uint32_t outstanding = 0;
 };
 
-// What a worker says about itself; attempts and usage go to the cell leader.
-struct WorkerRecord {
-  WorkerId worker;
-  Incarnation incarnation = 0;
-  std::string address;
-  RackId rack;
-  std::uint32_t processorsMilli = 0;
-  std::uint32_t memoryMb = 0;
-  std::uint32_t accelerators = 0;
-};
-
 // An entry host, as configured.
 struct HostInfo {
   HostId host;
@@ -85,18 +74,11 @@
   TargetRecord record;
 };
 
-struct SharedWorker {
-  std::uint32_t number = 0;
-  Duration age;
-  WorkerRecord record;
-};
-
-// A target or worker that left or is drained; later announcements of the same
+// A target that left or is drained; later announcements of the same
 // or an older incarnation are ignored.
 struct Departure {
   std::string id;
   Incarnation incarnation = 0;
-  bool worker = false;
   Duration age;  // since it left
 };
 
@@ -109,9 +91,7 @@
 // when something left.
 struct Delta {
   std::vector<SharedTarget> targets;
-  std::vector<SharedWorker> workers;
   std::vector<Refresh> targetRefreshes;
-  std::vector<Refresh> workerRefreshes;
   std::vector<Departure> departures;
   // Set when loads holds all of the sender's outstanding calls: a target that
   // is missing has none.
@@ -153,13 +133,6 @@
 struct TargetDrained {
   TargetId target;
 };
-struct WorkerAnnounced {
-  WorkerRecord record;
-};
-struct WorkerLeft {
-  WorkerId worker;
-  Incarnation incarnation = 0;
-};
 struct GossipReceived {
   GossipMessage message;
 };
@@ -173,9 +146,9 @@
 struct StopAnnounced {};
 struct Tick {};
 
-using Event = std::variant<TargetAnnounced, TargetLeft, TargetDrained,
-                           WorkerAnnounced, WorkerLeft, GossipReceived,
-                           LocalLoads, HostsConfigured, StopAnnounced, Tick>;
+using Event =
+    std::variant<TargetAnnounced, TargetLeft, TargetDrained, GossipReceived,
+                 LocalLoads, HostsConfigured, StopAnnounced, Tick>;
 
 // Actions from Step.
 
@@ -194,13 +167,6 @@
   TargetId target;
   Incarnation incarnation = 0;
 };
-struct WorkerUp {
-  WorkerRecord record;
-};
-struct WorkerGone {
-  WorkerId worker;
-  Incarnation incarnation = 0;
-};
 // The live entry hosts of this data centre that accept calls, sorted, this host
 // included unless it is stopping.
 struct LocalHostsChanged {
@@ -216,9 +182,8 @@
   DataCentreSummary summary;
 };
 
-using Action =
-    std::variant<SendGossip, TargetUp, TargetLeaving, TargetGone, WorkerUp,
-                 WorkerGone, LocalHostsChanged, PeerLoads, SummaryChanged>;
+using Action = std::variant<SendGossip, TargetUp, TargetLeaving, TargetGone,
+                            LocalHostsChanged, PeerLoads, SummaryChanged>;
 using Actions = std::vector<Action>;
 
 }  // namespace bramleypath::membership
--- a/src/bramleypath/membership/internal/Gossip.cpp
+++ b/src/bramleypath/membership/internal/Gossip.cpp
@@ -63,8 +63,7 @@
 }
 
 bool HasRecords(const Delta& aDelta) {
-  return !aDelta.targets.empty() || !aDelta.workers.empty() ||
-         !aDelta.targetRefreshes.empty() || !aDelta.workerRefreshes.empty() ||
+  return !aDelta.targets.empty() || !aDelta.targetRefreshes.empty() ||
          !aDelta.departures.empty();
 }
 
@@ -77,9 +76,7 @@
     std::size_t room = aMaxRecords;
     MoveSome(aDelta.departures, part.departures, room);
     MoveSome(aDelta.targets, part.targets, room);
-    MoveSome(aDelta.workers, part.workers, room);
     MoveSome(aDelta.targetRefreshes, part.targetRefreshes, room);
-    MoveSome(aDelta.workerRefreshes, part.workerRefreshes, room);
     parts.push_back(std::move(part));
   }
   if (parts.empty()) {
@@ -96,25 +93,11 @@
     if (aEntry.forgetAt > aNow + kDepartureMargin) {
       aDelta.departures.push_back(
           Departure{aEntry.record.target.value, aEntry.record.incarnation,
-                    false, DepartureAge(aMembers, aEntry.forgetAt, aNow)});
-    }
-    return;
-  }
-  aDelta.targets.push_back(SharedTarget{
-      aEntry.number, AgeOf(aMembers, aEntry.expiresAt, aNow), aEntry.record});
-}
-
-void AddWorker(const Members& aMembers, const WorkerEntry& aEntry,
-               TimePoint aNow, Delta& aDelta) {
-  if (aEntry.departed) {
-    if (aEntry.forgetAt > aNow + kDepartureMargin) {
-      aDelta.departures.push_back(
-          Departure{aEntry.record.worker.value, aEntry.record.incarnation, true,
                     DepartureAge(aMembers, aEntry.forgetAt, aNow)});
     }
     return;
   }
-  aDelta.workers.push_back(SharedWorker{
+  aDelta.targets.push_back(SharedTarget{
       aEntry.number, AgeOf(aMembers, aEntry.expiresAt, aNow), aEntry.record});
 }
 
@@ -140,22 +123,6 @@
   }
 }
 
-void CollectWorkers(Members& aMembers, TimePoint aNow, Delta& aDelta) {
-  for (auto& [id, entry] : aMembers.workers) {
-    if (entry.departed) {
-      continue;
-    }
-    if (entry.changed && entry.heard) {
-      AddWorker(aMembers, entry, aNow, aDelta);
-    } else if (entry.heard) {
-      aDelta.workerRefreshes.push_back(
-          Refresh{entry.number, AgeOf(aMembers, entry.expiresAt, aNow), 0});
-    }
-    entry.changed = false;
-    entry.heard = false;
-  }
-}
-
 void CollectLoads(const Members& aMembers, Delta& aDelta) {
   aDelta.hasLoads = true;
   for (const TargetLoad& load : aMembers.ownLoads) {
@@ -188,12 +155,6 @@
           HashOf(id.value, entry.record.incarnation, departed);
     }
   }
-  for (const auto& [id, entry] : aMembers.workers) {
-    if (!entry.departed || entry.forgetAt > aNow + kDepartureMargin) {
-      digest.buckets[BucketOf(id.value)] ^=
-          HashOf(id.value, ~entry.record.incarnation, entry.departed);
-    }
-  }
   return digest;
 }
 
@@ -245,32 +206,14 @@
     ApplyTarget(aMembers, record, aContext.sentAt - item.age, Source::Gossip,
                 aNow, aActions);
   }
-  for (const Refresh& item : aDelta.workerRefreshes) {
-    const auto id = aContext.peer.workerNumbers.find(item.number);
-    const auto known = id == aContext.peer.workerNumbers.end()
-                           ? aMembers.workers.end()
-                           : aMembers.workers.find(id->second);
-    if (known == aMembers.workers.end()) {
-      ++aMembers.counters.unknownNumbers;
-      aContext.peer.recordsMissing = true;
-      continue;
-    }
-    ApplyWorker(aMembers, WorkerRecord(known->second.record),
-                aContext.sentAt - item.age, Source::Gossip, aNow, aActions);
-  }
 }
 
 void HandleDepartures(Members& aMembers, const Context& aContext,
                       const Delta& aDelta, TimePoint aNow, Actions& aActions) {
   for (const Departure& item : aDelta.departures) {
     const TimePoint leftAt = aContext.sentAt - item.age;
-    if (item.worker) {
-      ApplyWorkerDeparture(aMembers, WorkerId(item.id), item.incarnation,
-                           leftAt, aNow, aActions);
-    } else {
-      ApplyTargetDeparture(aMembers, TargetId(item.id), item.incarnation, false,
-                           leftAt, aNow, aActions);
-    }
+    ApplyTargetDeparture(aMembers, TargetId(item.id), item.incarnation, false,
+                         leftAt, aNow, aActions);
   }
 }
 
@@ -299,12 +242,6 @@
     ApplyTarget(aMembers, item.record, aContext.sentAt - item.age,
                 Source::Gossip, aNow, aActions);
   }
-  for (const SharedWorker& item : aDelta.workers) {
-    NoteNumber(aMembers, aContext.peer.workerNumbers, item.number,
-               item.record.worker);
-    ApplyWorker(aMembers, item.record, aContext.sentAt - item.age,
-                Source::Gossip, aNow, aActions);
-  }
   HandleRefreshes(aMembers, aContext, aDelta, aNow, aActions);
   if (aContext.newest && aDelta.hasLoads) {
     HandleLoads(aContext, aDelta, aActions);
@@ -343,11 +280,6 @@
       AddTarget(aMembers, entry, aNow, delta);
     }
   }
-  for (const auto& [id, entry] : aMembers.workers) {
-    if (wanted[BucketOf(id.value)]) {
-      AddWorker(aMembers, entry, aNow, delta);
-    }
-  }
   CollectLoads(aMembers, delta);
   for (Delta& part :
        Split(std::move(delta), aMembers.settings.maxRecordsPerMessage)) {
@@ -374,7 +306,6 @@
 void SendRound(Members& aMembers, TimePoint aNow, Actions& aActions) {
   Delta delta;
   CollectTargets(aMembers, aNow, delta);
-  CollectWorkers(aMembers, aNow, delta);
   CollectDueLoads(aMembers, aNow, delta);
   SendToLocalPeers(aMembers, delta, aNow, aActions);
 }
--- a/src/bramleypath/membership/internal/Hosts.cpp
+++ b/src/bramleypath/membership/internal/Hosts.cpp
@@ -17,7 +17,6 @@
   aPeer.session = aSession;
   aPeer.lastSequence = 0;
   aPeer.targetNumbers.clear();
-  aPeer.workerNumbers.clear();
   aPeer.loads.clear();
   aPeer.recordsMissing = true;
   aPeer.leastOffsetMicros = aOffset;
--- a/src/bramleypath/membership/internal/Records.cpp
+++ b/src/bramleypath/membership/internal/Records.cpp
@@ -31,11 +31,6 @@
          aRecord.slots > 0;
 }
 
-bool IsUsable(const Members& aMembers, const WorkerRecord& aRecord) {
-  return FitsLimits(aMembers, aRecord.worker.value, aRecord.address) &&
-         aRecord.rack.value.size() <= aMembers.settings.maxIdBytes;
-}
-
 bool SameApartFromLoad(const TargetRecord& aLeft, const TargetRecord& aRight) {
   return aLeft.incarnation == aRight.incarnation &&
          aLeft.service == aRight.service && aLeft.member == aRight.member &&
@@ -43,14 +38,6 @@
          aLeft.connections == aRight.connections;
 }
 
-bool Same(const WorkerRecord& aLeft, const WorkerRecord& aRight) {
-  return aLeft.incarnation == aRight.incarnation &&
-         aLeft.address == aRight.address && aLeft.rack == aRight.rack &&
-         aLeft.processorsMilli == aRight.processorsMilli &&
-         aLeft.memoryMb == aRight.memoryMb &&
-         aLeft.accelerators == aRight.accelerators;
-}
-
 TargetEntry* FindOrAddTarget(Members& aMembers, const TargetId& aTarget) {
   const auto found = aMembers.targets.find(aTarget);
   if (found != aMembers.targets.end()) {
@@ -67,21 +54,6 @@
   return &entry;
 }
 
-WorkerEntry* FindOrAddWorker(Members& aMembers, const WorkerId& aWorker) {
-  const auto found = aMembers.workers.find(aWorker);
-  if (found != aMembers.workers.end()) {
-    return &found->second;
-  }
-  const Settings& settings = aMembers.settings;
-  if (aMembers.workers.size() >= settings.maxWorkers + settings.maxDepartures) {
-    ++aMembers.counters.recordsRefused;
-    return nullptr;
-  }
-  WorkerEntry& entry = aMembers.workers[aWorker];
-  entry.number = aMembers.nextNumber++;
-  return &entry;
-}
-
 bool IsTableFull(const Members& aMembers, const TargetId& aTarget) {
   return aMembers.targets.count(aTarget) == 0 &&
          aMembers.targets.size() - aMembers.departures >=
@@ -159,46 +131,6 @@
   }
 }
 
-void ApplyWorker(Members& aMembers, const WorkerRecord& aRecord,
-                 TimePoint aHeardAt, Source aSource, TimePoint aNow,
-                 Actions& aActions) {
-  if (!IsUsable(aMembers, aRecord)) {
-    ++aMembers.counters.recordsRefused;
-    return;
-  }
-  const TimePoint expiresAt = aHeardAt + aMembers.settings.expiry;
-  if (expiresAt <= aNow) {
-    ++aMembers.counters.recordsTooLate;
-    return;
-  }
-  const bool added = aMembers.workers.count(aRecord.worker) == 0;
-  WorkerEntry* entry = FindOrAddWorker(aMembers, aRecord.worker);
-  if (entry == nullptr) {
-    return;
-  }
-  const bool newer = aRecord.incarnation > entry->record.incarnation;
-  if (!added && ((entry->departed && !newer) ||
-                 aRecord.incarnation < entry->record.incarnation)) {
-    ++aMembers.counters.recordsIgnored;
-    return;
-  }
-  const bool news = added || newer;
-  entry->departed = false;
-  if (aSource == Source::Direct) {
-    entry->heard = true;
-  }
-  if (!news && !IsNewer(expiresAt, entry->expiresAt, aSource)) {
-    return;
-  }
-  const bool changed = news || !Same(entry->record, aRecord);
-  entry->record = aRecord;
-  entry->expiresAt = expiresAt;
-  if (changed) {
-    entry->changed = true;
-    aActions.push_back(WorkerUp{aRecord});
-  }
-}
-
 bool ApplyTargetDeparture(Members& aMembers, const TargetId& aTarget,
                           Incarnation aIncarnation, bool aDrain,
                           TimePoint aLeftAt, TimePoint aNow,
@@ -235,32 +167,6 @@
   return true;
 }
 
-bool ApplyWorkerDeparture(Members& aMembers, const WorkerId& aWorker,
-                          Incarnation aIncarnation, TimePoint aLeftAt,
-                          TimePoint aNow, Actions& aActions) {
-  const TimePoint forgetAt = aLeftAt + aMembers.settings.departureMemory;
-  if (forgetAt <= aNow || aWorker.empty() ||
-      aWorker.value.size() > aMembers.settings.maxIdBytes) {
-    return false;
-  }
-  const bool known = aMembers.workers.count(aWorker) > 0;
-  WorkerEntry* entry = FindOrAddWorker(aMembers, aWorker);
-  if (entry == nullptr ||
-      (known &&
-       (aIncarnation < entry->record.incarnation ||
-        (entry->departed && aIncarnation == entry->record.incarnation)))) {
-    return false;
-  }
-  if (known && !entry->departed) {
-    aActions.push_back(WorkerGone{aWorker, aIncarnation});
-  }
-  entry->record.worker = aWorker;
-  entry->record.incarnation = aIncarnation;
-  entry->departed = true;
-  entry->forgetAt = forgetAt;
-  return true;
-}
-
 void ExpireRecords(Members& aMembers, TimePoint aNow, Actions& aActions) {
   const TargetChart& chart = aMembers.chart;
   for (auto it = aMembers.targets.begin(); it != aMembers.targets.end();) {
@@ -276,15 +182,6 @@
     it = entry.state == chart.absent ? aMembers.targets.erase(it)
                                      : std::next(it);
   }
-  for (auto it = aMembers.workers.begin(); it != aMembers.workers.end();) {
-    const WorkerEntry& entry = it->second;
-    const bool expired = !entry.departed && entry.expiresAt <= aNow;
-    if (expired) {
-      aActions.push_back(WorkerGone{it->first, entry.record.incarnation});
-    }
-    const bool forgotten = entry.departed && entry.forgetAt <= aNow;
-    it = expired || forgotten ? aMembers.workers.erase(it) : std::next(it);
-  }
 }
 
 }  // namespace bramleypath::membership::detail
--- a/src/bramleypath/membership/internal/Records.h
+++ b/src/bramleypath/membership/internal/Records.h
@@ -14,17 +14,11 @@
 void ApplyTarget(Members& aMembers, const TargetRecord& aRecord,
                  TimePoint aHeardAt, Source aSource, TimePoint aNow,
                  Actions& aActions);
-void ApplyWorker(Members& aMembers, const WorkerRecord& aRecord,
-                 TimePoint aHeardAt, Source aSource, TimePoint aNow,
-                 Actions& aActions);
 
 // True when this was news; aLeftAt as aHeardAt.
 bool ApplyTargetDeparture(Members& aMembers, const TargetId& aTarget,
                           Incarnation aIncarnation, bool aDrain,
                           TimePoint aLeftAt, TimePoint aNow, Actions& aActions);
-bool ApplyWorkerDeparture(Members& aMembers, const WorkerId& aWorker,
-                          Incarnation aIncarnation, TimePoint aLeftAt,
-                          TimePoint aNow, Actions& aActions);
 
 // Removes what has expired and departures that may be forgotten.
 void ExpireRecords(Members& aMembers, TimePoint aNow, Actions& aActions);
--- a/src/bramleypath/wire/WorkerMessages.h
+++ b/src/bramleypath/wire/WorkerMessages.h
@@ -7,14 +7,25 @@
 #include <vector>
 
 #include "bramleypath/cell/Protocol.h"
-#include "bramleypath/membership/Types.h"
 #include "bramleypath/wire/WireReason.h"
 
 namespace bramleypath::wire {
 
+// What a worker says about itself.
+struct WorkerRecord {
+  WorkerId worker;
+  // Grows with each restart of the worker.
+  std::uint64_t incarnation = 0;
+  std::string address;
+  RackId rack;
+  std::uint32_t processorsMilli = 0;
+  std::uint32_t memoryMb = 0;
+  std::uint32_t accelerators = 0;
+};
+
 // POST /v1/workers/announce: what the worker is, and what runs on it.
 struct WorkerAnnounce {
-  membership::WorkerRecord record;
+  WorkerRecord record;
   cell::WorkerMessage message;
 };
 
--- a/tests/membership/CodecTest.cpp
+++ b/tests/membership/CodecTest.cpp
@@ -18,14 +18,8 @@
   target.slots = 8;
   target.connections = 60;
   delta.targets.push_back(SharedTarget{aNumber, Millis(aNumber), target});
-  WorkerRecord worker;
-  worker.worker = WorkerId("w");
-  worker.incarnation = 7;
-  worker.processorsMilli = aNumber;
-  delta.workers.push_back(SharedWorker{1, Millis(2), worker});
   delta.targetRefreshes.push_back(Refresh{aNumber, Millis(40), 3});
-  delta.workerRefreshes.push_back(Refresh{5, Millis(50), 0});
-  delta.departures.push_back(Departure{"gone", 9, true, Millis(60)});
+  delta.departures.push_back(Departure{"gone", 9, Millis(60)});
   delta.hasLoads = true;
   delta.loads.push_back(NumberedLoad{aNumber, 6});
   GossipMessage message;
