--- a/tests/demo/demo.py
+++ b/tests/demo/demo.py
@@ -266,6 +266,11 @@
     jobs = submit_jobs(deployment)
     say(started, f"{sum(map(len, jobs.values()))} jobs of {TASKS_PER_JOB} tasks "
         "accepted")
+    # A cell that knows no worker yet accepts any job, since larger ones may
+    # announce themselves.
+    wait_for("the cell of leith starts tasks",
+             lambda: any(job["running"] + job["finished"] > 0
+                         for job in deployment.jobs("leith").values()))
     status, body = deployment.submit("job-0-never", "leith", processors=64000)
     if status == 200:
         raise Failed("a job that no worker can hold was accepted")
--- a/tests/standins/deployment.py
+++ b/tests/standins/deployment.py
@@ -60,11 +60,20 @@
         time.sleep(every_s)
 
 
+GIVEN_PORTS = set()
+
+
 def free_port(ip):
-    with socket.socket() as probe:
-        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+    """A free port of the address, never the same one twice: the system may offer
+    a port again before the process it was meant for has opened it."""
+    while True:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            probe.bind((ip, 0))
+            port = probe.getsockname()[1]
+        if (ip, port) not in GIVEN_PORTS:
+            GIVEN_PORTS.add((ip, port))
+            return port
 
 
 def request(address, method, path, body=None, headers=None, timeout_s=10.0):
