--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -213,6 +213,8 @@
     this->advisor.weights.throughput = weights.throughput;
     this->advisor.batchUtilisationPercent =
         preset->second.batch.workerUtilisationPercent;
+    this->advisor.settings.tail.evictionBudget =
+        preset->second.batch.evictionsPerJob;
   }
   this->StepScheduler(cell::QuotasChanged{std::move(quotas)});
   this->StepScheduler(cell::PlacementChanged());
