Remove repeated and unused pieces found in the read-through

- The stand-ins for targets and workers each split lists; Split now stands beside Argument.
- A heartbeat copied the worker's record onto itself; it now goes straight to the scheduler.
Announcements get their answer in one place.
- TaskRequest::expectedSeconds had no reader since the trend of loads was dropped; the advisor computed it for each choice.
- lint.sh only called lint.py.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 	@scripts/format.sh --check
 
 lint: configure
-	@scripts/lint.sh $(BUILD_DIR) $(JOBS)
+	@python3 scripts/lint.py --build-dir $(BUILD_DIR) --jobs $(JOBS)
 
 check: build format-check lint test
 
--- a/bench/placement/Run.cpp
+++ b/bench/placement/Run.cpp
@@ -143,7 +143,6 @@
   placement::TaskRequest request;
   request.demand = ReservationFor(aSim, truth);
   request.classIndex = truth.classIndex;
-  request.expectedSeconds = truth.declaredSeconds;
   // A resumed task is as patient as one that waited since its arrival.
   request.waitedSeconds = aNow - truth.arrivesAt;
   const auto worker = Place(aSim.settings.policy, aSim.views, aSim.table,
--- a/src/bramleypath/cellplacement/Advisor.cpp
+++ b/src/bramleypath/cellplacement/Advisor.cpp
@@ -266,9 +266,6 @@
   task.usedRacks = aRequest.usedRacks;
   task.waitedSeconds =
       static_cast<double>(aRequest.waited.micros) / kMicrosPerSecond;
-  task.expectedSeconds =
-      static_cast<double>(job.declaredRunMs) / kMillisPerSecond *
-      placement::FactorsFor(aAdvisor.sizes, task.classIndex).runTime;
   placement::NoChoice reason = placement::NoChoice::NoSuchWorker;
   const auto choice = placement::ChooseWorker(aAdvisor.views, aAdvisor.table,
                                               task, aAdvisor.weights, reason);
--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -385,21 +385,27 @@
   }
 }
 
-bool CellService::TakeAnnounce(const wire::WorkerAnnounce& aAnnounce) {
+net::HttpResponse CellService::TakeAnnounce(
+    const wire::WorkerAnnounce& aAnnounce) {
   const wire::WorkerRecord& record = aAnnounce.record;
   // Anyone may announce; the cell has room for this many workers.
   if (this->known.size() >= cell::kMaxWorkers &&
       this->known.count(record.worker) == 0) {
-    return false;
+    return net::ErrorResponse(429, "worker", "too many workers");
   }
   this->known[record.worker] = record;
+  this->StepAnnounced(record, aAnnounce.message);
+  return JsonResponse(200, {{"leader", this->self.value}});
+}
+
+void CellService::StepAnnounced(const wire::WorkerRecord& aRecord,
+                                cell::WorkerMessage aMessage) {
   cell::WorkerAnnounced event;
-  event.message = aAnnounce.message;
-  event.capacity = {record.processorsMilli, record.memoryMb,
-                    record.accelerators};
-  event.rack = record.rack;
+  event.message = std::move(aMessage);
+  event.capacity = {aRecord.processorsMilli, aRecord.memoryMb,
+                    aRecord.accelerators};
+  event.rack = aRecord.rack;
   this->StepScheduler(std::move(event));
-  return true;
 }
 
 void CellService::HandleAnnounce(const wire::WorkerAnnounce& aAnnounce,
@@ -407,9 +413,7 @@
                                  TimePoint aDeadline,
                                  const PeerRpc::Respond& aRespond) {
   if (this->groups.Leads(this->group)) {
-    aRespond(this->TakeAnnounce(aAnnounce)
-                 ? JsonResponse(200, {{"leader", this->self.value}})
-                 : net::ErrorResponse(429, "worker", "too many workers"));
+    aRespond(this->TakeAnnounce(aAnnounce));
     return;
   }
   const auto leader = this->groups.LeaderOf(this->group);
@@ -472,14 +476,13 @@
       unknown.push_back(one.worker);
       continue;
     }
-    wire::WorkerAnnounce announce;
-    announce.record = found->second;
-    announce.message.worker = one.worker;
-    announce.message.incarnation = one.incarnation;
-    announce.message.stamp = one.stamp;
-    announce.message.runningDigest = one.runningDigest;
-    announce.message.runningCount = one.runningCount;
-    this->TakeAnnounce(announce);
+    cell::WorkerMessage message;
+    message.worker = one.worker;
+    message.incarnation = one.incarnation;
+    message.stamp = one.stamp;
+    message.runningDigest = one.runningDigest;
+    message.runningCount = one.runningCount;
+    this->StepAnnounced(found->second, std::move(message));
   }
   net::HttpResponse response;
   response.body = wire::EncodeWorkerNames(unknown);
@@ -504,19 +507,16 @@
       aRespond(net::ErrorResponse(400, reason.field, reason.detail));
       return;
     }
-    if (!this->TakeAnnounce(*announce)) {
-      aRespond(net::ErrorResponse(429, "worker", "too many workers"));
-      return;
-    }
-  } else {
-    const auto report = wire::ParseWorkerReport(aRequest.body, reason);
-    if (!report) {
-      aRespond(net::ErrorResponse(400, reason.field, reason.detail));
-      return;
-    }
-    this->OnUsage(*report);
-    this->StepScheduler(cell::WorkerReported{report->message});
+    aRespond(this->TakeAnnounce(*announce));
+    return;
+  }
+  const auto report = wire::ParseWorkerReport(aRequest.body, reason);
+  if (!report) {
+    aRespond(net::ErrorResponse(400, reason.field, reason.detail));
+    return;
   }
+  this->OnUsage(*report);
+  this->StepScheduler(cell::WorkerReported{report->message});
   aRespond(JsonResponse(200, {{"leader", this->self.value}}));
 }
 
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -86,8 +86,10 @@
   bool HasLease() const;
   void OnApplied(std::uint64_t aToken, const cell::Command& aCommand,
                  const cell::Outcome& aOutcome);
-  // False when the cell has no room for another worker.
-  bool TakeAnnounce(const wire::WorkerAnnounce& aAnnounce);
+  // On the leader: remembers the worker and answers its announcement.
+  net::HttpResponse TakeAnnounce(const wire::WorkerAnnounce& aAnnounce);
+  void StepAnnounced(const wire::WorkerRecord& aRecord,
+                     cell::WorkerMessage aMessage);
   void FlushHeartbeats(TimePoint aNow);
   void FollowAttempt(const cell::Command& aCommand);
   void RebuildAdvisor();
--- a/src/bramleypath/placement/ChooseWorker.h
+++ b/src/bramleypath/placement/ChooseWorker.h
@@ -40,8 +40,6 @@
   bool isService = false;
   // Urgent work accepts a worker that the tail limit would rule out.
   bool urgent = false;
-  // Expected run time in seconds, which lengthens the disturbance.
-  double expectedSeconds = 0;
   // How long it has been in the queue; the tail limit is relaxed with it, so
   // that every task starts in the end.
   double waitedSeconds = 0;
--- a/tests/standins/Ledger.cpp
+++ b/tests/standins/Ledger.cpp
@@ -1,5 +1,7 @@
 #include "tests/standins/Ledger.h"
 
+#include <sstream>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -49,4 +51,13 @@
   return aDefault;
 }
 
+std::vector<std::string> Split(const std::string& aText) {
+  std::vector<std::string> parts;
+  std::istringstream stream(aText);
+  for (std::string part; std::getline(stream, part, ',');) {
+    parts.push_back(part);
+  }
+  return parts;
+}
+
 }  // namespace standins
--- a/tests/standins/Ledger.h
+++ b/tests/standins/Ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 namespace standins {
 
@@ -27,4 +28,7 @@
 std::string Argument(int aCount, char** aValues, const std::string& aName,
                      const char* aDefault = nullptr);
 
+// The parts of a text between commas.
+std::vector<std::string> Split(const std::string& aText);
+
 }  // namespace standins
--- a/tests/standins/Target.cpp
+++ b/tests/standins/Target.cpp
@@ -36,21 +36,13 @@
 
 namespace {
 
-std::vector<std::string> Split(const std::string& aText) {
-  std::vector<std::string> parts;
-  std::istringstream stream(aText);
-  for (std::string part; std::getline(stream, part, ',');) {
-    parts.push_back(part);
-  }
-  return parts;
-}
-
 class Target {
  public:
   Target(asio::io_context& aContext, int aCount, char** aValues)
       : context(aContext),
         ledger(standins::Argument(aCount, aValues, "ledger")),
-        entries(Split(standins::Argument(aCount, aValues, "entries"))),
+        entries(
+            standins::Split(standins::Argument(aCount, aValues, "entries"))),
         client(aContext, net::HttpClientLimits()),
         listener(
             aContext, standins::Argument(aCount, aValues, "address"), Limits(),
@@ -68,7 +60,7 @@
         standins::Argument(aCount, aValues, "incarnation",
                            std::to_string(standins::WallMicros()).c_str()));
     for (const std::string& pair :
-         Split(standins::Argument(aCount, aValues, "times", ""))) {
+         standins::Split(standins::Argument(aCount, aValues, "times", ""))) {
       const std::size_t equals = pair.find('=');
       this->millis[pair.substr(0, equals)] = std::stoi(pair.substr(equals + 1));
     }
--- a/tests/standins/Worker.cpp
+++ b/tests/standins/Worker.cpp
@@ -38,15 +38,6 @@
 
 namespace {
 
-std::vector<std::string> Split(const std::string& aText) {
-  std::vector<std::string> parts;
-  std::istringstream stream(aText);
-  for (std::string part; std::getline(stream, part, ',');) {
-    parts.push_back(part);
-  }
-  return parts;
-}
-
 // An attempt that runs as a timer.
 struct Running {
   std::shared_ptr<asio::steady_timer> timer;
@@ -59,7 +50,8 @@
   Worker(asio::io_context& aContext, int aCount, char** aValues)
       : context(aContext),
         ledger(standins::Argument(aCount, aValues, "ledger")),
-        entries(Split(standins::Argument(aCount, aValues, "entries"))),
+        entries(
+            standins::Split(standins::Argument(aCount, aValues, "entries"))),
         client(aContext, net::HttpClientLimits()),
         listener(aContext, standins::Argument(aCount, aValues, "address"),
                  net::HttpLimits(),
