Remove a voter at once when its host returns with an empty disk

Cause: after the loss of a disk the leader waited 3 s from its election, then added the host's new identity, made it a fourth voter and only then removed the lost one. Replacement took 4.3 s; a second lost disk within that time left two of three, or two of four, voters: no quorum for good. Ruled out: a host that returns under its old identity (bootstrap is false then), a failed start, a failed disk.

Change: a host that announces another identity proves that the old one is gone, so that voter leaves at once and its successor is promoted afterwards; steps follow each other without the 300 ms pause; a new leader counts the silent ones as alive for 3 s instead of planning nothing. An identity that is known from replication alone neither replaces another nor is added again.

Before: process test check_lost_disks (two leaders lose their disks 3 s apart) waited 30 s in vain. After: passes, job of before known. MemberPlanTest has the order and the stale identity as rows; the row for the order failed before.

--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -379,47 +379,55 @@
   own.identity = this->folder->identity;
   own.dataCentre = this->settings.dataCentre;
   own.alive = true;
+  own.announced = true;
   hosts.push_back(own);
-  std::set<consensus::ReplicaId> announced;
-  for (const auto& [host, entry] : this->heard) {
-    KnownHost known;
-    known.host = host;
-    known.identity = consensus::ReplicaId(entry.announcement.identity);
-    known.dataCentre = entry.announcement.dataCentre;
-    const auto reachable = this->reachableAt.find(known.identity);
-    const TimePoint seen =
-        reachable == this->reachableAt.end()
-            ? entry.at
-            : std::max(entry.at, reachable->second,
-                       [](TimePoint aLeft, TimePoint aRight) {
-                         return aLeft < aRight;
-                       });
-    known.alive = aNow - seen < kDeadAfter;
-    announced.insert(known.identity);
-    hosts.push_back(std::move(known));
+  std::set<consensus::ReplicaId> known = {own.identity};
+  for (const auto& [name, entry] : this->heard) {
+    KnownHost host;
+    host.host = name;
+    host.identity = consensus::ReplicaId(entry.announcement.identity);
+    host.dataCentre = entry.announcement.dataCentre;
+    host.alive = this->IsAlive(host.identity, entry.at, aNow);
+    host.announced = true;
+    known.insert(host.identity);
+    hosts.push_back(std::move(host));
   }
   // Members that have not announced themselves to this leader yet.
-  for (const auto& [replicaId, seen] : this->reachableAt) {
-    if (announced.count(replicaId) > 0) {
-      continue;
+  const consensus::Membership& membership = this->replica->CurrentMembership();
+  for (const auto* list : {&membership.voters, &membership.learners}) {
+    for (const consensus::ReplicaId& member : *list) {
+      if (!known.insert(member).second) {
+        continue;
+      }
+      KnownHost host;
+      host.host = storage::HostOf(member);
+      host.identity = member;
+      host.alive = this->IsAlive(member, this->leadingSince, aNow);
+      hosts.push_back(std::move(host));
     }
-    KnownHost known;
-    known.host = storage::HostOf(replicaId);
-    known.identity = replicaId;
-    known.alive = aNow - seen < kDeadAfter;
-    hosts.push_back(std::move(known));
   }
   return hosts;
 }
 
+bool ControlGroup::IsAlive(const consensus::ReplicaId& aReplica,
+                           TimePoint aHeardAt, TimePoint aNow) const {
+  // A new leader gives the others time to be heard.
+  TimePoint seen =
+      aHeardAt < this->leadingSince ? this->leadingSince : aHeardAt;
+  const auto reachable = this->reachableAt.find(aReplica);
+  if (reachable != this->reachableAt.end() && seen < reachable->second) {
+    seen = reachable->second;
+  }
+  return aNow - seen < kDeadAfter;
+}
+
 void ControlGroup::Reconcile(TimePoint aNow) {
   for (const group::MemberProgress& member : this->replica->Progress()) {
     if (member.reachable) {
       this->reachableAt[member.replica] = aNow;
     }
   }
-  // A new leader gives the others time to be heard.
-  if (this->changing || aNow - this->leadingSince < kDeadAfter) {
+  if (this->changing) {
     return;
   }
   const auto change =
@@ -435,6 +443,11 @@
       return;
     }
     this->changing = false;
+    if (aOutcome.error == group::ProposeError::None) {
+      // A replacement takes several steps, and until the last one another lost
+      // disk may leave no quorum.
+      this->reconcileAt = net::Now();
+    }
     eventlog::Write("membership_change",
                     {{"replica", change.replica.value},
                      {"step", std::to_string(static_cast<int>(change.step))},
--- a/src/bramleypath/controller/ControlGroup.h
+++ b/src/bramleypath/controller/ControlGroup.h
@@ -102,6 +102,8 @@
   void SendAnnouncement(const HostId& aHost);
   void Reconcile(TimePoint aNow);
   std::vector<KnownHost> KnownHosts(TimePoint aNow) const;
+  bool IsAlive(const consensus::ReplicaId& aReplica, TimePoint aHeardAt,
+               TimePoint aNow) const;
   std::vector<HostId> Hosts() const;
 
   asio::io_context& context;
--- a/src/bramleypath/controller/MemberPlan.cpp
+++ b/src/bramleypath/controller/MemberPlan.cpp
@@ -25,6 +25,25 @@
   return host && host->alive;
 }
 
+// Whether the member's host has come back with another identity: its folder was
+// lost, and nothing answers under the old identity any more.
+bool IsReplaced(const std::vector<KnownHost>& aHosts,
+                const ReplicaId& aReplica) {
+  const HostId host = storage::HostOf(aReplica);
+  return std::any_of(aHosts.begin(), aHosts.end(), [&](const KnownHost& aHost) {
+    return aHost.announced && aHost.host == host && aHost.identity != aReplica;
+  });
+}
+
+std::optional<ReplicaId> FindReplaced(const std::vector<ReplicaId>& aMembers,
+                                      const std::vector<KnownHost>& aHosts) {
+  const auto found = std::find_if(
+      aMembers.begin(), aMembers.end(),
+      [&](const ReplicaId& aMember) { return IsReplaced(aHosts, aMember); });
+  return found == aMembers.end() ? std::nullopt
+                                 : std::optional<ReplicaId>(*found);
+}
+
 // The live learner whose data centre has the fewest live voters.
 std::optional<ReplicaId> BestLearner(const Membership& aMembership,
                                      const std::vector<KnownHost>& aHosts) {
@@ -57,10 +76,18 @@
                                         const std::vector<KnownHost>& aHosts,
                                         std::uint32_t aTolerated) {
   for (const KnownHost& host : aHosts) {
-    if (host.alive && !consensus::IsMember(aMembership, host.identity)) {
+    if (host.alive && host.announced &&
+        !consensus::IsMember(aMembership, host.identity)) {
       return MemberChange{MemberStep::AddLearner, host.identity};
     }
   }
+  // A replaced voter counts towards the quorum and never votes again. It leaves
+  // before its successor is promoted: in between, a fourth voter would raise
+  // the quorum, and one more lost disk would leave none.
+  const auto replacedVoter = FindReplaced(aMembership.voters, aHosts);
+  if (replacedVoter) {
+    return MemberChange{MemberStep::Remove, *replacedVoter};
+  }
   const std::size_t wanted = 2 * static_cast<std::size_t>(aTolerated) + 1;
   const auto alive = static_cast<std::size_t>(std::count_if(
       aMembership.voters.begin(), aMembership.voters.end(),
@@ -77,16 +104,9 @@
       return MemberChange{MemberStep::Remove, voter};
     }
   }
-  // A learner whose host has come back with another identity never returns.
-  for (const ReplicaId& learner : aMembership.learners) {
-    const bool replaced =
-        std::any_of(aHosts.begin(), aHosts.end(), [&](const KnownHost& aHost) {
-          return aHost.host == storage::HostOf(learner) &&
-                 aHost.identity != learner;
-        });
-    if (replaced) {
-      return MemberChange{MemberStep::Remove, learner};
-    }
+  const auto replacedLearner = FindReplaced(aMembership.learners, aHosts);
+  if (replacedLearner) {
+    return MemberChange{MemberStep::Remove, *replacedLearner};
   }
   return std::nullopt;
 }
--- a/src/bramleypath/controller/MemberPlan.h
+++ b/src/bramleypath/controller/MemberPlan.h
@@ -16,6 +16,8 @@
   DataCentreId dataCentre;
   // It has announced itself, or acknowledged the leader, lately.
   bool alive = false;
+  // The host itself has told its identity, so that it is the newest known.
+  bool announced = false;
 };
 
 enum class MemberStep : std::uint8_t { AddLearner, Promote, Remove };
@@ -26,10 +28,11 @@
 };
 
 // The next change towards 2 * aTolerated + 1 live voters spread over the data
-// centres; none when the membership is as wanted. Answers a host that is
-// replaced, loses its disk or stays away: a successor is made a voter before
-// the lost one leaves, so that a second loss right after it finds no smaller
-// group. Hosts beyond the wanted voters are learners.
+// centres; none when the membership is as wanted. Answers hosts that lose their
+// disk one after the other: a voter whose host has come back with another
+// identity leaves at once, then its successor is promoted. Answers a host that
+// stays away, which may still return: its successor is made a voter before it
+// leaves. Hosts beyond the wanted voters are learners.
 std::optional<MemberChange> PlanMembers(
     const consensus::Membership& aMembership,
     const std::vector<KnownHost>& aHosts, std::uint32_t aTolerated);
--- a/tests/controller/MemberPlanTest.cpp
+++ b/tests/controller/MemberPlanTest.cpp
@@ -19,6 +19,14 @@
   host.identity = ReplicaId(std::string(aHost) + "/" + aIdentity);
   host.dataCentre = DataCentreId(aDataCentre);
   host.alive = aAlive;
+  host.announced = true;
+  return host;
+}
+
+// A member of which only its replication has been seen.
+KnownHost MakeFormerMember(const char* aHost, const char* aDataCentre) {
+  KnownHost host = MakeHost(aHost, aDataCentre, true);
+  host.announced = false;
   return host;
 }
 
@@ -85,6 +93,27 @@
       MakeHost("3", "c", true, "new")},
      1,
      "add 3/new"},
+    {"a wiped voter leaves before its successor is promoted",
+     MakeMembership({"1/initial", "2/initial", "3/initial"}, {"3/new"}),
+     {MakeHost("1", "a", true), MakeHost("2", "b", true),
+      MakeHost("3", "c", true, "new")},
+     1,
+     "remove 3/initial"},
+    {"the successor of a wiped voter is promoted",
+     MakeMembership({"1/initial", "2/initial"}, {"3/new"}),
+     {MakeHost("1", "a", true), MakeHost("2", "b", true),
+      MakeHost("3", "c", true, "new")},
+     1,
+     "promote 3/new"},
+    {"a silent voter stays although another one was wiped",
+     MakeMembership(
+         {"1/initial", "2/initial", "3/initial", "4/initial", "5/initial"},
+         {"3/new"}),
+     {MakeHost("1", "a", true), MakeHost("2", "b", false),
+      MakeHost("3", "c", true, "new"), MakeHost("4", "d", true),
+      MakeHost("5", "e", true)},
+     2,
+     "remove 3/initial"},
     {"the identity of a wiped voter leaves",
      MakeMembership({"1/initial", "2/initial", "3/initial", "3/new"}, {}),
      {MakeHost("1", "a", true), MakeHost("2", "b", true),
@@ -98,6 +127,12 @@
       MakeHost("3", "c", true), MakeHost("4", "d", true, "new")},
      1,
      "remove 4/initial"},
+    {"a new identity is not replaced by the one that was lost",
+     MakeMembership({"1/initial", "2/initial", "3/new"}, {}),
+     {MakeHost("1", "a", true), MakeHost("2", "b", true),
+      MakeHost("3", "c", true, "new"), MakeFormerMember("3", "c")},
+     1,
+     ""},
     {"voters are spread over data centres",
      MakeMembership({"1/initial", "2/initial", "3/initial"},
                     {"4/initial", "5/initial"}),
--- a/tests/process/platform_path.py
+++ b/tests/process/platform_path.py
@@ -27,6 +27,8 @@
 WORKERS = 3
 # A lease of 6 s on the slowest clock, and a failover.
 SETTLE_S = 25
+# An election and the replacement of one voter, with room for a busy machine.
+LOST_DISKS_APART_S = 3
 
 
 def job(tasks):
@@ -144,6 +146,21 @@
     cell.check()
 
 
+def check_lost_disks(cell):
+    """Two leaders lose their disks shortly after each other. The cell forgets
+    all unless the first is replaced by the time that the second is lost."""
+    for _ in range(2):
+        leader = wait_for("there is a leader", cell.leader)
+        leader.lose_disk()
+        time.sleep(LOST_DISKS_APART_S)
+    wait_for("a job is accepted without the two disks",
+             lambda: cell.submit("d1") == 200)
+    wait_for("the job completes", lambda: cell.state("d1") == "completed")
+    if cell.state("a1") != "completed":
+        raise Failed("a job of before is not known")
+    cell.check()
+
+
 def check_planned_stop(cell):
     """A front that is stopped answers what it has read, and ends by itself."""
     front = cell.fronts[0]
@@ -217,7 +234,7 @@
         cell = Cell(Path(folder))
         try:
             for check in (check_path, check_failover, check_frozen_leader,
-                          check_planned_stop):
+                          check_lost_disks, check_planned_stop):
                 check(cell)
                 print(f"{check.__name__}: ok", flush=True)
             soak(cell, options.seed, options.seconds)
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -4,6 +4,7 @@
 
 import http.client
 import json
+import shutil
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -223,6 +224,15 @@
         super().__init__(name, [Programs.node, role], folder / f"{name}.log")
         self.variables = {"BRAMLEYPATH_SETTINGS": str(self.path)}
 
+    def lose_disk(self):
+        """Ends the process and starts it again on an empty disk."""
+        self.kill()
+        settings = json.loads(self.path.read_text())
+        shutil.rmtree(settings["data_folder"])
+        settings["bootstrap"] = False
+        self.path.write_text(json.dumps(settings))
+        self.start()
+
     def is_leader(self):
         status, view = call(self.control, "GET", "/internal/group",
                             timeout_s=0.5)
