Split the scheduler's two largest files by what they decide

Contact.cpp (680 lines) held contact, hold answers, run times and pacing; Dispatch.cpp (690 lines) held hosts, lanes, run times and placement. Now Contact, HoldAnswers, Pacing, RunTimes, Hosts, Lanes and Dispatch, 77 to 375 lines each. No decision changed; the 52 tests of tests/workflow pass.

--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -111,9 +111,9 @@
     summary.workersAvoided += aNow < contact.avoidUntil ? 1 : 0;
   }
   constexpr double kMilliMsPerSecond = 1e6;
-  summary.backlogSeconds =
-      (aScheduler.reserving.backlogWork + aScheduler.filling.backlogWork) /
-      kMilliMsPerSecond;
+  summary.backlogSeconds = (aScheduler.lanes.reserving.backlogWork +
+                            aScheduler.lanes.filling.backlogWork) /
+                           kMilliMsPerSecond;
   return summary;
 }
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -151,6 +151,10 @@
   double backlogWork = 0;      // waits or runs; thousandths times ms
   double processorsMilli = 0;  // that work it off
 };
+struct Lanes {
+  Lane reserving;
+  Lane filling;
+};
 
 // An attempt whose start was never answered and that was given up.
 struct GivenUpStart {
@@ -182,9 +186,7 @@
   // Fillers that were moved lately; see AdjustPaces.
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> opening;  // occurrences being committed
-  // By the last dispatch.
-  Lane reserving;
-  Lane filling;
+  Lanes lanes;                            // by the last dispatch
 };
 
 Scheduler MakeScheduler(const SchedulerSettings& aSettings, Epoch aEpoch,
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -1,9 +1,8 @@
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
-#include "bramleypath/workflow/ChooseHost.h"
 #include "bramleypath/workflow/JobOrder.h"
+#include "bramleypath/workflow/internal/Hosts.h"
 #include "bramleypath/workflow/internal/SchedulerParts.h"
 
 namespace bramleypath::workflow::detail {
@@ -12,18 +11,6 @@
 
 // A single pass commits at most this many placements.
 constexpr std::size_t kMaxPlacements = 256;
-constexpr double kDefaultRunMs = 1000;
-// Share of its reservation that a serving task uses on average.
-constexpr double kServingUse = 0.5;
-// A filler goes only where the expected level of each serving task stays below.
-constexpr double kFillerLevelLimit = -0.28;
-// Of the processors that it could use, a filler must find this share.
-constexpr double kLeastFillerShare = 0.5;
-// Of all processors, what fillers can count on.
-constexpr double kLeastFillingShare = 0.4;
-constexpr double kOtherImageHarm = 0.8;
-constexpr double kOtherJobHarm = 0.0;
-constexpr double kSameJobHarm = 0.2;
 constexpr Duration kIdleLimit = Millis(1200);
 
 struct Candidate {
@@ -31,30 +18,6 @@
   double rank = 0;
 };
 
-// A task with users as placement sees it.
-struct ServingTask {
-  JobNumber job = 0;
-  placement::ClassIndex image = 0;
-  // Its level now: the expected one, or the reported one if that is higher.
-  double level = 0;
-};
-
-// What shares a worker's processors.
-struct Neighbours {
-  std::vector<ServingTask> serving;
-  placement::Composition fillers;  // processors
-  // Processors that are expected to be in use.
-  double usedProcessors = 0;
-};
-
-// The workers of a pass, with room taken as tasks are placed.
-struct Hosts {
-  std::vector<HostView> views;
-  std::vector<Neighbours> neighbours;
-  std::vector<WorkerNumber> numbers;
-  std::vector<const Worker*> workers;
-};
-
 struct Pass {
   Scheduler& scheduler;
   const State& state;
@@ -62,154 +25,9 @@
   Hosts hosts;
   PlaceTasks places;
   std::optional<RequestTickets> tickets;
-  Lane reserving;
-  Lane filling;
+  Lanes lanes;
 };
 
-double ProcessorsOf(const StageSpec& aStage) {
-  constexpr double kThousandths = 1000;
-  return static_cast<double>(aStage.demand.processorsMilli) / kThousandths;
-}
-
-void AddNeighbour(Scheduler& aScheduler, JobNumber aJob,
-                  const StageSpec& aStage, Neighbours& aNeighbours,
-                  std::uint32_t aPace, std::optional<double> aLevel) {
-  constexpr double kFullPace = 100;
-  const double processors = ProcessorsOf(aStage);
-  if (aStage.tailTargetMs > 0) {
-    ServingTask serving;
-    serving.job = aJob;
-    serving.image = ClassOf(aScheduler.tails, aStage.image);
-    serving.level = aLevel.value_or(aScheduler.tails.baseLevel[serving.image]);
-    aNeighbours.serving.push_back(serving);
-    aNeighbours.usedProcessors += processors * kServingUse;
-  } else if (aStage.filler) {
-    const double used = processors * aPace / kFullPace;
-    placement::AddToComposition(aNeighbours.fillers,
-                                ClassOf(aScheduler.tails, aStage.image), used);
-    aNeighbours.usedProcessors += used;
-  } else {
-    aNeighbours.usedProcessors += processors;
-  }
-}
-
-Neighbours CollectNeighbours(Scheduler& aScheduler, const State& aState,
-                             const Worker& aWorker) {
-  Neighbours neighbours;
-  for (const TaskKey& key : aWorker.attempts) {
-    const auto found = aScheduler.attempts.find(key);
-    std::uint32_t pace = 100;
-    std::optional<double> level;
-    if (found != aScheduler.attempts.end()) {
-      pace = found->second.pace;
-      if (found->second.listed) {
-        level = found->second.level;
-      }
-    }
-    AddNeighbour(aScheduler, key.job, StageOf(aState, key), neighbours, pace,
-                 level);
-  }
-  for (const auto& [key, placed] : aScheduler.placing) {
-    const auto job = aState.jobs.find(key.job);
-    if (placed.worker == aWorker.number && job != aState.jobs.end() &&
-        key.stage < job->second.spec.stages.size()) {
-      AddNeighbour(aScheduler, key.job, job->second.spec.stages[key.stage],
-                   neighbours, 100, std::nullopt);
-    }
-  }
-  for (ServingTask& serving : neighbours.serving) {
-    serving.level = std::max(
-        serving.level,
-        PredictLevel(aScheduler.tails, serving.image, neighbours.fillers));
-  }
-  return neighbours;
-}
-
-// A filler disturbs the serving tasks there, and is slow where little is left.
-// With aRelaxed it may go where that is too much, and is slowed there.
-void RateForFiller(Scheduler& aScheduler, const StageSpec& aStage,
-                   const Neighbours& aNeighbours, bool aRelaxed,
-                   HostView& aView) {
-  const placement::ClassIndex image = ClassOf(aScheduler.tails, aStage.image);
-  const double processors = ProcessorsOf(aStage);
-  double harm = 0;
-  for (const ServingTask& serving : aNeighbours.serving) {
-    const double added =
-        PredictAddedLevel(aScheduler.tails, serving.image, image, processors);
-    harm += added;
-    if (!aRelaxed && serving.level + added > kFillerLevelLimit) {
-      aView.excluded = true;
-    }
-  }
-  constexpr double kThousandths = 1000;
-  const double left =
-      static_cast<double>(aView.capacity.processorsMilli) / kThousandths -
-      aNeighbours.usedProcessors;
-  if (!aRelaxed && left < processors * kLeastFillerShare) {
-    aView.excluded = true;
-  }
-  aView.harm = harm + std::max(0.0, processors - left) / processors;
-}
-
-// A serving task is disturbed by the fillers there. Tasks of one job share a
-// worker where they may, since their load rises and falls together and leaves
-// the worker to fillers in between; tasks of one image leave other workers to
-// the fillers that they can't bear.
-void RateForServing(Scheduler& aScheduler, JobNumber aJob,
-                    const StageSpec& aStage, const Neighbours& aNeighbours,
-                    HostView& aView) {
-  const placement::ClassIndex image = ClassOf(aScheduler.tails, aStage.image);
-  const double level =
-      PredictLevel(aScheduler.tails, image, aNeighbours.fillers) -
-      aScheduler.tails.baseLevel[image];
-  double harm = level;
-  bool hasSameJob = false;
-  for (const ServingTask& serving : aNeighbours.serving) {
-    hasSameJob = hasSameJob || serving.job == aJob;
-    if (serving.job != aJob) {
-      harm += serving.image == image ? kOtherJobHarm : kOtherImageHarm;
-    }
-  }
-  aView.harm = harm + (hasSameJob ? kSameJobHarm : 0);
-}
-
-void RateHost(Scheduler& aScheduler, JobNumber aJob, const StageSpec& aStage,
-              const Neighbours& aNeighbours, bool aRelaxed, HostView& aView) {
-  aView.harm = 0;
-  if (aStage.filler) {
-    RateForFiller(aScheduler, aStage, aNeighbours, aRelaxed, aView);
-  } else if (aStage.tailTargetMs > 0) {
-    RateForServing(aScheduler, aJob, aStage, aNeighbours, aView);
-  }
-}
-
-Hosts CollectHosts(Scheduler& aScheduler, const State& aState, TimePoint aNow) {
-  Hosts hosts;
-  for (const auto& [number, worker] : aState.workers) {
-    const auto contact = aScheduler.contacts.find(number);
-    if (contact == aScheduler.contacts.end()) {
-      continue;
-    }
-    HostView view;
-    view.capacity = worker.spec.capacity;
-    view.room = worker.spec.capacity - worker.reserved;
-    const auto placing = aScheduler.placingRoom.find(number);
-    if (placing != aScheduler.placingRoom.end()) {
-      view.room = view.room - placing->second;
-    }
-    view.excluded = worker.spec.draining || !contact->second.clock ||
-                    !IsInContact(aScheduler, contact->second, aNow) ||
-                    aNow < contact->second.avoidUntil;
-    view.recentFailures = contact->second.recentFailures;
-    view.speed = contact->second.speed;
-    hosts.views.push_back(view);
-    hosts.neighbours.push_back(CollectNeighbours(aScheduler, aState, worker));
-    hosts.numbers.push_back(number);
-    hosts.workers.push_back(&worker);
-  }
-  return hosts;
-}
-
 bool HasLabel(const Worker& aWorker, const std::string& aLabel) {
   const std::vector<std::string>& labels = aWorker.spec.labels;
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
@@ -470,70 +288,6 @@
   aPass.hosts.neighbours = std::move(neighbours);
 }
 
-// Run time still to do: the longest chain of stages that are not done.
-double RemainingMs(const Scheduler& aScheduler, const Job& aJob,
-                   const Occurrence& aOccurrence) {
-  std::vector<double> ends(aJob.spec.stages.size(), 0);
-  double longest = 0;
-  for (std::size_t stage = 0; stage < ends.size(); ++stage) {
-    const StageSpec& spec = aJob.spec.stages[stage];
-    double start = 0;
-    for (const std::uint32_t earlier : spec.after) {
-      start = std::max(start, ends[earlier]);
-    }
-    const StageState& state = aOccurrence.stages[stage];
-    const bool done = state.done == state.tasks.size();
-    ends[stage] =
-        start + (done ? 0 : ExpectedRunMs(aScheduler, aJob.spec.queue, spec));
-    longest = std::max(longest, ends[stage]);
-  }
-  return longest;
-}
-
-void AddRemainingWork(Pass& aPass, const Job& aJob,
-                      const Occurrence& aOccurrence) {
-  for (std::size_t stage = 0; stage < aOccurrence.stages.size(); ++stage) {
-    const StageSpec& spec = aJob.spec.stages[stage];
-    if (spec.lasting) {
-      continue;
-    }
-    const StageState& state = aOccurrence.stages[stage];
-    // An attempt under way is half done on average.
-    const double tasks = state.waiting + state.placed / 2.0;
-    Lane& lane = spec.filler ? aPass.filling : aPass.reserving;
-    lane.backlogWork += tasks *
-                        static_cast<double>(spec.demand.processorsMilli) *
-                        ExpectedRunMs(aPass.scheduler, aJob.spec.queue, spec);
-  }
-}
-
-// The processors that work each lane off: what lasting tasks leave to those
-// that reserve, and what fillers get at present, or could get while few run.
-void MeasureLanes(Pass& aPass) {
-  double capacity = 0;
-  double lasting = 0;
-  double filling = 0;
-  for (std::size_t index = 0; index < aPass.hosts.views.size(); ++index) {
-    if (aPass.hosts.views[index].excluded) {
-      continue;
-    }
-    const Worker& worker = *aPass.hosts.workers[index];
-    capacity += static_cast<double>(worker.spec.capacity.processorsMilli);
-    for (const TaskKey& key : worker.attempts) {
-      const StageSpec& stage = StageOf(aPass.state, key);
-      const auto attempt = aPass.scheduler.attempts.find(key);
-      if (stage.lasting) {
-        lasting += static_cast<double>(stage.demand.processorsMilli);
-      } else if (stage.filler && attempt != aPass.scheduler.attempts.end()) {
-        filling += attempt->second.usedMilli;
-      }
-    }
-  }
-  aPass.reserving.processorsMilli = capacity - lasting;
-  aPass.filling.processorsMilli =
-      std::max(filling, capacity * kLeastFillingShare);
-}
-
 Candidate Rank(Pass& aPass, const Job& aJob, std::int64_t aUnixMs) {
   const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
   WaitingJob waiting;
@@ -545,7 +299,7 @@
   for (const auto& [number, occurrence] : aJob.occurrences) {
     waiting.remainingMs = std::max(
         waiting.remainingMs, RemainingMs(aPass.scheduler, aJob, occurrence));
-    AddRemainingWork(aPass, aJob, occurrence);
+    AddRemainingWork(aPass.scheduler, aJob, occurrence, aPass.lanes);
   }
   return Candidate{&aJob, StartRank(waiting)};
 }
@@ -564,47 +318,12 @@
 
 }  // namespace
 
-std::string RunTimeKey(const QueueId& aQueue, const StageSpec& aStage) {
-  return aQueue.value + "/" + aStage.image;
-}
-
-double ExpectedRunMs(const Scheduler& aScheduler, const QueueId& aQueue,
-                     const StageSpec& aStage) {
-  const double estimated =
-      aStage.estimatedMs > 0 ? aStage.estimatedMs : kDefaultRunMs;
-  const auto learned = aScheduler.runTimes.find(RunTimeKey(aQueue, aStage));
-  constexpr std::uint32_t kEnoughEnds = 4;
-  if (learned == aScheduler.runTimes.end() ||
-      learned->second.count < kEnoughEnds) {
-    return estimated;
-  }
-  return std::sqrt(estimated * learned->second.meanMs);
-}
-
-double ChainMs(const Scheduler& aScheduler, const JobSpec& aSpec) {
-  std::vector<double> ends(aSpec.stages.size(), 0);
-  double longest = 0;
-  for (std::size_t stage = 0; stage < ends.size(); ++stage) {
-    for (const std::uint32_t earlier : aSpec.stages[stage].after) {
-      ends[stage] = std::max(ends[stage], ends[earlier]);
-    }
-    ends[stage] += ExpectedRunMs(aScheduler, aSpec.queue, aSpec.stages[stage]);
-    longest = std::max(longest, ends[stage]);
-  }
-  return longest;
-}
-
-double ObjectiveMs(const QueueSettings& aQueue, double aChainMs) {
-  constexpr double kThousandths = 1000;
-  return aQueue.stretchMilli / kThousandths * aChainMs + aQueue.targetMs;
-}
-
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions) {
   Pass pass{
       aScheduler, aState,       aNow, CollectHosts(aScheduler, aState, aNow),
-      {},         std::nullopt, {},   {}};
-  MeasureLanes(pass);
+      {},         std::nullopt, {}};
+  MeasureLanes(aScheduler, aState, pass.hosts, pass.lanes);
   std::vector<Candidate> candidates;
   for (const auto& [number, job] : aState.jobs) {
     if (job.phase != JobPhase::Active || job.occurrences.empty()) {
@@ -642,8 +361,7 @@
     aScheduler.tickets.requestInFlight = true;
     aActions.push_back(std::move(*pass.tickets));
   }
-  aScheduler.reserving = pass.reserving;
-  aScheduler.filling = pass.filling;
+  aScheduler.lanes = pass.lanes;
   if (!pass.places.tasks.empty()) {
     Commit commit;
     commit.commands.emplace_back(std::move(pass.places));
@@ -652,39 +370,3 @@
 }
 
 }  // namespace bramleypath::workflow::detail
-
-namespace bramleypath::workflow {
-
-AdmissionView ViewForAdmission(const Scheduler& aScheduler,
-                               const JobSpec& aSpec,
-                               const QueueSettings& aQueue) {
-  AdmissionView view;
-  bool fills = false;
-  for (const StageSpec& stage : aSpec.stages) {
-    view.lasting = view.lasting || stage.lasting;
-    fills = fills || stage.filler;
-    view.jobWork += stage.tasks *
-                    static_cast<double>(stage.demand.processorsMilli) *
-                    detail::ExpectedRunMs(aScheduler, aSpec.queue, stage);
-  }
-  view.lasting = view.lasting || aSpec.repetitions > 0;
-  view.chainMs = detail::ChainMs(aScheduler, aSpec);
-  view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
-  const Lane& lane = fills ? aScheduler.filling : aScheduler.reserving;
-  view.backlogWork = lane.backlogWork;
-  view.capacityMilli = lane.processorsMilli;
-  return view;
-}
-
-std::uint32_t CountWaitingJobs(const State& aState, const QueueId& aQueue) {
-  std::uint32_t count = 0;
-  for (const auto& [number, job] : aState.jobs) {
-    count += job.phase == JobPhase::Active && !job.started &&
-                     job.spec.queue == aQueue
-                 ? 1
-                 : 0;
-  }
-  return count;
-}
-
-}  // namespace bramleypath::workflow
--- /dev/null
+++ b/src/bramleypath/workflow/internal/Lanes.cpp
@@ -0,0 +1,114 @@
+#include <algorithm>
+
+#include "bramleypath/workflow/internal/Hosts.h"
+#include "bramleypath/workflow/internal/SchedulerParts.h"
+
+namespace bramleypath::workflow::detail {
+
+namespace {
+
+// Of all processors, what fillers can count on.
+constexpr double kLeastFillingShare = 0.4;
+
+}  // namespace
+
+double RemainingMs(const Scheduler& aScheduler, const Job& aJob,
+                   const Occurrence& aOccurrence) {
+  std::vector<double> ends(aJob.spec.stages.size(), 0);
+  double longest = 0;
+  for (std::size_t stage = 0; stage < ends.size(); ++stage) {
+    const StageSpec& spec = aJob.spec.stages[stage];
+    double start = 0;
+    for (const std::uint32_t earlier : spec.after) {
+      start = std::max(start, ends[earlier]);
+    }
+    const StageState& state = aOccurrence.stages[stage];
+    const bool done = state.done == state.tasks.size();
+    ends[stage] =
+        start + (done ? 0 : ExpectedRunMs(aScheduler, aJob.spec.queue, spec));
+    longest = std::max(longest, ends[stage]);
+  }
+  return longest;
+}
+
+void AddRemainingWork(const Scheduler& aScheduler, const Job& aJob,
+                      const Occurrence& aOccurrence, Lanes& aLanes) {
+  for (std::size_t stage = 0; stage < aOccurrence.stages.size(); ++stage) {
+    const StageSpec& spec = aJob.spec.stages[stage];
+    if (spec.lasting) {
+      continue;
+    }
+    const StageState& state = aOccurrence.stages[stage];
+    // An attempt under way is half done on average.
+    const double tasks = state.waiting + state.placed / 2.0;
+    Lane& lane = spec.filler ? aLanes.filling : aLanes.reserving;
+    lane.backlogWork += tasks *
+                        static_cast<double>(spec.demand.processorsMilli) *
+                        ExpectedRunMs(aScheduler, aJob.spec.queue, spec);
+  }
+}
+
+void MeasureLanes(const Scheduler& aScheduler, const State& aState,
+                  const Hosts& aHosts, Lanes& aLanes) {
+  double capacity = 0;
+  double lasting = 0;
+  double filling = 0;
+  for (std::size_t index = 0; index < aHosts.views.size(); ++index) {
+    if (aHosts.views[index].excluded) {
+      continue;
+    }
+    const Worker& worker = *aHosts.workers[index];
+    capacity += static_cast<double>(worker.spec.capacity.processorsMilli);
+    for (const TaskKey& key : worker.attempts) {
+      const StageSpec& stage = StageOf(aState, key);
+      const auto attempt = aScheduler.attempts.find(key);
+      if (stage.lasting) {
+        lasting += static_cast<double>(stage.demand.processorsMilli);
+      } else if (stage.filler && attempt != aScheduler.attempts.end()) {
+        filling += attempt->second.usedMilli;
+      }
+    }
+  }
+  aLanes.reserving.processorsMilli = capacity - lasting;
+  aLanes.filling.processorsMilli =
+      std::max(filling, capacity * kLeastFillingShare);
+}
+
+}  // namespace bramleypath::workflow::detail
+
+namespace bramleypath::workflow {
+
+AdmissionView ViewForAdmission(const Scheduler& aScheduler,
+                               const JobSpec& aSpec,
+                               const QueueSettings& aQueue) {
+  AdmissionView view;
+  bool fills = false;
+  for (const StageSpec& stage : aSpec.stages) {
+    view.lasting = view.lasting || stage.lasting;
+    fills = fills || stage.filler;
+    view.jobWork += stage.tasks *
+                    static_cast<double>(stage.demand.processorsMilli) *
+                    detail::ExpectedRunMs(aScheduler, aSpec.queue, stage);
+  }
+  view.lasting = view.lasting || aSpec.repetitions > 0;
+  view.chainMs = detail::ChainMs(aScheduler, aSpec);
+  view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
+  const Lane& lane =
+      fills ? aScheduler.lanes.filling : aScheduler.lanes.reserving;
+  view.backlogWork = lane.backlogWork;
+  view.capacityMilli = lane.processorsMilli;
+  return view;
+}
+
+std::uint32_t CountWaitingJobs(const State& aState, const QueueId& aQueue) {
+  std::uint32_t count = 0;
+  for (const auto& [number, job] : aState.jobs) {
+    count += job.phase == JobPhase::Active && !job.started &&
+                     job.spec.queue == aQueue
+                 ? 1
+                 : 0;
+  }
+  return count;
+}
+
+}  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/internal/SchedulerParts.h
+++ b/src/bramleypath/workflow/internal/SchedulerParts.h
@@ -55,6 +55,9 @@
 double ExpectedRunMs(const Scheduler& aScheduler, const QueueId& aQueue,
                      const StageSpec& aStage);
 std::string RunTimeKey(const QueueId& aQueue, const StageSpec& aStage);
+void LearnRunTime(Scheduler& aScheduler, const State& aState,
+                  const TaskKey& aKey, const Attempt& aAttempt,
+                  Contact& aContact, TimePoint aNow);
 double ChainMs(const Scheduler& aScheduler, const JobSpec& aSpec);
 double ObjectiveMs(const QueueSettings& aQueue, double aChainMs);
 
@@ -64,6 +67,9 @@
 // Holds that are due.
 void SendHolds(Scheduler& aScheduler, const State& aState, TimePoint aNow,
                SchedulerActions& aActions);
+// Slows and releases the fillers of a worker by the tails that it reports.
+void AdjustPaces(Scheduler& aScheduler, const State& aState, Contact& aContact,
+                 TimePoint aNow, SchedulerActions& aActions);
 // Stops that are due, and attempts whose lease has run out.
 void WatchAttempts(Scheduler& aScheduler, const State& aState, TimePoint aNow,
                    SchedulerActions& aActions);
