End an excess of a serving task's tail before its users notice

Cause: fillers were slowed only where the smoothed level was above 0.04. A tail of 18.4 ms over a target of 18 ms is reported as 18, level 0, and stayed there for as long as the load did. Where the estimate of what a filler adds was four times too high, cuts were a quarter of what they should be and ended just above the target. Both break the rule for 4 s on end.

Change: each serving task remembers since when its reports may have been over, counted from the report before, so that a long wait for a report is not lost. A small excess is cut after 1 s; after 2 s all fillers of that worker stop, and return in steps.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -55,6 +55,9 @@
   // Smoothed level of its tail, of a task with users.
   double level = 0;
   double newestLevel = 0;
+  std::optional<TimePoint> reportedAt;  // its newest tail
+  // Since when its reports may have been over the target.
+  std::optional<TimePoint> overSince;
   // Why the attempt is to be stopped; none: it is not.
   std::optional<std::string> stopReason;
   bool stopInFlight = false;
--- a/src/bramleypath/workflow/TailPacing.cpp
+++ b/src/bramleypath/workflow/TailPacing.cpp
@@ -13,6 +13,11 @@
 constexpr double kCutLevel = 0.04;
 constexpr double kAimedLevel = -0.1;
 constexpr double kRaiseLevel = -0.05;
+// Users bear a tail over its target for 4 s. A small excess is cut after the
+// first time, and the fillers stop after the second, whatever is thought of
+// what they add.
+constexpr Duration kSmallExcessLimit = Millis(1000);
+constexpr Duration kExcessLimit = Millis(2000);
 constexpr double kFull = 100;
 constexpr double kRaiseStep = 40;
 // A filler that crawls holds its memory for nothing.
@@ -94,15 +99,24 @@
 }  // namespace
 
 std::vector<std::uint32_t> PaceFillers(gsl::span<const PacedFiller> aFillers,
-                                       gsl::span<const double> aLevels) {
+                                       gsl::span<const ServingLevel> aServing) {
   Paces paces;
   paces.fillers = aFillers;
-  paces.levels.assign(aLevels.begin(), aLevels.end());
+  for (const ServingLevel& serving : aServing) {
+    paces.levels.push_back(serving.level);
+  }
   for (const PacedFiller& filler : aFillers) {
     paces.percents.push_back(filler.percent);
   }
+  const auto isUnbearable = [](const ServingLevel& aLevel) {
+    return kExcessLimit < aLevel.overFor;
+  };
+  if (std::any_of(aServing.begin(), aServing.end(), isUnbearable)) {
+    return std::vector<std::uint32_t>(aFillers.size(), 0);
+  }
   for (std::size_t serving = 0; serving < paces.levels.size(); ++serving) {
-    if (paces.levels[serving] > kCutLevel) {
+    if (paces.levels[serving] > kCutLevel ||
+        kSmallExcessLimit < aServing[serving].overFor) {
       Cut(paces, serving);
     }
   }
--- a/src/bramleypath/workflow/TailPacing.h
+++ b/src/bramleypath/workflow/TailPacing.h
@@ -5,23 +5,33 @@
 
 #include <gsl/span>
 
+#include "bramleypath/base/TimePoint.h"
+
 namespace bramleypath::workflow {
 
 // A filler on one worker as pacing sees it.
 struct PacedFiller {
   std::uint32_t percent = 100;
   // What it adds at full pace to the level of each serving task there, in the
-  // order of aLevels below.
+  // order of aServing below.
   std::vector<double> added;
 };
 
+// A serving task on one worker as pacing sees it.
+struct ServingLevel {
+  double level = 0;  // logarithm of tail over target
+  // For how long its newest reports may have been over the target; reports are
+  // whole milliseconds.
+  Duration overFor;
+};
+
 // Answers a load shift in which fillers hurt the users of serving tasks beside
-// them. aLevels are the reported levels of the serving tasks (logarithms of
-// tail over target). Where one is too high, the fillers that add most to it are
-// slowed at once; a filler is returned to full pace in steps, as soon as none
-// of the serving tasks that it disturbs would be hurt. Returns the new percent
-// of each filler.
+// them. Where a level is too high, the fillers that add most to it are slowed
+// at once; one that stays high although little is wrong, or although they were
+// slowed, stops them all. A filler is returned to full pace in steps, as soon
+// as none of the serving tasks that it disturbs would be hurt. Returns the new
+// percent of each filler.
 std::vector<std::uint32_t> PaceFillers(gsl::span<const PacedFiller> aFillers,
-                                       gsl::span<const double> aLevels);
+                                       gsl::span<const ServingLevel> aServing);
 
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/internal/HoldAnswers.cpp
+++ b/src/bramleypath/workflow/internal/HoldAnswers.cpp
@@ -77,6 +77,22 @@
 constexpr Duration kStalledFillerAfter = Seconds(9);
 constexpr Duration kStalledAvoid = Seconds(6);
 
+void NoteTail(Attempt& aAttempt, std::uint32_t aTailMs, std::uint32_t aTargetMs,
+              TimePoint aNow) {
+  constexpr double kLevelGain = 0.6;
+  const double level = LevelOf(aTailMs, aTargetMs);
+  aAttempt.level += kLevelGain * (level - aAttempt.level);
+  aAttempt.newestLevel = level;
+  // A tail over the target by less than the rounding is reported as equal. It
+  // may have risen right after the report before.
+  if (aTailMs < aTargetMs) {
+    aAttempt.overSince.reset();
+  } else if (!aAttempt.overSince) {
+    aAttempt.overSince = aAttempt.reportedAt.value_or(aNow);
+  }
+  aAttempt.reportedAt = aNow;
+}
+
 void NoteProgress(const State& aState, const TaskKey& aKey, Contact& aContact,
                   Attempt& aAttempt, const RunningRow& aRow, TimePoint aNow) {
   if (!aAttempt.listed || aRow.percent != aAttempt.percent) {
@@ -86,10 +102,7 @@
   aAttempt.listed = true;
   const StageSpec& stage = detail::StageOf(aState, aKey);
   if (stage.tailTargetMs > 0) {
-    constexpr double kLevelGain = 0.6;
-    const double level = LevelOf(aRow.load, stage.tailTargetMs);
-    aAttempt.level += kLevelGain * (level - aAttempt.level);
-    aAttempt.newestLevel = level;
+    NoteTail(aAttempt, aRow.load, stage.tailTargetMs, aNow);
   } else {
     aAttempt.usedMilli = aRow.load;
   }
--- a/src/bramleypath/workflow/internal/Pacing.cpp
+++ b/src/bramleypath/workflow/internal/Pacing.cpp
@@ -13,11 +13,11 @@
   std::vector<std::pair<TaskKey, Attempt*>> fillerAttempts;
   // Of the serving tasks: their images and newest levels.
   std::vector<placement::ClassIndex> serving;
-  std::vector<double> levels;
+  std::vector<ServingLevel> levels;
 };
 
 MixedLoad CollectLoad(Scheduler& aScheduler, const State& aState,
-                      const Worker& aWorker) {
+                      const Worker& aWorker, TimePoint aNow) {
   constexpr double kThousandths = 1000;
   MixedLoad load;
   for (const TaskKey& key : aWorker.attempts) {
@@ -35,7 +35,9 @@
     }
     if (stage.tailTargetMs > 0) {
       load.serving.push_back(ClassOf(aScheduler.tails, stage.image));
-      load.levels.push_back(attempt.level);
+      load.levels.push_back({attempt.level, attempt.overSince
+                                                ? aNow - *attempt.overSince
+                                                : Duration()});
     }
   }
   return load;
@@ -110,7 +112,7 @@
   if (worker == aState.workers.end()) {
     return;
   }
-  const MixedLoad load = CollectLoad(aScheduler, aState, worker->second);
+  const MixedLoad load = CollectLoad(aScheduler, aState, worker->second, aNow);
   if (load.serving.empty()) {
     return;
   }
