--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -1,7 +1,6 @@
 #include "bramleypath/controller/ControlGroup.h"
 
 #include <algorithm>
-#include <chrono>
 #include <set>
 #include <utility>
 
@@ -32,11 +31,6 @@
 constexpr std::uint64_t kReserveBytes = 12ULL * 1024 * 1024;
 constexpr std::size_t kSnapshotEntries = 4096;
 
-std::int64_t UnixMs() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
-}
-
 std::string AddressOf(const HostId& aHost, std::uint16_t aPort) {
   return aHost.value + ":" + std::to_string(aPort);
 }
@@ -346,7 +340,7 @@
   own.host = this->settings.self;
   own.identity = this->folder->identity.value;
   own.dataCentre = this->settings.dataCentre;
-  own.unixMs = UnixMs();
+  own.unixMs = net::UnixMs();
   net::ClientRequest request;
   request.address = AddressOf(aHost, this->settings.controlPort);
   request.path = kGroupPath;
@@ -468,7 +462,7 @@
 
 std::int64_t ControlGroup::AgreedUnixMs(TimePoint aNow) const {
   const std::int64_t nowMs = ToMillis(Duration{aNow.micros});
-  std::vector<std::int64_t> offsets = {UnixMs() - nowMs};
+  std::vector<std::int64_t> offsets = {net::UnixMs() - nowMs};
   for (const auto& [host, entry] : this->heard) {
     if (aNow - entry.at < kDeadAfter) {
       offsets.push_back(entry.offsetMs);
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -142,6 +142,22 @@
   this->ArmTimer();
 }
 
+std::optional<workflow::CellSummary> Controller::SummariseCell() const {
+  if (!this->scheduler) {
+    return std::nullopt;
+  }
+  return workflow::Summarise(*this->scheduler, this->State(), net::Now());
+}
+
+std::vector<workflow::QueueSummary> Controller::SummariseQueues() const {
+  return workflow::SummariseQueues(this->State(),
+                                   this->group->AgreedUnixMs(net::Now()));
+}
+
+Epoch Controller::CurrentEpoch() const {
+  return this->scheduler ? this->scheduler->epoch : 0;
+}
+
 void Controller::LogSummary(TimePoint aNow) {
   if (!this->scheduler || aNow < this->summaryAt) {
     return;
@@ -170,7 +186,11 @@
                          AnswerCallback aCallback) {
   this->group->Replica().Propose(
       workflow::Encode(aCommand), kProposeTimeout,
-      [callback = std::move(aCallback)](const group::ProposeOutcome& aOutcome) {
+      [this, living = this->alive, proposedAt = net::Now(),
+       callback = std::move(aCallback)](const group::ProposeOutcome& aOutcome) {
+        if (*living && aOutcome.Ok()) {
+          this->counters.commitLatency.Record(net::Now() - proposedAt);
+        }
         callback(ToAnswer(aOutcome));
       });
 }
@@ -435,12 +455,15 @@
   sent.task = aStart.task;
   sent.order.task = aStart.order.task;
   sent.order.attempt = aStart.order.attempt;
-  auto onAnswer = [this, living = this->alive, epoch,
-                   sent](const OrderAnswer& aAnswer) {
+  const TimePoint sentAt = net::Now();
+  auto onAnswer = [this, living = this->alive, epoch, sent,
+                   sentAt](const OrderAnswer& aAnswer) {
     if (!*living) {
       return;
     }
-    if (aAnswer.outcome != OrderOutcome::Done) {
+    if (aAnswer.outcome == OrderOutcome::Done) {
+      this->counters.startLatency.Record(net::Now() - sentAt);
+    } else {
       ++this->counters.startsNotDone;
     }
     this->WithScheduler(epoch, [&](workflow::Scheduler& aScheduler) {
@@ -453,6 +476,7 @@
     asio::post(this->context, [onAnswer] { onAnswer(NotSentAnswer()); });
     return;
   }
+  this->RecordFirstStart(aStart, sentAt);
   eventlog::Write("start_sent", {{"job", aStart.order.task.job.value},
                                  {"stage", NumberText(aStart.order.task.stage)},
                                  {"index", NumberText(aStart.order.task.index)},
@@ -461,6 +485,20 @@
   this->driver.start(worker->spec, aStart.order, onAnswer);
 }
 
+void Controller::RecordFirstStart(const workflow::SendStart& aStart,
+                                  TimePoint aNow) {
+  const auto job = this->State().jobs.find(aStart.task.job);
+  const bool isFirst = aStart.order.attempt == 1 && aStart.task.stage == 0 &&
+                       aStart.task.index == 0;
+  if (job == this->State().jobs.end() || !isFirst ||
+      job->second.spec.repetitions > 0) {
+    return;
+  }
+  const std::int64_t waitedMs =
+      this->group->AgreedUnixMs(aNow) - job->second.acceptedUnixMs;
+  this->counters.firstStartLatency.Record(Millis(waitedMs));
+}
+
 void Controller::CarryOne(workflow::SendStop& aStop) {
   ++this->counters.stops;
   const Epoch epoch = this->scheduler->epoch;
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -12,6 +12,7 @@
 
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/controller/WorkflowMachine.h"
+#include "bramleypath/metrics/LatencyHistogram.h"
 #include "bramleypath/workflow/Driver.h"
 #include "bramleypath/workflow/Scheduler.h"
 
@@ -51,6 +52,12 @@
   std::uint64_t commits = 0;
   std::uint64_t commitsFailed = 0;
   std::uint64_t leaderships = 0;
+  // From a proposal to its commit.
+  metrics::LatencyHistogram commitLatency;
+  // From a start command to the worker's answer.
+  metrics::LatencyHistogram startLatency;
+  // From the acceptance of a job to its first start command.
+  metrics::LatencyHistogram firstStartLatency;
 };
 
 // One host of the control plane: a replica of the cell's state and, while it
@@ -82,6 +89,10 @@
                 AnswerCallback aCallback);
   void Leave(const WorkerId& aWorker, AnswerCallback aCallback);
 
+  // While it leads.
+  std::optional<workflow::CellSummary> SummariseCell() const;
+  std::vector<workflow::QueueSummary> SummariseQueues() const;
+  Epoch CurrentEpoch() const;
   const ControllerCounters& Counters() const { return this->counters; }
   // Hands leadership over and closes the files.
   void Stop(Duration aDeadline, std::function<void()> aDone);
@@ -102,6 +113,7 @@
   void CarryOne(workflow::SendHold& aHold);
   void CarryOne(workflow::RequestTickets& aRequest);
   void CarryOne(workflow::Note& aNote);
+  void RecordFirstStart(const workflow::SendStart& aStart, TimePoint aNow);
   const workflow::Worker* WorkerToOrder(workflow::WorkerNumber aWorker) const;
   // Runs aHandle with the scheduler if it is still that of the epoch.
   void WithScheduler(
--- a/src/bramleypath/eventlog/EventLog.cpp
+++ b/src/bramleypath/eventlog/EventLog.cpp
@@ -4,7 +4,6 @@
 #include <unistd.h>
 
 #include <cerrno>
-#include <chrono>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -40,15 +39,10 @@
   return log;
 }
 
-std::int64_t UnixMs() {
-  const auto since = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
-}
-
 void AppendLine(Log& aLog, std::string_view aEvent,
                 std::initializer_list<Field> aFields, std::uint64_t aLeftOut) {
   codec::Json line = codec::Json::object();
-  line["time_ms"] = UnixMs();
+  line["time_ms"] = net::UnixMs();
   line["host"] = aLog.settings.host;
   line["event"] = std::string(aEvent);
   for (const Field& field : aFields) {
--- a/src/bramleypath/metrics/Registry.cpp
+++ b/src/bramleypath/metrics/Registry.cpp
@@ -1,6 +1,7 @@
 #include "bramleypath/metrics/Registry.h"
 
 #include <array>
+#include <cmath>
 #include <sstream>
 #include <utility>
 
@@ -87,10 +88,40 @@
 
 }  // namespace
 
+namespace {
+
+struct HistogramCopy {
+  std::vector<LatencyHistogram::Bucket> buckets;
+  double sumSeconds = 0;
+};
+
+void WriteHistogram(std::ostream& aOut, const std::string& aName,
+                    const HistogramCopy& aHistogram) {
+  WriteType(aOut, aName, "histogram");
+  std::uint64_t count = 0;
+  for (const LatencyHistogram::Bucket& bucket : aHistogram.buckets) {
+    aOut << "bramleypath_" << aName << "_bucket{le=\"";
+    if (std::isinf(bucket.limitSeconds)) {
+      aOut << "+Inf";
+    } else {
+      aOut << bucket.limitSeconds;
+    }
+    aOut << "\"} " << bucket.cumulative << '\n';
+    count = bucket.cumulative;
+  }
+  aOut << "bramleypath_" << aName << "_sum " << aHistogram.sumSeconds << '\n'
+       << "bramleypath_" << aName << "_count " << count << '\n';
+}
+
+}  // namespace
+
 struct Registry::Impl {
   std::map<SeriesKey, Series> series;
   std::map<std::string, std::uint64_t> counters;
   std::map<std::string, double> gauges;
+  // By name and queue.
+  std::map<std::string, std::map<std::string, double>> queueGauges;
+  std::map<std::string, HistogramCopy> histograms;
 
   Series& Find(const MemberId& aMember, const ClassId& aClass) {
     SeriesKey key{aMember.value, aClass.value};
@@ -124,6 +155,17 @@
   this->impl->gauges[aName] = aValue;
 }
 
+void Registry::SetQueueGauge(const std::string& aName,
+                             const std::string& aQueue, double aValue) {
+  this->impl->queueGauges[aName][aQueue] = aValue;
+}
+
+void Registry::SetHistogram(const std::string& aName,
+                            const LatencyHistogram& aHistogram) {
+  this->impl->histograms[aName] = {aHistogram.Buckets(),
+                                   aHistogram.SumSeconds()};
+}
+
 LatencySummary Registry::Latency(const MemberId& aMember,
                                  const ClassId& aClass) const {
   const auto found =
@@ -178,6 +220,16 @@
     WriteType(out, name, "gauge");
     out << "bramleypath_" << name << ' ' << value << '\n';
   }
+  for (const auto& [name, queues] : this->impl->queueGauges) {
+    WriteType(out, name, "gauge");
+    for (const auto& [queue, value] : queues) {
+      out << "bramleypath_" << name << "{queue=\"" << Escape(queue) << "\"} "
+          << value << '\n';
+    }
+  }
+  for (const auto& [name, histogram] : this->impl->histograms) {
+    WriteHistogram(out, name, histogram);
+  }
   return out.str();
 }
 
--- a/src/bramleypath/metrics/Registry.h
+++ b/src/bramleypath/metrics/Registry.h
@@ -9,6 +9,7 @@
 
 #include "bramleypath/base/Ids.h"
 #include "bramleypath/base/TimePoint.h"
+#include "bramleypath/metrics/LatencyHistogram.h"
 
 namespace bramleypath::metrics {
 
@@ -43,6 +44,12 @@
   // Replaces a value; aName is the name of the metric without its prefix.
   void SetCounter(const std::string& aName, std::uint64_t aValue);
   void SetGauge(const std::string& aName, double aValue);
+  // A gauge of one queue, with the queue as its label.
+  void SetQueueGauge(const std::string& aName, const std::string& aQueue,
+                     double aValue);
+  // Copies the present counts; aName ends in "_seconds".
+  void SetHistogram(const std::string& aName,
+                    const LatencyHistogram& aHistogram);
 
   LatencySummary Latency(const MemberId& aMember, const ClassId& aClass) const;
 
--- a/src/bramleypath/net/Clock.h
+++ b/src/bramleypath/net/Clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <chrono>
+#include <cstdint>
 #include <ctime>
 
 #include "bramleypath/base/TimePoint.h"
@@ -18,4 +20,10 @@
                    time.tv_nsec / kNanosPerMicro};
 }
 
+// The host's time of day in Unix milliseconds. It may jump.
+inline std::int64_t UnixMs() {
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count();
+}
+
 }  // namespace bramleypath::net
--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -50,6 +50,7 @@
 struct Relay::Call {
   net::HttpRequest request;
   net::HttpResponder responder;
+  TimePoint startedAt;
   TimePoint deadline;
   // An attempt ended without an answer, so that it may have been carried out.
   bool maybeDone = false;
@@ -110,9 +111,10 @@
   ++this->counters.requests;
   const Duration patience =
       CallerPatience(aRequest, this->settings.deadlineHeader);
+  const TimePoint now = net::Now();
   auto call = std::make_shared<Call>(
-      Call{std::move(aRequest), std::move(aResponder), net::Now() + patience});
-  if (!this->HearsLeader(net::Now()) && this->everHeard) {
+      Call{std::move(aRequest), std::move(aResponder), now, now + patience});
+  if (!this->HearsLeader(now) && this->everHeard) {
     // The control plane has been out of reach for seconds already.
     this->GiveUp(call);
     return;
@@ -211,7 +213,7 @@
   if (retryAfter) {
     response.headers.push_back({"Retry-After", *retryAfter});
   }
-  aCall->responder.Send(std::move(response));
+  this->Answer(aCall, std::move(response));
 }
 
 void Relay::GiveUp(const std::shared_ptr<Call>& aCall) {
@@ -231,7 +233,13 @@
                   {{"path", aCall->request.path},
                    {"status", std::to_string(response.status)},
                    {"attempts", std::to_string(aCall->attempts)}});
-  aCall->responder.Send(std::move(response));
+  this->Answer(aCall, std::move(response));
+}
+
+void Relay::Answer(const std::shared_ptr<Call>& aCall,
+                   net::HttpResponse aResponse) {
+  this->counters.answerLatency.Record(net::Now() - aCall->startedAt);
+  aCall->responder.Send(std::move(aResponse));
 }
 
 void Relay::Tick(TimePoint aNow) {
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -11,6 +11,7 @@
 #include "bramleypath/base/Ids.h"
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/controller/ControlGroup.h"
+#include "bramleypath/metrics/LatencyHistogram.h"
 #include "bramleypath/net/Http.h"
 #include "bramleypath/net/HttpClient.h"
 #include "bramleypath/net/HttpListener.h"
@@ -37,6 +38,8 @@
   std::uint64_t unavailable = 0;     // 503: certainly not run
   std::uint64_t outcomeUnknown = 0;  // 504
   std::uint64_t retries = 0;
+  // From a request to its answer, whatever it says.
+  metrics::LatencyHistogram answerLatency;
 };
 
 // Passes callers' requests on to the leader of the control plane. Every request
@@ -64,6 +67,7 @@
   void OnResult(const std::shared_ptr<Call>& aCall, const HostId& aHost,
                 net::ClientResult aResult);
   void GiveUp(const std::shared_ptr<Call>& aCall);
+  void Answer(const std::shared_ptr<Call>& aCall, net::HttpResponse aResponse);
   HostId NextHost();
   void LearnLeader(const HostId& aLeader);
   void LoseLeader(const HostId& aHost);
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -117,6 +117,33 @@
   return summary;
 }
 
+std::vector<QueueSummary> SummariseQueues(const State& aState,
+                                          std::int64_t aUnixMs) {
+  std::vector<QueueSummary> summaries;
+  summaries.reserve(aState.layout.queues.size());
+  for (const QueueSettings& queue : aState.layout.queues) {
+    QueueSummary summary;
+    summary.queue = queue.id;
+    summaries.push_back(std::move(summary));
+  }
+  for (const auto& [number, job] : aState.jobs) {
+    const auto found = std::find_if(summaries.begin(), summaries.end(),
+                                    [&job = job](const QueueSummary& aSummary) {
+                                      return aSummary.queue == job.spec.queue;
+                                    });
+    if (found == summaries.end() || job.phase != JobPhase::Active) {
+      continue;
+    }
+    ++found->activeJobs;
+    if (!job.started) {
+      ++found->waitingJobs;
+      found->oldestWaitMs =
+          std::max(found->oldestWaitMs, aUnixMs - job.acceptedUnixMs);
+    }
+  }
+  return summaries;
+}
+
 SchedulerActions OnTick(Scheduler& aScheduler, const State& aState,
                         TimePoint aNow, std::int64_t aUnixMs) {
   SchedulerActions actions;
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -22,8 +22,6 @@
 struct SchedulerSettings {
   // Longest lease that a worker grants.
   Duration maxLease = Seconds(10);
-  // A worker stops an attempt within this.
-  Duration stopLimit = Millis(400);
   // Workers announce themselves this often.
   Duration announceInterval = Millis(1500);
   // Run time in another rack than that of the data, as a factor.
@@ -245,6 +243,17 @@
 CellSummary Summarise(const Scheduler& aScheduler, const State& aState,
                       TimePoint aNow);
 
+// A queue's jobs, for metrics.
+struct QueueSummary {
+  QueueId queue;
+  std::uint32_t activeJobs = 0;
+  std::uint32_t waitingJobs = 0;  // accepted, nothing placed yet
+  std::int64_t oldestWaitMs = 0;  // of those
+};
+
+std::vector<QueueSummary> SummariseQueues(const State& aState,
+                                          std::int64_t aUnixMs);
+
 // What admission needs to know of a new job.
 AdmissionView ViewForAdmission(const Scheduler& aScheduler,
                                const JobSpec& aSpec,
--- a/tests/metrics/RegistryTest.cpp
+++ b/tests/metrics/RegistryTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(testQuantiles);
   CPPUNIT_TEST(testSeriesAreBounded);
   CPPUNIT_TEST(testExposition);
+  CPPUNIT_TEST(testHistogram);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -68,6 +69,31 @@
       CPPUNIT_ASSERT_MESSAGE(line, page.find(line) != std::string::npos);
     }
   }
+
+  // A latency at a limit belongs to that bucket, and one above all limits only
+  // to the last.
+  void testHistogram() {
+    LatencyHistogram latency;
+    for (const std::int64_t millis : {0, 1, 2, 3, 40000}) {
+      latency.Record(Millis(millis));
+    }
+    Registry registry;
+    registry.SetHistogram("commit_seconds", latency);
+    registry.SetQueueGauge("waiting_jobs", "checks", 4);
+    const std::string page = registry.WriteExposition();
+    for (const char* line :
+         {"# TYPE bramleypath_commit_seconds histogram\n",
+          "bramleypath_commit_seconds_bucket{le=\"0.001\"} 2\n",
+          "bramleypath_commit_seconds_bucket{le=\"0.002\"} 3\n",
+          "bramleypath_commit_seconds_bucket{le=\"0.004\"} 4\n",
+          "bramleypath_commit_seconds_bucket{le=\"32.768\"} 4\n",
+          "bramleypath_commit_seconds_bucket{le=\"+Inf\"} 5\n",
+          "bramleypath_commit_seconds_sum 40.006\n",
+          "bramleypath_commit_seconds_count 5\n",
+          "bramleypath_waiting_jobs{queue=\"checks\"} 4\n"}) {
+      CPPUNIT_ASSERT_MESSAGE(line, page.find(line) != std::string::npos);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(RegistryTest);
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -212,7 +212,7 @@
                     "bootstrap": True, "seeds": seeds,
                     "peer_port": ports["peer"], "tolerated_hosts": 1,
                     "announce_interval_ms": int(HEARTBEAT_S * 1000),
-                    "max_lease_ms": MAX_LEASE_MS, "stop_limit_ms": 400,
+                    "max_lease_ms": MAX_LEASE_MS,
                     "shutdown_limit_s": 6, "far_factor": 1.5}
         if role == "front":
             settings.update(frontend=self.frontend, readiness=self.readiness)
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -37,9 +37,12 @@
   this->Announce();
 }
 
+std::int64_t CellModel::UnixMs() const {
+  return kUnixOriginMs + ToMillis(Duration{this->now.micros});
+}
+
 void CellModel::Submit(const JobSpec& aSpec) {
-  Apply(this->state,
-        AcceptJob{aSpec, kUnixOriginMs + ToMillis(Duration{this->now.micros})});
+  Apply(this->state, AcceptJob{aSpec, this->UnixMs()});
   if (this->scheduler) {
     this->scheduler->dispatchWanted = true;
   }
@@ -119,8 +122,8 @@
       this->events.erase(due);
       act();
     }
-    this->Perform(OnTick(*this->scheduler, this->state, this->now,
-                         kUnixOriginMs + ToMillis(Duration{this->now.micros})));
+    this->Perform(
+        OnTick(*this->scheduler, this->state, this->now, this->UnixMs()));
   }
 }
 
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -29,6 +29,8 @@
   explicit CellModel(std::uint64_t aSeed);
 
   void AddWorker(const std::string& aId);
+  // The cell's time of day.
+  std::int64_t UnixMs() const;
   void Submit(const JobSpec& aSpec);
   void Cancel(const std::string& aJob);
   // Another leader takes over; commits under way are applied or lost.
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -46,6 +46,7 @@
   CPPUNIT_TEST(testIdleWorkerIsNotAsked);
   CPPUNIT_TEST(testIdleWorkerThatWasCutIsUsedAgain);
   CPPUNIT_TEST(testTicketsAreAskedForOnceAndUsed);
+  CPPUNIT_TEST(testQueueSummaryNamesTheOldestJob);
   CPPUNIT_TEST(testDispatchPassOverALargeCell);
   CPPUNIT_TEST_SUITE_END();
 
@@ -204,6 +205,22 @@
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{12}, cell.workers.at("w2").lastEnd);
   }
 
+  // On-call reads from it whether a queue stands still.
+  void testQueueSummaryNamesTheOldestJob() {
+    CellModel cell = MakeCell(0);
+    const auto before = SummariseQueues(cell.state, cell.UnixMs());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, before.size());
+    CPPUNIT_ASSERT_EQUAL(0U, before[0].waitingJobs);
+    cell.Submit(MakeJob("old"));
+    cell.Run(Seconds(2));
+    cell.Submit(MakeJob("new"));
+    cell.Run(Seconds(1));
+    const auto after = SummariseQueues(cell.state, cell.UnixMs());
+    CPPUNIT_ASSERT_EQUAL(2U, after[0].waitingJobs);
+    CPPUNIT_ASSERT(after[0].oldestWaitMs >= 2900);
+    CPPUNIT_ASSERT(after[0].oldestWaitMs <= 3100);
+  }
+
   void testDispatchPassOverALargeCell() {
     CellModel cell(1);
     for (int worker = 0; worker < 350; ++worker) {
