Log what accepted a job, and what the cell's processors are reserved for

cell_summary gets processors, reserved, reserved by lasting tasks and in use by fillers; job_accepted gets the expected time and the objective, as job_refused has.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -179,6 +179,10 @@
                    {"workers", NumberText(cell.workers)},
                    {"workers_in_contact", NumberText(cell.workersInContact)},
                    {"workers_avoided", NumberText(cell.workersAvoided)},
+                   {"processors", std::to_string(cell.processors)},
+                   {"reserved", std::to_string(cell.reserved)},
+                   {"lasting_reserved", std::to_string(cell.lastingReserved)},
+                   {"fillers_use", std::to_string(cell.fillersUse)},
                    {"backlog_s", std::to_string(cell.backlogSeconds)}});
 }
 
@@ -231,15 +235,21 @@
   accept.acceptedUnixMs = this->group->AgreedUnixMs(now);
   const std::string job = aSpec.id.value;
   const std::string queue = aSpec.queue.value;
+  const auto expectedMs = static_cast<std::uint64_t>(decision.expectedMs);
+  const auto objectiveMs = static_cast<std::uint64_t>(view.objectiveMs);
   this->Propose(
-      accept, [this, living = this->alive, job, queue,
+      accept, [this, living = this->alive, job, queue, expectedMs, objectiveMs,
                callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
         if (!*living || aAnswer.verdict != Verdict::Done) {
           return;
         }
         ++this->counters.accepted;
-        eventlog::Write("job_accepted", {{"job", job}, {"queue", queue}});
+        eventlog::Write("job_accepted",
+                        {{"job", job},
+                         {"queue", queue},
+                         {"expected_ms", NumberText(expectedMs)},
+                         {"objective_ms", NumberText(objectiveMs)}});
         if (this->scheduler) {
           this->scheduler->dispatchWanted = true;
           this->WantTurn();
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -86,6 +86,33 @@
   }
 }
 
+void AddProcessors(const Scheduler& aScheduler, const State& aState,
+                   TimePoint aNow, CellSummary& aSummary) {
+  constexpr double kThousandths = 1000;
+  for (const auto& [number, worker] : aState.workers) {
+    const auto contact = aScheduler.contacts.find(number);
+    if (contact == aScheduler.contacts.end() ||
+        !detail::IsInContact(aScheduler, contact->second, aNow)) {
+      continue;
+    }
+    aSummary.processors +=
+        static_cast<double>(worker.spec.capacity.processorsMilli) /
+        kThousandths;
+    aSummary.reserved +=
+        static_cast<double>(worker.reserved.processorsMilli) / kThousandths;
+    for (const TaskKey& key : worker.attempts) {
+      const StageSpec& stage = detail::StageOf(aState, key);
+      const auto attempt = aScheduler.attempts.find(key);
+      if (stage.lasting) {
+        aSummary.lastingReserved +=
+            static_cast<double>(stage.demand.processorsMilli) / kThousandths;
+      } else if (stage.filler && attempt != aScheduler.attempts.end()) {
+        aSummary.fillersUse += attempt->second.usedMilli / kThousandths;
+      }
+    }
+  }
+}
+
 }  // namespace
 
 CellSummary Summarise(const Scheduler& aScheduler, const State& aState,
@@ -110,6 +137,7 @@
         detail::IsInContact(aScheduler, contact, aNow) ? 1 : 0;
     summary.workersAvoided += aNow < contact.avoidUntil ? 1 : 0;
   }
+  AddProcessors(aScheduler, aState, aNow, summary);
   constexpr double kMilliMsPerSecond = 1e6;
   summary.backlogSeconds = (aScheduler.lanes.reserving.backlogWork +
                             aScheduler.lanes.filling.backlogWork) /
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -237,7 +237,11 @@
   std::uint32_t workers = 0;
   std::uint32_t workersInContact = 0;
   std::uint32_t workersAvoided = 0;
-  double backlogSeconds = 0;  // processor seconds of jobs under way
+  double backlogSeconds = 0;   // processor seconds of jobs under way
+  double processors = 0;       // of workers in contact
+  double reserved = 0;         // of those, by tasks that reserve
+  double lastingReserved = 0;  // of those, by tasks that last
+  double fillersUse = 0;       // processors that fillers use
 };
 
 CellSummary Summarise(const Scheduler& aScheduler, const State& aState,
