Follow a job's id through collected logs with 'bramleypath explain request'

The walk of docs/OPERATIONS.md was done by hand with grep, and its third step could not work: worker_unreachable, worker_reachable, worker_replaced and start_not_done named the worker by an internal number, not by the id that start_sent and the heartbeats name. They name the id now.

New module explain: reads event lines, finds what became of a job (refused, not taken, completed, failed, cancelled, open) and the lines and reasons that say why (refusal with the cell's load, failover, attempts that ended badly, a silent worker).

--- a/completions/bramleypath.bash
+++ b/completions/bramleypath.bash
@@ -12,7 +12,7 @@
       bootstrap) COMPREPLY=($(compgen -W "check" -- "$current")); return ;;
       class) COMPREPLY=($(compgen -W "set remove" -- "$current")); return ;;
       config) COMPREPLY=($(compgen -W "get apply change" -- "$current")); return ;;
-      explain) COMPREPLY=($(compgen -W "pairs" -- "$current")); return ;;
+      explain) COMPREPLY=($(compgen -W "pairs request" -- "$current")); return ;;
       host) COMPREPLY=($(compgen -W "list add remove drain stop" -- "$current")); return ;;
       job) COMPREPLY=($(compgen -W "submit cancel list explain" -- "$current")); return ;;
       member) COMPREPLY=($(compgen -W "set remove" -- "$current")); return ;;
@@ -51,6 +51,7 @@
     "host stop") options="--request-id --expected-version --dry-run --host --output --timeout-ms --help" ;;
     "status") options="--host --output --timeout-ms --help" ;;
     "explain pairs") options="--member --data-centre --class --host --output --timeout-ms --help" ;;
+    "explain request") options="--host --output --timeout-ms --help" ;;
     "bootstrap check") options="--config --host --output --timeout-ms --help" ;;
     "completion") options="--host --output --timeout-ms --help" ;;
   esac
--- a/src/bramleypath/cli/CommandTable.cpp
+++ b/src/bramleypath/cli/CommandTable.cpp
@@ -197,6 +197,13 @@
                  "lists which classes slow which others",
                  {member, centre, {"class", "NAME", "only this class"}},
                  false});
+  all.push_back({"explain request",
+                 "ID FILE...",
+                 2,
+                 512,
+                 "follows a job's id through collected event logs to the cause",
+                 {},
+                 false});
   all.push_back({"bootstrap check",
                  "SETTINGS_FILE...",
                  1,
--- a/src/bramleypath/cli/Run.cpp
+++ b/src/bramleypath/cli/Run.cpp
@@ -46,6 +46,7 @@
     {"host stop", detail::HostStop, true},
     {"status", detail::Status, true},
     {"explain pairs", detail::ExplainPairs, true},
+    {"explain request", detail::ExplainRequest, false},
     {"bootstrap check", detail::BootstrapCheck, false},
     {"completion", detail::Completion, false},
 };
--- a/src/bramleypath/cli/internal/Commands.h
+++ b/src/bramleypath/cli/internal/Commands.h
@@ -35,6 +35,9 @@
 ExitCode Status(const Session& aSession);
 ExitCode ExplainPairs(const Session& aSession);
 
+// LogCommands.cpp
+ExitCode ExplainRequest(const Session& aSession);
+
 // BootstrapCommands.cpp
 ExitCode BootstrapCheck(const Session& aSession);
 ExitCode Completion(const Session& aSession);
--- /dev/null
+++ b/src/bramleypath/cli/internal/LogCommands.cpp
@@ -0,0 +1,81 @@
+#include <sstream>
+#include <utility>
+
+#include "bramleypath/cli/internal/Commands.h"
+#include "bramleypath/explain/RequestStory.h"
+
+namespace bramleypath::cli::detail {
+
+namespace {
+
+struct ReadLog {
+  std::vector<explain::LogLine> lines;
+  std::size_t unreadable = 0;
+};
+
+void AddLines(const std::string& aText, ReadLog& aLog) {
+  std::istringstream stream(aText);
+  std::string text;
+  while (std::getline(stream, text)) {
+    if (text.empty()) {
+      continue;
+    }
+    // The output of a host may hold lines of other writers.
+    std::string reason;
+    auto line = explain::ParseLine(text, reason);
+    if (line) {
+      aLog.lines.push_back(std::move(*line));
+    } else {
+      ++aLog.unreadable;
+    }
+  }
+}
+
+void PrintStory(const Session& aSession, const std::string& aJob,
+                const explain::Story& aStory) {
+  std::ostream& out = aSession.environment.out;
+  if (aSession.json) {
+    Json lines = Json::array();
+    for (const explain::LogLine& line : aStory.lines) {
+      lines.push_back(Json::parse(line.text, nullptr, false));
+    }
+    PrintJson(aSession,
+              Json{{"job", aJob},
+                   {"outcome", std::string(explain::ToText(aStory.outcome))},
+                   {"causes", aStory.causes},
+                   {"lines", std::move(lines)}});
+    return;
+  }
+  out << aJob << ": " << explain::ToText(aStory.outcome) << "\n";
+  for (const std::string& cause : aStory.causes) {
+    out << "  " << cause << "\n";
+  }
+  for (const explain::LogLine& line : aStory.lines) {
+    out << line.text << "\n";
+  }
+}
+
+}  // namespace
+
+ExitCode ExplainRequest(const Session& aSession) {
+  const std::vector<std::string>& operands = aSession.arguments.operands;
+  ReadLog log;
+  for (std::size_t index = 1; index < operands.size(); ++index) {
+    const auto text = aSession.environment.readFile(operands[index]);
+    if (!text) {
+      return Fail(aSession, ExitCode::FaultyFile,
+                  operands[index] + ": can't be read");
+    }
+    AddLines(*text, log);
+  }
+  if (log.unreadable > 0) {
+    aSession.environment.err << "bramleypath: " << log.unreadable
+                             << " lines are no event log\n";
+  }
+  const explain::Story story = explain::TellStory(log.lines, operands[0]);
+  PrintStory(aSession, operands[0], story);
+  return story.outcome == explain::Outcome::NotFound ? ExitCode::Refused
+                                                     : ExitCode::Success;
+}
+
+}  // namespace bramleypath::cli::detail
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -46,6 +46,12 @@
   return name;
 }
 
+std::string WorkerText(const State& aState, WorkerNumber aWorker) {
+  const auto worker = aState.workers.find(aWorker);
+  return worker == aState.workers.end() ? std::to_string(aWorker)
+                                        : worker->second.spec.id.value;
+}
+
 std::string ToText(const TaskName& aName) {
   return aName.job.value + "." + std::to_string(aName.occurrence) + "." +
          std::to_string(aName.stage) + "." + std::to_string(aName.index);
@@ -281,12 +287,12 @@
              : &found->second;
 }
 
-SchedulerActions RemoveIncarnation(WorkerNumber aWorker) {
+SchedulerActions RemoveIncarnation(const State& aState, WorkerNumber aWorker) {
   Commit commit;
   commit.commands.emplace_back(WorkerGone{aWorker});
   SchedulerActions actions;
-  actions.push_back(
-      Note{"worker_replaced", std::to_string(aWorker), "other incarnation"});
+  actions.push_back(Note{"worker_replaced", detail::WorkerText(aState, aWorker),
+                         "other incarnation"});
   actions.push_back(std::move(commit));
   return actions;
 }
@@ -358,10 +364,11 @@
   Attempt* const attempt =
       FindAttempt(aScheduler, aOrder.task, aOrder.order.attempt);
   if (aAnswer.outcome != OrderOutcome::Done) {
-    actions.push_back(Note{"start_not_done", detail::ToText(aOrder.order.task),
-                           "attempt=" + std::to_string(aOrder.order.attempt) +
-                               " worker=" + std::to_string(aOrder.worker) +
-                               " reason=" + aAnswer.reason});
+    actions.push_back(
+        Note{"start_not_done", detail::ToText(aOrder.order.task),
+             "attempt=" + std::to_string(aOrder.order.attempt) +
+                 " worker=" + detail::WorkerText(aState, aOrder.worker) +
+                 " reason=" + aAnswer.reason});
   }
   switch (aAnswer.outcome) {
     case OrderOutcome::Done:
@@ -384,7 +391,7 @@
       }
       break;
     case OrderOutcome::OtherIncarnation:
-      return RemoveIncarnation(aOrder.worker);
+      return RemoveIncarnation(aState, aOrder.worker);
     case OrderOutcome::NoAnswer:
       contact.avoidUntil =
           std::max(contact.avoidUntil, aNow + kUnansweredAvoid);
@@ -423,13 +430,13 @@
   return actions;
 }
 
-SchedulerActions OnStopAnswer(Scheduler& aScheduler, const State& /*aState*/,
+SchedulerActions OnStopAnswer(Scheduler& aScheduler, const State& aState,
                               const SendStop& aOrder,
                               const OrderAnswer& aAnswer, TimePoint aNow) {
   Attempt* const attempt =
       FindAttempt(aScheduler, aOrder.task, aOrder.order.attempt);
   if (aAnswer.outcome == OrderOutcome::OtherIncarnation) {
-    return RemoveIncarnation(aOrder.worker);
+    return RemoveIncarnation(aState, aOrder.worker);
   }
   if (!attempt || attempt->worker != aOrder.worker) {
     return {};
--- a/src/bramleypath/workflow/internal/HoldAnswers.cpp
+++ b/src/bramleypath/workflow/internal/HoldAnswers.cpp
@@ -220,11 +220,13 @@
   }
 }
 
-void OnHoldMissed(Contact& aContact, const OrderAnswer& aAnswer, TimePoint aNow,
+void OnHoldMissed(const State& aState, Contact& aContact,
+                  const OrderAnswer& aAnswer, TimePoint aNow,
                   SchedulerActions& aActions) {
   if (aContact.missedHolds == 0) {
     aActions.push_back(Note{"worker_unreachable",
-                            std::to_string(aContact.worker), aAnswer.reason});
+                            detail::WorkerText(aState, aContact.worker),
+                            aAnswer.reason});
   }
   ++aContact.missedHolds;
   constexpr std::int64_t kMaxRetrySteps = 4;
@@ -253,11 +255,12 @@
     return actions;
   }
   if (aAnswer.order.outcome != OrderOutcome::Done) {
-    OnHoldMissed(contact, aAnswer.order, aNow, actions);
+    OnHoldMissed(aState, contact, aAnswer.order, aNow, actions);
     return actions;
   }
   if (contact.missedHolds > 0) {
-    actions.push_back(Note{"worker_reachable", std::to_string(contact.worker),
+    actions.push_back(Note{"worker_reachable",
+                           detail::WorkerText(aState, contact.worker),
                            "missed=" + std::to_string(contact.missedHolds)});
     aScheduler.dispatchWanted = true;
   }
--- a/src/bramleypath/workflow/internal/SchedulerParts.h
+++ b/src/bramleypath/workflow/internal/SchedulerParts.h
@@ -23,6 +23,8 @@
 }
 TaskName NameOf(const State& aState, const TaskKey& aKey);
 std::string ToText(const TaskName& aName);
+// The worker's id, or its number when it is gone.
+std::string WorkerText(const State& aState, WorkerNumber aWorker);
 std::optional<TaskKey> KeyOf(const State& aState, const TaskName& aName);
 const StageSpec& StageOf(const State& aState, const TaskKey& aKey);
 
