Test the three walks from a job's id to its cause with real processes

explain_request.py provokes a refusal, a failover right after an acceptance, and workers that die with the job's tasks, and finds each cause from logs and metrics alone. It found a fault: lines were written by a timer each 100 ms, so that a leader that was killed right after it had accepted a job took the job_accepted line along. Write now asks for a flush when a line comes into an empty buffer, and the node posts it behind the work in hand.

--- a/src/bramleypath/eventlog/EventLog.cpp
+++ b/src/bramleypath/eventlog/EventLog.cpp
@@ -56,8 +56,12 @@
     ++aLog.counters.dropped;
     return;
   }
+  const bool wasEmpty = aLog.buffer.empty();
   aLog.buffer += text;
   aLog.buffer += '\n';
+  if (wasEmpty && aLog.settings.flushWanted) {
+    aLog.settings.flushWanted();
+  }
 }
 
 bool IsReady(int aOutput, int aWaitMs) {
--- a/src/bramleypath/eventlog/EventLog.h
+++ b/src/bramleypath/eventlog/EventLog.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -23,6 +24,9 @@
   // Lines of one event a second; further ones are counted.
   std::uint32_t linesPerSecond = 100;
   std::size_t maxBufferedBytes = 64 * 1024;
+  // Called by Write when a line comes into an empty buffer: Flush is wanted
+  // soon, after the work in hand. It must not call this module itself.
+  std::function<void()> flushWanted;
 };
 
 struct Counters {
@@ -35,7 +39,8 @@
 void Start(const Settings& aSettings);
 // Adds one line. Does nothing before Start.
 void Write(std::string_view aEvent, std::initializer_list<Field> aFields = {});
-// Writes what the output takes without waiting; call it at least each 100 ms.
+// Writes what the output takes without waiting. Call it when it is wanted, and
+// each 100 ms as long as the output takes nothing.
 void Flush();
 // Writes what the output takes within a short time, before the process ends.
 void Stop();
--- a/tests/eventlog/EventLogTest.cpp
+++ b/tests/eventlog/EventLogTest.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST_SUITE(EventLogTest);
   CPPUNIT_TEST(testLineIsJson);
   CPPUNIT_TEST(testEventIsBounded);
+  CPPUNIT_TEST(testFlushIsWantedOncePerBatch);
   CPPUNIT_TEST(testFullPipeCostsLinesNotTime);
   CPPUNIT_TEST_SUITE_END();
 
@@ -61,6 +62,21 @@
     CPPUNIT_ASSERT(ReadCounters().overBudget >= 80);
   }
 
+  // A process that is killed must not take the lines of its last 100 ms along.
+  void testFlushIsWantedOncePerBatch() {
+    int wanted = 0;
+    Settings settings;
+    settings.output = this->ends[1];
+    settings.flushWanted = [&wanted] { ++wanted; };
+    Start(settings);
+    Write("first");
+    Write("second");
+    CPPUNIT_ASSERT_EQUAL(1, wanted);
+    Flush();
+    Write("third");
+    CPPUNIT_ASSERT_EQUAL(2, wanted);
+  }
+
   // Nobody reads: neither writing nor flushing may wait.
   void testFullPipeCostsLinesNotTime() {
     const TimePoint begin = net::Now();
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -62,6 +62,9 @@
             def do_POST(self):
                 length = int(self.headers.get("Content-Length", 0))
                 body = json.loads(self.rfile.read(length))
+                if worker.stopped:
+                    self.close_connection = True
+                    return
                 status, answer = worker.handle(self.path, body)
                 answer.update(clockMs=worker.clock_ms(), born=worker.born)
                 data = json.dumps(answer).encode()
@@ -80,6 +83,12 @@
         for target in (self.server.serve_forever, self.beat, self.work):
             threading.Thread(target=target, daemon=True).start()
 
+    def die(self):
+        """Answers and announces nothing any more."""
+        self.stopped = True
+        self.server.shutdown()
+        self.server.server_close()
+
     def clock_ms(self):
         return 1 + int((time.monotonic() - self.began) * 1000)
 
