--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -13,11 +13,30 @@
 constexpr double kUsableShare = 0.9;
 constexpr double kMaxRetrySeconds = 8;
 constexpr double kMsPerSecond = 1000;
+// Of all processors, what lasting tasks may reserve.
+constexpr double kLastingShare = 0.84;
+
+std::uint32_t RetryAfter(double aSeconds, Random& aRandom) {
+  const double spread = 0.5 + NextUnit(aRandom);
+  return static_cast<std::uint32_t>(
+      std::ceil(std::clamp(aSeconds * spread, 1.0, kMaxRetrySeconds)));
+}
+
+bool HasRoomToLast(const AdmissionView& aView) {
+  return aView.jobLastingMilli <= 0 || aView.workersMilli <= 0 ||
+         aView.lastingMilli + aView.jobLastingMilli <=
+             aView.workersMilli * kLastingShare;
+}
 
 }  // namespace
 
 AdmissionDecision DecideAdmission(const AdmissionView& aView, Random& aRandom) {
   AdmissionDecision decision;
+  if (!HasRoomToLast(aView)) {
+    decision.accepted = false;
+    decision.retryAfterSeconds = RetryAfter(kMaxRetrySeconds, aRandom);
+    return decision;
+  }
   if (aView.lasting || aView.capacityMilli <= 0) {
     return decision;
   }
@@ -30,9 +49,7 @@
   }
   decision.accepted = false;
   const double excessSeconds = (decision.expectedMs - usefulMs) / kMsPerSecond;
-  const double spread = 0.5 + NextUnit(aRandom);
-  decision.retryAfterSeconds = static_cast<std::uint32_t>(
-      std::ceil(std::clamp(excessSeconds * spread, 1.0, kMaxRetrySeconds)));
+  decision.retryAfterSeconds = RetryAfter(excessSeconds, aRandom);
   return decision;
 }
 
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -15,9 +15,13 @@
   double jobWork = 0;        // of the new job
   double chainMs = 0;        // its longest chain of run times
   double objectiveMs = 0;    // after which it is late
+  // It has no end, or starts again and again.
   bool lasting = false;
-  // No worker in contact could ever hold one of its tasks.
-  bool tooLarge = false;
+  // Processors that its lasting tasks reserve, that those of accepted jobs do,
+  // and that all workers have.
+  double jobLastingMilli = 0;
+  double lastingMilli = 0;
+  double workersMilli = 0;
 };
 
 struct AdmissionDecision {
@@ -32,6 +36,10 @@
 // refused at once, so that the accepted ones still end in time. Retry-After
 // follows from the time that the backlog takes to drain, with a random part so
 // that refused callers don't return together.
+//
+// Answers lasting jobs that come one after the other and never end: once they
+// reserve nearly all processors, no short job finds room, and the next lasting
+// one would not run either. It is refused from there on.
 AdmissionDecision DecideAdmission(const AdmissionView& aView, Random& aRandom);
 
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -155,6 +155,8 @@
 struct Lanes {
   Lane reserving;
   Lane filling;
+  double lastingMilli = 0;  // reserved by lasting tasks, placed or not
+  double workersMilli = 0;  // of all workers that stay
 };
 
 // An attempt whose start was never answered and that was given up.
--- a/src/bramleypath/workflow/internal/Lanes.cpp
+++ b/src/bramleypath/workflow/internal/Lanes.cpp
@@ -35,10 +35,13 @@
                       const Occurrence& aOccurrence, Lanes& aLanes) {
   for (std::size_t stage = 0; stage < aOccurrence.stages.size(); ++stage) {
     const StageSpec& spec = aJob.spec.stages[stage];
+    const StageState& state = aOccurrence.stages[stage];
     if (spec.lasting) {
+      aLanes.lastingMilli +=
+          (state.waiting + state.placed) *
+          static_cast<double>(Reservation(spec).processorsMilli);
       continue;
     }
-    const StageState& state = aOccurrence.stages[stage];
     // An attempt under way is half done on average.
     const double tasks = state.waiting + state.placed / 2.0;
     Lane& lane = spec.filler ? aLanes.filling : aLanes.reserving;
@@ -53,6 +56,12 @@
   double capacity = 0;
   double lasting = 0;
   double filling = 0;
+  for (const auto& [number, worker] : aState.workers) {
+    if (!worker.spec.draining) {
+      aLanes.workersMilli +=
+          static_cast<double>(worker.spec.capacity.processorsMilli);
+    }
+  }
   for (std::size_t index = 0; index < aHosts.views.size(); ++index) {
     if (aHosts.views[index].excluded) {
       continue;
@@ -85,6 +94,10 @@
   bool fills = false;
   for (const StageSpec& stage : aSpec.stages) {
     view.lasting = view.lasting || stage.lasting;
+    if (stage.lasting) {
+      view.jobLastingMilli +=
+          stage.tasks * static_cast<double>(Reservation(stage).processorsMilli);
+    }
     fills = fills || stage.filler;
     view.jobWork += stage.tasks *
                     static_cast<double>(stage.demand.processorsMilli) *
@@ -93,6 +106,8 @@
   view.lasting = view.lasting || aSpec.repetitions > 0;
   view.chainMs = detail::ChainMs(aScheduler, aSpec);
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
+  view.lastingMilli = aScheduler.lanes.lastingMilli;
+  view.workersMilli = aScheduler.lanes.workersMilli;
   const Lane& lane =
       fills ? aScheduler.lanes.filling : aScheduler.lanes.reserving;
   view.backlogWork = lane.backlogWork;
