Hold a worker again after a list with both a pending and a new end

Cause: a hold answer that listed a new end and one whose commit was under way set seenProposed, and then cleared the acknowledgement that resets it. The worker was never held again by that leader: its lease ran out there, its tasks were killed, stops were answered and led to nothing, and lease_over never came, since that needs a missed hold. Typical: a worker that was cut off, whose tasks' ends are being committed, comes back with other ends.

Change: the three cases exclude each other. testWorkerIsHeldWhileAnEndIsPending failed before: the job never completed.

--- a/src/bramleypath/workflow/internal/HoldAnswers.cpp
+++ b/src/bramleypath/workflow/internal/HoldAnswers.cpp
@@ -284,16 +284,15 @@
       worker != aState.workers.end() && !worker->second.attempts.empty();
   contact.holdAt = busy ? aNow : aNow + kIdleAcknowledgeDelay;
   Commit commit;
-  if (!changes.ends.tasks.empty()) {
+  if (changes.endPending) {
+    // Acknowledged only once that commit has ended.
+    contact.holdAt = aNow + kHoldRetry;
+  } else if (changes.ends.tasks.empty()) {
+    contact.lastSeen = newest;
+  } else {
     contact.seenProposed = true;
     commit.acknowledgedWorker = contact.worker;
     commit.acknowledgedEnd = newest;
-  } else if (!changes.endPending) {
-    contact.lastSeen = newest;
-  }
-  if (changes.endPending) {
-    commit.acknowledgedWorker = 0;
-    contact.holdAt = aNow + kHoldRetry;
   }
   AddCommit(changes, std::move(commit), actions);
   return actions;
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -45,6 +45,7 @@
   CPPUNIT_TEST(testStalledTaskIsRestarted);
   CPPUNIT_TEST(testIdleWorkerIsNotAsked);
   CPPUNIT_TEST(testIdleWorkerThatWasCutIsUsedAgain);
+  CPPUNIT_TEST(testWorkerIsHeldWhileAnEndIsPending);
   CPPUNIT_TEST(testTicketsAreAskedForOnceAndUsed);
   CPPUNIT_TEST(testQueueSummaryNamesTheOldestJob);
   CPPUNIT_TEST(testDispatchPassOverALargeCell);
@@ -189,6 +190,23 @@
   }
 
   // A start without the stage's ticket is rejected, and asking costs time.
+  // A worker that comes back lists an end that is being committed already (its
+  // lease was taken as over) beside one that is new. It was never asked again,
+  // and its tasks stayed with it for as long as the leader led.
+  void testWorkerIsHeldWhileAnEndIsPending() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeJob("job"));
+    cell.Run(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.scheduler->attempts.size());
+    auto& pending = cell.scheduler->attempts.begin()->second;
+    pending.endProposed = true;
+    cell.Run(Seconds(1));
+    // That commit failed.
+    pending.endProposed = false;
+    cell.Run(Seconds(1));
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+  }
+
   void testTicketsAreAskedForOnceAndUsed() {
     CellModel cell = MakeCell(4);
     cell.allowed = {"w2"};
