Drop a leader hint that names the host itself

Cause: a leader that lost its disk asked the others who leads, was told its own name, and from then on announced itself to itself, which renewed the hint for as long as it ran. It never reached the leader that followed it, so its new identity was not added, and the next lost disk left no quorum.

Change: hints are kept by TakeHint, which drops the host's own name; a host knows without one whether it leads.

--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -25,7 +25,6 @@
 constexpr Duration kDeadAfter = Seconds(3);
 constexpr Duration kChangeTimeout = Seconds(2);
 constexpr Duration kAnnounceTimeout = Millis(800);
-constexpr Duration kHeardLeaderLife = Seconds(2);
 // The disks are small; a snapshot empties old segments.
 constexpr std::uint64_t kSegmentBytes = 4ULL * 1024 * 1024;
 constexpr std::uint64_t kReserveBytes = 12ULL * 1024 * 1024;
@@ -279,7 +278,7 @@
   if (!hint.empty()) {
     return storage::HostOf(hint);
   }
-  return net::Now() < this->heardLeaderUntil ? this->heardLeader : HostId();
+  return HintedLeader(this->leaderHint, net::Now());
 }
 
 GroupView ControlGroup::View() const {
@@ -359,10 +358,7 @@
       this->learnedHosts = view->hosts;
       this->UpdatePeers();
     }
-    if (!view->leader.empty()) {
-      this->heardLeader = view->leader;
-      this->heardLeaderUntil = net::Now() + kHeardLeaderLife;
-    }
+    TakeHint(this->leaderHint, this->settings.self, view->leader, net::Now());
   });
 }
 
--- a/src/bramleypath/controller/ControlGroup.h
+++ b/src/bramleypath/controller/ControlGroup.h
@@ -10,6 +10,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "bramleypath/controller/LeaderHint.h"
 #include "bramleypath/controller/MemberPlan.h"
 #include "bramleypath/group/Replica.h"
 #include "bramleypath/net/HttpClient.h"
@@ -120,8 +121,7 @@
   std::map<HostId, Heard> heard;
   std::map<consensus::ReplicaId, TimePoint> reachableAt;
   TimePoint leadingSince;
-  HostId heardLeader;
-  TimePoint heardLeaderUntil;
+  LeaderHint leaderHint;
   std::vector<HostId> learnedHosts;
   TimePoint announceAt;
   TimePoint reconcileAt;
