Refuse a job body over the configured limit with 413, and test the relay

The configuration's maxBodyBytes was not read: a larger body was decoded.

The relay had no tests: RelayTest covers the answer that is passed on, the named leader, refusals after a lost answer as a table (429 and 503 become 504, since the first attempt may still arrive), and nobody in reach (503 with Retry-After within 2.6 s).

--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -88,6 +88,8 @@
   std::uint64_t version = 0;
   std::vector<QueueSettings> queues;
   std::vector<ServiceId> services;
+  // Longest body of a submitted job; 0: no limit.
+  std::uint64_t maxJobBytes = 0;
   // The configuration as its operator sent it, for reading it back.
   std::string document;
 };
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -75,6 +75,7 @@
   aVisitor.Required("v", aLayout.version);
   aVisitor.Required("queues", aLayout.queues);
   aVisitor.Required("services", aLayout.services);
+  aVisitor.Optional("max_job", aLayout.maxJobBytes);
   aVisitor.Required("doc", aLayout.document);
 }
 
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -23,7 +23,7 @@
   return Json::parse(R"({"version":7,"routes":[{"name":"r","host":"h",
     "pathPrefix":"/p/","timeoutMs":3000,"targetDurationMs":250,"priority":2,
     "service":"s","maxAttempts":4,"stretch":1.5}],"services":[{"name":"s"}],
-    "limits":{}})");
+    "limits":{"maxBodyBytes":262144}})");
 }
 
 Json JobBody() {
@@ -145,6 +145,7 @@
     CPPUNIT_ASSERT_MESSAGE(reason, read.has_value());
     CPPUNIT_ASSERT_EQUAL(std::uint64_t{7}, read->version);
     CPPUNIT_ASSERT_EQUAL(1500U, read->queues.at(0).stretchMilli);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{262144}, read->maxJobBytes);
     CPPUNIT_ASSERT_EQUAL(body, read->document);
   }
 
--- a/tests/process/platform_path.py
+++ b/tests/process/platform_path.py
@@ -21,7 +21,7 @@
 
 from deployment import Failed, free_port, wait_for  # noqa: E402
 from link import MODES  # noqa: E402
-from platform_standin import Ledger, Node, Worker, call, call_control, layout  # noqa: E402,E501
+from platform_standin import MAX_JOB_BYTES, Ledger, Node, Worker, call, call_control, layout  # noqa: E402,E501
 
 HOST = "a.example"
 CONTROLLERS = 3
@@ -121,6 +121,9 @@
     wait_for("the job completes", lambda: cell.state("a1") == "completed")
     if cell.submit("a1") != 200 or cell.ledger.starts != 4:
         raise Failed(f"a resent job ran again: {cell.ledger.starts} starts")
+    large = {**job(1), "specification": "x" * MAX_JOB_BYTES}
+    if cell.ask("POST", "large", large)[0] != 413:
+        raise Failed("a body over the configured limit is not refused")
     if cell.ask("GET", "ffff")[0] != 410:
         raise Failed("a job that nobody handed in is known")
     if call(cell.fronts[0].frontend, "GET", "/other/1", None, HOST)[0] != 404:
--- /dev/null
+++ b/tests/relay/RelayTest.cpp
@@ -0,0 +1,222 @@
+#include "bramleypath/relay/Relay.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "bramleypath/net/Clock.h"
+#include "tests/net/Loop.h"
+
+namespace bramleypath::relay {
+
+namespace {
+
+using net_test::RunUntil;
+
+const HostId kFirst("127.0.0.2");
+const HostId kSecond("127.0.0.3");
+constexpr const char* kFrontAddress = "127.0.0.1:0";
+constexpr const char* kDeadlineHeader = "Wait-Ms";
+
+net::HttpResponse Respond(std::uint32_t aStatus, const std::string& aBody) {
+  net::HttpResponse response;
+  response.status = aStatus;
+  response.body = aBody;
+  return response;
+}
+
+net::HttpResponse NotLeader(const HostId& aNamed) {
+  net::HttpResponse response = Respond(kNotLeaderStatus, "{}");
+  response.headers.push_back({kNotLeaderHeader, aNamed.value});
+  return response;
+}
+
+// A host of the control plane that answers as a test decides. Requests for the
+// view of the group stay unanswered, so that only callers' requests tell.
+class ControlHost {
+ public:
+  // The answer to the request with this number from 0; none: it is read and
+  // never answered.
+  using Answers =
+      std::function<std::optional<net::HttpResponse>(std::size_t aNumber)>;
+
+  ControlHost(asio::io_context& aContext, const std::string& aAddress,
+              Answers aAnswers)
+      : answers(std::move(aAnswers)),
+        listener(aContext, aAddress, net::HttpLimits(),
+                 [this](const net::HttpRequest& aRequest,
+                        const net::HttpResponder& aResponder) {
+                   this->Handle(aRequest, aResponder);
+                 }) {
+    net::NetReason reason;
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, this->listener.Open(reason));
+  }
+
+  std::uint16_t Port() const {
+    std::string ip;
+    std::uint16_t port = 0;
+    net::SplitAddress(this->listener.BoundAddress(), ip, port);
+    return port;
+  }
+
+  std::vector<net::HttpRequest> requests;
+
+ private:
+  void Handle(const net::HttpRequest& aRequest,
+              const net::HttpResponder& aResponder) {
+    if (aRequest.path != controller::kGroupPath) {
+      this->requests.push_back(aRequest);
+      const auto answer = this->answers(this->requests.size() - 1);
+      if (answer) {
+        aResponder.Send(*answer);
+        return;
+      }
+    }
+    this->unanswered.push_back(aResponder);
+  }
+
+  Answers answers;
+  std::vector<net::HttpResponder> unanswered;
+  net::HttpListener listener;
+};
+
+// A front with a relay, and a caller.
+class Front {
+ public:
+  Front(asio::io_context& aContext, std::vector<HostId> aSeeds,
+        std::uint16_t aControlPort)
+      : context(aContext),
+        client(aContext, net::HttpClientLimits()),
+        relay(aContext, {std::move(aSeeds), aControlPort, kDeadlineHeader},
+              this->client),
+        listener(
+            aContext, kFrontAddress, net::HttpLimits(),
+            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
+              this->relay.Handle(std::move(aRequest), std::move(aResponder));
+            }) {
+    net::NetReason reason;
+    CPPUNIT_ASSERT_MESSAGE(reason.detail, this->listener.Open(reason));
+  }
+
+  net::ClientResult Call(const std::string& aPath) {
+    std::optional<net::ClientResult> result;
+    net::ClientRequest request;
+    request.address = this->listener.BoundAddress();
+    request.path = aPath;
+    request.body = "{}";
+    this->client.Send(std::move(request), [&result](net::ClientResult aResult) {
+      result = std::move(aResult);
+    });
+    CPPUNIT_ASSERT(
+        RunUntil(this->context, [&result] { return result.has_value(); }));
+    return *result;
+  }
+
+  asio::io_context& context;
+  net::HttpClient client;
+  Relay relay;
+  net::HttpListener listener;
+};
+
+// What became of a first attempt that was read and never answered, by the
+// answer to the second one.
+struct LostAnswerCase {
+  std::uint32_t second;
+  std::uint32_t expected;
+};
+
+const LostAnswerCase kLostAnswers[] = {
+    {200, 200},  // the leader knows the id
+    {410, 410},
+    {429, 504},  // the first attempt may still arrive and be accepted
+    {503, 504},
+};
+
+}  // namespace
+
+class RelayTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(RelayTest);
+  CPPUNIT_TEST(testAnswerIsPassedOn);
+  CPPUNIT_TEST(testNamedLeaderIsAsked);
+  CPPUNIT_TEST(testRefusalAfterALostAnswer);
+  CPPUNIT_TEST(testNobodyInReach);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  void testAnswerIsPassedOn() {
+    ControlHost host(this->context, kFirst.value + ":0", [](std::size_t) {
+      net::HttpResponse response = Respond(429, "later");
+      response.headers.push_back({"Retry-After", "4"});
+      return response;
+    });
+    Front front(this->context, {kFirst}, host.Port());
+    const net::ClientResult result = front.Call("/jobs/1");
+    CPPUNIT_ASSERT_EQUAL(429U, result.response.status);
+    CPPUNIT_ASSERT_EQUAL(std::string("later"), result.response.body);
+    const std::string* const retry =
+        net::FindHeader(result.response.headers, "Retry-After");
+    CPPUNIT_ASSERT(retry && *retry == "4");
+    CPPUNIT_ASSERT_EQUAL(std::string("/jobs/1"), host.requests.at(0).path);
+    CPPUNIT_ASSERT(net::FindHeader(host.requests[0].headers, kHostHeader));
+    CPPUNIT_ASSERT(front.relay.HearsLeader(net::Now()));
+  }
+
+  void testNamedLeaderIsAsked() {
+    ControlHost follower(this->context, kFirst.value + ":0",
+                         [](std::size_t) { return NotLeader(kSecond); });
+    ControlHost leader(this->context,
+                       kSecond.value + ":" + std::to_string(follower.Port()),
+                       [](std::size_t) { return Respond(200, "done"); });
+    Front front(this->context, {kFirst}, follower.Port());
+    CPPUNIT_ASSERT_EQUAL(200U, front.Call("/jobs/1").response.status);
+    CPPUNIT_ASSERT_EQUAL(200U, front.Call("/jobs/2").response.status);
+    // Once it is known, it is asked first.
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, follower.requests.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, leader.requests.size());
+  }
+
+  // "Not run" must be true: after a lost answer a refusal says nothing.
+  void testRefusalAfterALostAnswer() {
+    for (const LostAnswerCase& one : kLostAnswers) {
+      ControlHost host(
+          this->context, kFirst.value + ":0",
+          [&one](std::size_t aNumber) -> std::optional<net::HttpResponse> {
+            if (aNumber == 0) {
+              return std::nullopt;
+            }
+            return Respond(one.second, "{}");
+          });
+      Front front(this->context, {kFirst}, host.Port());
+      CPPUNIT_ASSERT_EQUAL(one.expected, front.Call("/jobs/1").response.status);
+    }
+  }
+
+  // Nothing was sent to anyone, so that the caller may be told so.
+  void testNobodyInReach() {
+    std::uint16_t unusedPort = 0;
+    {
+      const ControlHost gone(this->context, kFirst.value + ":0",
+                             [](std::size_t) { return std::nullopt; });
+      unusedPort = gone.Port();
+    }
+    Front front(this->context, {kFirst, kSecond}, unusedPort);
+    const TimePoint begin = net::Now();
+    const net::ClientResult result = front.Call("/jobs/1");
+    CPPUNIT_ASSERT_EQUAL(503U, result.response.status);
+    CPPUNIT_ASSERT(net::FindHeader(result.response.headers, "Retry-After"));
+    // Callers wait 3 s at most and need time to try another front.
+    CPPUNIT_ASSERT(net::Now() - begin < Millis(2600));
+    CPPUNIT_ASSERT(!front.relay.HearsLeader(net::Now()));
+  }
+
+ private:
+  asio::io_context context;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(RelayTest);
+
+}  // namespace bramleypath::relay
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -14,6 +14,7 @@
 
 MAX_LEASE_MS = 6000
 HEARTBEAT_S = 0.5
+MAX_JOB_BYTES = 20000
 
 
 class Ledger:
@@ -228,7 +229,7 @@
                         "timeoutMs": 3000, "targetDurationMs": 1000,
                         "priority": 0, "service": "ledger", "maxAttempts": 4,
                         "stretch": 20.0}],
-            "services": [{"name": "ledger"}], "limits": {}}
+            "services": [{"name": "ledger"}], "limits": {"maxBodyBytes": MAX_JOB_BYTES}}
 
 
 class Node(Process):
