--- a/src/bramleypath/workflow/internal/Hosts.cpp
+++ b/src/bramleypath/workflow/internal/Hosts.cpp
@@ -94,10 +94,9 @@
   aView.harm = harm + std::max(0.0, processors - left) / processors;
 }
 
-// A serving task is disturbed by the fillers there. Tasks of one job share a
-// worker where they may, since their load rises and falls together and leaves
-// the worker to fillers in between; tasks of one image leave other workers to
-// the fillers that they can't bear.
+// A serving task is disturbed by the fillers there. Tasks of one image share
+// workers, which leaves others to the fillers that they can't bear. Tasks of
+// one job avoid each other a little, since their load rises and falls together.
 void RateForServing(Scheduler& aScheduler, JobNumber aJob,
                     const StageSpec& aStage, const Neighbours& aNeighbours,
                     HostView& aView) {
@@ -116,20 +115,6 @@
   aView.harm = harm + (hasSameJob ? kSameJobHarm : 0);
 }
 
-}  // namespace
-
-void RateHost(Scheduler& aScheduler, JobNumber aJob, const StageSpec& aStage,
-              const Neighbours& aNeighbours, bool aRelaxed, HostView& aView) {
-  aView.harm = 0;
-  if (aStage.filler) {
-    RateForFiller(aScheduler, aStage, aNeighbours, aRelaxed, aView);
-  } else if (aStage.tailTargetMs > 0) {
-    RateForServing(aScheduler, aJob, aStage, aNeighbours, aView);
-  }
-}
-
-namespace {
-
 // A reported level lags behind fillers that have just come.
 void RaiseToExpected(const Scheduler& aScheduler, Neighbours& aNeighbours) {
   for (ServingTask& serving : aNeighbours.serving) {
@@ -160,6 +145,16 @@
 
 }  // namespace
 
+void RateHost(Scheduler& aScheduler, JobNumber aJob, const StageSpec& aStage,
+              const Neighbours& aNeighbours, bool aRelaxed, HostView& aView) {
+  aView.harm = 0;
+  if (aStage.filler) {
+    RateForFiller(aScheduler, aStage, aNeighbours, aRelaxed, aView);
+  } else if (aStage.tailTargetMs > 0) {
+    RateForServing(aScheduler, aJob, aStage, aNeighbours, aView);
+  }
+}
+
 Hosts CollectHosts(Scheduler& aScheduler, const State& aState, TimePoint aNow) {
   Hosts hosts;
   for (const auto& [number, worker] : aState.workers) {
