--- a/bench/workflow/DispatchBench.cpp
+++ b/bench/workflow/DispatchBench.cpp
@@ -93,7 +93,8 @@
     const JobNumber job = cell.Accept(serving);
     PlaceTasks places;
     for (std::uint32_t index = 0; index < kServingPerWorker; ++index) {
-      places.tasks.push_back({TaskKey{job, 0, 0, index}, 1, worker + 1});
+      places.tasks.push_back({TaskKey{job, 0, 0, index}, 1,
+                              static_cast<WorkerNumber>(worker + 1)});
     }
     Apply(cell.state, places);
   }
