Let only announcements of this leadership replace an identity

Found by reading the change: a host that leads again still holds the identities that it heard in its first time. With such an announcement counted, the plan for a voter that has lost its disk and joined again under another leader is 'add 3/initial', a learner that nobody answers for, and after it the removal of the live identity, until the host announces itself. testAnnouncementOfAnEarlierLeadership plans that case and fails when the announcement is counted.

--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -378,7 +378,7 @@
     host.identity = consensus::ReplicaId(entry.announcement.identity);
     host.dataCentre = entry.announcement.dataCentre;
     host.alive = this->IsAlive(host.identity, entry.at, aNow);
-    host.announced = true;
+    host.announced = IsNewest(entry.at, this->leadingSince);
     known.insert(host.identity);
     hosts.push_back(std::move(host));
   }
--- a/src/bramleypath/controller/MemberPlan.cpp
+++ b/src/bramleypath/controller/MemberPlan.cpp
@@ -72,6 +72,10 @@
 
 }  // namespace
 
+bool IsNewest(TimePoint aHeardAt, TimePoint aLeadingSince) {
+  return aHeardAt >= aLeadingSince;
+}
+
 std::optional<MemberChange> PlanMembers(const Membership& aMembership,
                                         const std::vector<KnownHost>& aHosts,
                                         std::uint32_t aTolerated) {
--- a/src/bramleypath/controller/MemberPlan.h
+++ b/src/bramleypath/controller/MemberPlan.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "bramleypath/base/Ids.h"
+#include "bramleypath/base/TimePoint.h"
 #include "bramleypath/consensus/Types.h"
 
 namespace bramleypath::controller {
@@ -20,6 +21,11 @@
   bool announced = false;
 };
 
+// Whether an announcement tells the host's newest identity. One that was heard
+// before this leadership may be older than what another leader has heard since:
+// the host may have lost its disk and joined again meanwhile.
+bool IsNewest(TimePoint aHeardAt, TimePoint aLeadingSince);
+
 enum class MemberStep : std::uint8_t { AddLearner, Promote, Remove };
 
 struct MemberChange {
--- a/tests/controller/MemberPlanTest.cpp
+++ b/tests/controller/MemberPlanTest.cpp
@@ -156,9 +156,27 @@
 class MemberPlanTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(MemberPlanTest);
   CPPUNIT_TEST(testPlans);
+  CPPUNIT_TEST(testAnnouncementOfAnEarlierLeadership);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // A host that leads again remembers identities of its first time. A voter
+  // that lost its disk in between would be removed for its former identity.
+  void testAnnouncementOfAnEarlierLeadership() {
+    const TimePoint leadingSince{5000 * 1000};
+    CPPUNIT_ASSERT(!IsNewest(TimePoint{4999 * 1000}, leadingSince));
+    CPPUNIT_ASSERT(IsNewest(TimePoint{5001 * 1000}, leadingSince));
+    KnownHost former = MakeHost("3", "c", true);
+    former.announced = IsNewest(TimePoint{1000 * 1000}, leadingSince);
+    const std::vector<KnownHost> hosts = {MakeHost("1", "a", true),
+                                          MakeHost("2", "b", true), former};
+    CPPUNIT_ASSERT_EQUAL(
+        std::string(),
+        ToText(
+            PlanMembers(MakeMembership({"1/initial", "2/initial", "3/new"}, {}),
+                        hosts, 1)));
+  }
+
   void testPlans() {
     for (const PlanCase& one : kPlans) {
       CPPUNIT_ASSERT_EQUAL_MESSAGE(
