Count a stop from its first acknowledgement

Cause: an attempt whose start was not answered is given up once a hold that was sent after the acknowledged stop does not list it. Each repeat of the stop, 2 s after the last, moved that acknowledgement on, and a hold that waits 2 s is sent just before the repeat is acknowledged: the two ran in step, and the task was waited for without end ("stopping ... start unanswered" each 2.056 s).

The earlier fault with the same sign (hold after a pending end) was another one. Change: the first acknowledgement holds. testRepeatedStopDoesNotPutItsEndOff failed before.

--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -443,7 +443,9 @@
   }
   attempt->stopInFlight = false;
   if (aAnswer.outcome == OrderOutcome::Done) {
-    attempt->stoppedAt = aNow;
+    // The first acknowledgement holds; repeats come as often as long holds are
+    // answered and would put the end off for ever.
+    attempt->stoppedAt = attempt->stoppedAt.value_or(aNow);
     attempt->stopAt = aNow + detail::kStopRepeat;
   } else {
     attempt->stopAt = aNow + detail::kStopRetry;
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -77,6 +77,7 @@
   CPPUNIT_TEST(testIdleWorkerIsNotAsked);
   CPPUNIT_TEST(testIdleWorkerThatWasCutIsUsedAgain);
   CPPUNIT_TEST(testWorkerIsHeldWhileAnEndIsPending);
+  CPPUNIT_TEST(testRepeatedStopDoesNotPutItsEndOff);
   CPPUNIT_TEST(testTicketsAreAskedForOnceAndUsed);
   CPPUNIT_TEST(testQueueSummaryNamesTheOldestJob);
   CPPUNIT_TEST(testLostPacesAreSentAgain);
@@ -243,6 +244,35 @@
     CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
   }
 
+  // Stops are repeated as often as a long hold is answered. Counted from the
+  // newest acknowledgement, no hold was ever sent after it, and a task that the
+  // worker did not know was waited for without end.
+  void testRepeatedStopDoesNotPutItsEndOff() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeJob("job"));
+    cell.Run(Millis(100));
+    Scheduler& scheduler = *cell.scheduler;
+    const TaskKey key = scheduler.attempts.begin()->first;
+    const Attempt& attempt = scheduler.attempts.begin()->second;
+    SendStop stop;
+    stop.worker = attempt.worker;
+    stop.task = key;
+    stop.order.attempt = attempt.number;
+    OrderAnswer done;
+    done.outcome = OrderOutcome::Done;
+    const TimePoint first = cell.now;
+    const TimePoint sentAt = first + Millis(10);
+    OnStopAnswer(scheduler, cell.state, stop, done, first);
+    OnStopAnswer(scheduler, cell.state, stop, done, sentAt + Millis(50));
+    HoldAnswer nothingRuns;
+    nothingRuns.order.outcome = OrderOutcome::Done;
+    SendHold hold;
+    hold.worker = attempt.worker;
+    OnHoldAnswer(scheduler, cell.state, hold, sentAt, nothingRuns,
+                 sentAt + Seconds(2));
+    CPPUNIT_ASSERT(attempt.endProposed);
+  }
+
   void testTicketsAreAskedForOnceAndUsed() {
     CellModel cell = MakeCell(4);
     cell.allowed = {"w2"};
