Compute the run times of a job's stages once in a pass

ChainMs and RemainingMs were the same longest path, one with finished stages left out, and each, like AddRemainingWork, looked every stage's learned run time up again. StageRunMs looks them up once, LongestChainMs is the one path, and the three uses take the list.

--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -347,12 +347,13 @@
   waiting.lasting = IsLasting(aJob);
   waiting.priority = queue ? queue->priority : 0;
   waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
-  const double chainMs = ChainMs(aPass.scheduler, aJob.spec);
+  const std::vector<double> runMs = StageRunMs(aPass.scheduler, aJob.spec);
+  const double chainMs = LongestChainMs(aJob.spec, runMs);
   waiting.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
   for (const auto& [number, occurrence] : aJob.occurrences) {
-    waiting.remainingMs = std::max(
-        waiting.remainingMs, RemainingMs(aPass.scheduler, aJob, occurrence));
-    AddRemainingWork(aPass.scheduler, aJob, occurrence, aPass.lanes);
+    waiting.remainingMs =
+        std::max(waiting.remainingMs, RemainingMs(aJob, occurrence, runMs));
+    AddRemainingWork(aJob, occurrence, runMs, aPass.lanes);
   }
   return Candidate{&aJob, StartRank(waiting)};
 }
--- a/src/bramleypath/workflow/internal/Hosts.h
+++ b/src/bramleypath/workflow/internal/Hosts.h
@@ -3,6 +3,8 @@
 #include <optional>
 #include <vector>
 
+#include <gsl/span>
+
 #include "bramleypath/workflow/ChooseHost.h"
 #include "bramleypath/workflow/Scheduler.h"
 
@@ -46,10 +48,11 @@
 double ProcessorsOf(const StageSpec& aStage);
 
 // Run time still to do: the longest chain of stages that are not done.
-double RemainingMs(const Scheduler& aScheduler, const Job& aJob,
-                   const Occurrence& aOccurrence);
-void AddRemainingWork(const Scheduler& aScheduler, const Job& aJob,
-                      const Occurrence& aOccurrence, Lanes& aLanes);
+// aRunMs is what a task of each stage takes (StageRunMs).
+double RemainingMs(const Job& aJob, const Occurrence& aOccurrence,
+                   gsl::span<const double> aRunMs);
+void AddRemainingWork(const Job& aJob, const Occurrence& aOccurrence,
+                      gsl::span<const double> aRunMs, Lanes& aLanes);
 // The processors that work each lane off: what lasting tasks leave to those
 // that reserve, and what fillers get at present, or could get while few run.
 void MeasureLanes(const Scheduler& aScheduler, const State& aState,
--- a/src/bramleypath/workflow/internal/Lanes.cpp
+++ b/src/bramleypath/workflow/internal/Lanes.cpp
@@ -12,27 +12,20 @@
 
 }  // namespace
 
-double RemainingMs(const Scheduler& aScheduler, const Job& aJob,
-                   const Occurrence& aOccurrence) {
-  std::vector<double> ends(aJob.spec.stages.size(), 0);
-  double longest = 0;
-  for (std::size_t stage = 0; stage < ends.size(); ++stage) {
-    const StageSpec& spec = aJob.spec.stages[stage];
-    double start = 0;
-    for (const std::uint32_t earlier : spec.after) {
-      start = std::max(start, ends[earlier]);
-    }
+double RemainingMs(const Job& aJob, const Occurrence& aOccurrence,
+                   gsl::span<const double> aRunMs) {
+  std::vector<double> leftMs(aRunMs.begin(), aRunMs.end());
+  for (std::size_t stage = 0; stage < leftMs.size(); ++stage) {
     const StageState& state = aOccurrence.stages[stage];
-    const bool done = state.done == state.tasks.size();
-    ends[stage] =
-        start + (done ? 0 : ExpectedRunMs(aScheduler, aJob.spec.queue, spec));
-    longest = std::max(longest, ends[stage]);
+    if (state.done == state.tasks.size()) {
+      leftMs[stage] = 0;
+    }
   }
-  return longest;
+  return LongestChainMs(aJob.spec, leftMs);
 }
 
-void AddRemainingWork(const Scheduler& aScheduler, const Job& aJob,
-                      const Occurrence& aOccurrence, Lanes& aLanes) {
+void AddRemainingWork(const Job& aJob, const Occurrence& aOccurrence,
+                      gsl::span<const double> aRunMs, Lanes& aLanes) {
   for (std::size_t stage = 0; stage < aOccurrence.stages.size(); ++stage) {
     const StageSpec& spec = aJob.spec.stages[stage];
     const StageState& state = aOccurrence.stages[stage];
@@ -47,7 +40,7 @@
     Lane& lane = spec.filler ? aLanes.filling : aLanes.reserving;
     lane.backlogWork += tasks *
                         static_cast<double>(spec.demand.processorsMilli) *
-                        ExpectedRunMs(aScheduler, aJob.spec.queue, spec);
+                        aRunMs[stage];
   }
 }
 
@@ -92,7 +85,9 @@
                                const QueueSettings& aQueue) {
   AdmissionView view;
   bool fills = false;
-  for (const StageSpec& stage : aSpec.stages) {
+  const std::vector<double> runMs = detail::StageRunMs(aScheduler, aSpec);
+  for (std::size_t number = 0; number < runMs.size(); ++number) {
+    const StageSpec& stage = aSpec.stages[number];
     view.lasting = view.lasting || stage.lasting;
     if (stage.lasting) {
       view.jobLastingMilli +=
@@ -101,10 +96,10 @@
     fills = fills || stage.filler;
     view.jobWork += stage.tasks *
                     static_cast<double>(stage.demand.processorsMilli) *
-                    detail::ExpectedRunMs(aScheduler, aSpec.queue, stage);
+                    runMs[number];
   }
   view.lasting = view.lasting || aSpec.repetitions > 0;
-  view.chainMs = detail::ChainMs(aScheduler, aSpec);
+  view.chainMs = detail::LongestChainMs(aSpec, runMs);
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
   view.lastingMilli = aScheduler.lanes.lastingMilli;
   view.workersMilli = aScheduler.lanes.workersMilli;
--- a/src/bramleypath/workflow/internal/RunTimes.cpp
+++ b/src/bramleypath/workflow/internal/RunTimes.cpp
@@ -28,14 +28,24 @@
   return std::sqrt(estimated * learned->second.meanMs);
 }
 
-double ChainMs(const Scheduler& aScheduler, const JobSpec& aSpec) {
+std::vector<double> StageRunMs(const Scheduler& aScheduler,
+                               const JobSpec& aSpec) {
+  std::vector<double> runMs;
+  runMs.reserve(aSpec.stages.size());
+  for (const StageSpec& stage : aSpec.stages) {
+    runMs.push_back(ExpectedRunMs(aScheduler, aSpec.queue, stage));
+  }
+  return runMs;
+}
+
+double LongestChainMs(const JobSpec& aSpec, gsl::span<const double> aStageMs) {
   std::vector<double> ends(aSpec.stages.size(), 0);
   double longest = 0;
   for (std::size_t stage = 0; stage < ends.size(); ++stage) {
     for (const std::uint32_t earlier : aSpec.stages[stage].after) {
       ends[stage] = std::max(ends[stage], ends[earlier]);
     }
-    ends[stage] += ExpectedRunMs(aScheduler, aSpec.queue, aSpec.stages[stage]);
+    ends[stage] += aStageMs[stage];
     longest = std::max(longest, ends[stage]);
   }
   return longest;
--- a/src/bramleypath/workflow/internal/SchedulerParts.h
+++ b/src/bramleypath/workflow/internal/SchedulerParts.h
@@ -2,6 +2,9 @@
 
 #include <optional>
 #include <string>
+#include <vector>
+
+#include <gsl/span>
 
 #include "bramleypath/workflow/Scheduler.h"
 
@@ -60,7 +63,11 @@
 void LearnRunTime(Scheduler& aScheduler, const State& aState,
                   const TaskKey& aKey, const Attempt& aAttempt,
                   Contact& aContact, TimePoint aNow);
-double ChainMs(const Scheduler& aScheduler, const JobSpec& aSpec);
+// Run time of one task of each stage in ms.
+std::vector<double> StageRunMs(const Scheduler& aScheduler,
+                               const JobSpec& aSpec);
+// The longest chain of stages that wait for each other, by what each takes.
+double LongestChainMs(const JobSpec& aSpec, gsl::span<const double> aStageMs);
 double ObjectiveMs(const QueueSettings& aQueue, double aChainMs);
 
 // Chooses workers for waiting tasks and commits the placements.
