Remove what the workflow roles compute or keep for nobody

OnCancelled marked the attempts of a cancelled job for a stop; WatchAttempts marks every attempt of a job that is no longer active, in the turn that follows at once. JobOrderTest's rows lose the column of the removed field, their order and assertions stay.

--- a/bench/workflow/DispatchBench.cpp
+++ b/bench/workflow/DispatchBench.cpp
@@ -117,7 +117,7 @@
     attempt.level = 0;
   }
   for (const auto& [number, worker] : aCell.state.workers) {
-    OnAnnounced(scheduler, aCell.state, number, kSteadyClockMs, aCell.now);
+    OnAnnounced(scheduler, number, kSteadyClockMs, aCell.now);
   }
   return scheduler;
 }
--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -172,9 +172,6 @@
     eventlog::Write("leadership_lost", {{"epoch", std::to_string(aTerm)}});
     this->callbacks.lost(aTerm);
   };
-  replicaCallbacks.applied = [this](consensus::LogIndex /*aIndex*/) {
-    this->callbacks.applied();
-  };
   replicaCallbacks.membershipChanged =
       [this](const consensus::Membership& aMembership) {
         std::string voters;
--- a/src/bramleypath/controller/ControlGroup.h
+++ b/src/bramleypath/controller/ControlGroup.h
@@ -37,7 +37,6 @@
 struct GroupCallbacks {
   std::function<void(consensus::Term)> gained;
   std::function<void(consensus::Term)> lost;
-  std::function<void()> applied;
   std::function<void(const std::string& aReason)> failed;
 };
 
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -73,7 +73,6 @@
   GroupCallbacks callbacks;
   callbacks.gained = [this](consensus::Term aTerm) { this->OnGained(aTerm); };
   callbacks.lost = [this](consensus::Term /*aTerm*/) { this->OnLost(); };
-  callbacks.applied = [] {};
   callbacks.failed = std::move(aFailed);
   this->group = std::make_unique<ControlGroup>(
       aContext, aGroup, aClient, this->machine, std::move(callbacks));
@@ -271,12 +270,6 @@
     }
     ++this->counters.cancelled;
     eventlog::Write("job_cancelled", {{"job", aJob.value}});
-    const workflow::Job* const job =
-        workflow::FindJob(this->State(), aJob.value);
-    if (job) {
-      workflow::OnCancelled(*this->scheduler, this->State(), job->number,
-                            net::Now());
-    }
     this->scheduler->dispatchWanted = true;
     this->WantTurn();
   });
@@ -329,8 +322,8 @@
       workflow::FindWorker(this->State(), aWorker.id.value);
   if (!IsNews(known, aWorker)) {
     if (known->spec.bornUnixMs == aWorker.bornUnixMs) {
-      workflow::OnAnnounced(*this->scheduler, this->State(), known->number,
-                            aClockMs, net::Now());
+      workflow::OnAnnounced(*this->scheduler, known->number, aClockMs,
+                            net::Now());
       if (this->scheduler->dispatchWanted) {
         this->WantTurn();
       }
@@ -365,8 +358,7 @@
                          {"draining", spec.draining ? "true" : "false"}});
         const TimePoint now = net::Now();
         workflow::OnStateChanged(*this->scheduler, this->State(), now);
-        workflow::OnAnnounced(*this->scheduler, this->State(), worker->number,
-                              aClockMs, now);
+        workflow::OnAnnounced(*this->scheduler, worker->number, aClockMs, now);
         this->WantTurn();
       });
 }
--- a/src/bramleypath/workflow/JobOrder.h
+++ b/src/bramleypath/workflow/JobOrder.h
@@ -7,10 +7,9 @@
 // What decides a job's place among those that wait.
 struct WaitingJob {
   bool lasting = false;
-  std::int32_t priority = 0;  // 0 comes first
-  double ageMs = 0;           // since its acceptance
-  double objectiveMs = 0;     // after which it is late
-  double remainingMs = 0;     // longest chain of run times still to do
+  double ageMs = 0;        // since its acceptance
+  double objectiveMs = 0;  // after which it is late
+  double remainingMs = 0;  // longest chain of run times still to do
 };
 
 // Order of waiting jobs under a backlog; smaller starts first. Lasting jobs
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -28,7 +28,7 @@
     }
     const std::int64_t due =
         job.spec.firstRunUnixMs + job.opened * job.spec.intervalMs;
-    if (aUnixMs < due + ToMillis(aScheduler.settings.occurrenceSlack)) {
+    if (aUnixMs < due) {
       continue;
     }
     aScheduler.opening.insert(number);
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -26,8 +26,6 @@
   Duration announceInterval = Millis(1500);
   // Run time in another rack than that of the data, as a factor.
   double farFactor = 1;
-  // Occurrences start no sooner than their time by the median clock.
-  Duration occurrenceSlack = Millis(0);
 };
 
 // The leader's view of one attempt that may be running.
@@ -199,12 +197,10 @@
                         TimePoint aNow);
 
 // A worker announced itself. aClockMs is its steady clock, 0 if not given.
-void OnAnnounced(Scheduler& aScheduler, const State& aState,
-                 WorkerNumber aWorker, std::int64_t aClockMs, TimePoint aNow);
+void OnAnnounced(Scheduler& aScheduler, WorkerNumber aWorker,
+                 std::int64_t aClockMs, TimePoint aNow);
 // The replicated state changed through other commands than the scheduler's.
 void OnStateChanged(Scheduler& aScheduler, const State& aState, TimePoint aNow);
-void OnCancelled(Scheduler& aScheduler, const State& aState, JobNumber aJob,
-                 TimePoint aNow);
 
 // The commit of a batch has ended; aOk when it is applied.
 SchedulerActions OnCommitted(Scheduler& aScheduler, const State& aState,
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -299,27 +299,6 @@
 
 }  // namespace
 
-void OnCancelled(Scheduler& aScheduler, const State& aState, JobNumber aJob,
-                 TimePoint aNow) {
-  const auto job = aState.jobs.find(aJob);
-  if (job == aState.jobs.end() || job->second.placed == 0) {
-    return;
-  }
-  for (const auto& [occurrenceNumber, occurrence] : job->second.occurrences) {
-    for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
-      const auto count =
-          static_cast<std::uint32_t>(occurrence.stages[stage].tasks.size());
-      for (std::uint32_t index = 0; index < count; ++index) {
-        const auto found =
-            aScheduler.attempts.find({aJob, occurrenceNumber, stage, index});
-        if (found != aScheduler.attempts.end()) {
-          detail::WantStop(found->second, "job ended", aNow);
-        }
-      }
-    }
-  }
-}
-
 SchedulerActions OnCommitted(Scheduler& aScheduler, const State& aState,
                              const Commit& aCommit, bool aOk, TimePoint aNow) {
   SchedulerActions actions;
@@ -401,7 +380,6 @@
       contact.holdAt = std::min(contact.holdAt, aNow);
       break;
   }
-  (void)aState;
   return actions;
 }
 
--- a/src/bramleypath/workflow/internal/Contact.cpp
+++ b/src/bramleypath/workflow/internal/Contact.cpp
@@ -227,8 +227,8 @@
   }
 }
 
-void OnAnnounced(Scheduler& aScheduler, const State& /*aState*/,
-                 WorkerNumber aWorker, std::int64_t aClockMs, TimePoint aNow) {
+void OnAnnounced(Scheduler& aScheduler, WorkerNumber aWorker,
+                 std::int64_t aClockMs, TimePoint aNow) {
   const auto found = aScheduler.contacts.find(aWorker);
   if (found == aScheduler.contacts.end()) {
     return;
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -345,7 +345,6 @@
   const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
   WaitingJob waiting;
   waiting.lasting = IsLasting(aJob);
-  waiting.priority = queue ? queue->priority : 0;
   waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
   const std::vector<double> runMs = StageRunMs(aPass.scheduler, aJob.spec);
   const double chainMs = LongestChainMs(aJob.spec, runMs);
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -49,11 +49,7 @@
 }
 
 void CellModel::Cancel(const std::string& aJob) {
-  const Job* const job = FindJob(this->state, aJob);
   Apply(this->state, CancelJob{JobId(aJob)});
-  if (job && this->scheduler) {
-    OnCancelled(*this->scheduler, this->state, job->number, this->now);
-  }
 }
 
 void CellModel::ChangeLeader() {
@@ -91,9 +87,8 @@
       Apply(this->state, WorkerSeen{worker.spec});
       OnStateChanged(*this->scheduler, this->state, this->now);
     }
-    OnAnnounced(*this->scheduler, this->state,
-                FindWorker(this->state, id)->number, ClockOf(worker, this->now),
-                this->now);
+    OnAnnounced(*this->scheduler, FindWorker(this->state, id)->number,
+                ClockOf(worker, this->now), this->now);
   }
 }
 
--- a/tests/workflow/JobOrderTest.cpp
+++ b/tests/workflow/JobOrderTest.cpp
@@ -17,14 +17,14 @@
 };
 
 const OrderCase kOrders[] = {
-    {"lasting before all", {true, 0, 0, 0, 0}, {false, 0, 0, 1000, 900}},
-    {"less slack first", {false, 0, 500, 1000, 400}, {false, 0, 0, 1000, 400}},
+    {"lasting before all", {true, 0, 0, 0}, {false, 0, 1000, 900}},
+    {"less slack first", {false, 500, 1000, 400}, {false, 0, 1000, 400}},
     {"late yields to one that can be in time",
-     {false, 0, 0, 1000, 400},
-     {false, 0, 900, 1000, 400}},
+     {false, 0, 1000, 400},
+     {false, 900, 1000, 400}},
     {"still useful before hopeless",
-     {false, 0, 900, 1000, 400},
-     {false, 0, 5000, 1000, 400}},
+     {false, 900, 1000, 400},
+     {false, 5000, 1000, 400}},
 };
 
 struct Arrival {
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -377,7 +377,7 @@
     }
     OnStateChanged(*cell.scheduler, cell.state, cell.now);
     for (WorkerNumber worker = 1; worker <= 350; ++worker) {
-      OnAnnounced(*cell.scheduler, cell.state, worker, 1000, cell.now);
+      OnAnnounced(*cell.scheduler, worker, 1000, cell.now);
     }
     for (int job = 0; job < 100; ++job) {
       JobSpec spec = MakeJob("job" + std::to_string(job));
