--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -6,6 +6,7 @@
 #include <asio/post.hpp>
 #include <nlohmann/json.hpp>
 
+#include "bramleypath/base/Text.h"
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/daemon/EventLog.h"
 #include "bramleypath/journal/Codec.h"
@@ -32,17 +33,6 @@
 constexpr std::size_t kMaxPairs = 200;
 constexpr const char* kExplainPath = "/v1/ops/explain/job/";
 
-bool StartsWith(const std::string& aText, const std::string& aPrefix) {
-  return aText.compare(0, aPrefix.size(), aPrefix) == 0;
-}
-
-net::HttpResponse JsonResponse(std::uint32_t aStatus, const json& aBody) {
-  net::HttpResponse response;
-  response.status = aStatus;
-  response.body = aBody.dump(-1, ' ', false, json::error_handler_t::replace);
-  return response;
-}
-
 const char* StateOf(const cell::Job& aJob) {
   if (cell::HasEnded(aJob)) {
     return aJob.cancelled ? "Cancelled" : "Ended";
@@ -395,7 +385,7 @@
   }
   this->known[record.worker] = record;
   this->StepAnnounced(record, aAnnounce.message);
-  return JsonResponse(200, {{"leader", this->self.value}});
+  return net::JsonResponse(200, {{"leader", this->self.value}});
 }
 
 void CellService::StepAnnounced(const wire::WorkerRecord& aRecord,
@@ -419,7 +409,7 @@
   const auto leader = this->groups.LeaderOf(this->group);
   if (leader &&
       TakeHeartbeat(this->heartbeats, *leader, aAnnounce, net::Now())) {
-    aRespond(JsonResponse(200, {{"leader", leader->value}}));
+    aRespond(net::JsonResponse(200, {{"leader", leader->value}}));
     return;
   }
   const auto record = aAnnounce.record;
@@ -517,7 +507,7 @@
   }
   this->OnUsage(*report);
   this->StepScheduler(cell::WorkerReported{report->message});
-  aRespond(JsonResponse(200, {{"leader", this->self.value}}));
+  aRespond(net::JsonResponse(200, {{"leader", this->self.value}}));
 }
 
 void CellService::HandleJournal(const HostId& aFrom,
@@ -642,7 +632,8 @@
           return;
         }
         if (aOutcome.result[0] != 0) {
-          respond(JsonResponse(200, {{"accepted", true}, {"job", aJob.value}}));
+          respond(net::JsonResponse(200,
+                                    {{"accepted", true}, {"job", aJob.value}}));
           return;
         }
         const auto code = static_cast<cell::RefusalCode>(aOutcome.result[1]);
@@ -650,7 +641,7 @@
                                  aOutcome.result.end());
         const bool conflict = code == cell::RefusalCode::RequestIdReused ||
                               code == cell::RefusalCode::JobExists;
-        respond(JsonResponse(
+        respond(net::JsonResponse(
             conflict ? 409 : 422,
             {{"accepted", false},
              {"job", aJob.value},
@@ -716,7 +707,7 @@
          {"reason",
           explanation && explanation->waiting > 0 ? explanation->text : ""}});
   }
-  return JsonResponse(200, {{"jobs", std::move(jobs)}});
+  return net::JsonResponse(200, {{"jobs", std::move(jobs)}});
 }
 
 net::HttpResponse CellService::ExplainPairs(
@@ -749,7 +740,7 @@
                      {"deviation", pair.deviation},
                      {"samples", pair.samples}});
   }
-  return JsonResponse(200, {{"pairs", std::move(pairs)}});
+  return net::JsonResponse(200, {{"pairs", std::move(pairs)}});
 }
 
 net::HttpResponse CellService::ExplainJob(const std::string& aJob) const {
@@ -770,11 +761,11 @@
                      {"worker", task.live ? task.live->worker.value : ""},
                      {"reason", waits ? reason : ""}});
   }
-  return JsonResponse(200, {{"job", aJob},
-                            {"data_centre", this->dataCentre.value},
-                            {"state", StateOf(*job)},
-                            {"reason", reason},
-                            {"tasks", std::move(tasks)}});
+  return net::JsonResponse(200, {{"job", aJob},
+                                 {"data_centre", this->dataCentre.value},
+                                 {"state", StateOf(*job)},
+                                 {"reason", reason},
+                                 {"tasks", std::move(tasks)}});
 }
 
 }  // namespace bramleypath::daemon
--- a/src/bramleypath/daemon/OperatorService.cpp
+++ b/src/bramleypath/daemon/OperatorService.cpp
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bramleypath/base/Text.h"
 #include "bramleypath/config/Codec.h"
 #include "bramleypath/daemon/EventLog.h"
 #include "bramleypath/daemon/StatusPage.h"
@@ -22,22 +23,6 @@
 constexpr const char* kDrainSuffix = "/drain";
 constexpr const char* kExplainCallPath = "/v1/ops/explain/call/";
 
-net::HttpResponse JsonResponse(const json& aBody) {
-  net::HttpResponse response;
-  response.body = aBody.dump(-1, ' ', false, json::error_handler_t::replace);
-  return response;
-}
-
-bool StartsWith(const std::string& aText, const std::string& aPrefix) {
-  return aText.compare(0, aPrefix.size(), aPrefix) == 0;
-}
-
-bool EndsWith(const std::string& aText, const std::string& aSuffix) {
-  return aText.size() >= aSuffix.size() &&
-         aText.compare(aText.size() - aSuffix.size(), aSuffix.size(),
-                       aSuffix) == 0;
-}
-
 json ToJson(const config::HostInForce& aRow) {
   return {{"host", aRow.host.value},    {"data_centre", aRow.dataCentre.value},
           {"known", aRow.known},        {"stale", aRow.stale},
@@ -96,8 +81,8 @@
   } else if (path == "/v1/ops/log-level" && post) {
     aRespond(this->ChangeLogLevel(aRequest));
   } else if (path == "/v1/ops/stop" && post) {
-    aRespond(
-        JsonResponse({{"accepted", true}, {"host", this->parts.self.value}}));
+    aRespond(net::JsonResponse(
+        200, {{"accepted", true}, {"host", this->parts.self.value}}));
     this->onStop();
   } else if (StartsWith(path, "/v1/ops/jobs") ||
              StartsWith(path, "/v1/ops/explain/job/") ||
@@ -118,10 +103,10 @@
   const config::Distribution& state = this->parts.config.State();
   const std::string text =
       config::ConfigurationToJson(state.state.configuration);
-  return JsonResponse({{"host", this->parts.self.value},
-                       {"version", state.state.version},
-                       {"index", state.appliedIndex},
-                       {"configuration", json::parse(text)}});
+  return net::JsonResponse(200, {{"host", this->parts.self.value},
+                                 {"version", state.state.version},
+                                 {"index", state.appliedIndex},
+                                 {"configuration", json::parse(text)}});
 }
 
 net::HttpResponse OperatorService::Status() const {
@@ -135,17 +120,17 @@
   for (const GroupStatus& group : this->parts.groups.Status()) {
     groups.push_back(ToJson(group));
   }
-  return JsonResponse(
-      {{"host", this->parts.self.value},
-       {"data_centre", this->parts.dataCentre.value},
-       {"ready", this->parts.config.IsReady()},
-       {"config",
-        {{"version", state.state.version},
-         {"index", state.appliedIndex},
-         {"preset", state.state.configuration.presetInForce.value}}},
-       {"hosts", std::move(hosts)},
-       {"groups", std::move(groups)},
-       {"warnings", LayoutWarnings(this->parts.config.CurrentHosts())}});
+  return net::JsonResponse(
+      200, {{"host", this->parts.self.value},
+            {"data_centre", this->parts.dataCentre.value},
+            {"ready", this->parts.config.IsReady()},
+            {"config",
+             {{"version", state.state.version},
+              {"index", state.appliedIndex},
+              {"preset", state.state.configuration.presetInForce.value}}},
+            {"hosts", std::move(hosts)},
+            {"groups", std::move(groups)},
+            {"warnings", LayoutWarnings(this->parts.config.CurrentHosts())}});
 }
 
 net::HttpResponse OperatorService::Targets() const {
@@ -162,7 +147,7 @@
                        {"outstanding", entry.record.outstanding},
                        {"draining", drained.count(id) != 0}});
   }
-  return JsonResponse({{"targets", std::move(targets)}});
+  return net::JsonResponse(200, {{"targets", std::move(targets)}});
 }
 
 net::HttpResponse OperatorService::Metrics() const {
@@ -217,12 +202,12 @@
     return OperatorError(404, "not_found", "request_id",
                          "no refusal of this call is remembered here");
   }
-  return JsonResponse({{"request_id", aRequestId},
-                       {"member", refusal->member.value},
-                       {"class", refusal->callClass.value},
-                       {"service", refusal->service.value},
-                       {"reason", routing::ToText(refusal->reason)},
-                       {"detail", routing::ToText(*refusal)}});
+  return net::JsonResponse(200, {{"request_id", aRequestId},
+                                 {"member", refusal->member.value},
+                                 {"class", refusal->callClass.value},
+                                 {"service", refusal->service.value},
+                                 {"reason", routing::ToText(refusal->reason)},
+                                 {"detail", routing::ToText(*refusal)}});
 }
 
 void OperatorService::Drain(const net::HttpRequest& aRequest,
@@ -256,7 +241,7 @@
   }
   LogEvent(LogLevel::Info, "daemon", "log_level_changed",
            {{"level", body["level"].get<std::string>()}});
-  return JsonResponse({{"level", body["level"]}});
+  return net::JsonResponse(200, {{"level", body["level"]}});
 }
 
 }  // namespace bramleypath::daemon
--- a/src/bramleypath/explain/RequestStory.cpp
+++ b/src/bramleypath/explain/RequestStory.cpp
@@ -5,6 +5,8 @@
 #include <optional>
 #include <set>
 
+#include "bramleypath/base/Text.h"
+
 namespace bramleypath::explain {
 
 namespace {
@@ -15,14 +17,9 @@
 constexpr std::int64_t kFrontMs = 3000;
 constexpr std::int64_t kForever = INT64_MAX;
 
-bool EndsWith(std::string_view aText, std::string_view aEnd) {
-  return aText.size() >= aEnd.size() &&
-         aText.substr(aText.size() - aEnd.size()) == aEnd;
-}
-
 // Tasks are named JOB.OCCURRENCE.STAGE.INDEX.
 bool NamesJob(std::string_view aSubject, std::string_view aJob) {
-  return aSubject.substr(0, aJob.size()) == aJob &&
+  return StartsWith(aSubject, aJob) &&
          (aSubject.size() == aJob.size() || aSubject[aJob.size()] == '.');
 }
 
--- a/src/bramleypath/net/Http.cpp
+++ b/src/bramleypath/net/Http.cpp
@@ -58,17 +58,21 @@
   return true;
 }
 
+HttpResponse JsonResponse(std::uint32_t aStatus, const nlohmann::json& aBody) {
+  HttpResponse response;
+  response.status = aStatus;
+  response.body =
+      aBody.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return response;
+}
+
 HttpResponse ErrorResponse(std::uint32_t aStatus, std::string_view aField,
                            std::string_view aDetail) {
   nlohmann::json body{{"error", aDetail}};
   if (!aField.empty()) {
     body["field"] = aField;
   }
-  HttpResponse response;
-  response.status = aStatus;
-  response.body =
-      body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  return response;
+  return JsonResponse(aStatus, body);
 }
 
 }  // namespace bramleypath::net
--- a/src/bramleypath/net/Http.h
+++ b/src/bramleypath/net/Http.h
@@ -6,6 +6,8 @@
 #include <utility>
 #include <vector>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace bramleypath::net {
 
 struct Header {
@@ -40,6 +42,8 @@
 bool SplitAddress(std::string_view aText, std::string& aIp,
                   std::uint16_t& aPort);
 
+// A response with a JSON body. Bytes that are not UTF-8 are replaced.
+HttpResponse JsonResponse(std::uint32_t aStatus, const nlohmann::json& aBody);
 // The answer {"error": aDetail, "field": aField}.
 HttpResponse ErrorResponse(std::uint32_t aStatus, std::string_view aField,
                            std::string_view aDetail);
--- a/src/bramleypath/storage/GroupStore.cpp
+++ b/src/bramleypath/storage/GroupStore.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <utility>
 
+#include "bramleypath/base/Text.h"
 #include "bramleypath/consensus/RecordCodec.h"
 #include "bramleypath/storage/internal/DurableFile.h"
 #include "bramleypath/storage/internal/Frame.h"
@@ -37,16 +38,6 @@
          std::string(kDigits - std::min(kDigits, digits.size()), '0') + digits;
 }
 
-bool StartsWith(const std::string& aText, const std::string& aPrefix) {
-  return aText.rfind(aPrefix, 0) == 0;
-}
-
-bool EndsWith(const std::string& aText, const std::string& aSuffix) {
-  return aText.size() >= aSuffix.size() &&
-         aText.compare(aText.size() - aSuffix.size(), aSuffix.size(),
-                       aSuffix) == 0;
-}
-
 bool Corrupt(const std::string& aPath, const std::string& aDetail,
              StorageReason& aReason) {
   aReason = StorageReason{StorageError::Corrupt, aPath, 0, aDetail};
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/base/Text.h"
 #include "bramleypath/workflow/internal/WorkflowFields.h"
 
 namespace bramleypath::workflow {
@@ -365,10 +366,6 @@
   }
 }
 
-bool StartsWith(std::string_view aText, std::string_view aPrefix) {
-  return aText.substr(0, aPrefix.size()) == aPrefix;
-}
-
 }  // namespace
 
 ApplyResult Apply(State& aState, const Command& aCommand) {
