Look the queue of a stage up once where it is placed

FindQueue ran in ViewsFor, ApplyTickets, IsMisfit and NoteMisfit for each stage of a pass, and each treated a missing queue in its own way. PlaceStage looks it up once; a stage of an unknown queue is not placed, as before.

--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -102,10 +102,10 @@
 
 // The workers as one stage sees them.
 std::vector<HostView> ViewsFor(const Pass& aPass, const Job& aJob,
+                               const QueueSettings& aQueue,
                                const TaskKey& aStage, const StageState& aState,
                                bool aRelaxed) {
   const StageSpec& spec = aJob.spec.stages[aStage.stage];
-  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
   RackId stageRack;
   if (spec.sameRack) {
     stageRack = RackOfStage(aPass, aStage, aState);
@@ -117,7 +117,7 @@
   for (std::size_t index = 0; index < views.size(); ++index) {
     HostView& view = views[index];
     const Worker& worker = *aPass.hosts.workers[index];
-    if (!queue || worker.spec.service != queue->service ||
+    if (worker.spec.service != aQueue.service ||
         (!spec.requiredLabel.empty() &&
          !HasLabel(worker, spec.requiredLabel)) ||
         (spec.maxPerWorker > 0 &&
@@ -219,10 +219,6 @@
 // Leaves the workers for which a ticket is held, and asks for more of them.
 void ApplyTickets(Pass& aPass, const Job& aJob, const TaskKey& aStage,
                   std::size_t aWaiting, std::vector<HostView>& aViews) {
-  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
-  if (!queue || !queue->needsTicket) {
-    return;
-  }
   const TicketCache& cache = aPass.scheduler.tickets;
   const Resources reserved = Reservation(aJob.spec.stages[aStage.stage]);
   std::vector<WorkerNumber> candidates;
@@ -264,25 +260,22 @@
 }
 
 // Answers a backlog, in which most stages find no worker in most passes.
-bool IsMisfit(const Pass& aPass, const Job& aJob, const StageSpec& aSpec,
-              bool aRelaxed) {
-  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
-  return queue &&
-         std::any_of(aPass.misfits.begin(), aPass.misfits.end(),
+bool IsMisfit(const Pass& aPass, const QueueSettings& aQueue,
+              const StageSpec& aSpec, bool aRelaxed) {
+  return std::any_of(aPass.misfits.begin(), aPass.misfits.end(),
                      [&](const Misfit& aMisfit) {
-                       return AsksForAsMuch(aSpec, *queue, aRelaxed, aMisfit);
+                       return AsksForAsMuch(aSpec, aQueue, aRelaxed, aMisfit);
                      });
 }
 
-void NoteMisfit(Pass& aPass, const Job& aJob, const StageSpec& aSpec,
-                bool aRelaxed) {
-  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
+void NoteMisfit(Pass& aPass, const QueueSettings& aQueue,
+                const StageSpec& aSpec, bool aRelaxed) {
   // A stage with conditions of its own says nothing about others.
-  if (!queue || queue->needsTicket || aSpec.gang || aSpec.maxPerWorker > 0 ||
+  if (aQueue.needsTicket || aSpec.gang || aSpec.maxPerWorker > 0 ||
       !aSpec.requiredLabel.empty()) {
     return;
   }
-  aPass.misfits.push_back({queue->service, aSpec.filler, aSpec.image,
+  aPass.misfits.push_back({aQueue.service, aSpec.filler, aSpec.image,
                            aSpec.demand.processorsMilli, Reservation(aSpec),
                            aRelaxed});
 }
@@ -292,16 +285,20 @@
 void PlaceStage(Pass& aPass, const Job& aJob, TaskKey aStage,
                 const StageState& aState) {
   const StageSpec& spec = aJob.spec.stages[aStage.stage];
+  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
   const bool relaxed = HasIdled(aPass, aJob);
-  if (IsMisfit(aPass, aJob, spec, relaxed)) {
+  if (!queue || IsMisfit(aPass, *queue, spec, relaxed)) {
     return;
   }
   const std::vector<TaskKey> waiting = WaitingTasks(aPass, aStage, aState);
   if (waiting.empty() || (spec.gang && waiting.size() != aState.tasks.size())) {
     return;
   }
-  std::vector<HostView> views = ViewsFor(aPass, aJob, aStage, aState, relaxed);
-  ApplyTickets(aPass, aJob, aStage, waiting.size(), views);
+  std::vector<HostView> views =
+      ViewsFor(aPass, aJob, *queue, aStage, aState, relaxed);
+  if (queue->needsTicket) {
+    ApplyTickets(aPass, aJob, aStage, waiting.size(), views);
+  }
   const TaskView task = ViewOfTask(aPass.scheduler, spec);
   std::vector<std::pair<PlacedTask, std::size_t>> chosen;
   std::vector<std::uint32_t> used(views.size(), 0);
@@ -316,7 +313,7 @@
     }
     const auto host = ChooseHost(views, task);
     if (!host) {
-      NoteMisfit(aPass, aJob, spec, relaxed);
+      NoteMisfit(aPass, *queue, spec, relaxed);
       break;
     }
     if (used[*host] == 0 && spec.maxPerWorker > 0) {
