Say once what a task reserves, what a worker's processors do, what waits

ChooseHost had the rule that fillers reserve no processors a second time; the cell summary and the lanes each summed up lasting and filling tasks of a worker; the count of waiting jobs and the queue summary each tested for a waiting job.

--- a/src/bramleypath/workflow/ChooseHost.cpp
+++ b/src/bramleypath/workflow/ChooseHost.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "bramleypath/workflow/State.h"
+
 namespace bramleypath::workflow {
 
 namespace {
@@ -10,14 +12,6 @@
 constexpr double kHarmWeight = 2;
 constexpr double kMinSpeed = 0.05;
 
-Resources ReservedBy(const TaskView& aTask) {
-  Resources reserved = aTask.demand;
-  if (aTask.filler) {
-    reserved.processorsMilli = 0;
-  }
-  return reserved;
-}
-
 // Expected slowdown of the task, and what it does to others; smaller is better.
 double Cost(const HostView& aHost, const TaskView& aTask) {
   double cost = 1 / std::max(aHost.speed, kMinSpeed);
@@ -38,7 +32,7 @@
 
 std::optional<std::size_t> ChooseHost(gsl::span<const HostView> aHosts,
                                       const TaskView& aTask) {
-  const Resources reserved = ReservedBy(aTask);
+  const Resources reserved = Reservation(aTask.demand, aTask.filler);
   std::optional<std::size_t> best;
   double bestCost = 0;
   for (std::size_t index = 0; index < aHosts.size(); ++index) {
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -100,16 +100,9 @@
         kThousandths;
     aSummary.reserved +=
         static_cast<double>(worker.reserved.processorsMilli) / kThousandths;
-    for (const TaskKey& key : worker.attempts) {
-      const StageSpec& stage = detail::StageOf(aState, key);
-      const auto attempt = aScheduler.attempts.find(key);
-      if (stage.lasting) {
-        aSummary.lastingReserved +=
-            static_cast<double>(stage.demand.processorsMilli) / kThousandths;
-      } else if (stage.filler && attempt != aScheduler.attempts.end()) {
-        aSummary.fillersUse += attempt->second.usedMilli / kThousandths;
-      }
-    }
+    const detail::ProcessorUse use = detail::UseOf(aScheduler, aState, worker);
+    aSummary.lastingReserved += use.lasting / kThousandths;
+    aSummary.fillersUse += use.fillers / kThousandths;
   }
 }
 
@@ -163,7 +156,7 @@
       continue;
     }
     ++found->activeJobs;
-    if (!job.started) {
+    if (IsWaiting(job)) {
       ++found->waitingJobs;
       found->oldestWaitMs =
           std::max(found->oldestWaitMs, aUnixMs - job.acceptedUnixMs);
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -428,13 +428,21 @@
 }
 
 Resources Reservation(const StageSpec& aStage) {
-  Resources reserved = aStage.demand;
-  if (aStage.filler) {
+  return Reservation(aStage.demand, aStage.filler);
+}
+
+Resources Reservation(const Resources& aDemand, bool aFiller) {
+  Resources reserved = aDemand;
+  if (aFiller) {
     reserved.processorsMilli = 0;
   }
   return reserved;
 }
 
+bool IsWaiting(const Job& aJob) {
+  return aJob.phase == JobPhase::Active && !aJob.started;
+}
+
 bool IsLasting(const Job& aJob) {
   return std::any_of(aJob.spec.stages.begin(), aJob.spec.stages.end(),
                      [](const StageSpec& aStage) { return aStage.lasting; });
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -97,7 +97,10 @@
                  std::uint32_t aStage);
 // What an attempt of the stage reserves on its worker.
 Resources Reservation(const StageSpec& aStage);
+Resources Reservation(const Resources& aDemand, bool aFiller);
 bool IsLasting(const Job& aJob);
+// Whether it is accepted and nothing of it has been placed yet.
+bool IsWaiting(const Job& aJob);
 
 std::vector<std::uint8_t> EncodeState(const State& aState);
 bool DecodeState(const std::vector<std::uint8_t>& aBytes, State& aState,
--- a/src/bramleypath/workflow/internal/Lanes.cpp
+++ b/src/bramleypath/workflow/internal/Lanes.cpp
@@ -44,6 +44,21 @@
   }
 }
 
+ProcessorUse UseOf(const Scheduler& aScheduler, const State& aState,
+                   const Worker& aWorker) {
+  ProcessorUse use;
+  for (const TaskKey& key : aWorker.attempts) {
+    const StageSpec& stage = StageOf(aState, key);
+    const auto attempt = aScheduler.attempts.find(key);
+    if (stage.lasting) {
+      use.lasting += static_cast<double>(stage.demand.processorsMilli);
+    } else if (stage.filler && attempt != aScheduler.attempts.end()) {
+      use.fillers += attempt->second.usedMilli;
+    }
+  }
+  return use;
+}
+
 void MeasureLanes(const Scheduler& aScheduler, const State& aState,
                   const Hosts& aHosts, Lanes& aLanes) {
   double capacity = 0;
@@ -61,15 +76,9 @@
     }
     const Worker& worker = *aHosts.workers[index];
     capacity += static_cast<double>(worker.spec.capacity.processorsMilli);
-    for (const TaskKey& key : worker.attempts) {
-      const StageSpec& stage = StageOf(aState, key);
-      const auto attempt = aScheduler.attempts.find(key);
-      if (stage.lasting) {
-        lasting += static_cast<double>(stage.demand.processorsMilli);
-      } else if (stage.filler && attempt != aScheduler.attempts.end()) {
-        filling += attempt->second.usedMilli;
-      }
-    }
+    const ProcessorUse use = UseOf(aScheduler, aState, worker);
+    lasting += use.lasting;
+    filling += use.fillers;
   }
   aLanes.reserving.processorsMilli = capacity - lasting;
   aLanes.filling.processorsMilli =
@@ -113,10 +122,7 @@
 std::uint32_t CountWaitingJobs(const State& aState, const QueueId& aQueue) {
   std::uint32_t count = 0;
   for (const auto& [number, job] : aState.jobs) {
-    count += job.phase == JobPhase::Active && !job.started &&
-                     job.spec.queue == aQueue
-                 ? 1
-                 : 0;
+    count += IsWaiting(job) && job.spec.queue == aQueue ? 1 : 0;
   }
   return count;
 }
--- a/src/bramleypath/workflow/internal/SchedulerParts.h
+++ b/src/bramleypath/workflow/internal/SchedulerParts.h
@@ -70,6 +70,14 @@
 double LongestChainMs(const JobSpec& aSpec, gsl::span<const double> aStageMs);
 double ObjectiveMs(const QueueSettings& aQueue, double aChainMs);
 
+// What a worker's processors are used for, in thousandths.
+struct ProcessorUse {
+  double lasting = 0;  // asked for by tasks that last
+  double fillers = 0;  // in use by fillers
+};
+ProcessorUse UseOf(const Scheduler& aScheduler, const State& aState,
+                   const Worker& aWorker);
+
 // Chooses workers for waiting tasks and commits the placements.
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions);
