--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -399,11 +399,10 @@
 bool ControlGroup::IsAlive(const consensus::ReplicaId& aReplica,
                            TimePoint aHeardAt, TimePoint aNow) const {
   // A new leader gives the others time to be heard.
-  TimePoint seen =
-      aHeardAt < this->leadingSince ? this->leadingSince : aHeardAt;
+  TimePoint seen = std::max(aHeardAt, this->leadingSince);
   const auto reachable = this->reachableAt.find(aReplica);
-  if (reachable != this->reachableAt.end() && seen < reachable->second) {
-    seen = reachable->second;
+  if (reachable != this->reachableAt.end()) {
+    seen = std::max(seen, reachable->second);
   }
   return aNow - seen < kDeadAfter;
 }
--- a/src/bramleypath/explain/RequestStory.cpp
+++ b/src/bramleypath/explain/RequestStory.cpp
@@ -101,11 +101,14 @@
 // Lines that don't name the job and still tell what happened to it.
 std::vector<LogLine> Surroundings(gsl::span<const LogLine> aLines,
                                   gsl::span<const LogLine> aOwn,
-                                  Outcome aOutcome) {
+                                  std::string_view aJob, Outcome aOutcome) {
   const Period period = PeriodOf(aOwn, aOutcome);
   const auto workers = WorkersOf(aOwn);
   std::vector<LogLine> found;
   for (const LogLine& line : aLines) {
+    if (IsOfJob(line, aJob)) {
+      continue;
+    }
     const bool isMeanwhile =
         line.timeMs >= period.from && line.timeMs <= period.to;
     const bool isBefore =
@@ -261,7 +264,7 @@
   }
   SortByTime(own);
   story.outcome = FindOutcome(own);
-  story.lines = Surroundings(aLines, own, story.outcome);
+  story.lines = Surroundings(aLines, own, aJob, story.outcome);
   SortByTime(story.lines);
   switch (story.outcome) {
     case Outcome::Refused:
@@ -282,15 +285,7 @@
     case Outcome::NotFound:
       break;
   }
-  for (const LogLine& line : own) {
-    const bool isThere = std::any_of(
-        story.lines.begin(), story.lines.end(), [&](const LogLine& aThere) {
-          return aThere.text == line.text && aThere.host == line.host;
-        });
-    if (!isThere) {
-      story.lines.push_back(line);
-    }
-  }
+  story.lines.insert(story.lines.end(), own.begin(), own.end());
   SortByTime(story.lines);
   return story;
 }
--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -142,10 +142,8 @@
   const std::string* const name =
       net::FindHeader(aCall->request.headers, "Host");
   request.headers.push_back({kHostHeader, name ? *name : std::string()});
-  const TimePoint connectBy = now + kConnectTimeout;
-  const TimePoint deadline = now + kAttemptTimeout;
-  request.connectBy = connectBy < aCall->deadline ? connectBy : aCall->deadline;
-  request.deadline = deadline < aCall->deadline ? deadline : aCall->deadline;
+  request.connectBy = std::min(now + kConnectTimeout, aCall->deadline);
+  request.deadline = std::min(now + kAttemptTimeout, aCall->deadline);
   this->client.Send(std::move(request), [this, living = this->alive, aCall,
                                          host](net::ClientResult aResult) {
     if (*living) {
