--- a/src/bramleypath/workflow/internal/Contact.cpp
+++ b/src/bramleypath/workflow/internal/Contact.cpp
@@ -32,6 +32,12 @@
   return serving && filler;
 }
 
+// What the worker's clock shows at least by now.
+double LowestClock(const ClockSample& aSample, TimePoint aNow) {
+  return static_cast<double>(aSample.clockMs) +
+         MillisBetween(aSample.at, aNow) * kSlowestClock;
+}
+
 void SendLateStops(Contact& aContact, SchedulerActions& aActions) {
   for (const StopOrder& order : aContact.lateStarts) {
     SendStop stop;
@@ -71,14 +77,10 @@
   if (aClockMs <= 0) {
     return;
   }
-  if (aContact.clock) {
-    // An answer that was held up on its way shows an old time.
-    const double lowest =
-        static_cast<double>(aContact.clock->clockMs) +
-        MillisBetween(aContact.clock->at, aNow) * kSlowestClock;
-    if (static_cast<double>(aClockMs) < lowest) {
-      return;
-    }
+  // An answer that was held up on its way shows an old time.
+  if (aContact.clock &&
+      static_cast<double>(aClockMs) < LowestClock(*aContact.clock, aNow)) {
+    return;
   }
   aContact.clock = ClockSample{aClockMs, aNow};
 }
@@ -100,9 +102,8 @@
   if (!aContact.clock) {
     return false;
   }
-  const double lowest = static_cast<double>(aContact.clock->clockMs) +
-                        MillisBetween(aContact.clock->at, aNow) * kSlowestClock;
-  return lowest > static_cast<double>(aContact.grantedUntilMs + kLapseMarginMs);
+  return LowestClock(*aContact.clock, aNow) >
+         static_cast<double>(aContact.grantedUntilMs + kLapseMarginMs);
 }
 
 bool IsInContact(const Scheduler& aScheduler, const Contact& aContact,
