Log why an end is skipped, and measure scheduling cycles

Adds end_skipped with the reason and the state of the task, attempt_given_up with its evidence, the clock and grant behind lease_over, slow_cycle, the histograms cycle_seconds and timer_delay_seconds, and the number and age of pending placements. No decision changes.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -20,6 +20,8 @@
 
 constexpr Duration kCycleInterval = Millis(100);
 constexpr Duration kMinTimerWait = Micros(200);
+// A cycle that takes this long delays heartbeats and lease renewals.
+constexpr Duration kSlowCycle = Millis(100);
 constexpr Duration kSummaryInterval = Seconds(2);
 constexpr Duration kProposeTimeout = Millis(2500);
 
@@ -115,12 +117,13 @@
     wait = std::max(kMinTimerWait, std::min(wait, untilDispatch));
   }
   this->timer.expires_after(std::chrono::microseconds(wait.micros));
-  this->timer.async_wait(
-      [this, isAlive = this->alive](const asio::error_code& aError) {
-        if (*isAlive && !aError) {
-          this->RunCycle();
-        }
-      });
+  this->timer.async_wait([this, isAlive = this->alive,
+                          dueAt = now + wait](const asio::error_code& aError) {
+    if (*isAlive && !aError) {
+      this->counters.timerDelay.Record(net::Now() - dueAt);
+      this->RunCycle();
+    }
+  });
 }
 
 void Controller::RequestCycle() {
@@ -142,10 +145,25 @@
     this->ExecuteAll(workflow::OnTick(*this->scheduler, this->State(), now,
                                       this->group->AgreedUnixMs(now)));
   }
+  this->RecordCycle(now);
   this->LogSummary(now);
   this->ArmTimer();
 }
 
+void Controller::RecordCycle(TimePoint aBegin) {
+  const Duration duration = net::Now() - aBegin;
+  this->counters.cycleDuration.Record(duration);
+  if (duration < kSlowCycle || !this->scheduler) {
+    return;
+  }
+  eventlog::Write("slow_cycle",
+                  {{"duration_ms", std::to_string(ToMillis(duration))},
+                   {"attempts", NumberText(this->scheduler->attempts.size())},
+                   {"pending_placements",
+                    NumberText(this->scheduler->pendingPlacements.size())},
+                   {"jobs", NumberText(this->State().jobs.size())}});
+}
+
 std::optional<workflow::CellSummary> Controller::SummariseCell() const {
   if (!this->scheduler) {
     return std::nullopt;
@@ -175,6 +193,8 @@
        {"waiting", NumberText(cell.waitingTasks)},
        {"waiting_fillers", NumberText(cell.waitingFillers)},
        {"placed", NumberText(cell.placedTasks)},
+       {"pending_placements", NumberText(cell.pendingPlacements)},
+       {"pending_s", std::to_string(cell.pendingSeconds)},
        {"fillers", NumberText(cell.placedFillers)},
        {"fillers_paced", NumberText(cell.pacedFillers)},
        {"filler_pace", std::to_string(cell.fillerPace)},
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -59,6 +59,10 @@
   metrics::LatencyHistogram startLatency;
   // From the acceptance of a job to its first start command.
   metrics::LatencyHistogram firstStartLatency;
+  // Time that a scheduling cycle takes.
+  metrics::LatencyHistogram cycleDuration;
+  // How much later than requested the cycle timer fired.
+  metrics::LatencyHistogram timerDelay;
 };
 
 // One host of the control plane. It holds a replica of the cell's state; while
@@ -112,6 +116,7 @@
   void RequestCycle();
   void RunCycle();
   void ArmTimer();
+  void RecordCycle(TimePoint aBegin);
   void LogSummary(TimePoint aNow);
   void ExecuteAll(workflow::SchedulerActions aActions);
   void Execute(workflow::Commit& aCommit);
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -131,6 +131,14 @@
     summary.workersAvoided += aNow < session.avoidUntil ? 1 : 0;
   }
   AddProcessors(aScheduler, aState, aNow, summary);
+  summary.pendingPlacements =
+      static_cast<std::uint32_t>(aScheduler.pendingPlacements.size());
+  if (aScheduler.pendingSince) {
+    constexpr double kMillisPerSecond = 1000;
+    summary.pendingSeconds =
+        detail::MillisBetween(*aScheduler.pendingSince, aNow) /
+        kMillisPerSecond;
+  }
   constexpr double kMilliMsPerSecond = 1e6;
   summary.backlogSeconds = (aScheduler.cellLoad.reserving.backlogWork +
                             aScheduler.cellLoad.filling.backlogWork) /
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -183,6 +183,8 @@
   std::unordered_map<TaskKey, Attempt> attempts;
   // Placements that are being committed.
   std::unordered_map<TaskKey, PlacedTask> pendingPlacements;
+  // Since when there has always been a pending placement.
+  std::optional<TimePoint> pendingSince;
   std::map<WorkerNumber, Resources> pendingReservations;
   std::unordered_map<std::string, RunTime> runTimes;
   TailModel tailModel;
@@ -242,6 +244,9 @@
   std::uint32_t waitingTasks = 0;    // of stages that may start
   std::uint32_t waitingFillers = 0;  // fillers among them
   std::uint32_t placedTasks = 0;
+  std::uint32_t pendingPlacements = 0;
+  // How long placements have been pending without a break.
+  double pendingSeconds = 0;
   std::uint32_t placedFillers = 0;
   std::uint32_t pacedFillers = 0;  // below full pace
   double fillerPace = 0;           // mean pace of placed fillers, percent
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -164,7 +164,8 @@
         HasLeaseExpired(session->second, aNow)) {
       aActions.push_back(
           DecisionRecord{"lease_over", ToText(NameOf(aState, key)),
-                         "attempt=" + std::to_string(attempt.number)});
+                         "attempt=" + std::to_string(attempt.number) + " " +
+                             LeaseEvidence(aState, session->second, aNow)});
       RecordAbandonedStart(aScheduler, aState, key, attempt, aNow);
       ProposeEnd(key, attempt, EndKind::LeaseExpired, "", expired);
     }
@@ -200,6 +201,7 @@
         Reservation(job->second.spec.stages[aPlaced.task.stage]);
   }
   if (aScheduler.pendingPlacements.empty()) {
+    aScheduler.pendingSince.reset();
     aScheduler.pendingReservations.clear();
   }
 }
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -143,6 +143,8 @@
   Resources& pending = aPass.scheduler.pendingReservations[aPlaced.worker];
   pending = pending + reserved;
   aPass.scheduler.pendingPlacements[aPlaced.task] = aPlaced;
+  aPass.scheduler.pendingSince =
+      aPass.scheduler.pendingSince.value_or(aPass.now);
   aPass.places.tasks.push_back(aPlaced);
 }
 
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -41,6 +41,58 @@
   }
 }
 
+// Why a listed end does not belong to an attempt that the leader holds.
+std::string_view SkipReason(const Scheduler& aScheduler,
+                            const WorkerSession& aSession,
+                            const std::optional<TaskKey>& aKey,
+                            const EndedAttempt& aRow) {
+  if (!aKey) {
+    return "unknown job";
+  }
+  const auto found = aScheduler.attempts.find(*aKey);
+  if (found == aScheduler.attempts.end()) {
+    return "no attempt";
+  }
+  return found->second.number != aRow.attempt      ? "other attempt"
+         : found->second.worker != aSession.worker ? "other worker"
+                                                   : "";
+}
+
+std::string_view ToText(TaskPhase aPhase) {
+  switch (aPhase) {
+    case TaskPhase::Waiting:
+      return "waiting";
+    case TaskPhase::Placed:
+      return "placed";
+    case TaskPhase::Done:
+      return "done";
+  }
+  return "";
+}
+
+// Stopped attempts that were ended by their acknowledged stop are listed as a
+// matter of course; only the other skipped ends are recorded.
+void RecordSkippedEnd(const State& aState, const WorkerSession& aSession,
+                      const std::optional<TaskKey>& aKey,
+                      const EndedAttempt& aRow, std::string_view aReason,
+                      SchedulerActions& aActions) {
+  const TaskState* const task = aKey ? FindTask(aState, *aKey) : nullptr;
+  if (aRow.kind == EndKind::Stopped ||
+      (task && task->phase == TaskPhase::Done)) {
+    return;
+  }
+  aActions.push_back(DecisionRecord{
+      "end_skipped", detail::ToText(aRow.task),
+      "attempt=" + std::to_string(aRow.attempt) +
+          " how=" + std::string(ToText(aRow.kind)) +
+          " worker=" + detail::WorkerText(aState, aSession.worker) +
+          " number=" + std::to_string(aRow.number) +
+          " reason=" + std::string(aReason) + " task=" +
+          (task ? std::string(ToText(task->phase)) +
+                      " latest_attempt=" + std::to_string(task->attempt)
+                : "unknown")});
+}
+
 void ProcessEnded(Scheduler& aScheduler, const State& aState,
                   WorkerSession& aSession, const RenewLeaseAnswer& aAnswer,
                   TimePoint aNow, RenewalChanges& aChanges,
@@ -50,14 +102,13 @@
       continue;
     }
     const auto key = detail::KeyOf(aState, row.task);
-    const auto found =
-        key ? aScheduler.attempts.find(*key) : aScheduler.attempts.end();
-    if (found == aScheduler.attempts.end() ||
-        found->second.number != row.attempt ||
-        found->second.worker != aSession.worker) {
+    const std::string_view skipReason =
+        SkipReason(aScheduler, aSession, key, row);
+    if (!skipReason.empty()) {
+      RecordSkippedEnd(aState, aSession, key, row, skipReason, aActions);
       continue;
     }
-    Attempt& attempt = found->second;
+    Attempt& attempt = aScheduler.attempts.at(*key);
     if (attempt.endProposed) {
       aChanges.endPending = true;
       continue;
@@ -157,7 +208,7 @@
                      WorkerSession& aSession, const RenewLeaseAnswer& aAnswer,
                      TimePoint aSentAt, TimePoint aNow,
                      const std::unordered_set<TaskKey>& aListed,
-                     RenewalChanges& aChanges) {
+                     RenewalChanges& aChanges, SchedulerActions& aActions) {
   const auto worker = aState.workers.find(aSession.worker);
   if (worker == aState.workers.end() || aAnswer.endsTruncated) {
     return;
@@ -175,6 +226,12 @@
     const bool stopped =
         attempt.stopAcknowledgedAt && *attempt.stopAcknowledgedAt < aSentAt;
     if (fenced || stopped) {
+      aActions.push_back(DecisionRecord{
+          "attempt_given_up", detail::ToText(detail::NameOf(aState, key)),
+          "attempt=" + std::to_string(attempt.number) +
+              " worker=" + detail::WorkerText(aState, aSession.worker) +
+              " evidence=" + (fenced ? "epoch raised" : "stop acknowledged") +
+              ", not listed"});
       detail::RecordAbandonedStart(aScheduler, aState, key, attempt, aNow);
       detail::ProposeEnd(key, attempt, EndKind::NeverRan, "", aChanges.ends);
       continue;
@@ -295,7 +352,7 @@
   std::unordered_set<TaskKey> listed;
   ProcessRunning(aScheduler, aState, session, aAnswer, aNow, actions, listed);
   ProcessUnlisted(aScheduler, aState, session, aAnswer, aSentAt, aNow, listed,
-                  changes);
+                  changes, actions);
   detail::AdjustPaces(aScheduler, aState, session, aNow, actions);
   const auto worker = aState.workers.find(session.worker);
   const bool busy =
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -49,6 +49,9 @@
 // Whether all leases granted to the worker have expired on its clock, even at
 // kSlowestClock.
 bool HasLeaseExpired(const WorkerSession& aSession, TimePoint aNow);
+// What HasLeaseExpired was decided on, for the event log.
+std::string LeaseEvidence(const State& aState, const WorkerSession& aSession,
+                          TimePoint aNow);
 bool IsReachable(const Scheduler& aScheduler, const WorkerSession& aSession,
                  TimePoint aNow);
 
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -110,6 +110,25 @@
          static_cast<double>(aSession.grantedUntilMs + kLeaseExpiryMarginMs);
 }
 
+std::string LeaseEvidence(const State& aState, const WorkerSession& aSession,
+                          TimePoint aNow) {
+  std::string text =
+      "worker=" + WorkerText(aState, aSession.worker) +
+      " granted_until_ms=" + std::to_string(aSession.grantedUntilMs) +
+      " missed_renewals=" + std::to_string(aSession.missedRenewals);
+  if (aSession.clock) {
+    text += " worker_clock_at_least_ms=" +
+            std::to_string(
+                static_cast<std::int64_t>(LowestClock(*aSession.clock, aNow)));
+  }
+  if (aSession.lastMessageAt) {
+    text += " last_message_age_ms=" +
+            std::to_string(static_cast<std::int64_t>(
+                MillisBetween(*aSession.lastMessageAt, aNow)));
+  }
+  return text;
+}
+
 bool IsReachable(const Scheduler& aScheduler, const WorkerSession& aSession,
                  TimePoint aNow) {
   if (!aSession.lastMessageAt || aSession.missedRenewals > 0) {
