Test that a done end of an expired attempt is recorded

The cell model now also checks at each acknowledgement that the done ends it covers are recorded. Before, it took the leader's own commits as the record of what was done, so that it could not see an end that was never proposed.

--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -321,12 +321,32 @@
       });
 }
 
+void CellModel::CheckAcknowledgedEnds(const WorkerModel& aWorker,
+                                      std::uint64_t aLastSeen) {
+  for (const EndedAttempt& row : aWorker.ended) {
+    const Job* const job = FindJob(this->state, row.task.job.value);
+    if (row.number > aLastSeen || row.kind != EndKind::Done || !job ||
+        job->phase != JobPhase::Active) {
+      continue;
+    }
+    const TaskState* const task =
+        FindTask(this->state, TaskKey{job->number, row.task.occurrence,
+                                      row.task.stage, row.task.index});
+    // An occurrence is removed once all of its tasks are done.
+    if (task && task->phase != TaskPhase::Done) {
+      this->violations.push_back(TextOf(row.task) +
+                                 " is acknowledged as done but not recorded");
+    }
+  }
+}
+
 void CellModel::PerformOne(const SendLeaseRenewal& aRenewal) {
   const TimePoint sentAt = this->now;
   auto lists = std::make_shared<RenewLeaseAnswer>();
   this->Deliver(
       aRenewal.worker,
       [this, aRenewal, lists](WorkerModel& aWorker) {
+        this->CheckAcknowledgedEnds(aWorker, aRenewal.request.lastSeen);
         *lists = Handle(aWorker, aRenewal.request, this->random, this->now);
         return lists->result;
       },
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -24,7 +24,8 @@
 
 // A leader and its workers in virtual time, connected by a network that loses
 // and delays messages. Checks at each start that the task runs on no other
-// worker, was not done before, and fits.
+// worker, was not done before, and fits, and at each acknowledgement that the
+// ends that it covers are recorded.
 class CellModel {
  public:
   explicit CellModel(std::uint64_t aSeed);
@@ -80,6 +81,9 @@
   RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest);
   void CheckStart(const WorkerModel& aWorker, const StartRequest& aRequest);
   void RecordEnds(const Commit& aCommit);
+  // Checks that the done ends that the worker is about to discard are recorded.
+  void CheckAcknowledgedEnds(const WorkerModel& aWorker,
+                             std::uint64_t aLastSeen);
 
   std::vector<Event> events;
   std::uint64_t lastEvent = 0;
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST(testUnansweredStartIsResolvedByAStop);
   CPPUNIT_TEST(testPartitionedWorkerKeepsItsTasksWithinTheLease);
   CPPUNIT_TEST(testLostWorkersTasksRunAgainAfterTheLease);
+  CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testNewLeaderCommitsUnreportedEnds);
   CPPUNIT_TEST(testNewLeaderFencesStartsOfTheOldOne);
   CPPUNIT_TEST(testCancelledJobStopsSoon);
@@ -146,6 +147,23 @@
     CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
   }
 
+  // A worker that was out of reach for longer than its lease lists ends of
+  // attempts that the leader has given up. They were skipped and acknowledged,
+  // and the tasks were started again although they were done.
+  void testDoneEndOfAnExpiredAttemptIsRecorded() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeJob("job"));
+    cell.Run(Millis(100));
+    cell.SetPartitioned("w0", true);
+    cell.Run(Seconds(14));
+    CPPUNIT_ASSERT(HasDecision(cell, "lease_over"));
+    cell.SetPartitioned("w0", false);
+    cell.Run(Seconds(4));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, cell.starts);
+  }
+
   void testNewLeaderCommitsUnreportedEnds() {
     CellModel cell = MakeCell(1);
     cell.Submit(MakeJob("job"));
