Start placements whose failed commit is applied after all

Callers saw accepted jobs with tasks that never ran (LOST) until the leader changed.

Cause: the scheduler's proposals had a timeout of 2.5 s. On a late leader the timeout passed for proposals that were in its log and were applied a moment later. The leader dropped the pending placement; the replicated state showed the task as placed, nobody started it, and no lease renewal could end it, since the leader held no attempt of it.

Ruled out: a second start. Of two placements of one attempt only the first in the log is applied.

Change: proposals of the scheduler have no timeout; their outcome is known once they are applied or leadership is lost. The scheduler also compares the placed tasks of the replicated state with its attempts every 500 ms and starts those that it never started.

SchedulerTest::testPlacementThatIsAppliedLateIsResolved, with a log that stalls for 500 ms in the cell model, failed before (job still active after 8 s) and passes.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -23,7 +23,11 @@
 // A cycle that takes this long delays heartbeats and lease renewals.
 constexpr Duration kSlowCycle = Millis(100);
 constexpr Duration kSummaryInterval = Seconds(2);
-constexpr Duration kProposeTimeout = Millis(2500);
+// Callers wait no longer than this for the outcome of a proposal.
+constexpr Duration kCallerTimeout = Millis(2500);
+// The scheduler's proposals end when they are applied or leadership is lost. A
+// timeout would leave their outcome unknown to a leader that goes on leading.
+constexpr Duration kNoTimeout = Seconds(365LL * 24 * 3600);
 
 std::string NumberText(std::uint64_t aNumber) {
   return std::to_string(aNumber);
@@ -211,10 +215,10 @@
        {"backlog_s", std::to_string(cell.backlogSeconds)}});
 }
 
-void Controller::Propose(const workflow::Command& aCommand,
+void Controller::Propose(const workflow::Command& aCommand, Duration aTimeout,
                          AnswerCallback aCallback) {
   this->group->Replica().Propose(
-      workflow::Encode(aCommand), kProposeTimeout,
+      workflow::Encode(aCommand), aTimeout,
       [this, isAlive = this->alive, proposedAt = net::Now(),
        callback = std::move(aCallback)](const group::ProposeOutcome& aOutcome) {
         if (*isAlive && aOutcome.Ok()) {
@@ -263,8 +267,9 @@
   const auto expectedMs = static_cast<std::uint64_t>(decision.expectedMs);
   const auto objectiveMs = static_cast<std::uint64_t>(view.objectiveMs);
   this->Propose(
-      accept, [this, isAlive = this->alive, job, queue, expectedMs, objectiveMs,
-               callback = std::move(aCallback)](const Answer& aAnswer) {
+      accept, kCallerTimeout,
+      [this, isAlive = this->alive, job, queue, expectedMs, objectiveMs,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
         if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
           return;
@@ -287,24 +292,25 @@
     aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
     return;
   }
-  this->Propose(workflow::CancelJob{aJob}, [this, isAlive = this->alive, aJob,
-                                            callback = std::move(aCallback)](
-                                               const Answer& aAnswer) {
-    callback(aAnswer);
-    if (!*isAlive || !this->scheduler || aAnswer.status != AnswerStatus::Done) {
-      return;
-    }
-    ++this->counters.cancelled;
-    eventlog::Write("job_cancelled", {{"job", aJob.value}});
-    this->scheduler->dispatchWanted = true;
-    this->RequestCycle();
-  });
+  this->Propose(workflow::CancelJob{aJob}, kCallerTimeout,
+                [this, isAlive = this->alive, aJob,
+                 callback = std::move(aCallback)](const Answer& aAnswer) {
+                  callback(aAnswer);
+                  if (!*isAlive || !this->scheduler ||
+                      aAnswer.status != AnswerStatus::Done) {
+                    return;
+                  }
+                  ++this->counters.cancelled;
+                  eventlog::Write("job_cancelled", {{"job", aJob.value}});
+                  this->scheduler->dispatchWanted = true;
+                  this->RequestCycle();
+                });
 }
 
 void Controller::SetLayout(const workflow::Layout& aLayout,
                            AnswerCallback aCallback) {
   const std::uint64_t version = aLayout.version;
-  this->Propose(workflow::SetLayout{aLayout},
+  this->Propose(workflow::SetLayout{aLayout}, kCallerTimeout,
                 [this, isAlive = this->alive, version,
                  callback = std::move(aCallback)](const Answer& aAnswer) {
                   eventlog::Write(
@@ -366,7 +372,7 @@
     spec.draining = true;
   }
   this->Propose(
-      workflow::RegisterWorker{spec},
+      workflow::RegisterWorker{spec}, kCallerTimeout,
       [this, isAlive = this->alive, spec, aClockMs,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
@@ -402,7 +408,7 @@
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
     return;
   }
-  this->Propose(workflow::RemoveWorker{known->number},
+  this->Propose(workflow::RemoveWorker{known->number}, kCallerTimeout,
                 [this, isAlive = this->alive, aWorker,
                  callback = std::move(aCallback)](const Answer& aAnswer) {
                   callback(aAnswer);
@@ -445,25 +451,26 @@
   const Epoch epoch = this->scheduler->epoch;
   for (const workflow::Command& command : batch->commit.commands) {
     ++this->counters.commits;
-    this->Propose(command, [this, isAlive = this->alive, batch,
-                            epoch](const Answer& aAnswer) {
-      if (!*isAlive) {
-        return;
-      }
-      if (aAnswer.status == AnswerStatus::NotLeader ||
-          aAnswer.status == AnswerStatus::OutcomeUnknown) {
-        batch->ok = false;
-        ++this->counters.commitsFailed;
-        eventlog::Write("commit_failed", {{"reason", aAnswer.reason}});
-      }
-      if (--batch->open > 0) {
-        return;
-      }
-      this->WithScheduler(epoch, [&](workflow::Scheduler& aScheduler) {
-        return workflow::OnCommitted(aScheduler, this->State(), batch->commit,
-                                     batch->ok, net::Now());
-      });
-    });
+    this->Propose(
+        command, kNoTimeout,
+        [this, isAlive = this->alive, batch, epoch](const Answer& aAnswer) {
+          if (!*isAlive) {
+            return;
+          }
+          if (aAnswer.status == AnswerStatus::NotLeader ||
+              aAnswer.status == AnswerStatus::OutcomeUnknown) {
+            batch->ok = false;
+            ++this->counters.commitsFailed;
+            eventlog::Write("commit_failed", {{"reason", aAnswer.reason}});
+          }
+          if (--batch->open > 0) {
+            return;
+          }
+          this->WithScheduler(epoch, [&](workflow::Scheduler& aScheduler) {
+            return workflow::OnCommitted(aScheduler, this->State(),
+                                         batch->commit, batch->ok, net::Now());
+          });
+        });
   }
 }
 
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -109,7 +109,8 @@
   void Stop(Duration aDeadline, std::function<void()> aDone);
 
  private:
-  void Propose(const workflow::Command& aCommand, AnswerCallback aCallback);
+  void Propose(const workflow::Command& aCommand, Duration aTimeout,
+               AnswerCallback aCallback);
   void OnLeadershipGained(Epoch aEpoch);
   void OnLeadershipLost();
   // Runs a scheduling cycle soon, without waiting for the timer.
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -14,6 +14,8 @@
 // Without an event, a placement pass follows after this time, since leases,
 // avoided workers and ranks change with time.
 constexpr Duration kIdleDispatchInterval = Millis(500);
+// Limits the cost of comparing all placed tasks with the leader's attempts.
+constexpr Duration kReconcileInterval = Millis(500);
 // Number of jobs whose state is kept, so that callers can query ended ones.
 constexpr std::size_t kKeptEndedJobs = 16384;
 constexpr std::size_t kMaxForgottenPerCommit = 512;
@@ -177,6 +179,10 @@
                         TimePoint aNow, std::int64_t aUnixMs) {
   SchedulerActions actions;
   OpenDueOccurrences(aScheduler, aState, aUnixMs, actions);
+  if (aNow >= aScheduler.nextReconcileAt) {
+    aScheduler.nextReconcileAt = aNow + kReconcileInterval;
+    detail::StartUnstartedPlacements(aScheduler, aState, aNow, actions);
+  }
   detail::WatchAttempts(aScheduler, aState, aNow, actions);
   const TimePoint due = aScheduler.dispatchWanted
                             ? aScheduler.nextDispatchAt
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -192,6 +192,7 @@
   TicketCache tickets;
   TimePoint nextDispatchAt;  // earliest time of the next placement pass
   bool dispatchWanted = false;
+  TimePoint nextReconcileAt;  // see StartUnstartedPlacements
   std::map<WorkerId, std::vector<AbandonedStart>> abandonedStarts;
   // Jobs without a placed task although a stage could start, and since when.
   std::unordered_map<JobNumber, TimePoint> idleSince;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -243,6 +243,32 @@
   aActions.push_back(std::move(start));
 }
 
+}  // namespace
+
+namespace detail {
+
+void StartUnstartedPlacements(Scheduler& aScheduler, const State& aState,
+                              TimePoint aNow, SchedulerActions& aActions) {
+  for (const auto& [number, worker] : aState.workers) {
+    for (const TaskKey& key : worker.attempts) {
+      if (aScheduler.attempts.count(key) > 0 ||
+          aScheduler.pendingPlacements.count(key) > 0) {
+        continue;
+      }
+      const PlacedTask placed{key, FindTask(aState, key)->attempt, number};
+      aActions.push_back(
+          DecisionRecord{"placement_applied_late", ToText(NameOf(aState, key)),
+                         "attempt=" + std::to_string(placed.attempt) +
+                             " worker=" + worker.spec.id.value});
+      StartPlaced(aScheduler, aState, placed, aNow, aActions);
+    }
+  }
+}
+
+}  // namespace detail
+
+namespace {
+
 void OnPlacesCommitted(Scheduler& aScheduler, const State& aState,
                        const PlaceTasks& aPlaces, bool aOk, TimePoint aNow,
                        SchedulerActions& aActions) {
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -102,6 +102,11 @@
 // Sends the lease renewals that are due.
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions);
+// Starts the tasks that the replicated state shows as placed although this
+// leader neither started them nor waits for the commit. Their commit was
+// reported as failed and has been applied all the same.
+void StartUnstartedPlacements(Scheduler& aScheduler, const State& aState,
+                              TimePoint aNow, SchedulerActions& aActions);
 // Adjusts the paces of a worker's fillers to the tails that it reports.
 void AdjustPaces(Scheduler& aScheduler, const State& aState,
                  WorkerSession& aSession, TimePoint aNow,
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -59,6 +59,10 @@
                                   NextRandom(this->random), this->now);
 }
 
+void CellModel::StallLog(Duration aLength) {
+  this->logStalledUntil = this->now + aLength;
+}
+
 void CellModel::RestartWorker(const std::string& aId) {
   Restart(this->workers.at(aId), this->now);
   // A worker announces itself when it starts.
@@ -150,6 +154,24 @@
 
 void CellModel::PerformOne(const Commit& aCommit) {
   const Epoch proposedBy = this->epoch;
+  if (this->now < this->logStalledUntil) {
+    constexpr Duration kProposeTimeout = Millis(300);
+    this->Schedule(this->now + kProposeTimeout, [this, aCommit, proposedBy] {
+      if (proposedBy == this->epoch) {
+        this->Perform(OnCommitted(*this->scheduler, this->state, aCommit, false,
+                                  this->now));
+      }
+    });
+    this->Schedule(this->logStalledUntil, [this, aCommit, proposedBy] {
+      if (proposedBy == this->epoch) {
+        this->RecordEnds(aCommit);
+        for (const Command& command : aCommit.commands) {
+          Apply(this->state, command);
+        }
+      }
+    });
+    return;
+  }
   const bool lost = NextUnit(this->random) < this->faults.commitLost;
   this->Schedule(this->now + kCommitDelay, [this, aCommit, proposedBy, lost] {
     const bool applied = !lost || NextBelow(this->random, 2) == 0;
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -37,6 +37,9 @@
   void Cancel(const std::string& aJob);
   // Starts a new leader. Commits that are still pending are lost.
   void ChangeLeader();
+  // Commits nothing for aLength. What is proposed meanwhile is applied
+  // afterwards, in order, although its proposal timed out.
+  void StallLog(Duration aLength);
   void RestartWorker(const std::string& aId);
   // A partitioned worker receives no requests and announces itself to nobody.
   void SetPartitioned(const std::string& aId, bool aPartitioned);
@@ -89,6 +92,7 @@
   std::uint64_t lastEvent = 0;
   Epoch epoch = 0;
   TimePoint announceAt;
+  TimePoint logStalledUntil;
   std::set<std::string> partitioned;
   std::set<std::string> done;  // tasks whose end is committed
 };
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -73,6 +73,7 @@
   CPPUNIT_TEST(testLostWorkersTasksRunAgainAfterTheLease);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
+  CPPUNIT_TEST(testPlacementThatIsAppliedLateIsResolved);
   CPPUNIT_TEST(testNewLeaderCommitsUnreportedEnds);
   CPPUNIT_TEST(testNewLeaderFencesStartsOfTheOldOne);
   CPPUNIT_TEST(testCancelledJobStopsSoon);
@@ -187,6 +188,18 @@
     CPPUNIT_ASSERT(cell.workers.at(second).running.empty());
   }
 
+  // The commit of a placement was taken as failed when its timeout passed. Once
+  // it was applied, the task was placed but never started until the leader
+  // changed.
+  void testPlacementThatIsAppliedLateIsResolved() {
+    CellModel cell = MakeCell(1);
+    cell.StallLog(Millis(500));
+    cell.Submit(MakeJob("job"));
+    cell.Run(Seconds(8));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+  }
+
   void testNewLeaderCommitsUnreportedEnds() {
     CellModel cell = MakeCell(1);
     cell.Submit(MakeJob("job"));
