Record a finish that a worker reports after its lease expired

A batch task of a cell could start again although an attempt of it had finished.

Cause: the leader acknowledged every confirmation of an attempt that was no longer live, and acknowledged attempts that it had itself counted as expired. A worker that finished within its lease but could report it only later was told to forget the finish, and the task ran again.

Ruled out: a confirmation for a worker that isn't registered, of an older incarnation, or skipped while a new leader builds its indexes; none of them is acknowledged, and the worker repeats it.

Change: a finish of an ended attempt is committed while its task waits, and is acknowledged once the task has ended. While a later attempt is live the leader remembers the finish and the worker repeats it; it is committed when that attempt ends. A finish that arrives while the expiry is being committed follows it in the log, before any new start. An expired lease is no longer acknowledged.

--- a/src/bramleypath/cell/CellState.cpp
+++ b/src/bramleypath/cell/CellState.cpp
@@ -380,7 +380,21 @@
   return task;
 }
 
+// Whether the attempt finished although its end was committed before, for
+// example as an expired lease. A later attempt that is live must end first,
+// since its reservation would be lost otherwise.
+bool IsLateFinish(const CellState& aState, const EndAttempt& aCommand) {
+  return aCommand.kind == EndKind::Finished &&
+         IsEndedAttemptOfOpenTask(aState, aCommand.attempt) &&
+         !FindTask(aState, aCommand.attempt.task)->live;
+}
+
 Outcome ApplyTyped(CellState& aState, const EndAttempt& aCommand) {
+  if (IsLateFinish(aState, aCommand)) {
+    EndTask(aState, aState.jobs.at(aCommand.attempt.task.job),
+            *MutableTask(aState, aCommand.attempt.task), TaskState::Finished);
+    return Accept();
+  }
   Outcome outcome;
   Task* task = TaskOfLiveAttempt(aState, aCommand.attempt, outcome);
   if (task == nullptr) {
@@ -556,6 +570,14 @@
   return found == aState.workers.end() ? nullptr : &found->second;
 }
 
+bool IsEndedAttemptOfOpenTask(const CellState& aState,
+                              const AttemptId& aAttempt) {
+  const Task* task = FindTask(aState, aAttempt.task);
+  return task != nullptr && !HasEnded(task->state) && aAttempt.number > 0 &&
+         aAttempt.number <= task->attempts &&
+         FindLiveAttempt(aState, aAttempt) == nullptr;
+}
+
 const char* Describe(RefusalCode aCode) {
   switch (aCode) {
     case RefusalCode::None:
--- a/src/bramleypath/cell/CellState.h
+++ b/src/bramleypath/cell/CellState.h
@@ -182,6 +182,10 @@
 const Attempt* FindLiveAttempt(const CellState& aState,
                                const AttemptId& aAttempt);
 const Worker* FindWorker(const CellState& aState, const WorkerId& aWorker);
+// Whether the task is still open although this attempt of it has ended. Such an
+// attempt may have finished before it was counted as expired.
+bool IsEndedAttemptOfOpenTask(const CellState& aState,
+                              const AttemptId& aAttempt);
 
 std::vector<std::uint8_t> TakeSnapshot(const CellState& aState);
 
--- a/src/bramleypath/cell/Scheduler.h
+++ b/src/bramleypath/cell/Scheduler.h
@@ -166,6 +166,8 @@
   bool confirmedRunning = false;
   bool throttled = false;
   bool endProposed = false;
+  // The end in flight is an expired lease, not one that the worker confirmed.
+  bool expiryProposed = false;
   // A command is sent at resendAt, and again until its effect is seen.
   bool outstanding = true;
   TimePoint resendAt;
@@ -265,6 +267,10 @@
   // Proposals in flight by token.
   std::unordered_map<std::uint64_t, Command> proposals;
   std::set<TaskId> markProposed;
+  // Late finishes in flight; see OnLateFinish.
+  std::set<AttemptId> lateFinishProposed;
+  // Finished attempts of tasks of which a later attempt is live.
+  std::map<TaskId, AttemptId> knownFinishes;
   std::set<WorkerId> workerProposed;
   // Resources of start proposals in flight.
   std::map<ClientAccountId, Resources> proposedUse;
--- a/src/bramleypath/cell/internal/Leases.cpp
+++ b/src/bramleypath/cell/internal/Leases.cpp
@@ -114,6 +114,14 @@
                     const Confirmation& aConfirmation) {
   WorkerTrack& worker = aContext.scheduler.workers[aSlot];
   const Attempt* live = FindLiveAttempt(aContext.state, aConfirmation.attempt);
+  const bool finished = aConfirmation.event == EndEvent::Finished;
+  if (live == nullptr && finished &&
+      IsEndedAttemptOfOpenTask(aContext.state, aConfirmation.attempt)) {
+    // Not acknowledged until the task has ended, so that the worker repeats it
+    // to each later leader.
+    OnLateFinish(aContext, aConfirmation.attempt);
+    return;
+  }
   if (live == nullptr) {
     // The attempt has ended already: a repeated or late confirmation is
     // acknowledged and has no other effect.
@@ -126,6 +134,10 @@
   if (track == worker.attempts.end()) {
     return;
   }
+  if (finished && track->second.expiryProposed) {
+    OnLateFinish(aContext, aConfirmation.attempt);
+    return;
+  }
   ProposeEnd(aContext, aConfirmation.attempt, track->second,
              KindOf(aConfirmation.event, live->state), aConfirmation.checkpoint,
              CountsAgainstTask(aContext.scheduler, worker,
@@ -351,8 +363,11 @@
     return;
   }
   for (auto& [task, track] : worker.attempts) {
-    ProposeEnd(aContext, AttemptId{task, track.number}, track,
-               EndKind::LeaseExpired, "", false);
+    if (!track.endProposed) {
+      ProposeEnd(aContext, AttemptId{task, track.number}, track,
+                 EndKind::LeaseExpired, "", false);
+      track.expiryProposed = track.endProposed;
+    }
   }
 }
 
--- a/src/bramleypath/cell/internal/SchedulerIndex.cpp
+++ b/src/bramleypath/cell/internal/SchedulerIndex.cpp
@@ -193,7 +193,8 @@
 
 // Stops tracking the attempt and returns the slot of its worker.
 std::optional<std::size_t> RemoveAttempt(const Context& aContext,
-                                         const AttemptId& aAttempt) {
+                                         const EndAttempt& aEnd) {
+  const AttemptId& aAttempt = aEnd.attempt;
   Scheduler& scheduler = aContext.scheduler;
   const auto found = scheduler.running.find(aAttempt.task);
   if (found == scheduler.running.end()) {
@@ -213,7 +214,11 @@
   scheduler.running.erase(found);
   DecrementRackCount(scheduler, aAttempt.task.job,
                      scheduler.candidates[slot].rack);
-  worker.acknowledgements.push_back(aAttempt);
+  // After an expired lease the worker may still confirm that the attempt
+  // finished, so nothing is acknowledged yet.
+  if (aEnd.kind != EndKind::LeaseExpired) {
+    worker.acknowledgements.push_back(aAttempt);
+  }
   scheduler.dirty.insert(slot);
   UpdateCandidate(aContext, slot);
   scheduler.placementDue = true;
@@ -311,9 +316,14 @@
 }
 
 void ClearInFlight(const Context& aContext, const EndAttempt& aCommand) {
+  if (aCommand.kind == EndKind::Finished &&
+      aContext.scheduler.lateFinishProposed.erase(aCommand.attempt) != 0) {
+    return;
+  }
   AttemptTrack* track = FindTrack(aContext.scheduler, aCommand.attempt);
   if (track != nullptr) {
     track->endProposed = false;
+    track->expiryProposed = false;
   }
 }
 
@@ -398,21 +408,26 @@
   EraseWorker(aContext, aCommand.worker);
 }
 
-void OnAccepted(const Context& aContext, const StartAttempt& aCommand) {
-  const TaskId& id = aCommand.attempt.task;
-  const auto job = aContext.scheduler.jobs.find(id.job);
-  if (job != aContext.scheduler.jobs.end()) {
-    // The task is still queued if its proposal was reported as failed before
-    // the commit.
+// Removes a task that no longer waits from the queue of its job.
+void RemoveWaitingTask(Scheduler& aScheduler, const TaskId& aTask) {
+  const auto job = aScheduler.jobs.find(aTask.job);
+  if (job != aScheduler.jobs.end()) {
     auto& pending = job->second.pending;
-    pending.erase(std::remove(pending.begin(), pending.end(), id.index),
+    pending.erase(std::remove(pending.begin(), pending.end(), aTask.index),
                   pending.end());
     if (pending.empty()) {
-      RemoveFromQueue(aContext.scheduler, job->second);
+      RemoveFromQueue(aScheduler, job->second);
       job->second.reason = WaitReason::None;
     }
   }
-  aContext.scheduler.preemptions.erase(id);
+  aScheduler.preemptions.erase(aTask);
+}
+
+void OnAccepted(const Context& aContext, const StartAttempt& aCommand) {
+  const TaskId& id = aCommand.attempt.task;
+  // The task is still queued if its proposal was reported as failed before the
+  // commit.
+  RemoveWaitingTask(aContext.scheduler, id);
   const Attempt* live = FindLiveAttempt(aContext.state, aCommand.attempt);
   if (live != nullptr) {
     AddAttempt(aContext, id, *live);
@@ -439,9 +454,20 @@
   return "";
 }
 
+std::optional<AttemptId> TakeKnownFinish(Scheduler& aScheduler,
+                                         const TaskId& aTask) {
+  const auto found = aScheduler.knownFinishes.find(aTask);
+  if (found == aScheduler.knownFinishes.end()) {
+    return std::nullopt;
+  }
+  const AttemptId attempt = found->second;
+  aScheduler.knownFinishes.erase(found);
+  return attempt;
+}
+
 void OnAccepted(const Context& aContext, const EndAttempt& aCommand) {
   const TaskId& id = aCommand.attempt.task;
-  const auto slot = RemoveAttempt(aContext, aCommand.attempt);
+  const auto slot = RemoveAttempt(aContext, aCommand);
   if (slot) {
     if (aCommand.kind == EndKind::Failed) {
       RecordFailure(aContext, *slot, aCommand.attempt);
@@ -451,15 +477,23 @@
     Notify(aContext, NoticeKind::AttemptEnded, aCommand.attempt,
            aContext.scheduler.candidates[*slot].worker, NameOf(aCommand.kind));
   }
+  const std::optional<AttemptId> finished =
+      TakeKnownFinish(aContext.scheduler, id);
   const Job* job = FindJob(aContext.state, id.job);
   if (job == nullptr || HasEnded(*job)) {
     RemoveJob(aContext, id.job);
   } else if (job->tasks[id.index].state == TaskState::Pending) {
+    // Proposed before any new start of the task, which is then refused.
+    if (finished) {
+      OnLateFinish(aContext, *finished);
+    }
     // A failed task is tried after the job's other tasks, since it may have to
     // wait for a worker on which it has not failed.
     const bool failed = aCommand.kind == EndKind::Failed;
     Enqueue(aContext, id.job, id.index,
             failed ? QueuePosition::Last : QueuePosition::First);
+  } else {
+    RemoveWaitingTask(aContext.scheduler, id);
   }
 }
 
@@ -478,6 +512,19 @@
 
 }  // namespace
 
+void OnLateFinish(const Context& aContext, const AttemptId& aAttempt) {
+  Scheduler& scheduler = aContext.scheduler;
+  const Task* task = FindTask(aContext.state, aAttempt.task);
+  if (task->live && task->live->number != aAttempt.number) {
+    scheduler.knownFinishes[aAttempt.task] = aAttempt;
+    return;
+  }
+  if (scheduler.lateFinishProposed.count(aAttempt) == 0 &&
+      Propose(aContext, EndAttempt{aAttempt, EndKind::Finished, "", false})) {
+    scheduler.lateFinishProposed.insert(aAttempt);
+  }
+}
+
 bool IsSilent(const Context& aContext, const WorkerTrack& aTrack) {
   return !aTrack.reported ||
          aContext.now > aTrack.lastContactAt +
--- a/src/bramleypath/cell/internal/SchedulerIndex.h
+++ b/src/bramleypath/cell/internal/SchedulerIndex.h
@@ -10,6 +10,11 @@
 void OnCommitted(const Context& aContext, const CommandCommitted& aEvent);
 void OnProposalFailed(const Context& aContext, std::uint64_t aToken);
 
+// Records that the attempt finished although its end is committed, or in
+// flight, as an expired lease. The task ends as finished once no attempt of it
+// is live.
+void OnLateFinish(const Context& aContext, const AttemptId& aAttempt);
+
 // Updates what the chooser sees of the worker: free resources and exclusion.
 void UpdateCandidate(const Context& aContext, std::size_t aSlot);
 
--- a/tests/cell/SchedulerTest.cpp
+++ b/tests/cell/SchedulerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <deque>
 #include <string>
 #include <vector>
@@ -11,6 +12,7 @@
 namespace {
 
 constexpr TimePoint kStart{0};
+const AttemptId kFirstAttempt{TaskId{JobId("j"), 0}, 1};
 
 // A scheduler whose proposals commit at once while commitsAtOnce is set.
 struct Fixture {
@@ -82,6 +84,15 @@
     return this->Commit(SubmitJob{RequestId(aSpec.id.value), aSpec}, 0, aNow);
   }
 
+  std::size_t CountAcknowledged(const AttemptId& aAttempt) const {
+    std::size_t count = 0;
+    for (const CommandBatch& batch : this->sent) {
+      count += static_cast<std::size_t>(std::count(
+          batch.acknowledged.begin(), batch.acknowledged.end(), aAttempt));
+    }
+    return count;
+  }
+
   std::size_t CountSent(CommandKind aKind) const {
     std::size_t count = 0;
     for (const CommandBatch& batch : this->sent) {
@@ -122,6 +133,8 @@
   CPPUNIT_TEST(testBadWorkerDoesNotEndGoodJobs);
   CPPUNIT_TEST(testBadJobsEndWhenAllWorkersAreSuspect);
   CPPUNIT_TEST(testLeaderChangeKeepsBackOff);
+  CPPUNIT_TEST(testFinishOfAnExpiredAttemptIsRecorded);
+  CPPUNIT_TEST(testFinishIsNotAcknowledgedBesideALaterAttempt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -354,6 +367,71 @@
     }
   }
 
+  // Guards against a finished task that starts again because its worker could
+  // report the end only after the leader had counted the lease as expired.
+  void testFinishOfAnExpiredAttemptIsRecorded() {
+    struct Row {
+      const char* label;
+      bool expiryCommitted;
+    };
+    const Row rows[] = {
+        {"after the expiry was committed", true},
+        {"while the expiry is being committed", false},
+    };
+    for (const Row& row : rows) {
+      Fixture fixture;
+      fixture.GainLeadership(kStart);
+      fixture.Announce("w", kStart);
+      fixture.Submit(Spec("j", 1000), kStart);
+      const TimePoint late = kStart + Seconds(12);
+      fixture.commitsAtOnce = row.expiryCommitted;
+      fixture.Handle(Tick{}, late);
+      fixture.sent.clear();
+      WorkerMessage message = fixture.Message("w", late);
+      message.confirmations = {
+          Confirmation{kFirstAttempt, EndEvent::Finished, ""}};
+      fixture.Handle(WorkerReported{message}, late);
+      CPPUNIT_ASSERT_MESSAGE(row.label,
+                             fixture.CountAcknowledged(kFirstAttempt) == 0);
+      fixture.commitsAtOnce = true;
+      fixture.Handle(Tick{}, late);
+      const Task& task = fixture.state.jobs.at(JobId("j")).tasks[0];
+      CPPUNIT_ASSERT_MESSAGE(row.label, task.state == TaskState::Finished);
+      CPPUNIT_ASSERT_MESSAGE(row.label, task.attempts == 1);
+      fixture.Handle(WorkerReported{message}, late);
+      CPPUNIT_ASSERT_MESSAGE(row.label,
+                             fixture.CountAcknowledged(kFirstAttempt) > 0);
+    }
+  }
+
+  // Guards against a finish that is forgotten while a later attempt runs, so
+  // that the task starts a third time when that attempt is lost.
+  void testFinishIsNotAcknowledgedBesideALaterAttempt() {
+    Fixture fixture;
+    fixture.GainLeadership(kStart);
+    fixture.Announce("first", kStart);
+    fixture.Submit(Spec("j", 1000), kStart);
+    TimePoint now = kStart + Seconds(12);
+    fixture.Announce("second", now);
+    const Task& task = fixture.state.jobs.at(JobId("j")).tasks[0];
+    fixture.Handle(Tick{}, now);
+    CPPUNIT_ASSERT(task.live && task.live->worker == WorkerId("second"));
+    WorkerMessage message = fixture.Message("first", now);
+    message.confirmations = {
+        Confirmation{kFirstAttempt, EndEvent::Finished, ""}};
+    fixture.Handle(WorkerReported{message}, now);
+    CPPUNIT_ASSERT(fixture.CountAcknowledged(kFirstAttempt) == 0);
+    CPPUNIT_ASSERT(task.state == TaskState::Running);
+    // The second worker falls silent until its lease has expired.
+    now = now + Seconds(12);
+    message.timestamp = now.micros;
+    fixture.Handle(WorkerReported{message}, now);
+    fixture.Handle(Tick{}, now);
+    fixture.Handle(WorkerReported{message}, now);
+    CPPUNIT_ASSERT(task.state == TaskState::Finished);
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{2}, task.attempts);
+  }
+
   // Guards against a leader change that ends a back-off, so that a task uses up
   // its failures at once on the only live worker.
   void testLeaderChangeKeepsBackOff() {
