Give no grant to a keyed request that was given up

A key could stay blocked for 120 s and then end as unknown although no holder ran it and its caller was told that it did not run.

Cause: when a grant became free, the coordinator proposed it for the oldest waiting request without looking at the end of its wait, which only the tick checked. A leader that is late handles a release before the tick, and grants to an entry host that has given the request up and drops the reply. A release by a waiting holder was answered with not_holder and left its request in the queue, with the same effect.

Ruled out: a reservation that is proposed when its release arrives; the log keeps their order.

Change: waits that are over end before a grant is handed on, and a release ends the wait of its own holder.

CoordinatorTest::testNoGrantForARequestThatWasGivenUp failed before (a grant in place of wait_ended) and passes.

--- a/src/bramleypath/journal/Coordinator.cpp
+++ b/src/bramleypath/journal/Coordinator.cpp
@@ -154,6 +154,9 @@
       this->ReplyTo(aRequest, ReplyCode::Applied,
                     Outcome{Result::Invalid, std::nullopt});
     } else {
+      if (const auto* release = std::get_if<Release>(&aRequest.command.body)) {
+        this->EndWaitOf(*release);
+      }
       this->Propose(std::move(pending));
     }
   }
@@ -195,10 +198,14 @@
     if (stage == "Reserved" || stage == "Dispatched") {
       return;
     }
+    const bool grantAvailable = stage == "Absent" || stage == "Released";
+    if (grantAvailable) {
+      // When this leader is late, their entry hosts may have given them up.
+      this->EndExpiredWaits(found->second);
+    }
     std::vector<PendingRequest> queue = std::move(found->second);
     this->coordinator.waiting.erase(found);
     this->coordinator.waitingCount -= queue.size();
-    const bool grantAvailable = stage == "Absent" || stage == "Released";
     for (std::size_t index = 0; index < queue.size(); ++index) {
       if (grantAvailable && index > 0) {
         this->AddWaiting(std::move(queue[index]));
@@ -245,23 +252,45 @@
     this->coordinator.waitingCount = 0;
   }
 
-  void EndExpiredWaits() {
+  // Ends the waits that aIsOver selects.
+  template <typename Predicate>
+  void EndWaits(std::vector<PendingRequest>& aQueue, Predicate aIsOver) {
+    const auto firstOver = std::stable_partition(
+        aQueue.begin(), aQueue.end(),
+        [&](const PendingRequest& aPending) { return !aIsOver(aPending); });
+    for (auto pending = firstOver; pending != aQueue.end(); ++pending) {
+      this->ReplyTo(pending->request, ReplyCode::WaitEnded);
+      --this->coordinator.waitingCount;
+    }
+    aQueue.erase(firstOver, aQueue.end());
+  }
+
+  void EndExpiredWaits(std::vector<PendingRequest>& aQueue) {
+    this->EndWaits(aQueue, [&](const PendingRequest& aPending) {
+      return this->now >= aPending.waitUntil;
+    });
+  }
+
+  void EndAllExpiredWaits() {
     auto& waiting = this->coordinator.waiting;
     for (auto entry = waiting.begin(); entry != waiting.end();) {
-      auto& queue = entry->second;
-      for (const PendingRequest& pending : queue) {
-        if (this->now >= pending.waitUntil) {
-          this->ReplyTo(pending.request, ReplyCode::WaitEnded);
-        }
-      }
-      const std::size_t before = queue.size();
-      queue.erase(std::remove_if(queue.begin(), queue.end(),
-                                 [&](const PendingRequest& aPending) {
-                                   return this->now >= aPending.waitUntil;
-                                 }),
-                  queue.end());
-      this->coordinator.waitingCount -= before - queue.size();
-      entry = queue.empty() ? waiting.erase(entry) : std::next(entry);
+      this->EndExpiredWaits(entry->second);
+      entry = entry->second.empty() ? waiting.erase(entry) : std::next(entry);
+    }
+  }
+
+  // A holder that releases its grant no longer waits for it either.
+  void EndWaitOf(const Release& aRelease) {
+    const auto found = this->coordinator.waiting.find(aRelease.key);
+    if (found == this->coordinator.waiting.end()) {
+      return;
+    }
+    this->EndWaits(found->second, [&](const PendingRequest& aPending) {
+      return std::get<Reserve>(aPending.request.command.body).holder ==
+             aRelease.holder;
+    });
+    if (found->second.empty()) {
+      this->coordinator.waiting.erase(found);
     }
   }
 
@@ -285,7 +314,7 @@
     if (!this->coordinator.leading) {
       return;
     }
-    this->EndExpiredWaits();
+    this->EndAllExpiredWaits();
     // Finds records that a command of an earlier leader changed. This
     // coordinator gets no Committed event for such a command.
     this->ResumeAllWaiting();
--- a/tests/journal/CoordinatorTest.cpp
+++ b/tests/journal/CoordinatorTest.cpp
@@ -46,6 +46,13 @@
         aGeneration});
   }
 
+  // Releases the grant that ReserveFor requested for aHolderId.
+  void ReleaseFor(CoordinatorRequestId aId, CoordinatorRequestId aHolderId) {
+    const Holder holder{HostId{"e" + std::to_string(aHolderId)}, aHolderId};
+    this->Handle(CoordinatorRequest{
+        holder.host, aId, Command{Release{kKey, holder}}, {}, 1});
+  }
+
   // Returns the first reply to a request; fails the test when there is none.
   const Reply& ReplyTo(CoordinatorRequestId aId) const {
     for (const Reply& reply : this->replies) {
@@ -65,6 +72,7 @@
   CPPUNIT_TEST(testRepeatsWaitForTheAnswer);
   CPPUNIT_TEST(testWaitEndsAtDeadlineOrExpiry);
   CPPUNIT_TEST(testReleaseGivesTheGrantToOneWaiter);
+  CPPUNIT_TEST(testNoGrantForARequestThatWasGivenUp);
   CPPUNIT_TEST(testOwnersAreChecked);
   CPPUNIT_TEST(testLostLeadershipAnswersAll);
   CPPUNIT_TEST(testPendingRequestsAreBounded);
@@ -120,6 +128,37 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, leader.coordinator.waitingCount);
   }
 
+  // Guards against a grant to an entry host that no longer waits for it, which
+  // blocks the key until the record expires: when the leader is late, a release
+  // is handled before the tick that ends the waits.
+  void testNoGrantForARequestThatWasGivenUp() {
+    struct Row {
+      const char* label;
+      Duration lateness;
+      bool releasedByWaiter;
+    };
+    const Row rows[] = {
+        {"its wait is over", Seconds(2), false},
+        {"its holder released the grant", Millis(0), true},
+    };
+    for (const Row& row : rows) {
+      Leader leader;
+      leader.ReserveFor(1, Seconds(5));
+      leader.ReserveFor(2, Seconds(1));
+      leader.ReserveFor(3, Seconds(5));
+      leader.now = TimePoint{} + row.lateness;
+      if (row.releasedByWaiter) {
+        leader.ReleaseFor(10, 2);
+      }
+      leader.ReleaseFor(11, 1);
+      CPPUNIT_ASSERT_MESSAGE(row.label,
+                             leader.ReplyTo(2).code == ReplyCode::WaitEnded);
+      CPPUNIT_ASSERT_MESSAGE(
+          row.label, leader.ReplyTo(3).outcome.result == Result::Granted);
+      CPPUNIT_ASSERT_MESSAGE(row.label, leader.coordinator.waitingCount == 0);
+    }
+  }
+
   // Guards against a grant by a data centre that doesn't own the key, and
   // against a grant while the key moves.
   void testOwnersAreChecked() {
