Hand a grant on without walking all requests that wait for the key

Cause: on each release or expiry the coordinator took all waiting requests of the key from their list and added them again one by one, and each addition compares with all requests before it. The cost of one release grew with the square of the waiting requests, on the thread that sends heartbeats.

Change: only the oldest request leaves the list.

There is no test of its own, since only a time could fail it. testReleaseGivesTheGrantToOneWaiter and testNoGrantForARequestThatWasGivenUp cover the order.

--- a/src/bramleypath/journal/Coordinator.cpp
+++ b/src/bramleypath/journal/Coordinator.cpp
@@ -36,6 +36,9 @@
       aCommand.body);
 }
 
+using WaitingQueue =
+    std::map<RequestKey, std::vector<PendingRequest>>::iterator;
+
 enum class Ownership { Owned, Moving, NotOwned };
 
 // Handles one event.
@@ -199,20 +202,36 @@
       return;
     }
     const bool grantAvailable = stage == "Absent" || stage == "Released";
-    if (grantAvailable) {
-      // When this leader is late, their entry hosts may have given them up.
-      this->EndExpiredWaits(found->second);
+    std::vector<PendingRequest> resumed = grantAvailable
+                                              ? this->TakeFirstWaiting(found)
+                                              : this->TakeAllWaiting(found);
+    for (PendingRequest& pending : resumed) {
+      this->HandleReserve(std::move(pending));
     }
-    std::vector<PendingRequest> queue = std::move(found->second);
-    this->coordinator.waiting.erase(found);
-    this->coordinator.waitingCount -= queue.size();
-    for (std::size_t index = 0; index < queue.size(); ++index) {
-      if (grantAvailable && index > 0) {
-        this->AddWaiting(std::move(queue[index]));
-      } else {
-        this->HandleReserve(std::move(queue[index]));
-      }
+  }
+
+  std::vector<PendingRequest> TakeAllWaiting(WaitingQueue aQueue) {
+    std::vector<PendingRequest> all = std::move(aQueue->second);
+    this->coordinator.waiting.erase(aQueue);
+    this->coordinator.waitingCount -= all.size();
+    return all;
+  }
+
+  // Takes the oldest request whose wait is not over. When this leader is late,
+  // the entry hosts of the others may have given them up.
+  std::vector<PendingRequest> TakeFirstWaiting(WaitingQueue aQueue) {
+    auto& queue = aQueue->second;
+    this->EndExpiredWaits(queue);
+    std::vector<PendingRequest> first;
+    if (!queue.empty()) {
+      first.push_back(std::move(queue.front()));
+      queue.erase(queue.begin());
+      --this->coordinator.waitingCount;
+    }
+    if (queue.empty()) {
+      this->coordinator.waiting.erase(aQueue);
     }
+    return first;
   }
 
   void ResumeAllWaiting() {
