Count no hang of a target when the deadline timer fired late

Cause: an attempt that is open when its call's deadline timer fires counts as a failure of its target. An entry host that was paused or overloaded runs due timers before it reads the answers that wait in its sockets, takes its own lateness for hanging targets and ejects up to 40 % of them at once.

Ruled out: a target that does hang.

Change: a timer that fires more than 100 ms after the deadline records no hang.

--- a/src/bramleypath/routing/internal/Calls.cpp
+++ b/src/bramleypath/routing/internal/Calls.cpp
@@ -19,6 +19,11 @@
 // target if it took longer than this many times the class's 95% quantile.
 constexpr double kHangFactor = 2.0;
 
+// A timer that fires later than this shows that this process was paused or
+// overloaded. Answers may then wait unread in its sockets, so that a missing
+// answer says nothing about the target.
+constexpr Duration kMaxLateness = Millis(100);
+
 void RecordRefusal(Router& aRouter, Refusal aRefusal) {
   aRouter.refusals.push_back(std::move(aRefusal));
   if (aRouter.refusals.size() > aRouter.settings.keptRefusals) {
@@ -534,7 +539,8 @@
 void RecordHang(Router& aRouter, const Call& aCall, TimePoint aNow,
                 Actions& aActions) {
   const Attempt& attempt = aRouter.attempts.at(aCall.generation);
-  if (attempt.target == kNoIndex || !IsSameIncarnation(aRouter, attempt)) {
+  if (attempt.target == kNoIndex || !IsSameIncarnation(aRouter, attempt) ||
+      aNow > aCall.request.deadline + kMaxLateness) {
     return;
   }
   const double slow =
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -83,6 +83,7 @@
   CPPUNIT_TEST(testFairBetweenClientAccounts);
   CPPUNIT_TEST(testRefusesWhatCannotMeetItsDeadline);
   CPPUNIT_TEST(testEjectsAtMostTheSetShareAndReadmits);
+  CPPUNIT_TEST(testLateDeadlineTimerIsNoFailureOfTheTarget);
   CPPUNIT_TEST(testPlannedStop);
   CPPUNIT_TEST(testExplainsRefusals);
   CPPUNIT_TEST_SUITE_END();
@@ -374,6 +375,41 @@
     CPPUNIT_ASSERT(model.router.counters.readmissions == 2);
   }
 
+  // Guards against the ejection of healthy targets by an entry host that was
+  // paused: its deadline timers fire before it reads the answers that wait in
+  // its sockets.
+  void testLateDeadlineTimerIsNoFailureOfTheTarget() {
+    struct Row {
+      const char* label;
+      Duration lateness;
+      bool ejects;
+    };
+    const Row rows[] = {
+        {"timer on time, the targets hang", Millis(0), true},
+        {"paused beyond the deadline", Seconds(2), false},
+    };
+    constexpr Duration kServiceTime = Millis(10);
+    constexpr Duration kDeadline = Millis(100);
+    constexpr int kCalls = 40;
+    for (const Row& row : rows) {
+      RouterModel model = MakeModel(Settings{}, 1);
+      for (const char* name : {"a", "b", "c", "d", "e"}) {
+        AddTarget(model, name, 8);
+      }
+      for (int count = 0; count < kCalls; ++count) {
+        CompleteCall(model, "check", kServiceTime);
+      }
+      AdvanceTime(model, Seconds(60));
+      for (int count = 0; count < kCalls; ++count) {
+        Accept(model, MakeCall(model, kDeadline));
+        SendBytes(model, LastAttempt(model));
+      }
+      AdvanceTime(model, kDeadline + row.lateness);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.ejects,
+                                   model.router.counters.ejections > 0);
+    }
+  }
+
   // Guards P8: calls accepted before the listener closes are served, none is
   // interrupted before the drain deadline, and a second stop request reports
   // how many calls it interrupted.
