Eject no target for a connect timeout that this host caused

Cause: an attempt without a connection ejected its target at once. The time for the connection ends with the call's deadline, so a call that had 20 ms left after waiting in this host's queue ejected a healthy target, and so did a timeout that a paused host noticed seconds late.

A refused connection and a full connect timeout still eject at once.

--- a/src/bramleypath/routing/Router.h
+++ b/src/bramleypath/routing/Router.h
@@ -150,6 +150,8 @@
   ClassIndex callClass = 0;
   ClientAccountId clientAccount;
   TimePoint sentAt;
+  // When the connection to the target had to be made.
+  TimePoint connectBy;
   bool probe = false;
   // The call has ended without this attempt; a late answer is dropped and
   // counted.
--- a/src/bramleypath/routing/internal/Calls.cpp
+++ b/src/bramleypath/routing/internal/Calls.cpp
@@ -194,6 +194,8 @@
   attempt.target = aIndex;
   attempt.incarnation = target.record.incarnation;
   attempt.probe = aProbe;
+  attempt.connectBy =
+      std::min(aNow + aRouter.settings.connectTimeout, SendBefore(call));
   call.lastTarget = aIndex;
   ++target.outstanding;
   ++service.inFlight;
@@ -204,8 +206,7 @@
   send.generation = call.generation;
   send.target = target.record.target;
   send.address = target.record.address;
-  send.connectBy =
-      std::min(aNow + aRouter.settings.connectTimeout, SendBefore(call));
+  send.connectBy = attempt.connectBy;
   send.deadline = call.request.deadline;
   aActions.push_back(std::move(send));
 }
@@ -522,6 +523,20 @@
           error ? Health::Failed : Health::Good};
 }
 
+// What a connection that was not made tells about the target.
+Health HealthWithoutConnection(const Router& aRouter, const Attempt& aAttempt,
+                               TimePoint aNow) {
+  if (aNow > aAttempt.connectBy + kMaxLateness) {
+    return Health::Unknown;
+  }
+  // A call with little time left may not have left the target enough of it.
+  const Duration allowed = aAttempt.connectBy - aAttempt.sentAt;
+  const bool timedOut = aNow >= aAttempt.connectBy;
+  return timedOut && allowed < aRouter.settings.connectTimeout
+             ? Health::Failed
+             : Health::Unreachable;
+}
+
 // The reason for a call that reached its deadline while it waited in the queue.
 Reason WaitingReason(const Router& aRouter, const Call& aCall) {
   const ServiceState& service = aRouter.services[aCall.service];
@@ -691,12 +706,14 @@
 
 void OnNothingSent(Router& aRouter, const NothingSent& aEvent, TimePoint aNow,
                    Actions& aActions) {
-  if (aRouter.attempts.count(aEvent.generation) == 0) {
+  const auto found = aRouter.attempts.find(aEvent.generation);
+  if (found == aRouter.attempts.end()) {
     ++aRouter.counters.unknownEvents;
     return;
   }
   EndAttempt(aRouter, aEvent.generation,
-             {Outcome::NotRun, Reason::ConnectFailed, Health::Unreachable},
+             {Outcome::NotRun, Reason::ConnectFailed,
+              HealthWithoutConnection(aRouter, found->second, aNow)},
              aNow, aActions);
 }
 
--- a/src/bramleypath/routing/internal/Ejection.cpp
+++ b/src/bramleypath/routing/internal/Ejection.cpp
@@ -115,6 +115,10 @@
   if (aNow < target.ejectedUntil) {
     return;
   }
+  if (aSample.health == Health::Unknown) {
+    MarkProbeDue(aRouter, aIndex);
+    return;
+  }
   if (aSample.health != Health::Good) {
     target.ejectedUntil = EjectionEnd(aRouter, target, aNow);
     ++target.ejections;
@@ -146,12 +150,15 @@
   }
   ServiceState& service = aRouter.services[target.service];
   ClassState& callClass = service.classes[aClass];
-  AddSample(aRouter, target, callClass, aSample, aNow);
+  if (aSample.health != Health::Unknown) {
+    AddSample(aRouter, target, callClass, aSample, aNow);
+  }
   if (target.state == aRouter.chart.ejected) {
     RecordEjectedHealth(aRouter, aIndex, aSample, aNow, aActions);
     return;
   }
   if (target.state == aRouter.chart.serving &&
+      aSample.health != Health::Unknown &&
       IsFaulty(aRouter, target, callClass, aSample) &&
       MayEject(aRouter, service)) {
     Eject(aRouter, aIndex, aNow, aActions);
--- a/src/bramleypath/routing/internal/Ejection.h
+++ b/src/bramleypath/routing/internal/Ejection.h
@@ -7,8 +7,9 @@
 // What an attempt tells about the health of its target.
 enum class Health {
   Good,
-  Failed,      // refused, lost, truncated or an error status
-  Unreachable  // no connection; the target is ejected at once
+  Failed,       // refused, lost, truncated or an error status
+  Unreachable,  // no connection; the target is ejected at once
+  Unknown       // no connection, for which this entry host may be the cause
 };
 
 struct HealthSample {
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST(testRefusesWhatCannotMeetItsDeadline);
   CPPUNIT_TEST(testEjectsAtMostTheSetShareAndReadmits);
   CPPUNIT_TEST(testLateDeadlineTimerIsNoFailureOfTheTarget);
+  CPPUNIT_TEST(testConnectTimeoutOfTheCallerEjectsNoTarget);
   CPPUNIT_TEST(testPlannedStop);
   CPPUNIT_TEST(testExplainsRefusals);
   CPPUNIT_TEST_SUITE_END();
@@ -410,6 +411,38 @@
     }
   }
 
+  // Guards against the ejection of a target to which no connection was made
+  // because the call had little time left, or because this entry host was
+  // paused.
+  void testConnectTimeoutOfTheCallerEjectsNoTarget() {
+    struct Row {
+      const char* label;
+      Duration deadline;
+      Duration reportedAfter;
+      bool ejects;
+    };
+    const Settings settings;
+    const Row rows[] = {
+        {"refused at once", kLong, Millis(1), true},
+        {"refused at once, little time left", Millis(20), Millis(1), true},
+        {"no answer within the timeout", kLong, settings.connectTimeout, true},
+        {"little time left", Millis(20), Millis(20), false},
+        {"reported late", kLong, settings.connectTimeout + Seconds(2), false},
+    };
+    for (const Row& row : rows) {
+      RouterModel model = MakeModel(settings, 1);
+      for (const char* name : {"a", "b", "c"}) {
+        AddTarget(model, name, 8);
+      }
+      Accept(model, MakeCall(model, row.deadline));
+      const Generation generation = LastAttempt(model);
+      model.now = model.now + row.reportedAfter;
+      LoseConnection(model, generation);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.ejects,
+                                   model.router.counters.ejections > 0);
+    }
+  }
+
   // Guards P8: calls accepted before the listener closes are served, none is
   // interrupted before the drain deadline, and a second stop request reports
   // how many calls it interrupted.
