Tell the leader's own lateness from a silent worker

A request that this host sent too late, or not at all because its lease was over, was reported like one that the worker did not accept. Ruled out: the workers. They announced themselves and answered throughout.

net::ClientResult and workflow::RequestAnswer now say that this host was late: the request was taken up late, waited for a connection of the pool, had a connection only after the deadline, or its deadline was checked late. Such a renewal is not a miss and is sent again at once. Such a start keeps its attempt and is queued again; starts are sent by the tick, after the renewals.

Tests that failed before: HttpClientTest testEvidenceOfRequestsNotSent and testWaitForTheOwnConnectionLimitIsADelay, SchedulerTest testLateLeaderGivesUpNoWorker and testDelayedStartIsSentAgain.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -58,6 +58,7 @@
 RequestAnswer NotSentAnswer() {
   RequestAnswer answer;
   answer.outcome = RequestOutcome::NotSent;
+  answer.delayedByLeader = true;
   answer.reason = "the leader's lease is over";
   return answer;
 }
--- a/src/bramleypath/net/HttpClient.cpp
+++ b/src/bramleypath/net/HttpClient.cpp
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <set>
 #include <string_view>
 #include <thread>
@@ -21,7 +22,13 @@
 namespace {
 
 constexpr int kMaxPollMs = 1000;
+constexpr const char* kTooLate = "this host was too late to send the request";
 constexpr long kSpareConnections = 64;
+// A peer that has not accepted a connection after this time is unreachable; a
+// handshake takes a few milliseconds.
+constexpr Duration kMinConnectTime = Millis(100);
+// A deadline that is checked later than this is evidence against this host.
+constexpr Duration kMaxCheckDelay = Millis(200);
 
 // A request that the thread of libcurl processes.
 struct Transfer {
@@ -31,8 +38,13 @@
   std::size_t maxAnswerBytes = 0;
   CURL* easy = nullptr;
   curl_slist* headers = nullptr;
+  // When this request opened a connection; none while it waits for one of the
+  // pool.
+  std::optional<TimePoint> connectStartedAt;
   // Set right before the first byte is written to the connection.
   bool sent = false;
+  // A connection was ready, but only after connectBy.
+  bool connectedLate = false;
   bool tooLarge = false;
   bool framed = false;  // the answer has a length or chunks
   HttpResponse response;
@@ -61,13 +73,23 @@
 int OnBeforeRequest(void* aTransfer, char* /*aRemoteIp*/, char* /*aLocalIp*/,
                     int /*aRemotePort*/, int /*aLocalPort*/) {
   auto& transfer = *static_cast<Transfer*>(aTransfer);
-  if (transfer.sent || Now() >= transfer.request.connectBy) {
+  if (transfer.sent) {
+    return CURL_PREREQFUNC_ABORT;
+  }
+  if (Now() >= transfer.request.connectBy) {
+    transfer.connectedLate = true;
     return CURL_PREREQFUNC_ABORT;
   }
   transfer.sent = true;
   return CURL_PREREQFUNC_OK;
 }
 
+int OnSocketCreated(void* aTransfer, curl_socket_t /*aSocket*/,
+                    curlsocktype /*aPurpose*/) {
+  static_cast<Transfer*>(aTransfer)->connectStartedAt = Now();
+  return CURL_SOCKOPT_OK;
+}
+
 std::size_t OnHeader(char* aData, std::size_t aSize, std::size_t aCount,
                      void* aTransfer) {
   auto& transfer = *static_cast<Transfer*>(aTransfer);
@@ -142,6 +164,8 @@
   }
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, OnBeforeRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, &aTransfer);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTFUNCTION, OnSocketCreated);
+  curl_easy_setopt(easy, CURLOPT_SOCKOPTDATA, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, OnHeader);
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, &aTransfer);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, OnBody);
@@ -160,7 +184,9 @@
   aTransfer.response.status = static_cast<std::uint32_t>(status);
   if (!aTransfer.sent) {
     result.delivery = Delivery::NothingSent;
-    result.detail = curl_easy_strerror(aCode);
+    result.delayedLocally = aTransfer.connectedLate;
+    result.detail =
+        aTransfer.connectedLate ? kTooLate : curl_easy_strerror(aCode);
     return result;
   }
   const bool complete =
@@ -182,6 +208,23 @@
   return result;
 }
 
+// Whether the peer had the time to accept a connection before aPerformedAt,
+// when libcurl last looked for it.
+bool HadTimeToConnect(const Transfer& aTransfer, TimePoint aPerformedAt) {
+  return aTransfer.connectStartedAt &&
+         !(aPerformedAt - *aTransfer.connectStartedAt < kMinConnectTime) &&
+         aPerformedAt < aTransfer.request.connectBy + kMaxCheckDelay;
+}
+
+ClientResult UnconnectedResult(const Transfer& aTransfer,
+                               TimePoint aPerformedAt) {
+  ClientResult result;
+  result.delivery = Delivery::NothingSent;
+  result.delayedLocally = !HadTimeToConnect(aTransfer, aPerformedAt);
+  result.detail = result.delayedLocally ? kTooLate : "no connection in time";
+  return result;
+}
+
 ClientResult CancelledResult(const Transfer& aTransfer, const char* aDetail) {
   ClientResult result;
   result.delivery = aTransfer.sent ? Delivery::Unknown : Delivery::NothingSent;
@@ -198,6 +241,7 @@
   std::unordered_map<ClientRequestId, std::unique_ptr<Transfer>> transfers;
   std::set<TransferDeadline> connectDeadlines;
   std::set<TransferDeadline> deadlines;
+  TimePoint performedAt;  // start of the last turn of libcurl
 };
 
 void Release(CurlEngine& aEngine, Transfer& aTransfer) {
@@ -248,6 +292,7 @@
     while (!this->stopping) {
       this->ProcessCommands();
       int running = 0;
+      this->engine.performedAt = Now();
       curl_multi_perform(this->engine.multi, &running);
       this->FinishTransfers();
       this->AbortOverdue();
@@ -299,12 +344,15 @@
 
   void Abort(ClientRequestId aId, const char* aDetail) {
     const auto found = this->engine.transfers.find(aId);
-    if (found == this->engine.transfers.end()) {
-      return;
+    if (found != this->engine.transfers.end()) {
+      this->Finish(*found->second, CancelledResult(*found->second, aDetail));
     }
-    this->Post(*found->second, CancelledResult(*found->second, aDetail));
-    Release(this->engine, *found->second);
-    this->engine.transfers.erase(found);
+  }
+
+  void Finish(Transfer& aTransfer, ClientResult aResult) {
+    this->Post(aTransfer, std::move(aResult));
+    Release(this->engine, aTransfer);
+    this->engine.transfers.erase(aTransfer.id);
   }
 
   void AbortOverdue() {
@@ -316,7 +364,9 @@
           this->engine.connectDeadlines.begin());
       const auto found = this->engine.transfers.find(id);
       if (found != this->engine.transfers.end() && !found->second->sent) {
-        this->Abort(id, "no connection in time");
+        this->Finish(
+            *found->second,
+            UnconnectedResult(*found->second, this->engine.performedAt));
       }
     }
     while (!this->engine.deadlines.empty() &&
@@ -335,9 +385,7 @@
       const CURLcode code = message->data.result;
       Transfer* transfer = nullptr;
       curl_easy_getinfo(message->easy_handle, CURLINFO_PRIVATE, &transfer);
-      this->Post(*transfer, ResultOf(*transfer, code));
-      Release(this->engine, *transfer);
-      this->engine.transfers.erase(transfer->id);
+      this->Finish(*transfer, ResultOf(*transfer, code));
     }
   }
 
--- a/src/bramleypath/net/HttpClient.h
+++ b/src/bramleypath/net/HttpClient.h
@@ -55,6 +55,9 @@
   Delivery delivery = Delivery::NothingSent;
   // Part of an answer was received. Only with Unknown.
   bool truncated = false;
+  // This host was too late to send the request, so that the missing answer says
+  // nothing about the peer. Only with NothingSent.
+  bool delayedLocally = false;
   std::string detail;  // why there is no answer
   HttpResponse response;
 };
--- a/src/bramleypath/workflow/Driver.h
+++ b/src/bramleypath/workflow/Driver.h
@@ -95,12 +95,20 @@
 
 struct RequestAnswer {
   RequestOutcome outcome = RequestOutcome::NoAnswer;
+  // The leader was too late or did not hold its own lease, so that the outcome
+  // says nothing about the worker. Only with NotSent.
+  bool delayedByLeader = false;
   std::string reason;  // of a refusal, or why there is no answer
   // The worker's steady clock; 0: not given.
   std::int64_t clockMs = 0;
   std::int64_t startedUnixMs = 0;  // 0: not given
 };
 
+// Whether the request was not sent because the leader was late.
+inline bool IsDelayedByLeader(const RequestAnswer& aAnswer) {
+  return aAnswer.outcome == RequestOutcome::NotSent && aAnswer.delayedByLeader;
+}
+
 // A running attempt in a worker's list.
 struct RunningAttempt {
   TaskName task;
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -188,6 +188,8 @@
     ForgetOldJobs(aState, actions);
   }
   detail::SendLeaseRenewals(aScheduler, aState, aNow, actions);
+  // Renewals go first: a start can wait, a lease expires.
+  detail::SendQueuedStarts(aScheduler, aState, aNow, actions);
   return actions;
 }
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -33,7 +34,8 @@
   AttemptNumber number = 0;
   WorkerNumber worker = 0;
   enum class StartStatus : std::uint8_t { Sending, Accepted, Unknown };
-  // Whether the start request is in flight, was accepted or has no answer.
+  // Whether the start request is queued or in flight, was accepted or has no
+  // answer.
   StartStatus startStatus = StartStatus::Unknown;
   // Placed by an earlier leader. A worker that has seen this leader's epoch
   // refuses its start.
@@ -173,6 +175,12 @@
   TimePoint expiresAt;  // the start can't arrive after that
 };
 
+// A start of a committed placement that is to be sent.
+struct QueuedStart {
+  TaskKey task;
+  AttemptNumber attempt = 0;
+};
+
 // Volatile state of the leader, rebuilt from the replicated state and the
 // answers of workers. The functions below are called on the leader only.
 struct Scheduler {
@@ -186,6 +194,9 @@
   std::unordered_map<TaskKey, PlacedTask> pendingPlacements;
   // Since when there has always been a pending placement.
   std::optional<TimePoint> pendingSince;
+  std::deque<QueuedStart> queuedStarts;  // oldest first
+  // Earliest time of the next start, after one was delayed by the leader.
+  TimePoint nextStartAt;
   std::map<WorkerNumber, Resources> pendingReservations;
   std::unordered_map<std::string, RunTime> runTimes;
   TailModel tailModel;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -209,13 +209,11 @@
 }
 
 void StartPlaced(Scheduler& aScheduler, const State& aState,
-                 const PlacedTask& aPlaced, TimePoint aNow,
-                 SchedulerActions& aActions) {
+                 const PlacedTask& aPlaced, TimePoint aNow) {
   const TaskState* const task = FindTask(aState, aPlaced.task);
-  const auto session = aScheduler.sessions.find(aPlaced.worker);
   if (!task || task->phase != TaskPhase::Placed ||
       task->attempt != aPlaced.attempt || task->worker != aPlaced.worker ||
-      session == aScheduler.sessions.end()) {
+      aScheduler.sessions.count(aPlaced.worker) == 0) {
     return;
   }
   Attempt attempt;
@@ -224,32 +222,16 @@
   attempt.startStatus = Attempt::StartStatus::Sending;
   attempt.sentAt = aNow;
   attempt.progressAt = aNow;
-  SendStart start;
-  start.worker = aPlaced.worker;
-  start.task = aPlaced.task;
-  start.request.task = detail::NameOf(aState, aPlaced.task);
-  start.request.attempt = aPlaced.attempt;
-  start.request.specification =
-      aState.jobs.at(aPlaced.task.job).spec.specification;
-  start.request.untilWorkerMs =
-      detail::GrantLease(aScheduler, session->second, aNow);
-  start.request.epoch = aScheduler.epoch;
-  start.request.checkpoint = task->checkpoint;
-  start.request.ticket =
-      FindTicket(aScheduler.tickets, detail::StageKey(aPlaced.task),
-                 aPlaced.worker, aNow)
-          .value_or("");
   aScheduler.attempts[aPlaced.task] = std::move(attempt);
-  aActions.push_back(std::move(start));
+  detail::QueueStart(aScheduler, aPlaced.task, aPlaced.attempt);
 }
 
 void OnPlacesCommitted(Scheduler& aScheduler, const State& aState,
-                       const PlaceTasks& aPlaces, bool aOk, TimePoint aNow,
-                       SchedulerActions& aActions) {
+                       const PlaceTasks& aPlaces, bool aOk, TimePoint aNow) {
   for (const PlacedTask& placed : aPlaces.tasks) {
     RemovePendingPlacement(aScheduler, aState, placed);
     if (aOk) {
-      StartPlaced(aScheduler, aState, placed, aNow, aActions);
+      StartPlaced(aScheduler, aState, placed, aNow);
     }
   }
 }
@@ -324,7 +306,7 @@
   bool workersChanged = false;
   for (const Command& command : aCommit.commands) {
     if (const auto* places = std::get_if<PlaceTasks>(&command)) {
-      OnPlacesCommitted(aScheduler, aState, *places, aOk, aNow, actions);
+      OnPlacesCommitted(aScheduler, aState, *places, aOk, aNow);
     } else if (const auto* ends = std::get_if<EndTasks>(&command)) {
       OnEndsCommitted(aScheduler, aState, *ends, aOk, actions);
     } else if (const auto* opened = std::get_if<OpenOccurrence>(&command)) {
@@ -361,6 +343,16 @@
   WorkerSession& session = found->second;
   Attempt* const attempt =
       FindAttempt(aScheduler, aRequest.task, aRequest.request.attempt);
+  if (IsDelayedByLeader(aAnswer)) {
+    actions.push_back(
+        DecisionRecord{"start_delayed", detail::ToText(aRequest.request.task),
+                       "attempt=" + std::to_string(aRequest.request.attempt) +
+                           " reason=" + aAnswer.reason});
+    if (attempt) {
+      detail::QueueDelayedStart(aScheduler, aRequest, *attempt, aNow);
+    }
+    return actions;
+  }
   if (aAnswer.outcome != RequestOutcome::Done) {
     actions.push_back(DecisionRecord{
         "start_not_done", detail::ToText(aRequest.request.task),
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -358,6 +358,10 @@
     AddCommit(changes, Commit(), actions);
     return actions;
   }
+  if (IsDelayedByLeader(aAnswer.result)) {
+    session.nextRenewalAt = aNow;
+    return actions;
+  }
   if (aAnswer.result.outcome != RequestOutcome::Done) {
     OnRenewalMissed(aState, session, aAnswer.result, aNow, actions);
     return actions;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -99,6 +99,17 @@
 // Chooses workers for waiting tasks and commits the placements.
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions);
+// Queues the start of an attempt; SendQueuedStarts sends it.
+void QueueStart(Scheduler& aScheduler, const TaskKey& aKey,
+                AttemptNumber aAttempt);
+// Queues a start that was not sent because the leader was late. Nothing was
+// sent, so that the same attempt may start later.
+void QueueDelayedStart(Scheduler& aScheduler, const SendStart& aRequest,
+                       const Attempt& aAttempt, TimePoint aNow);
+// Sends the starts that are queued. Attempts that are no longer to start end as
+// never run.
+void SendQueuedStarts(Scheduler& aScheduler, const State& aState,
+                      TimePoint aNow, SchedulerActions& aActions);
 // Sends the lease renewals that are due.
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions);
--- /dev/null
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -0,0 +1,99 @@
+#include <utility>
+
+#include "bramleypath/workflow/internal/SchedulerDetail.h"
+
+namespace bramleypath::workflow::detail {
+
+namespace {
+
+// No starts are sent for this long after one was delayed, so that renewals,
+// which expire, are sent first.
+constexpr Duration kDelayedStartPause = Millis(50);
+
+// Whether the stage needs a ticket for the worker and holds no valid one.
+bool LacksTicket(const Scheduler& aScheduler, const State& aState,
+                 const TaskKey& aKey, WorkerNumber aWorker, TimePoint aNow) {
+  const QueueSettings* const queue =
+      FindQueue(aState, aState.jobs.at(aKey.job).spec.queue);
+  return queue && queue->needsTicket &&
+         !FindTicket(aScheduler.tickets, StageKey(aKey), aWorker, aNow);
+}
+
+SendStart MakeStart(Scheduler& aScheduler, const State& aState,
+                    const TaskKey& aKey, const Attempt& aAttempt,
+                    WorkerSession& aSession, TimePoint aNow) {
+  SendStart start;
+  start.worker = aAttempt.worker;
+  start.task = aKey;
+  start.request.task = NameOf(aState, aKey);
+  start.request.attempt = aAttempt.number;
+  start.request.specification = aState.jobs.at(aKey.job).spec.specification;
+  start.request.untilWorkerMs = GrantLease(aScheduler, aSession, aNow);
+  start.request.epoch = aScheduler.epoch;
+  start.request.checkpoint = FindTask(aState, aKey)->checkpoint;
+  start.request.ticket =
+      FindTicket(aScheduler.tickets, StageKey(aKey), aAttempt.worker, aNow)
+          .value_or("");
+  return start;
+}
+
+void SendOne(Scheduler& aScheduler, const State& aState,
+             const QueuedStart& aQueued, TimePoint aNow, EndTasks& aNeverRan,
+             SchedulerActions& aActions) {
+  const auto found = aScheduler.attempts.find(aQueued.task);
+  if (found == aScheduler.attempts.end() ||
+      found->second.number != aQueued.attempt ||
+      found->second.startStatus != Attempt::StartStatus::Sending ||
+      found->second.proposedEnd ||
+      HasEnded(aState, aQueued.task, found->second)) {
+    return;
+  }
+  Attempt& attempt = found->second;
+  const auto session = aScheduler.sessions.find(attempt.worker);
+  if (session == aScheduler.sessions.end()) {
+    return;
+  }
+  if (attempt.stopReason ||
+      LacksTicket(aScheduler, aState, aQueued.task, attempt.worker, aNow)) {
+    ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
+    return;
+  }
+  attempt.sentAt = aNow;
+  attempt.progressAt = aNow;
+  aActions.push_back(MakeStart(aScheduler, aState, aQueued.task, attempt,
+                               session->second, aNow));
+}
+
+}  // namespace
+
+void QueueStart(Scheduler& aScheduler, const TaskKey& aKey,
+                AttemptNumber aAttempt) {
+  aScheduler.queuedStarts.push_back(QueuedStart{aKey, aAttempt});
+}
+
+void QueueDelayedStart(Scheduler& aScheduler, const SendStart& aRequest,
+                       const Attempt& aAttempt, TimePoint aNow) {
+  aScheduler.nextStartAt = aNow + kDelayedStartPause;
+  // An attempt that was moved to another incarnation is being stopped there.
+  if (aAttempt.worker == aRequest.worker &&
+      aAttempt.startStatus == Attempt::StartStatus::Sending) {
+    QueueStart(aScheduler, aRequest.task, aAttempt.number);
+  }
+}
+
+void SendQueuedStarts(Scheduler& aScheduler, const State& aState,
+                      TimePoint aNow, SchedulerActions& aActions) {
+  EndTasks neverRan;
+  while (!aScheduler.queuedStarts.empty() && aNow >= aScheduler.nextStartAt) {
+    const QueuedStart next = aScheduler.queuedStarts.front();
+    aScheduler.queuedStarts.pop_front();
+    SendOne(aScheduler, aState, next, aNow, neverRan, aActions);
+  }
+  if (!neverRan.tasks.empty()) {
+    Commit commit;
+    commit.commands.emplace_back(std::move(neverRan));
+    aActions.push_back(std::move(commit));
+  }
+}
+
+}  // namespace bramleypath::workflow::detail
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "bramleypath/net/Clock.h"
+#include "tests/net/FullListener.h"
 #include "tests/net/Loop.h"
 #include "tests/net/RawServer.h"
 
@@ -35,6 +36,8 @@
   CPPUNIT_TEST_SUITE(HttpClientTest);
   CPPUNIT_TEST(testDeliveries);
   CPPUNIT_TEST(testRefusedConnectionSendsNothing);
+  CPPUNIT_TEST(testEvidenceOfRequestsNotSent);
+  CPPUNIT_TEST(testWaitForTheOwnConnectionLimitIsADelay);
   CPPUNIT_TEST(testClosedIdleConnectionIsNotUsedTwice);
   CPPUNIT_TEST(testConnectionLimitDelaysRequests);
   CPPUNIT_TEST(testCancelAndDeadline);
@@ -111,6 +114,69 @@
     CPPUNIT_ASSERT(result->delivery == Delivery::NothingSent);
   }
 
+  // A leader that sends a request too late must not take that for a peer that
+  // accepts no connection.
+  void testEvidenceOfRequestsNotSent() {
+    enum class Peer { Accepts, Refuses, DropsConnections };
+    struct Row {
+      const char* what;
+      Peer peer;
+      Duration connectTimeout;
+      bool delayedLocally;
+    };
+    const Row rows[] = {
+        {"taken up after the deadline", Peer::Accepts, Millis(-1), true},
+        {"unreachable, but taken up late", Peer::DropsConnections, Millis(5),
+         true},
+        {"unreachable", Peer::DropsConnections, Millis(400), false},
+        {"refused", Peer::Refuses, Millis(400), false},
+    };
+    for (const Row& row : rows) {
+      asio::io_context context;
+      RawServer server(context, nullptr);
+      net_test::FullListener full;
+      const std::string address = row.peer == Peer::DropsConnections
+                                      ? full.Address()
+                                      : server.Address();
+      if (row.peer == Peer::Refuses) {
+        server.Close();
+      }
+      HttpClient client(context, HttpClientLimits());
+      ClientRequest request = RequestTo(address);
+      request.connectBy = Now() + row.connectTimeout;
+      std::optional<ClientResult> result;
+      client.Send(std::move(request),
+                  [&result](ClientResult aEnd) { result = std::move(aEnd); });
+      CPPUNIT_ASSERT_MESSAGE(row.what, RunUntil(context, [&result] {
+                               return result.has_value();
+                             }));
+      CPPUNIT_ASSERT_MESSAGE(row.what,
+                             result->delivery == Delivery::NothingSent);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.delayedLocally,
+                                   result->delayedLocally);
+    }
+  }
+
+  // A request that waits for a connection of the pool was never shown to the
+  // peer.
+  void testWaitForTheOwnConnectionLimitIsADelay() {
+    asio::io_context context;
+    RawServer server(context, [](const auto& /*aSocket*/, std::size_t,
+                                 const std::string&) {});
+    HttpClientLimits limits;
+    limits.maxConnectionsPerHost = 1;
+    HttpClient client(context, limits);
+    client.Send(RequestTo(server.Address()), [](const ClientResult&) {});
+    ClientRequest second = RequestTo(server.Address());
+    second.connectBy = Now() + Millis(400);
+    std::optional<ClientResult> result;
+    client.Send(std::move(second),
+                [&result](ClientResult aEnd) { result = std::move(aEnd); });
+    CPPUNIT_ASSERT(RunUntil(context, [&result] { return result.has_value(); }));
+    CPPUNIT_ASSERT(result->delivery == Delivery::NothingSent);
+    CPPUNIT_ASSERT(result->delayedLocally);
+  }
+
   // libcurl sends a request again on a new connection when a connection of its
   // pool is closed before an answer. The server may have run the request by
   // then.
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -227,6 +227,9 @@
     for (const OutcomeCase& one : cases) {
       CPPUNIT_ASSERT(DecodeRequestAnswer(one.result).outcome == one.expected);
     }
+    CPPUNIT_ASSERT(!DecodeRequestAnswer(unsent).delayedByLeader);
+    unsent.delayedLocally = true;
+    CPPUNIT_ASSERT(DecodeRequestAnswer(unsent).delayedByLeader);
   }
 
   void testRenewLeaseAnswer() {
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -13,6 +13,7 @@
 constexpr Duration kNetworkDelay = Millis(1);
 constexpr Duration kCommitDelay = Millis(6);
 constexpr Duration kRequestTimeout = Millis(1200);
+constexpr Duration kConnectTimeout = Millis(500);
 constexpr Duration kAnnounceInterval = Millis(1500);
 constexpr std::int64_t kUnixOriginMs = 1700000000000;
 
@@ -73,8 +74,20 @@
   }
 }
 
+void CellModel::SetLeaderLate(bool aLate) { this->isLeaderLate = aLate; }
+
+void CellModel::PauseLeader(Duration aLength) {
+  this->leaderPausedUntil = this->now + aLength;
+}
+
 void CellModel::Schedule(TimePoint aAt, std::function<void()> aAction) {
-  this->events.push_back(Event{aAt, ++this->lastEvent, std::move(aAction)});
+  this->events.push_back(
+      Event{aAt, ++this->lastEvent, false, std::move(aAction)});
+}
+
+void CellModel::ScheduleOnLeader(TimePoint aAt, std::function<void()> aAction) {
+  this->events.push_back(
+      Event{aAt, ++this->lastEvent, true, std::move(aAction)});
 }
 
 void CellModel::Announce() {
@@ -96,29 +109,42 @@
   const TimePoint end = this->now + aLength;
   while (this->now < end) {
     this->now = this->now + kStep;
-    if (this->now >= this->announceAt) {
+    const bool isPaused = this->now < this->leaderPausedUntil;
+    if (!isPaused && this->now >= this->announceAt) {
       this->announceAt = this->now + kAnnounceInterval;
       this->Announce();
     }
     for (auto& [id, worker] : this->workers) {
       Advance(worker, this->random, this->now);
     }
-    while (true) {
-      const auto due = std::min_element(
-          this->events.begin(), this->events.end(),
-          [](const Event& aLeft, const Event& aRight) {
-            return aLeft.at == aRight.at ? aLeft.sequence < aRight.sequence
-                                         : aLeft.at < aRight.at;
-          });
-      if (due == this->events.end() || IsLater(due->at, this->now)) {
-        break;
-      }
-      const std::function<void()> action = std::move(due->action);
-      this->events.erase(due);
-      action();
+    this->RunDueEvents();
+    if (!isPaused) {
+      this->Perform(
+          OnTick(*this->scheduler, this->state, this->now, this->UnixMs()));
     }
-    this->Perform(
-        OnTick(*this->scheduler, this->state, this->now, this->UnixMs()));
+  }
+}
+
+void CellModel::RunDueEvents() {
+  const auto startOf = [this](const Event& aEvent) {
+    return aEvent.onLeader ? std::max(aEvent.at, this->leaderPausedUntil)
+                           : aEvent.at;
+  };
+  while (true) {
+    const auto due = std::min_element(
+        this->events.begin(), this->events.end(),
+        [&](const Event& aLeft, const Event& aRight) {
+          const TimePoint left = startOf(aLeft);
+          const TimePoint right = startOf(aRight);
+          return left == right ? aLeft.sequence < aRight.sequence
+                               : left < right;
+        });
+    if (due == this->events.end() || IsLater(startOf(*due), this->now)) {
+      return;
+    }
+    const std::function<void()> action = std::move(due->action);
+    this->events.erase(due);
+    action();
   }
 }
 
@@ -151,26 +177,27 @@
 void CellModel::PerformOne(const Commit& aCommit) {
   const Epoch proposedBy = this->epoch;
   const bool lost = NextUnit(this->random) < this->faults.commitLost;
-  this->Schedule(this->now + kCommitDelay, [this, aCommit, proposedBy, lost] {
-    const bool applied = !lost || NextBelow(this->random, 2) == 0;
-    // A command is lost if a new leader takes over before it is committed.
-    if (proposedBy != this->epoch) {
-      return;
-    }
-    if (applied) {
-      this->RecordEnds(aCommit);
-      for (const Command& command : aCommit.commands) {
-        Apply(this->state, command);
-      }
-    }
-    if (lost) {
-      // The leader can't know the outcome and steps down.
-      this->ChangeLeader();
-      return;
-    }
-    this->Perform(
-        OnCommitted(*this->scheduler, this->state, aCommit, true, this->now));
-  });
+  this->ScheduleOnLeader(
+      this->now + kCommitDelay, [this, aCommit, proposedBy, lost] {
+        const bool applied = !lost || NextBelow(this->random, 2) == 0;
+        // A command is lost if a new leader takes over before it is committed.
+        if (proposedBy != this->epoch) {
+          return;
+        }
+        if (applied) {
+          this->RecordEnds(aCommit);
+          for (const Command& command : aCommit.commands) {
+            Apply(this->state, command);
+          }
+        }
+        if (lost) {
+          // The leader can't know the outcome and steps down.
+          this->ChangeLeader();
+          return;
+        }
+        this->Perform(OnCommitted(*this->scheduler, this->state, aCommit, true,
+                                  this->now));
+      });
 }
 
 WorkerModel* CellModel::FindModel(WorkerNumber aWorker) {
@@ -191,6 +218,17 @@
       aOnAnswer(aAnswer);
     }
   };
+  if (this->isLeaderLate ||
+      (this->faults.sentTooLate > 0 &&
+       NextUnit(this->random) < this->faults.sentTooLate)) {
+    this->ScheduleOnLeader(this->now + kConnectTimeout, [answer] {
+      RequestAnswer notSent;
+      notSent.outcome = RequestOutcome::NotSent;
+      notSent.delayedByLeader = true;
+      answer(notSent);
+    });
+    return;
+  }
   WorkerModel* const model = this->FindModel(aWorker);
   const std::string id = model ? model->spec.id.value : std::string();
   const bool lost = !model || this->partitioned.count(id) > 0 || !model->up ||
@@ -217,14 +255,14 @@
       }
       const RequestAnswer given = aExecute(worker);
       if (!unanswered) {
-        this->Schedule(this->now + kNetworkDelay,
-                       [answer, given] { answer(given); });
+        this->ScheduleOnLeader(this->now + kNetworkDelay,
+                               [answer, given] { answer(given); });
       }
     });
   }
   if (lost || unanswered) {
-    this->Schedule(this->now + kRequestTimeout,
-                   [answer] { answer(RequestAnswer()); });
+    this->ScheduleOnLeader(this->now + kRequestTimeout,
+                           [answer] { answer(RequestAnswer()); });
   }
 }
 
@@ -374,7 +412,7 @@
       answer.tickets.push_back(Ticket{worker, "ticket of " + worker.value});
     }
   }
-  this->Schedule(this->now + kDecision, [this, aRequest, answer] {
+  this->ScheduleOnLeader(this->now + kDecision, [this, aRequest, answer] {
     this->Perform(OnTicketAnswer(*this->scheduler, this->state, aRequest,
                                  answer, this->now));
   });
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -20,6 +20,7 @@
   double executedLate = 0;  // no answer; executed 2 to 12 s later
   double commitLost = 0;    // the outcome is unknown; applied or not
   double paceLost = 0;      // as requestLost, but only for pace requests
+  double sentTooLate = 0;   // not sent, since the leader was late
 };
 
 // A leader and its workers in virtual time, connected by a network that loses
@@ -40,6 +41,11 @@
   void RestartWorker(const std::string& aId);
   // A partitioned worker receives no requests and announces itself to nobody.
   void SetPartitioned(const std::string& aId, bool aPartitioned);
+  // A late leader sends no request in time.
+  void SetLeaderLate(bool aLate);
+  // The leader handles nothing for aLength: answers, commits, announcements and
+  // its own timers wait, while the workers go on.
+  void PauseLeader(Duration aLength);
   void Run(Duration aLength);
 
   State state;
@@ -60,10 +66,14 @@
   struct Event {
     TimePoint at;
     std::uint64_t sequence = 0;
+    bool onLeader = false;
     std::function<void()> action;
   };
 
+  // Schedules an event on a worker.
   void Schedule(TimePoint aAt, std::function<void()> aAction);
+  void ScheduleOnLeader(TimePoint aAt, std::function<void()> aAction);
+  void RunDueEvents();
   void Announce();
   void Perform(SchedulerActions aActions);
   void PerformOne(const Commit& aCommit);
@@ -89,6 +99,8 @@
   std::uint64_t lastEvent = 0;
   Epoch epoch = 0;
   TimePoint announceAt;
+  TimePoint leaderPausedUntil;
+  bool isLeaderLate = false;
   std::set<std::string> partitioned;
   std::set<std::string> done;  // tasks whose end is committed
 };
--- a/tests/workflow/FaultPropertyTest.cpp
+++ b/tests/workflow/FaultPropertyTest.cpp
@@ -16,6 +16,7 @@
   bool changesLeader;
   bool partitionsWorkers;
   bool restartsWorkers;
+  bool pausesLeader = false;
 };
 
 // Each row guards against a task that runs on two workers, is lost or is
@@ -29,8 +30,15 @@
     {"leaders change", {0, 0, 0, 0}, true, false, false},
     {"workers partitioned", {0, 0, 0, 0}, false, true, false},
     {"workers restart", {0, 0, 0, 0}, false, false, true},
+    {"leader late", {0, 0, 0, 0, 0, 0.3}, false, false, false, true},
+    {"leader late, workers partitioned",
+     {0, 0.1, 0.05, 0, 0, 0.2},
+     false,
+     true,
+     true,
+     true},
     {"late requests and new leaders", {0, 0.1, 0.1, 0.02}, true, false, false},
-    {"all at once", {0.05, 0.1, 0.05, 0.02}, true, true, true},
+    {"all at once", {0.05, 0.1, 0.05, 0.02}, true, true, true, true},
 };
 
 constexpr std::uint64_t kSeeds = 12;
@@ -49,6 +57,11 @@
   if (aCase.partitionsWorkers) {
     aCell.SetPartitioned(worker, NextBelow(aCell.random, 2) == 0);
   }
+  if (aCase.pausesLeader && NextBelow(aCell.random, kOneIn) == 0) {
+    constexpr std::uint64_t kLongestPauseMs = 3000;
+    aCell.PauseLeader(Millis(
+        static_cast<std::int64_t>(NextBelow(aCell.random, kLongestPauseMs))));
+  }
   if (aCase.restartsWorkers && NextBelow(aCell.random, kOneIn) == 0) {
     aCell.RestartWorker(worker);
   }
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -71,6 +71,10 @@
   CPPUNIT_TEST(testUnansweredStartIsResolvedByAStop);
   CPPUNIT_TEST(testPartitionedWorkerKeepsItsTasksWithinTheLease);
   CPPUNIT_TEST(testLostWorkersTasksRunAgainAfterTheLease);
+  CPPUNIT_TEST(testLateLeaderGivesUpNoWorker);
+  CPPUNIT_TEST(testPausedLeaderEndsNoAttempt);
+  CPPUNIT_TEST(testDelayedStartIsSentAgain);
+  CPPUNIT_TEST(testDelayedStartOfACancelledJobIsNotSent);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
   CPPUNIT_TEST(testNewLeaderCommitsUnreportedEnds);
@@ -148,6 +152,79 @@
     CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
   }
 
+  // A leader that sent its renewals too late took that for the silence of all
+  // workers: it renewed no leases, used no workers and ended their attempts.
+  void testLateLeaderGivesUpNoWorker() {
+    CellModel cell = MakeCell(2);
+    for (auto& [id, worker] : cell.workers) {
+      worker.runMs = 12000;
+    }
+    cell.Submit(MakeJob("job"));
+    cell.Run(Millis(500));
+    cell.SetLeaderLate(true);
+    cell.Run(Seconds(8));
+    const CellSummary summary =
+        Summarise(*cell.scheduler, cell.state, cell.now);
+    CPPUNIT_ASSERT_EQUAL(2U, summary.reachableWorkers);
+    CPPUNIT_ASSERT_EQUAL(0U, summary.workersAvoided);
+    cell.SetLeaderLate(false);
+    cell.Run(Seconds(6));
+    CPPUNIT_ASSERT(!HasDecision(cell, "worker_unreachable"));
+    CPPUNIT_ASSERT(!HasDecision(cell, "lease_over"));
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, cell.starts);
+  }
+
+  // Silence while the leader does not run is no evidence against a worker, even
+  // if it lasts longer than the lease.
+  void testPausedLeaderEndsNoAttempt() {
+    for (const std::int64_t pauseMs : {100, 2000, 8000, 14000}) {
+      CellModel cell = MakeCell(2);
+      cell.Submit(MakeJob("job"));
+      cell.Run(Millis(100));
+      cell.PauseLeader(Millis(pauseMs));
+      cell.Run(Millis(pauseMs) + Seconds(2));
+      const std::string message = std::to_string(pauseMs) + " ms";
+      CPPUNIT_ASSERT_MESSAGE(message, !HasDecision(cell, "worker_unreachable"));
+      CPPUNIT_ASSERT_MESSAGE(message, !HasDecision(cell, "lease_over"));
+      CPPUNIT_ASSERT_MESSAGE(message,
+                             PhaseOf(cell, "job") == JobPhase::Completed);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(message, std::uint64_t{2}, cell.starts);
+    }
+  }
+
+  // A start that the leader sent too late ended the attempt and placed the task
+  // again on another worker, for two commits each time.
+  void testDelayedStartIsSentAgain() {
+    CellModel cell = MakeCell(2);
+    cell.SetLeaderLate(true);
+    cell.Submit(MakeJob("job"));
+    cell.Run(Seconds(2));
+    cell.SetLeaderLate(false);
+    cell.Run(Seconds(2));
+    CPPUNIT_ASSERT(HasDecision(cell, "start_delayed"));
+    CPPUNIT_ASSERT(!HasDecision(cell, "start_not_done"));
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+    const Job& job = *FindJob(cell.state, "job");
+    for (const auto& [number, occurrence] : job.occurrences) {
+      for (const TaskState& task : occurrence.stages[0].tasks) {
+        CPPUNIT_ASSERT_EQUAL(AttemptNumber{1}, task.attempt);
+      }
+    }
+  }
+
+  void testDelayedStartOfACancelledJobIsNotSent() {
+    CellModel cell = MakeCell(2);
+    cell.SetLeaderLate(true);
+    cell.Submit(MakeJob("job"));
+    cell.Run(Millis(700));
+    cell.Cancel("job");
+    cell.SetLeaderLate(false);
+    cell.Run(Seconds(3));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cell.starts);
+    CPPUNIT_ASSERT_EQUAL(0U, FindJob(cell.state, "job")->placed);
+  }
+
   // A worker that was out of reach for longer than its lease lists ends of
   // attempts that the leader has given up. They were skipped and acknowledged,
   // and the tasks were started again although they were done.
