Fix a crash when members of a gang end one after the other

The first end of a gang's member ends the whole gang in the replicated state, and may complete its job. The scheduler kept the attempts of the other members; when their workers listed them, it looked up a stage that no longer existed and the leader crashed. Found by a gang of 300 tasks whose starts were spread over time. Ends that arrive within one commit did not show it.

An attempt that has ended in the replicated state is now forgotten when a worker lists it. SchedulerTest testMembersOfAGangEndOneAfterTheOther ended with a segmentation fault before.

--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -41,6 +41,18 @@
   }
 }
 
+// Forgets an attempt that has ended in the replicated state, as all members of
+// a gang do with the first end of one. The specification of its stage is gone.
+void ForgetIfEnded(Scheduler& aScheduler, const State& aState,
+                   const std::optional<TaskKey>& aKey) {
+  const auto found =
+      aKey ? aScheduler.attempts.find(*aKey) : aScheduler.attempts.end();
+  if (found != aScheduler.attempts.end() &&
+      detail::HasEnded(aState, *aKey, found->second)) {
+    aScheduler.attempts.erase(found);
+  }
+}
+
 // Why a listed end does not belong to an attempt that the leader holds.
 std::string_view SkipReason(const Scheduler& aScheduler,
                             const WorkerSession& aSession,
@@ -125,6 +137,7 @@
       continue;
     }
     const auto key = detail::KeyOf(aState, row.task);
+    ForgetIfEnded(aScheduler, aState, key);
     const std::string_view skipReason =
         SkipReason(aScheduler, aSession, key, row);
     if (!skipReason.empty()) {
@@ -212,6 +225,7 @@
                     std::unordered_set<TaskKey>& aListed) {
   for (const RunningAttempt& row : aAnswer.running) {
     const auto key = detail::KeyOf(aState, row.task);
+    ForgetIfEnded(aScheduler, aState, key);
     const auto found =
         key ? aScheduler.attempts.find(*key) : aScheduler.attempts.end();
     const bool ours = found != aScheduler.attempts.end() &&
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(testPausedLeaderEndsNoAttempt);
   CPPUNIT_TEST(testDelayedStartIsSentAgain);
   CPPUNIT_TEST(testDelayedStartOfACancelledJobIsNotSent);
+  CPPUNIT_TEST(testMembersOfAGangEndOneAfterTheOther);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
   CPPUNIT_TEST(testNewLeaderCommitsUnreportedEnds);
@@ -225,6 +226,23 @@
     CPPUNIT_ASSERT_EQUAL(0U, FindJob(cell.state, "job")->placed);
   }
 
+  // The first end of a member completes the gang and its job. The leader
+  // crashed when it looked up the stage of another member that was listed
+  // afterwards.
+  void testMembersOfAGangEndOneAfterTheOther() {
+    CellModel cell = MakeCell(2);
+    cell.workers.at("w0").runMs = 300;
+    cell.workers.at("w1").runMs = 600;
+    JobSpec gang = MakeJob("gang");
+    gang.stages = {MakeStage(2, 5000, 300)};
+    gang.stages[0].gang = true;
+    cell.Submit(gang);
+    cell.Run(Seconds(3));
+    CPPUNIT_ASSERT(PhaseOf(cell, "gang") == JobPhase::Completed);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, cell.starts);
+    CPPUNIT_ASSERT(cell.scheduler->attempts.empty());
+  }
+
   // A worker that was out of reach for longer than its lease lists ends of
   // attempts that the leader has given up. They were skipped and acknowledged,
   // and the tasks were started again although they were done.
