Bound the starts and renewals that a leader has in flight

A placement pass every 8 ms committed up to 256 placements, however many starts were without an answer. The starts queued in the leader's process until their connect deadline of 500 ms passed; each cost two commits and went back to the backlog. After a change of leader the renewals of all 490 workers were sent in one turn, with the same effect.

At most 256 placements are now unstarted (being committed, queued or sent and not answered), 128 of them sent. 800 starts per second with 75 ms for a commit and 100 ms for an answer need 140 and 80. A full window holds placement passes until 64 places are free, so that it does not cost a pass for each answer. A gang larger than 192 is placed when at most 64 placements are unstarted; later jobs wait for it. At most 64 renewals that the worker answers at once are in flight, the longest overdue first.

The cell model now gives an answer to each request, as Driver.h promises; a request that reached a stopped worker had none.

Tests that failed before: SchedulerTest testUnstartedPlacementsAreBounded (more than 256) and testNewLeaderBoundsItsRenewals (490 instead of 64).

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -195,6 +195,11 @@
   // Since when there has always been a pending placement.
   std::optional<TimePoint> pendingSince;
   std::deque<QueuedStart> queuedStarts;  // oldest first
+  std::uint32_t startsInFlight = 0;
+  // A pass left tasks waiting because of kStartWindow.
+  bool isStartWindowFull = false;
+  // Renewals in flight that the worker answers at once.
+  std::uint32_t promptRenewalsInFlight = 0;
   // Earliest time of the next start, after one was delayed by the leader.
   TimePoint nextStartAt;
   std::map<WorkerNumber, Resources> pendingReservations;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -336,6 +336,7 @@
                                const SendStart& aRequest,
                                const RequestAnswer& aAnswer, TimePoint aNow) {
   SchedulerActions actions;
+  detail::RecordStartAnswered(aScheduler);
   const auto found = aScheduler.sessions.find(aRequest.worker);
   if (found == aScheduler.sessions.end()) {
     return actions;
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -9,8 +9,9 @@
 
 namespace {
 
-// Limit on the placements that one pass commits; only a gang may exceed it.
-constexpr std::size_t kMaxPlacements = 256;
+// A pass places no fewer tasks than this because of kStartWindow, so that a
+// full window does not cost a pass for each answer.
+constexpr std::size_t kMinStartRoom = 64;
 // See HasIdled.
 constexpr Duration kMaxIdleTime = Millis(1200);
 
@@ -40,8 +41,17 @@
   std::optional<RequestTickets> tickets;
   CellLoad cellLoad;
   std::vector<UnplaceableDemand> unplaceable;
+  bool isLimited = false;  // a stage did not fit into kStartWindow
 };
 
+// Whether the start window has room for so many further placements. A gang
+// larger than the window is placed when little else is unstarted.
+bool HasStartRoom(const Scheduler& aScheduler, std::size_t aPlacements) {
+  constexpr std::size_t kLargestGang = kStartWindow - kMinStartRoom;
+  return CountUnstarted(aScheduler) + std::min(aPlacements, kLargestGang) <=
+         kStartWindow;
+}
+
 bool HasLabel(const Worker& aWorker, const std::string& aLabel) {
   const std::vector<std::string>& labels = aWorker.spec.labels;
   return std::find(labels.begin(), labels.end(), aLabel) != labels.end();
@@ -319,8 +329,8 @@
   const std::vector<Neighbours> before =
       spec.gang ? neighbours : std::vector<Neighbours>();
   for (const TaskKey& key : waiting) {
-    if (chosen.size() + aPass.places.tasks.size() >= kMaxPlacements &&
-        !spec.gang) {
+    if (!spec.gang && !HasStartRoom(aPass.scheduler, chosen.size() + 1)) {
+      aPass.isLimited = true;
       break;
     }
     const auto host = ChooseHost(views, task);
@@ -341,7 +351,11 @@
       break;
     }
   }
-  if (spec.gang && chosen.size() < waiting.size()) {
+  const bool isComplete = chosen.size() == waiting.size();
+  if (spec.gang && isComplete) {
+    aPass.isLimited = !HasStartRoom(aPass.scheduler, chosen.size());
+  }
+  if (spec.gang && (!isComplete || aPass.isLimited)) {
     neighbours = before;
     return;
   }
@@ -383,6 +397,10 @@
 
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions) {
+  aScheduler.isStartWindowFull = !HasStartRoom(aScheduler, kMinStartRoom);
+  if (aScheduler.isStartWindowFull) {
+    return;
+  }
   PlacementPass pass{
       aScheduler, aState,
       aNow,       CollectCandidateHosts(aScheduler, aState, aNow),
@@ -417,8 +435,8 @@
         }
       }
     }
-    if (pass.places.tasks.size() >= kMaxPlacements) {
-      aScheduler.dispatchWanted = true;
+    if (pass.isLimited) {
+      aScheduler.isStartWindowFull = true;
       break;
     }
   }
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -359,6 +359,9 @@
                                       const RenewLeaseAnswer& aAnswer,
                                       TimePoint aNow) {
   SchedulerActions actions;
+  if (aRequest.request.waitMs == 0) {
+    --aScheduler.promptRenewalsInFlight;
+  }
   const auto found = aScheduler.sessions.find(aRequest.worker);
   if (found == aScheduler.sessions.end()) {
     return actions;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -99,6 +99,12 @@
 // Chooses workers for waiting tasks and commits the placements.
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions);
+// Limit on placements that are not started yet. More would wait in this process
+// until their requests time out. 800 starts per second with 75 ms for a commit
+// and 100 ms for an answer need 140.
+constexpr std::size_t kStartWindow = 256;
+// Placements that are being committed, and starts without an answer.
+std::size_t CountUnstarted(const Scheduler& aScheduler);
 // Queues the start of an attempt; SendQueuedStarts sends it.
 void QueueStart(Scheduler& aScheduler, const TaskKey& aKey,
                 AttemptNumber aAttempt);
@@ -106,6 +112,8 @@
 // sent, so that the same attempt may start later.
 void QueueDelayedStart(Scheduler& aScheduler, const SendStart& aRequest,
                        const Attempt& aAttempt, TimePoint aNow);
+// Records that a start in flight was answered or failed.
+void RecordStartAnswered(Scheduler& aScheduler);
 // Sends the starts that are queued. Attempts that are no longer to start end as
 // never run.
 void SendQueuedStarts(Scheduler& aScheduler, const State& aState,
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -9,6 +9,8 @@
 // No starts are sent for this long after one was delayed, so that renewals,
 // which expire, are sent first.
 constexpr Duration kDelayedStartPause = Millis(50);
+// 800 starts per second with answers after 100 ms need 80.
+constexpr std::uint32_t kMaxStartsInFlight = 128;
 
 // Whether the stage needs a ticket for the worker and holds no valid one.
 bool LacksTicket(const Scheduler& aScheduler, const State& aState,
@@ -58,6 +60,7 @@
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
     return;
   }
+  ++aScheduler.startsInFlight;
   attempt.sentAt = aNow;
   attempt.progressAt = aNow;
   aActions.push_back(MakeStart(aScheduler, aState, aQueued.task, attempt,
@@ -66,6 +69,18 @@
 
 }  // namespace
 
+std::size_t CountUnstarted(const Scheduler& aScheduler) {
+  return aScheduler.pendingPlacements.size() + aScheduler.queuedStarts.size() +
+         aScheduler.startsInFlight;
+}
+
+void RecordStartAnswered(Scheduler& aScheduler) {
+  --aScheduler.startsInFlight;
+  if (aScheduler.isStartWindowFull) {
+    aScheduler.dispatchWanted = true;
+  }
+}
+
 void QueueStart(Scheduler& aScheduler, const TaskKey& aKey,
                 AttemptNumber aAttempt) {
   aScheduler.queuedStarts.push_back(QueuedStart{aKey, aAttempt});
@@ -84,7 +99,8 @@
 void SendQueuedStarts(Scheduler& aScheduler, const State& aState,
                       TimePoint aNow, SchedulerActions& aActions) {
   EndTasks neverRan;
-  while (!aScheduler.queuedStarts.empty() && aNow >= aScheduler.nextStartAt) {
+  while (!aScheduler.queuedStarts.empty() && aNow >= aScheduler.nextStartAt &&
+         aScheduler.startsInFlight < kMaxStartsInFlight) {
     const QueuedStart next = aScheduler.queuedStarts.front();
     aScheduler.queuedStarts.pop_front();
     SendOne(aScheduler, aState, next, aNow, neverRan, aActions);
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -21,6 +21,9 @@
 // Short, so that several reports arrive in the time for which a tail may be
 // over its target.
 constexpr std::uint32_t kTailWaitMs = 400;
+// After a change of leader, the renewals of all workers are due at once; sent
+// together, the last ones would time out in this process.
+constexpr std::uint32_t kMaxPromptRenewals = 64;
 
 // Whether the worker runs both a task with a tail target and a filler.
 bool HasMixedLoad(const State& aState, const Worker& aWorker) {
@@ -50,6 +53,22 @@
   aSession.fencingStops.clear();
 }
 
+// The sessions whose renewal is due, the longest overdue first.
+std::vector<WorkerSession*> DueSessions(Scheduler& aScheduler, TimePoint aNow) {
+  std::vector<WorkerSession*> due;
+  for (auto& [number, session] : aScheduler.sessions) {
+    if (!session.renewalInFlight && !session.isCommittingEnds &&
+        !(aNow < session.nextRenewalAt)) {
+      due.push_back(&session);
+    }
+  }
+  std::stable_sort(due.begin(), due.end(),
+                   [](const WorkerSession* aLeft, const WorkerSession* aRight) {
+                     return aLeft->nextRenewalAt < aRight->nextRenewalAt;
+                   });
+  return due;
+}
+
 }  // namespace
 
 double MillisBetween(TimePoint aFrom, TimePoint aTo) {
@@ -140,12 +159,9 @@
 
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions) {
-  for (auto& [number, session] : aScheduler.sessions) {
-    if (session.renewalInFlight || session.isCommittingEnds ||
-        aNow < session.nextRenewalAt) {
-      continue;
-    }
-    const auto worker = aState.workers.find(number);
+  for (WorkerSession* const one : DueSessions(aScheduler, aNow)) {
+    WorkerSession& session = *one;
+    const auto worker = aState.workers.find(session.worker);
     if (worker == aState.workers.end()) {
       continue;
     }
@@ -159,6 +175,11 @@
       session.nextRenewalAt = kNever;
       continue;
     }
+    const bool waits =
+        busy && session.hasAnsweredRenewal && session.missedRenewals == 0;
+    if (!waits && aScheduler.promptRenewalsInFlight >= kMaxPromptRenewals) {
+      continue;
+    }
     RenewLeaseRequest request;
     request.epoch = aScheduler.epoch;
     request.lastSeen = session.committedEnd;
@@ -167,12 +188,14 @@
     if (EstimateClock(session, aNow) && session.missedRenewals == 0) {
       request.untilWorkerMs = GrantLease(aScheduler, session, aNow);
     }
-    if (busy && session.hasAnsweredRenewal && session.missedRenewals == 0) {
+    if (waits) {
       request.waitMs =
           HasMixedLoad(aState, worker->second) ? kTailWaitMs : kRenewalWaitMs;
+    } else {
+      ++aScheduler.promptRenewalsInFlight;
     }
     session.renewalInFlight = true;
-    aActions.push_back(SendLeaseRenewal{number, request});
+    aActions.push_back(SendLeaseRenewal{session.worker, request});
   }
 }
 
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -251,6 +251,10 @@
       // Requests without a delay reach the new incarnation, since the id
       // alone may not distinguish the two.
       if (!worker.up || (late && worker.spec.startedUnixMs != startedUnixMs)) {
+        if (!unanswered) {
+          this->ScheduleOnLeader(this->now + kRequestTimeout,
+                                 [answer] { answer(RequestAnswer()); });
+        }
         return;
       }
       const RequestAnswer given = aExecute(worker);
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -63,6 +63,35 @@
                      });
 }
 
+CellModel MakeLargeCell(int aWorkers) {
+  CellModel cell(1);
+  for (int worker = 0; worker < aWorkers; ++worker) {
+    cell.workers["w" + std::to_string(worker)].spec =
+        MakeWorker("w" + std::to_string(worker));
+  }
+  // Registers all workers with the first announcement.
+  cell.Run(Seconds(1));
+  return cell;
+}
+
+// Placements that are being committed and starts without an answer.
+std::size_t CountUnstarted(const CellModel& aCell) {
+  std::size_t count = aCell.scheduler->pendingPlacements.size();
+  for (const auto& [key, attempt] : aCell.scheduler->attempts) {
+    count += attempt.startStatus == Attempt::StartStatus::Sending ? 1 : 0;
+  }
+  return count;
+}
+
+// Renewals that the workers are to answer at once.
+std::size_t CountPromptRenewals(const SchedulerActions& aActions) {
+  return static_cast<std::size_t>(std::count_if(
+      aActions.begin(), aActions.end(), [](const SchedulerAction& aAction) {
+        const auto* const renewal = std::get_if<SendLeaseRenewal>(&aAction);
+        return renewal && renewal->request.waitMs == 0;
+      }));
+}
+
 }  // namespace
 
 class SchedulerTest : public CppUnit::TestFixture {
@@ -76,6 +105,9 @@
   CPPUNIT_TEST(testDelayedStartIsSentAgain);
   CPPUNIT_TEST(testDelayedStartOfACancelledJobIsNotSent);
   CPPUNIT_TEST(testMembersOfAGangEndOneAfterTheOther);
+  CPPUNIT_TEST(testUnstartedPlacementsAreBounded);
+  CPPUNIT_TEST(testGangLargerThanTheStartWindowIsPlaced);
+  CPPUNIT_TEST(testNewLeaderBoundsItsRenewals);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
   CPPUNIT_TEST(testNewLeaderCommitsUnreportedEnds);
@@ -243,6 +275,69 @@
     CPPUNIT_ASSERT(cell.scheduler->attempts.empty());
   }
 
+  // A pass every 8 ms committed up to 256 placements however many starts were
+  // without an answer; the starts timed out in the leader's process.
+  void testUnstartedPlacementsAreBounded() {
+    constexpr std::size_t kWindow = 256;
+    CellModel cell = MakeLargeCell(100);
+    cell.faults.sentTooLate = 0.5;
+    for (int job = 0; job < 40; ++job) {
+      JobSpec spec = MakeJob("job" + std::to_string(job));
+      spec.stages[0].tasks = 20;
+      cell.Submit(spec);
+    }
+    std::size_t most = 0;
+    for (int step = 0; step < 400; ++step) {
+      cell.Run(Millis(5));
+      most = std::max(most, CountUnstarted(cell));
+    }
+    CPPUNIT_ASSERT(most > 0);
+    CPPUNIT_ASSERT(most <= kWindow);
+    cell.faults.sentTooLate = 0;
+    cell.Run(Seconds(5));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{800}, cell.starts);
+  }
+
+  // A gang is placed as a whole, so that one that is larger than the limit on
+  // unstarted placements must not wait forever, neither alone nor beside
+  // others.
+  void testGangLargerThanTheStartWindowIsPlaced() {
+    for (const bool isAlone : {true, false}) {
+      CellModel cell = MakeLargeCell(60);
+      JobSpec gang = MakeJob("gang");
+      gang.stages[0].tasks = 300;
+      gang.stages[0].gang = true;
+      cell.Submit(gang);
+      for (int second = 0; second < 10; ++second) {
+        for (int job = 0; job < 10 && !isAlone; ++job) {
+          cell.Submit(MakeJob("job" + std::to_string(second * 10 + job)));
+        }
+        cell.Run(Seconds(1));
+      }
+      CPPUNIT_ASSERT(PhaseOf(cell, "gang") == JobPhase::Completed);
+    }
+  }
+
+  // A new leader sent the renewals of all workers at once, and the last ones
+  // timed out in its own process.
+  void testNewLeaderBoundsItsRenewals() {
+    constexpr std::size_t kMaxPromptRenewals = 64;
+    CellModel cell = MakeLargeCell(490);
+    cell.ChangeLeader();
+    const SchedulerActions first =
+        OnTick(*cell.scheduler, cell.state, cell.now, cell.UnixMs());
+    CPPUNIT_ASSERT_EQUAL(kMaxPromptRenewals, CountPromptRenewals(first));
+    const SchedulerActions second =
+        OnTick(*cell.scheduler, cell.state, cell.now, cell.UnixMs());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, CountPromptRenewals(second));
+    // All workers are asked in turn.
+    cell.ChangeLeader();
+    cell.Run(Millis(100));
+    for (const auto& [number, session] : cell.scheduler->sessions) {
+      CPPUNIT_ASSERT(session.hasAnsweredRenewal);
+    }
+  }
+
   // A worker that was out of reach for longer than its lease lists ends of
   // attempts that the leader has given up. They were skipped and acknowledged,
   // and the tasks were started again although they were done.
