--- a/bench/workflow/DispatchBench.cpp
+++ b/bench/workflow/DispatchBench.cpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "bench/workflow/BenchCell.h"
 #include "bramleypath/workflow/Scheduler.h"
 
 // Measures one placement pass of the leader at three sizes of a cell with 2,000
@@ -22,61 +23,6 @@
 constexpr std::size_t kImages = 18;
 constexpr int kPasses = 20;
 constexpr std::int64_t kSteadyClockMs = 1000;
-const Resources kCapacity{32000, 125000, 0};
-
-Layout MakeLayout() {
-  QueueSettings queue;
-  queue.id = QueueId("q");
-  queue.host = "h";
-  queue.pathPrefix = "/q/";
-  queue.service = ServiceId("s");
-  queue.maxAttempts = 4;
-  queue.stretchMilli = 2000;
-  queue.targetMs = 1000;
-  Layout layout;
-  layout.version = 1;
-  layout.services = {queue.service};
-  layout.queues = {queue};
-  return layout;
-}
-
-StageSpec MakeStage(std::uint32_t aTasks, std::int64_t aProcessorsMilli) {
-  StageSpec stage;
-  stage.tasks = aTasks;
-  stage.demand = Resources{aProcessorsMilli, 6000, 0};
-  stage.estimatedMs = 1700;
-  return stage;
-}
-
-JobSpec MakeJob(const std::string& aId, const StageSpec& aStage) {
-  JobSpec spec;
-  spec.id = JobId(aId);
-  spec.queue = QueueId("q");
-  spec.stages = {aStage};
-  return spec;
-}
-
-WorkerSpec MakeWorker(std::size_t aNumber) {
-  WorkerSpec worker;
-  worker.id = WorkerId("w" + std::to_string(aNumber));
-  worker.startedUnixMs = 1;
-  worker.service = ServiceId("s");
-  worker.rack = RackId("r" + std::to_string(aNumber / 12));
-  worker.capacity = kCapacity;
-  return worker;
-}
-
-struct Cell {
-  State state;
-  TimePoint now{1000 * 1000};
-  std::size_t jobs = 0;
-
-  JobNumber Accept(const StageSpec& aStage) {
-    const std::string id = "job" + std::to_string(this->jobs++);
-    Apply(this->state, AcceptJob{MakeJob(id, aStage), 0});
-    return FindJob(this->state, id)->number;
-  }
-};
 
 // Each worker runs serving tasks of one image that together reserve
 // aReservedMilli thousandths of a processor.
@@ -122,21 +68,6 @@
   return scheduler;
 }
 
-std::size_t CountPlaced(const SchedulerActions& aActions) {
-  std::size_t placed = 0;
-  for (const SchedulerAction& action : aActions) {
-    const auto* const commit = std::get_if<Commit>(&action);
-    if (!commit) {
-      continue;
-    }
-    for (const Command& command : commit->commands) {
-      const auto* const places = std::get_if<PlaceTasks>(&command);
-      placed += places ? places->tasks.size() : 0;
-    }
-  }
-  return placed;
-}
-
 void MeasurePass(const char* aName, std::size_t aWorkers, bool aFull) {
   constexpr std::int64_t kHalfMilli = 16000;
   constexpr std::int64_t kFullMilli = 32000;
