--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -20,6 +20,7 @@
 
 void OpenDueOccurrences(Scheduler& aScheduler, const State& aState,
                         std::int64_t aUnixMs, SchedulerActions& aActions) {
+  ++aScheduler.work.jobSweeps;
   for (const auto& [number, job] : aState.jobs) {
     if (job.phase != JobPhase::Active || job.spec.repetitions == 0 ||
         job.opened >= job.spec.repetitions ||
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -173,6 +173,19 @@
   TimePoint expiresAt;  // the start can't arrive after that
 };
 
+// Counts of the work done in scheduling cycles, which bounds their cost.
+struct CycleWork {
+  std::uint64_t passes = 0;          // placement passes
+  std::uint64_t stagesExamined = 0;  // whose tasks were tried on workers
+  std::uint64_t hostsRated = 0;
+  std::uint64_t jobsRanked = 0;
+  // Pending placements that were read to place other tasks.
+  std::uint64_t pendingRead = 0;
+  std::uint64_t jobSweeps = 0;      // over all jobs, for due occurrences
+  std::uint64_t attemptSweeps = 0;  // over all attempts
+  std::uint64_t sessionSweeps = 0;  // over all sessions, for lease renewals
+};
+
 // Volatile state of the leader, rebuilt from the replicated state and the
 // answers of workers. The functions below are called on the leader only.
 struct Scheduler {
@@ -199,6 +212,7 @@
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> jobsOpeningOccurrence;  // being committed
   CellLoad cellLoad;  // as of the last dispatch
+  CycleWork work;
 };
 
 // Creates the scheduler of a new leader. The status of the attempts in aState
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -149,6 +149,7 @@
 
 void WatchAttempts(Scheduler& aScheduler, const State& aState, TimePoint aNow,
                    SchedulerActions& aActions) {
+  ++aScheduler.work.attemptSweeps;
   EndTasks expired;
   for (auto& [key, attempt] : aScheduler.attempts) {
     if (attempt.proposedEnd || HasEnded(aState, key, attempt)) {
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -157,6 +157,7 @@
 
 void RateHost(Scheduler& aScheduler, JobNumber aJob, const StageSpec& aStage,
               const Neighbours& aNeighbours, bool aRelaxed, HostView& aView) {
+  ++aScheduler.work.hostsRated;
   aView.interference = 0;
   if (aStage.filler) {
     RateForFiller(aScheduler, aStage, aNeighbours, aRelaxed, aView);
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -58,6 +58,7 @@
   for (const TaskKey& key : aPass.hosts.workers[aHost]->attempts) {
     count += IsSameStage(key, aStage) ? 1 : 0;
   }
+  aPass.scheduler.work.pendingRead += aPass.scheduler.pendingPlacements.size();
   for (const auto& [key, placed] : aPass.scheduler.pendingPlacements) {
     count +=
         placed.worker == aPass.hosts.numbers[aHost] && IsSameStage(key, aStage)
@@ -306,6 +307,7 @@
   if (waiting.empty() || (spec.gang && waiting.size() != aState.tasks.size())) {
     return;
   }
+  ++aPass.scheduler.work.stagesExamined;
   std::vector<HostView> views =
       ViewsFor(aPass, aJob, *queue, aStage, aState, relaxed);
   if (queue->needsTicket) {
@@ -352,6 +354,7 @@
 
 // Ranks a job and adds its remaining work to the load of the cell.
 RankedJob Rank(PlacementPass& aPass, const Job& aJob, std::int64_t aUnixMs) {
+  ++aPass.scheduler.work.jobsRanked;
   const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
   WaitingJob waiting;
   waiting.longRunning = IsLongRunning(aJob);
@@ -383,6 +386,7 @@
 
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions) {
+  ++aScheduler.work.passes;
   PlacementPass pass{
       aScheduler, aState,
       aNow,       CollectCandidateHosts(aScheduler, aState, aNow),
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -140,6 +140,7 @@
 
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions) {
+  ++aScheduler.work.sessionSweeps;
   for (auto& [number, session] : aScheduler.sessions) {
     if (session.renewalInFlight || session.isCommittingEnds ||
         aNow < session.nextRenewalAt) {
