--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -181,6 +181,19 @@
   AttemptNumber attempt = 0;
 };
 
+// Counts of the work done in scheduling cycles, which bounds their cost.
+struct CycleWork {
+  std::uint64_t passes = 0;          // placement passes
+  std::uint64_t stagesExamined = 0;  // whose tasks were tried on workers
+  std::uint64_t hostsRated = 0;
+  std::uint64_t jobsRanked = 0;
+  // Pending placements that were read to place other tasks.
+  std::uint64_t pendingRead = 0;
+  std::uint64_t jobSweeps = 0;      // over all jobs, for due occurrences
+  std::uint64_t attemptSweeps = 0;  // over all attempts
+  std::uint64_t sessionSweeps = 0;  // over all sessions, for lease renewals
+};
+
 // Volatile state of the leader, rebuilt from the replicated state and the
 // answers of workers. The functions below are called on the leader only.
 struct Scheduler {
@@ -190,8 +203,9 @@
   TimePoint leaderSince;
   std::map<WorkerNumber, WorkerSession> sessions;
   std::unordered_map<TaskKey, Attempt> attempts;
-  // Placements that are being committed.
-  std::unordered_map<TaskKey, PlacedTask> pendingPlacements;
+  // Placements that are being committed, so ordered that those of one stage are
+  // adjacent.
+  std::map<TaskKey, PlacedTask> pendingPlacements;
   // Since when there has always been a pending placement.
   std::optional<TimePoint> pendingSince;
   std::deque<QueuedStart> queuedStarts;  // oldest first
@@ -216,6 +230,7 @@
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> jobsOpeningOccurrence;  // being committed
   CellLoad cellLoad;  // as of the last dispatch
+  CycleWork work;
 };
 
 // Creates the scheduler of a new leader. The status of the attempts in aState
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -159,6 +159,7 @@
 
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions) {
+  ++aScheduler.work.sessionSweeps;
   for (WorkerSession* const one : DueSessions(aScheduler, aNow)) {
     WorkerSession& session = *one;
     const auto worker = aState.workers.find(session.worker);
