Call the handlers of HTTP results in bounded turns

Answers that arrived while the leader was busy were all handled before the timer of consensus, so that hundreds of them delayed heartbeats and the acknowledgements that carry the leader's lease. The client now calls handlers for at most 20 ms, then timers and connections that are ready get their turn.

HttpClientTest testManyResultsDoNotDelayTimers failed before: 200 results of 3 ms delayed a 20 ms timer by more than the 150 ms that a heartbeat may be late.

--- a/src/bramleypath/net/HttpClient.cpp
+++ b/src/bramleypath/net/HttpClient.cpp
@@ -24,6 +24,9 @@
 constexpr int kMaxPollMs = 1000;
 constexpr const char* kTooLate = "this host was too late to send the request";
 constexpr long kSpareConnections = 64;
+// Handlers are called for at most this long before others on the io_context get
+// their turn. A heartbeat may be late by several turns.
+constexpr Duration kMaxTurn = Millis(20);
 // A peer that has not accepted a connection after this time is unreachable; a
 // handshake takes a few milliseconds.
 constexpr Duration kMinConnectTime = Millis(100);
@@ -266,7 +269,7 @@
 
 }  // namespace
 
-struct HttpClient::State {
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
   struct Finished {
     ClientHandler handler;
     ClientResult result;
@@ -287,6 +290,8 @@
   std::mutex mutex;
   std::deque<std::unique_ptr<Transfer>> submitted;
   std::deque<ClientRequestId> cancelled;
+  std::deque<Finished> finished;
+  bool isCallPosted = false;  // a call of CallHandlers is pending
 
   void Run() {
     while (!this->stopping) {
@@ -390,16 +395,50 @@
   }
 
   void Post(Transfer& aTransfer, ClientResult aResult) {
-    auto finished = std::make_shared<Finished>();
-    finished->handler = std::move(aTransfer.handler);
-    finished->result = std::move(aResult);
-    asio::post(this->context, [this, finished] {
-      --this->open;
-      if (!this->stopping) {
-        finished->handler(std::move(finished->result));
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      this->finished.push_back(
+          Finished{std::move(aTransfer.handler), std::move(aResult)});
+      if (std::exchange(this->isCallPosted, true)) {
+        return;
+      }
+    }
+    this->PostCall();
+  }
+
+  void PostCall() {
+    asio::post(this->context, [weak = this->weak_from_this()] {
+      if (const auto state = weak.lock()) {
+        state->CallHandlers();
       }
     });
   }
+
+  // Calls handlers for up to kMaxTurn. The others follow after the timers and
+  // connections that are ready, such as the heartbeats of a leader.
+  void CallHandlers() {
+    const TimePoint end = Now() + kMaxTurn;
+    while (!this->stopping && Now() < end) {
+      std::optional<Finished> next = this->TakeFinished();
+      if (!next) {
+        return;
+      }
+      --this->open;
+      next->handler(std::move(next->result));
+    }
+    this->PostCall();
+  }
+
+  std::optional<Finished> TakeFinished() {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->finished.empty()) {
+      this->isCallPosted = false;
+      return std::nullopt;
+    }
+    Finished next = std::move(this->finished.front());
+    this->finished.pop_front();
+    return next;
+  }
 };
 
 HttpClient::HttpClient(asio::io_context& aContext,
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -3,11 +3,13 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <optional>
+#include <thread>
 
 #include "bramleypath/net/Clock.h"
 #include "tests/net/FullListener.h"
 #include "tests/net/Loop.h"
 #include "tests/net/RawServer.h"
+#include "tests/net/TimerProbe.h"
 
 using namespace bramleypath;
 using namespace bramleypath::net;
@@ -41,6 +43,7 @@
   CPPUNIT_TEST(testClosedIdleConnectionIsNotUsedTwice);
   CPPUNIT_TEST(testConnectionLimitDelaysRequests);
   CPPUNIT_TEST(testCancelAndDeadline);
+  CPPUNIT_TEST(testManyResultsDoNotDelayTimers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -265,6 +268,33 @@
     CPPUNIT_ASSERT(ends[1] == Delivery::Unknown);
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, client.OpenRequests());
   }
+
+  // Answers of hundreds of workers that waited while the leader was busy were
+  // all handled before its heartbeats, so that it lost its lease.
+  void testManyResultsDoNotDelayTimers() {
+    asio::io_context context;
+    std::string address;
+    {
+      RawServer server(context, nullptr);
+      address = server.Address();
+      server.Close();
+    }
+    HttpClient client(context, HttpClientLimits());
+    constexpr int kRequests = 200;
+    int results = 0;
+    for (int i = 0; i < kRequests; ++i) {
+      client.Send(RequestTo(address), [&results](const ClientResult&) {
+        net_test::Compute(std::chrono::milliseconds(3));
+        ++results;
+      });
+    }
+    // All results wait for the io_context by then.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    const net_test::TimerProbe probe(context);
+    CPPUNIT_ASSERT(
+        RunUntil(context, [&results] { return results == kRequests; }));
+    CPPUNIT_ASSERT(probe.Latest() < net_test::kMaxTimerDelay);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(HttpClientTest);
