Report the outcomes of proposals in bounded turns

The outcomes of all proposals that were committed together were reported in one handler of the io_context. Each may send requests and answer callers, so that a large batch delayed the leader's heartbeats. They are now reported for at most 20 ms at a time.

ReplicaTest testManyOutcomesDoNotDelayTimers failed before: 300 callbacks of 3 ms delayed a 20 ms timer by more than 150 ms.

--- a/src/bramleypath/group/Replica.cpp
+++ b/src/bramleypath/group/Replica.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kFullDiskTransferInterval = Seconds(5);
 // Number of times per heartbeat interval that deadlines are checked.
 constexpr std::int64_t kTicksPerHeartbeat = 5;
+// Callbacks are called for at most this long before others on the io_context
+// get their turn.
+constexpr std::chrono::milliseconds kMaxTurn(20);
 
 TimePoint SteadyNow() {
   const auto since = std::chrono::steady_clock::now().time_since_epoch();
@@ -110,6 +113,8 @@
 
   // Proposals.
   void Complete(ProposeCallback aCallback, ProposeOutcome aOutcome);
+  void PostCompletions();
+  void CallCompletions();
   void CompleteProposal(ProposalToken aToken, ProposeOutcome aOutcome);
   void CompleteAll(ProposeError aAppended, ProposeError aOther);
   std::optional<ProposeError> CheckAdmission() const;
@@ -162,7 +167,7 @@
   std::map<LogIndex, ProposalToken> pendingByIndex;
   std::vector<consensus::Propose> unsubmitted;
   bool flushPosted = false;
-  std::vector<Completion> completions;
+  std::deque<Completion> completions;
   bool completionsPosted = false;
 
   bool diskBelowReserve = false;  // also set with diskOutOfSpace
@@ -392,14 +397,29 @@
   if (std::exchange(this->completionsPosted, true)) {
     return;
   }
+  this->PostCompletions();
+}
+
+void Replica::Impl::PostCompletions() {
   // The handler owns a reference, so that each callback is called even if the
   // replica is destroyed first.
-  asio::post(this->context, [self = this->shared_from_this()] {
-    self->completionsPosted = false;
-    for (Completion& one : std::exchange(self->completions, {})) {
-      one.callback(one.outcome);
-    }
-  });
+  asio::post(this->context,
+             [self = this->shared_from_this()] { self->CallCompletions(); });
+}
+
+// Calls callbacks for up to kMaxTurn. The others follow after the timers and
+// messages that are ready, among them this replica's heartbeats.
+void Replica::Impl::CallCompletions() {
+  const auto end = std::chrono::steady_clock::now() + kMaxTurn;
+  while (!this->completions.empty() && std::chrono::steady_clock::now() < end) {
+    const Completion one = std::move(this->completions.front());
+    this->completions.pop_front();
+    one.callback(one.outcome);
+  }
+  this->completionsPosted = !this->completions.empty();
+  if (this->completionsPosted) {
+    this->PostCompletions();
+  }
 }
 
 void Replica::Impl::CompleteProposal(ProposalToken aToken,
--- a/tests/group/ReplicaTest.cpp
+++ b/tests/group/ReplicaTest.cpp
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bramleypath/consensus/Codec.h"
+#include "tests/net/TimerProbe.h"
 #include "tests/storage/FakeFileSystem.h"
 
 namespace bramleypath::group {
@@ -247,9 +248,30 @@
   CPPUNIT_TEST(testWitnessPassesLeadershipOn);
   CPPUNIT_TEST(testStopLosesNothing);
   CPPUNIT_TEST(testDisklessLearner);
+  CPPUNIT_TEST(testManyOutcomesDoNotDelayTimers);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // The outcomes of a large batch were reported in one handler. Heartbeats had
+  // to wait for it, so that a busy leader lost its lease.
+  void testManyOutcomesDoNotDelayTimers() {
+    Group group(1, 1);
+    group.StartAll();
+    group.WaitForLeader();
+    constexpr int kProposals = 300;
+    int outcomes = 0;
+    for (int i = 0; i < kProposals; ++i) {
+      group.members[0]->replica->Propose(
+          {1}, kTimeout, [&](const ProposeOutcome&) {
+            net_test::Compute(std::chrono::milliseconds(3));
+            ++outcomes;
+          });
+    }
+    const net_test::TimerProbe probe(group.context);
+    CPPUNIT_ASSERT(group.RunUntil([&] { return outcomes == kProposals; }));
+    CPPUNIT_ASSERT(probe.Latest() < net_test::kMaxTimerDelay);
+  }
+
   void testProposeIsAppliedEverywhere() {
     Group group(3, 3);
     group.StartAll();
