Send the control group's proposals at most every 10 ms

Each batch of proposals costs an append, an acknowledgement and a notice of the commit for each of seven followers, and a sync on each voter. Under load nearly each end and each placement was a batch of its own. The first proposal after a pause is still sent at once.

ReplicaTest testProposalsWithinAnIntervalAreSentTogether failed before: 100 proposals 2 ms apart were 100 batches instead of one per interval.

--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -31,6 +31,9 @@
 constexpr std::uint64_t kSegmentBytes = 4ULL * 1024 * 1024;
 constexpr std::uint64_t kReserveBytes = 12ULL * 1024 * 1024;
 constexpr std::size_t kSnapshotEntries = 4096;
+// Short against the time that a commit takes, and long enough that a busy
+// leader sends at most 100 batches per second.
+constexpr Duration kProposalInterval = Millis(10);
 
 std::string AddressOf(const HostId& aHost, std::uint16_t aPort) {
   return aHost.value + ":" + std::to_string(aPort);
@@ -154,6 +157,7 @@
   replicaSettings.seed = this->settings.randomSeed;
   replicaSettings.now = net::Now;
   replicaSettings.snapshotEntries = kSnapshotEntries;
+  replicaSettings.proposalInterval = kProposalInterval;
   for (const HostId& host : this->initialVoters) {
     replicaSettings.initial.voters.push_back(storage::InitialIdentity(host));
   }
--- a/src/bramleypath/group/Replica.cpp
+++ b/src/bramleypath/group/Replica.cpp
@@ -89,7 +89,8 @@
         settings(std::move(aSettings)),
         callbacks(std::move(aCallbacks)),
         machine(aMachine),
-        timer(aContext) {}
+        timer(aContext),
+        flushTimer(aContext) {}
 
   TimePoint Now() const {
     return this->settings.now ? this->settings.now() : SteadyNow();
@@ -119,6 +120,7 @@
   void CompleteAll(ProposeError aAppended, ProposeError aOther);
   std::optional<ProposeError> CheckAdmission() const;
   ProposalToken AddPending(Duration aTimeout, ProposeCallback aCallback);
+  void ScheduleFlush();
   void FlushProposals();
   void ChangeMembership(const Membership& aMembership, Duration aTimeout,
                         ProposeCallback aCallback);
@@ -167,6 +169,8 @@
   std::map<LogIndex, ProposalToken> pendingByIndex;
   std::vector<consensus::Propose> unsubmitted;
   bool flushPosted = false;
+  TimePoint nextFlushAt;
+  asio::steady_timer flushTimer;
   std::deque<Completion> completions;
   bool completionsPosted = false;
 
@@ -465,8 +469,22 @@
   return token;
 }
 
+void Replica::Impl::ScheduleFlush() {
+  const Duration wait = this->nextFlushAt - this->Now();
+  this->flushTimer.expires_after(
+      std::chrono::microseconds(std::max<std::int64_t>(wait.micros, 0)));
+  this->flushTimer.async_wait(
+      [self = this->weak_from_this()](const asio::error_code& aError) {
+        const auto impl = self.lock();
+        if (impl && !aError) {
+          impl->FlushProposals();
+        }
+      });
+}
+
 void Replica::Impl::FlushProposals() {
   this->flushPosted = false;
+  this->nextFlushAt = this->Now() + this->settings.proposalInterval;
   if (!this->unsubmitted.empty()) {
     this->Submit(consensus::ProposeBatch{std::exchange(this->unsubmitted, {})});
   }
@@ -686,14 +704,9 @@
   const ProposalToken token =
       replica.AddPending(aTimeout, std::move(aCallback));
   replica.unsubmitted.push_back(consensus::Propose{token, std::move(aCommand)});
-  if (std::exchange(replica.flushPosted, true)) {
-    return;
+  if (!std::exchange(replica.flushPosted, true)) {
+    replica.ScheduleFlush();
   }
-  asio::post(replica.context, [self = this->impl->weak_from_this()] {
-    if (const auto impl = self.lock()) {
-      impl->FlushProposals();
-    }
-  });
 }
 
 void Replica::ChangeMembership(const Membership& aMembership, Duration aTimeout,
--- a/src/bramleypath/group/Replica.h
+++ b/src/bramleypath/group/Replica.h
@@ -35,6 +35,10 @@
   std::size_t maxCommandBytes = 2 * 1024 * 1024;
   // Proposals are refused as Overloaded while this many are not yet committed.
   std::size_t maxPending = 16384;
+  // Proposals are sent at most once per interval, so that a stream of them
+  // costs fewer messages and syncs. The first one after a pause is sent at
+  // once.
+  Duration proposalInterval;
   // Tells whether a replica may keep leadership. A replica that may not, such
   // as a witness, hands it over when elected. If unset, all replicas may.
   std::function<bool(const consensus::ReplicaId&)> mayLead;
--- a/tests/group/ReplicaTest.cpp
+++ b/tests/group/ReplicaTest.cpp
@@ -107,6 +107,7 @@
     settings.snapshotEntries = 50;
     settings.maxCommandBytes = 100;
     settings.maxPending = 300;
+    settings.proposalInterval = this->proposalInterval;
     settings.mayLead = [this](const ReplicaId& aId) {
       return !this->Find(aId)->witness;
     };
@@ -127,6 +128,9 @@
   ReplicaCallbacks Callbacks(Member& aMember) {
     ReplicaCallbacks callbacks;
     callbacks.send = [this](const consensus::Message& aMessage) {
+      const auto* const append =
+          std::get_if<consensus::AppendRequest>(&aMessage.body);
+      this->appendsWithEntries += append && !append->entries.empty() ? 1 : 0;
       const auto decoded =
           consensus::DecodeMessage(consensus::EncodeMessage(aMessage));
       CPPUNIT_ASSERT(decoded.has_value());
@@ -228,6 +232,8 @@
   asio::io_context context;
   consensus::Membership initial;
   Duration quorumTimeout = Millis(1200);
+  Duration proposalInterval;
+  std::size_t appendsWithEntries = 0;
   std::vector<std::unique_ptr<Member>> members;
   std::set<ReplicaId> isolated;
 };
@@ -249,6 +255,7 @@
   CPPUNIT_TEST(testStopLosesNothing);
   CPPUNIT_TEST(testDisklessLearner);
   CPPUNIT_TEST(testManyOutcomesDoNotDelayTimers);
+  CPPUNIT_TEST(testProposalsWithinAnIntervalAreSentTogether);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -272,6 +279,38 @@
     CPPUNIT_ASSERT(probe.Latest() < net_test::kMaxTimerDelay);
   }
 
+  // Each batch of proposals costs messages to all members and a sync on each. A
+  // stream of single proposals must not cost that for each of them.
+  void testProposalsWithinAnIntervalAreSentTogether() {
+    Group group(3, 3);
+    group.proposalInterval = Millis(50);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    group.appendsWithEntries = 0;
+    const auto begin = std::chrono::steady_clock::now();
+    std::size_t committed = 0;
+    constexpr std::size_t kProposals = 100;
+    for (std::size_t i = 0; i < kProposals; ++i) {
+      group.members[leader]->replica->Propose(
+          {1}, kTimeout, [&](const ProposeOutcome& aOutcome) {
+            committed += aOutcome.Ok() ? 1 : 0;
+          });
+      group.context.restart();
+      group.context.run_for(std::chrono::milliseconds(2));
+    }
+    CPPUNIT_ASSERT(group.RunUntil([&] { return committed == kProposals; }));
+    const auto elapsed = std::chrono::steady_clock::now() - begin;
+    const auto intervals =
+        static_cast<std::size_t>(elapsed / std::chrono::milliseconds(50));
+    constexpr std::size_t kFollowers = 2;
+    CPPUNIT_ASSERT(group.appendsWithEntries <= (intervals + 2) * kFollowers);
+    // A single proposal does not wait.
+    const auto single = std::chrono::steady_clock::now();
+    CPPUNIT_ASSERT(group.Propose(leader, {2}).Ok());
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - single <
+                   std::chrono::milliseconds(50));
+  }
+
   void testProposeIsAppliedEverywhere() {
     Group group(3, 3);
     group.StartAll();
