--- a/bench/consensus/Main.cpp
+++ b/bench/consensus/Main.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "bench/consensus/BusyLeader.h"
 #include "bench/consensus/LocalGroup.h"
 #include "bramleypath/consensus/Codec.h"
 
@@ -232,6 +233,7 @@
   }
   const auto files = storage::MakePosixFileSystem();
   std::filesystem::create_directory(folder + "/group");
+  bench::BenchBusyLeader();
   bench::BenchMessages();
   bench::BenchMemory();
   bench::BenchStore(*files, folder);
