--- a/src/bramleypath/group/Replica.cpp
+++ b/src/bramleypath/group/Replica.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kFullDiskTransferInterval = Seconds(5);
 // Number of times per heartbeat interval that deadlines are checked.
 constexpr std::int64_t kTicksPerHeartbeat = 5;
+// Callbacks are called for at most this long before others on the io_context
+// get their turn.
+constexpr std::chrono::milliseconds kMaxTurn(20);
 
 TimePoint SteadyNow() {
   const auto since = std::chrono::steady_clock::now().time_since_epoch();
@@ -86,7 +89,8 @@
         settings(std::move(aSettings)),
         callbacks(std::move(aCallbacks)),
         machine(aMachine),
-        timer(aContext) {}
+        timer(aContext),
+        flushTimer(aContext) {}
 
   TimePoint Now() const {
     return this->settings.now ? this->settings.now() : SteadyNow();
@@ -110,10 +114,13 @@
 
   // Proposals.
   void Complete(ProposeCallback aCallback, ProposeOutcome aOutcome);
+  void PostCompletions();
+  void CallCompletions();
   void CompleteProposal(ProposalToken aToken, ProposeOutcome aOutcome);
   void CompleteAll(ProposeError aAppended, ProposeError aOther);
   std::optional<ProposeError> CheckAdmission() const;
   ProposalToken AddPending(Duration aTimeout, ProposeCallback aCallback);
+  void ScheduleFlush();
   void FlushProposals();
   void ChangeMembership(const Membership& aMembership, Duration aTimeout,
                         ProposeCallback aCallback);
@@ -162,7 +169,9 @@
   std::map<LogIndex, ProposalToken> pendingByIndex;
   std::vector<consensus::Propose> unsubmitted;
   bool flushPosted = false;
-  std::vector<Completion> completions;
+  TimePoint nextFlushAt;
+  asio::steady_timer flushTimer;
+  std::deque<Completion> completions;
   bool completionsPosted = false;
 
   bool diskBelowReserve = false;  // also set with diskOutOfSpace
@@ -392,14 +401,29 @@
   if (std::exchange(this->completionsPosted, true)) {
     return;
   }
+  this->PostCompletions();
+}
+
+void Replica::Impl::PostCompletions() {
   // The handler owns a reference, so that each callback is called even if the
   // replica is destroyed first.
-  asio::post(this->context, [self = this->shared_from_this()] {
-    self->completionsPosted = false;
-    for (Completion& one : std::exchange(self->completions, {})) {
-      one.callback(one.outcome);
-    }
-  });
+  asio::post(this->context,
+             [self = this->shared_from_this()] { self->CallCompletions(); });
+}
+
+// Calls callbacks for up to kMaxTurn. The others follow after the timers and
+// messages that are ready, among them this replica's heartbeats.
+void Replica::Impl::CallCompletions() {
+  const auto end = std::chrono::steady_clock::now() + kMaxTurn;
+  while (!this->completions.empty() && std::chrono::steady_clock::now() < end) {
+    const Completion one = std::move(this->completions.front());
+    this->completions.pop_front();
+    one.callback(one.outcome);
+  }
+  this->completionsPosted = !this->completions.empty();
+  if (this->completionsPosted) {
+    this->PostCompletions();
+  }
 }
 
 void Replica::Impl::CompleteProposal(ProposalToken aToken,
@@ -445,8 +469,22 @@
   return token;
 }
 
+void Replica::Impl::ScheduleFlush() {
+  const Duration wait = this->nextFlushAt - this->Now();
+  this->flushTimer.expires_after(
+      std::chrono::microseconds(std::max<std::int64_t>(wait.micros, 0)));
+  this->flushTimer.async_wait(
+      [self = this->weak_from_this()](const asio::error_code& aError) {
+        const auto impl = self.lock();
+        if (impl && !aError) {
+          impl->FlushProposals();
+        }
+      });
+}
+
 void Replica::Impl::FlushProposals() {
   this->flushPosted = false;
+  this->nextFlushAt = this->Now() + this->settings.proposalInterval;
   if (!this->unsubmitted.empty()) {
     this->Submit(consensus::ProposeBatch{std::exchange(this->unsubmitted, {})});
   }
@@ -666,14 +704,9 @@
   const ProposalToken token =
       replica.AddPending(aTimeout, std::move(aCallback));
   replica.unsubmitted.push_back(consensus::Propose{token, std::move(aCommand)});
-  if (std::exchange(replica.flushPosted, true)) {
-    return;
+  if (!std::exchange(replica.flushPosted, true)) {
+    replica.ScheduleFlush();
   }
-  asio::post(replica.context, [self = this->impl->weak_from_this()] {
-    if (const auto impl = self.lock()) {
-      impl->FlushProposals();
-    }
-  });
 }
 
 void Replica::ChangeMembership(const Membership& aMembership, Duration aTimeout,
