--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -112,9 +112,10 @@
 void Controller::ArmTimer() {
   Duration wait = kCycleInterval;
   const TimePoint now = net::Now();
-  if (this->scheduler && this->scheduler->dispatchWanted) {
-    const Duration untilDispatch = this->scheduler->nextDispatchAt - now;
-    wait = std::max(kMinTimerWait, std::min(wait, untilDispatch));
+  if (this->scheduler) {
+    const Duration untilTick =
+        workflow::NextTickAt(*this->scheduler, now) - now;
+    wait = std::max(kMinTimerWait, std::min(wait, untilTick));
   }
   this->timer.expires_after(std::chrono::microseconds(wait.micros));
   this->timer.async_wait([this, isAlive = this->alive,
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -17,16 +17,53 @@
 // Number of jobs whose state is kept, so that callers can query ended ones.
 constexpr std::size_t kKeptEndedJobs = 16384;
 constexpr std::size_t kMaxForgottenPerCommit = 512;
+// Minimum times between sweeps. Lease renewals go first, so that they never
+// wait behind other work.
+constexpr Duration kOccurrenceSweepInterval = Millis(25);
+constexpr Duration kAttemptSweepInterval = Millis(25);
+constexpr Duration kRenewalSweepInterval = Millis(5);
+constexpr Duration kMaxTickInterval = Millis(100);
+
+// Whether the sweep is due. If so, the next one is put off by aInterval.
+bool StartIfDue(Sweep& aSweep, Duration aInterval, TimePoint aNow) {
+  if (aNow < aSweep.nextAt) {
+    aSweep.postponed = true;
+    return false;
+  }
+  aSweep.nextAt = aNow + aInterval;
+  aSweep.postponed = false;
+  return true;
+}
+
+// Adds the jobs accepted since the last call, and removes those that open no
+// more occurrences.
+void UpdateRecurringJobs(RecurringJobs& aJobs, const State& aState) {
+  for (auto it = aState.jobs.upper_bound(aJobs.lastSeen);
+       it != aState.jobs.end(); ++it) {
+    aJobs.lastSeen = it->first;
+    if (it->second.spec.repetitions > 0) {
+      aJobs.numbers.push_back(it->first);
+    }
+  }
+  const auto isFinished = [&](JobNumber aNumber) {
+    const auto job = aState.jobs.find(aNumber);
+    return job == aState.jobs.end() || job->second.phase != JobPhase::Active ||
+           job->second.opened >= job->second.spec.repetitions;
+  };
+  aJobs.numbers.erase(
+      std::remove_if(aJobs.numbers.begin(), aJobs.numbers.end(), isFinished),
+      aJobs.numbers.end());
+}
 
 void OpenDueOccurrences(Scheduler& aScheduler, const State& aState,
                         std::int64_t aUnixMs, SchedulerActions& aActions) {
   ++aScheduler.work.jobSweeps;
-  for (const auto& [number, job] : aState.jobs) {
-    if (job.phase != JobPhase::Active || job.spec.repetitions == 0 ||
-        job.opened >= job.spec.repetitions ||
-        aScheduler.jobsOpeningOccurrence.count(number) > 0) {
+  UpdateRecurringJobs(aScheduler.recurringJobs, aState);
+  for (const JobNumber number : aScheduler.recurringJobs.numbers) {
+    if (aScheduler.jobsOpeningOccurrence.count(number) > 0) {
       continue;
     }
+    const Job& job = aState.jobs.at(number);
     const std::int64_t due =
         job.spec.firstRunUnixMs + job.opened * job.spec.intervalMs;
     if (aUnixMs < due) {
@@ -177,8 +214,15 @@
 SchedulerActions OnTick(Scheduler& aScheduler, const State& aState,
                         TimePoint aNow, std::int64_t aUnixMs) {
   SchedulerActions actions;
-  OpenDueOccurrences(aScheduler, aState, aUnixMs, actions);
-  detail::WatchAttempts(aScheduler, aState, aNow, actions);
+  if (StartIfDue(aScheduler.renewalSweep, kRenewalSweepInterval, aNow)) {
+    detail::SendLeaseRenewals(aScheduler, aState, aNow, actions);
+  }
+  if (StartIfDue(aScheduler.attemptSweep, kAttemptSweepInterval, aNow)) {
+    detail::WatchAttempts(aScheduler, aState, aNow, actions);
+  }
+  if (StartIfDue(aScheduler.occurrenceSweep, kOccurrenceSweepInterval, aNow)) {
+    OpenDueOccurrences(aScheduler, aState, aUnixMs, actions);
+  }
   const TimePoint due = aScheduler.dispatchWanted
                             ? aScheduler.nextDispatchAt
                             : aScheduler.nextDispatchAt + kIdleDispatchInterval;
@@ -188,8 +232,22 @@
     detail::Dispatch(aScheduler, aState, aNow, aUnixMs, actions);
     ForgetOldJobs(aState, actions);
   }
-  detail::SendLeaseRenewals(aScheduler, aState, aNow, actions);
   return actions;
 }
 
+TimePoint NextTickAt(const Scheduler& aScheduler, TimePoint aNow) {
+  TimePoint next = aNow + kMaxTickInterval;
+  if (aScheduler.dispatchWanted) {
+    next = std::min(next, aScheduler.nextDispatchAt);
+  }
+  for (const Sweep* const sweep :
+       {&aScheduler.renewalSweep, &aScheduler.attemptSweep,
+        &aScheduler.occurrenceSweep}) {
+    if (sweep->postponed) {
+      next = std::min(next, sweep->nextAt);
+    }
+  }
+  return next;
+}
+
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -173,6 +173,20 @@
   TimePoint expiresAt;  // the start can't arrive after that
 };
 
+// When a sweep over all entries of a kind runs next. A sweep runs at most once
+// in an interval, however many events come in.
+struct Sweep {
+  TimePoint nextAt;
+  // A tick came before nextAt, so that a sweep is needed at that time.
+  bool postponed = false;
+};
+
+// Jobs that repeat, so that due occurrences are found without reading all jobs.
+struct RecurringJobs {
+  std::vector<JobNumber> numbers;
+  JobNumber lastSeen = 0;  // jobs up to it have been looked at
+};
+
 // Counts of the work done in scheduling cycles, which bounds their cost.
 struct CycleWork {
   std::uint64_t passes = 0;          // placement passes
@@ -213,6 +227,10 @@
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> jobsOpeningOccurrence;  // being committed
   CellLoad cellLoad;  // as of the last dispatch
+  RecurringJobs recurringJobs;
+  Sweep occurrenceSweep;
+  Sweep attemptSweep;
+  Sweep renewalSweep;
   CycleWork work;
 };
 
@@ -253,6 +271,8 @@
 // in which an event was handled. aUnixMs is the replicated time of day.
 SchedulerActions OnTick(Scheduler& aScheduler, const State& aState,
                         TimePoint aNow, std::int64_t aUnixMs);
+// When OnTick must be called next, unless an event comes first.
+TimePoint NextTickAt(const Scheduler& aScheduler, TimePoint aNow);
 
 // Summary of the whole cell for logs and metrics.
 struct CellSummary {
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -452,11 +452,12 @@
 
 const TaskState* FindTask(const State& aState, const TaskKey& aKey) {
   const auto job = aState.jobs.find(aKey.job);
-  if (job == aState.jobs.end()) {
-    return nullptr;
-  }
-  const auto occurrence = job->second.occurrences.find(aKey.occurrence);
-  if (occurrence == job->second.occurrences.end() ||
+  return job == aState.jobs.end() ? nullptr : FindTask(job->second, aKey);
+}
+
+const TaskState* FindTask(const Job& aJob, const TaskKey& aKey) {
+  const auto occurrence = aJob.occurrences.find(aKey.occurrence);
+  if (occurrence == aJob.occurrences.end() ||
       aKey.stage >= occurrence->second.stages.size() ||
       aKey.index >= occurrence->second.stages[aKey.stage].tasks.size()) {
     return nullptr;
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -99,6 +99,8 @@
 const QueueSettings* SelectQueue(const Layout& aLayout, std::string_view aHost,
                                  std::string_view aPath);
 const TaskState* FindTask(const State& aState, const TaskKey& aKey);
+// aKey is a task of aJob.
+const TaskState* FindTask(const Job& aJob, const TaskKey& aKey);
 // Whether applying the end would change the state. True also for the end of an
 // attempt that was ended before without knowing that it was done or had failed.
 bool IsUnrecordedEnd(const State& aState, const EndedTask& aEnd);
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -1,4 +1,6 @@
 #include <algorithm>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
@@ -13,11 +15,18 @@
 
 }  // namespace
 
+namespace {
+
+bool IsPlacedAs(const TaskState& aTask, const Attempt& aAttempt) {
+  return aTask.phase == TaskPhase::Placed && aTask.attempt == aAttempt.number;
+}
+
+}  // namespace
+
 bool HasEnded(const State& aState, const TaskKey& aKey,
               const Attempt& aAttempt) {
   const TaskState* const task = FindTask(aState, aKey);
-  return !task || task->phase != TaskPhase::Placed ||
-         task->attempt != aAttempt.number;
+  return !task || !IsPlacedAs(*task, aAttempt);
 }
 
 void MoveToNewIncarnation(const State& aState, const TaskKey& aKey,
@@ -147,28 +156,73 @@
 
 }  // namespace
 
+namespace {
+
+// Workers whose attempts are to be ended.
+std::unordered_set<WorkerNumber> ExpiredWorkers(const Scheduler& aScheduler,
+                                                TimePoint aNow) {
+  std::unordered_set<WorkerNumber> expired;
+  for (const auto& [number, session] : aScheduler.sessions) {
+    if (session.missedRenewals > 0 && HasLeaseExpired(session, aNow)) {
+      expired.insert(number);
+    }
+  }
+  return expired;
+}
+
+// Looks up jobs of the replicated state in constant time while it is unchanged.
+class JobLookup {
+ public:
+  explicit JobLookup(const State& aState) : state(aState) {}
+
+  // Null if there is no such job.
+  const Job* Find(JobNumber aNumber) {
+    const auto [entry, isNew] = this->jobs.emplace(aNumber, nullptr);
+    if (isNew) {
+      const auto job = this->state.jobs.find(aNumber);
+      entry->second = job == this->state.jobs.end() ? nullptr : &job->second;
+    }
+    return entry->second;
+  }
+
+ private:
+  const State& state;
+  std::unordered_map<JobNumber, const Job*> jobs;
+};
+
+// Requests a stop of the attempt if its result is no longer needed.
+void StopIfUnneeded(const Job& aJob, const TaskState& aTask, Attempt& aAttempt,
+                    TimePoint aNow) {
+  if (aJob.phase != JobPhase::Active) {
+    RequestStop(aAttempt, "job ended", aNow);
+  } else if (aTask.doneByEarlierAttempt) {
+    RequestStop(aAttempt, "done by an earlier attempt", aNow);
+  }
+}
+
+}  // namespace
+
 void WatchAttempts(Scheduler& aScheduler, const State& aState, TimePoint aNow,
                    SchedulerActions& aActions) {
   ++aScheduler.work.attemptSweeps;
+  const std::unordered_set<WorkerNumber> expiredWorkers =
+      ExpiredWorkers(aScheduler, aNow);
+  JobLookup jobs(aState);
   EndTasks expired;
   for (auto& [key, attempt] : aScheduler.attempts) {
-    if (attempt.proposedEnd || HasEnded(aState, key, attempt)) {
+    const Job* const job = attempt.proposedEnd ? nullptr : jobs.Find(key.job);
+    const TaskState* const task = job ? FindTask(*job, key) : nullptr;
+    if (!task || !IsPlacedAs(*task, attempt)) {
       continue;
     }
-    if (aState.jobs.at(key.job).phase != JobPhase::Active) {
-      RequestStop(attempt, "job ended", aNow);
-    } else if (FindTask(aState, key)->doneByEarlierAttempt) {
-      RequestStop(attempt, "done by an earlier attempt", aNow);
-    }
+    StopIfUnneeded(*job, *task, attempt, aNow);
     SendDueStop(aScheduler, aState, key, attempt, aNow, aActions);
-    const auto session = aScheduler.sessions.find(attempt.worker);
-    if (session != aScheduler.sessions.end() &&
-        session->second.missedRenewals > 0 &&
-        HasLeaseExpired(session->second, aNow)) {
+    if (expiredWorkers.count(attempt.worker) > 0) {
+      const WorkerSession& session = aScheduler.sessions.at(attempt.worker);
       aActions.push_back(
           DecisionRecord{"lease_over", ToText(NameOf(aState, key)),
                          "attempt=" + std::to_string(attempt.number) + " " +
-                             LeaseEvidence(aState, session->second, aNow)});
+                             LeaseEvidence(aState, session, aNow)});
       RecordAbandonedStart(aScheduler, aState, key, attempt, aNow);
       ProposeEnd(key, attempt, EndKind::LeaseExpired, "", expired);
     }
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -82,6 +82,7 @@
 class CycleCostTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CycleCostTest);
   CPPUNIT_TEST(testPassReadsOnlyTheStagesOwnPendingPlacements);
+  CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -106,6 +107,27 @@
     CPPUNIT_ASSERT(cell.scheduler.work.pendingRead - before <=
                    stages * kTasksPerJob);
   }
+
+  // Guards against sweeps over all jobs, attempts and sessions on each event.
+  void testEventsDoNotRepeatSweeps() {
+    Cell cell;
+    Apply(cell.state, SetLayout{MakeLayout(1)});
+    AddWorkers(cell, kWorkers, kSmallWorker);
+    Lead(cell);
+    // 1,000 events in 100 ms.
+    constexpr int kEvents = 1000;
+    for (int event = 0; event < kEvents; ++event) {
+      cell.Tick(Micros(100));
+    }
+    // At most once per 25 ms, and once per 5 ms for lease renewals.
+    constexpr std::uint64_t kMaxSweeps = 100 / 25 + 1;
+    constexpr std::uint64_t kMaxRenewalSweeps = 100 / 5 + 1;
+    const CycleWork& work = cell.scheduler.work;
+    CPPUNIT_ASSERT(work.jobSweeps <= kMaxSweeps);
+    CPPUNIT_ASSERT(work.attemptSweeps <= kMaxSweeps);
+    CPPUNIT_ASSERT(work.sessionSweeps <= kMaxRenewalSweeps);
+    CPPUNIT_ASSERT(work.sessionSweeps > 0);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CycleCostTest);
