Rank jobs and collect the tasks of workers every 50 ms

Each placement pass, every 8 ms while commits finish, ranked all active jobs (walking all kept jobs, with a string for each stage to look up its run time) and collected all running attempts of all workers with a lookup by image name for each.

The ranking and the tasks on each worker are now kept for 50 ms. Between two rankings only newly accepted jobs are ranked and merged into the order; between two surveys a pass adds its own placements. Free resources, contact and avoidance of the workers are still read in each pass, so that no worker is overbooked. Run times of a job are looked up every 500 ms. Estimates and idle times of ended jobs are removed; the latter were kept forever.

testPassesDoNotRankAllJobsEachTime failed before this change.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -13,6 +13,7 @@
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/workflow/Admission.h"
 #include "bramleypath/workflow/Driver.h"
+#include "bramleypath/workflow/Neighbours.h"
 #include "bramleypath/workflow/State.h"
 #include "bramleypath/workflow/TailModel.h"
 #include "bramleypath/workflow/Tickets.h"
@@ -187,6 +188,35 @@
   JobNumber lastSeen = 0;  // jobs up to it have been looked at
 };
 
+// The tasks on each worker as of the last survey, and those placed since.
+struct HostSurvey {
+  TimePoint nextAt;
+  std::vector<WorkerNumber> numbers;   // ascending
+  std::vector<Neighbours> neighbours;  // in the order of numbers
+};
+
+// An active job and its rank, see StartRank.
+struct RankedJob {
+  JobNumber number = 0;
+  double rank = 0;
+};
+
+// Expected times of a job, which change slowly.
+struct JobEstimate {
+  std::vector<double> stageRunMs;
+  double objectiveMs = 0;
+  TimePoint validUntil;
+};
+
+// The active jobs in the order in which their tasks start, as of the last
+// ranking, and the jobs accepted since.
+struct JobRanking {
+  TimePoint nextAt;
+  std::vector<RankedJob> jobs;
+  JobNumber lastSeen = 0;  // jobs up to it have been ranked
+  std::unordered_map<JobNumber, JobEstimate> estimates;
+};
+
 // Counts of the work done in scheduling cycles, which bounds their cost.
 struct CycleWork {
   std::uint64_t passes = 0;          // placement passes
@@ -226,7 +256,10 @@
   // Earliest time to move another filler away; see AdjustPaces.
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> jobsOpeningOccurrence;  // being committed
-  CellLoad cellLoad;  // as of the last dispatch
+  // As of the last ranking and survey.
+  CellLoad cellLoad;
+  JobRanking ranking;
+  HostSurvey survey;
   RecurringJobs recurringJobs;
   Sweep occurrenceSweep;
   Sweep attemptSweep;
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -187,15 +187,31 @@
     view.recentFailures = session->second.recentFailures;
     view.speed = session->second.speed;
     hosts.views.push_back(view);
-    hosts.neighbours.push_back(CollectRunning(aScheduler, aState, worker));
     hosts.numbers.push_back(number);
     hosts.workers.push_back(&worker);
   }
-  AddPendingPlacements(aScheduler, aState, hosts);
-  for (Neighbours& neighbours : hosts.neighbours) {
+  hosts.neighbours = aScheduler.survey.neighbours;
+  return hosts;
+}
+
+bool IsSurveyed(const Scheduler& aScheduler, const CandidateHosts& aHosts) {
+  return aScheduler.survey.numbers == aHosts.numbers;
+}
+
+void SurveyNeighbours(Scheduler& aScheduler, const State& aState,
+                      CandidateHosts& aHosts) {
+  HostSurvey& survey = aScheduler.survey;
+  survey.numbers = aHosts.numbers;
+  survey.neighbours.clear();
+  survey.neighbours.reserve(aHosts.workers.size());
+  for (const Worker* const worker : aHosts.workers) {
+    survey.neighbours.push_back(CollectRunning(aScheduler, aState, *worker));
+  }
+  aHosts.neighbours = survey.neighbours;
+  AddPendingPlacements(aScheduler, aState, aHosts);
+  for (Neighbours& neighbours : survey.neighbours) {
     RaiseToExpected(aScheduler, neighbours);
   }
-  return hosts;
 }
 
 }  // namespace bramleypath::workflow::detail
--- a/src/bramleypath/workflow/internal/CandidateHosts.h
+++ b/src/bramleypath/workflow/internal/CandidateHosts.h
@@ -11,33 +11,22 @@
 // The view of the workers that one placement pass uses and updates.
 namespace bramleypath::workflow::detail {
 
-// A serving task on a worker.
-struct ServingTask {
-  JobNumber job = 0;
-  placement::ClassIndex image = 0;
-  // Tail level: the expected or the reported one, whichever is higher.
-  double level = 0;
-};
-
-// The tasks that share a worker's processors.
-struct Neighbours {
-  std::vector<ServingTask> serving;
-  placement::Composition fillers;  // processors in use by class
-  // Processors that are expected to be in use.
-  double usedProcessors = 0;
-};
-
 // The workers of a pass, by index. Placing a task reduces the available
 // resources of its worker.
 struct CandidateHosts {
   std::vector<HostView> views;
-  std::vector<Neighbours> neighbours;
+  gsl::span<Neighbours> neighbours;  // those of the scheduler's survey
   std::vector<WorkerNumber> numbers;
   std::vector<const Worker*> workers;
 };
 
 CandidateHosts CollectCandidateHosts(Scheduler& aScheduler, const State& aState,
                                      TimePoint aNow);
+// Collects the tasks of each worker anew.
+void SurveyNeighbours(Scheduler& aScheduler, const State& aState,
+                      CandidateHosts& aHosts);
+// Whether the survey holds the tasks of exactly these workers.
+bool IsSurveyed(const Scheduler& aScheduler, const CandidateHosts& aHosts);
 // Adds a task to those of a worker. aLevel is the reported tail level of a
 // serving task, aPace the pace of a filler in percent.
 void AddNeighbour(Scheduler& aScheduler, JobNumber aJob,
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -62,6 +62,7 @@
 void MeasureCapacity(const Scheduler& aScheduler, const State& aState,
                      const CandidateHosts& aHosts, CellLoad& aLoad) {
   double capacity = 0;
+  aLoad.workersMilli = 0;
   double longRunning = 0;
   double filling = 0;
   for (const auto& [number, worker] : aState.workers) {
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -11,14 +11,12 @@
 
 // Limit on the placements that one pass commits; only a gang may exceed it.
 constexpr std::size_t kMaxPlacements = 256;
+// Between two surveys, a pass adds only its own placements to the tasks of the
+// workers. Their resources are read in each pass.
+constexpr Duration kSurveyInterval = Millis(50);
 // See HasIdled.
 constexpr Duration kMaxIdleTime = Millis(1200);
 
-struct RankedJob {
-  const Job* job = nullptr;
-  double rank = 0;
-};
-
 // The demand of a task that fits on no worker in this pass. Available resources
 // only shrink during a pass, so that a task with at least this demand fits on
 // none either.
@@ -38,7 +36,6 @@
   CandidateHosts hosts;
   PlaceTasks places;
   std::optional<RequestTickets> tickets;
-  CellLoad cellLoad;
   std::vector<UnplaceableDemand> unplaceable;
 };
 
@@ -164,9 +161,8 @@
 
 void ReserveInViews(Scheduler& aScheduler, JobNumber aJob,
                     std::vector<HostView>& aViews,
-                    std::vector<Neighbours>& aNeighbours,
-                    const StageSpec& aSpec, std::size_t aHost,
-                    std::uint32_t aUsed, bool aRelaxed) {
+                    gsl::span<Neighbours> aNeighbours, const StageSpec& aSpec,
+                    std::size_t aHost, std::uint32_t aUsed, bool aRelaxed) {
   HostView& view = aViews[aHost];
   view.available = view.available - Reservation(aSpec);
   Neighbours& neighbours = aNeighbours[aHost];
@@ -226,18 +222,10 @@
 // is placed even where it will be slowed.
 bool HasIdled(const PlacementPass& aPass, const Job& aJob) {
   const auto idle = aPass.scheduler.idleSince.find(aJob.number);
-  return idle != aPass.scheduler.idleSince.end() &&
+  return aJob.placed == 0 && idle != aPass.scheduler.idleSince.end() &&
          kMaxIdleTime < aPass.now - idle->second;
 }
 
-void RecordIdle(Scheduler& aScheduler, const Job& aJob, TimePoint aNow) {
-  if (aJob.placed > 0) {
-    aScheduler.idleSince.erase(aJob.number);
-  } else {
-    aScheduler.idleSince.emplace(aJob.number, aNow);
-  }
-}
-
 // Excludes workers without a valid ticket, and prepares a request for more
 // tickets.
 void RestrictToTicketHolders(PlacementPass& aPass, const Job& aJob,
@@ -329,10 +317,9 @@
   }
   const TaskView task = ViewOfTask(aPass.scheduler, spec);
   std::vector<std::pair<PlacedTask, std::size_t>> chosen;
-  std::vector<Neighbours>& neighbours = aPass.hosts.neighbours;
+  const gsl::span<Neighbours> neighbours = aPass.hosts.neighbours;
   // Restored if not all tasks of a gang can be placed.
-  const std::vector<Neighbours> before =
-      spec.gang ? neighbours : std::vector<Neighbours>();
+  std::vector<std::pair<std::size_t, Neighbours>> before;
   for (const TaskKey& key : waiting) {
     if (chosen.size() + aPass.places.tasks.size() >= kMaxPlacements &&
         !spec.gang) {
@@ -344,6 +331,9 @@
       break;
     }
     ++used[*host];
+    if (spec.gang) {
+      before.emplace_back(*host, neighbours[*host]);
+    }
     ReserveInViews(aPass.scheduler, aJob.number, views, neighbours, spec, *host,
                    used[*host], relaxed);
     const PlacedTask placed{key, NextAttempt(aState, key, spec.gang),
@@ -354,7 +344,9 @@
     }
   }
   if (spec.gang && chosen.size() < waiting.size()) {
-    neighbours = before;
+    std::for_each(before.rbegin(), before.rend(), [&](auto& aBefore) {
+      neighbours[aBefore.first] = std::move(aBefore.second);
+    });
     return;
   }
   for (const auto& [placed, host] : chosen) {
@@ -362,34 +354,15 @@
   }
 }
 
-// Ranks a job and adds its remaining work to the load of the cell.
-RankedJob Rank(PlacementPass& aPass, const Job& aJob, std::int64_t aUnixMs) {
-  ++aPass.scheduler.work.jobsRanked;
-  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
-  WaitingJob waiting;
-  waiting.longRunning = IsLongRunning(aJob);
-  waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
-  const std::vector<double> runMs = StageRunMs(aPass.scheduler, aJob.spec);
-  const double chainMs = LongestChainMs(aJob.spec, runMs);
-  waiting.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
-  for (const auto& [number, occurrence] : aJob.occurrences) {
-    waiting.remainingMs =
-        std::max(waiting.remainingMs, RemainingMs(aJob, occurrence, runMs));
-    AddRemainingWork(aJob, occurrence, runMs, aPass.cellLoad);
-  }
-  return RankedJob{&aJob, StartRank(waiting)};
-}
-
-bool HasWaitingTask(const Job& aJob) {
-  for (const auto& [number, occurrence] : aJob.occurrences) {
-    for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
-      if (occurrence.stages[stage].waiting > 0 &&
-          IsStageOpen(aJob, occurrence, stage)) {
-        return true;
-      }
-    }
+void SurveyIfDue(PlacementPass& aPass) {
+  HostSurvey& survey = aPass.scheduler.survey;
+  if (aPass.now < survey.nextAt && IsSurveyed(aPass.scheduler, aPass.hosts)) {
+    return;
   }
-  return false;
+  survey.nextAt = aPass.now + kSurveyInterval;
+  SurveyNeighbours(aPass.scheduler, aPass.state, aPass.hosts);
+  MeasureCapacity(aPass.scheduler, aPass.state, aPass.hosts,
+                  aPass.scheduler.cellLoad);
 }
 
 }  // namespace
@@ -401,27 +374,15 @@
       aScheduler, aState,
       aNow,       CollectCandidateHosts(aScheduler, aState, aNow),
       {},         std::nullopt,
-      {},         {}};
-  MeasureCapacity(aScheduler, aState, pass.hosts, pass.cellLoad);
-  std::vector<RankedJob> rankedJobs;
-  for (const auto& [number, job] : aState.jobs) {
-    if (job.phase != JobPhase::Active || job.occurrences.empty()) {
+      {}};
+  SurveyIfDue(pass);
+  RankJobs(aScheduler, aState, aNow, aUnixMs);
+  for (const RankedJob& ranked : aScheduler.ranking.jobs) {
+    const auto found = aState.jobs.find(ranked.number);
+    if (found == aState.jobs.end() || found->second.phase != JobPhase::Active) {
       continue;
     }
-    const RankedJob rankedJob = Rank(pass, job, aUnixMs);
-    if (HasWaitingTask(job)) {
-      RecordIdle(aScheduler, job, aNow);
-      rankedJobs.push_back(rankedJob);
-    }
-  }
-  std::sort(rankedJobs.begin(), rankedJobs.end(),
-            [](const RankedJob& aLeft, const RankedJob& aRight) {
-              return aLeft.rank != aRight.rank
-                         ? aLeft.rank < aRight.rank
-                         : aLeft.job->number < aRight.job->number;
-            });
-  for (const RankedJob& rankedJob : rankedJobs) {
-    const Job& job = *rankedJob.job;
+    const Job& job = found->second;
     for (const auto& [number, occurrence] : job.occurrences) {
       for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
         if (occurrence.stages[stage].waiting > 0 &&
@@ -440,7 +401,6 @@
     aScheduler.tickets.requestInFlight = true;
     aActions.push_back(std::move(*pass.tickets));
   }
-  aScheduler.cellLoad = pass.cellLoad;
   if (!pass.places.tasks.empty()) {
     Commit commit;
     commit.commands.emplace_back(std::move(pass.places));
--- /dev/null
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -0,0 +1,147 @@
+#include <algorithm>
+#include <iterator>
+
+#include "bramleypath/workflow/JobOrder.h"
+#include "bramleypath/workflow/internal/CandidateHosts.h"
+#include "bramleypath/workflow/internal/SchedulerDetail.h"
+
+namespace bramleypath::workflow::detail {
+
+namespace {
+
+constexpr Duration kRankingInterval = Millis(50);
+// Run times are learned slowly.
+constexpr Duration kEstimateLifetime = Millis(500);
+// Estimates of ended jobs are removed once there are this many times as many
+// estimates as active jobs.
+constexpr std::size_t kMaxEstimatesPerJob = 2;
+
+bool RanksBefore(const RankedJob& aLeft, const RankedJob& aRight) {
+  return aLeft.rank != aRight.rank ? aLeft.rank < aRight.rank
+                                   : aLeft.number < aRight.number;
+}
+
+bool HasWaitingTask(const Job& aJob) {
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
+      if (occurrence.stages[stage].waiting > 0 &&
+          IsStageOpen(aJob, occurrence, stage)) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void RecordIdle(Scheduler& aScheduler, const Job& aJob, TimePoint aNow) {
+  if (!HasWaitingTask(aJob)) {
+    return;
+  }
+  if (aJob.placed > 0) {
+    aScheduler.idleSince.erase(aJob.number);
+  } else {
+    aScheduler.idleSince.emplace(aJob.number, aNow);
+  }
+}
+
+const JobEstimate& EstimateOf(Scheduler& aScheduler, const State& aState,
+                              const Job& aJob, TimePoint aNow) {
+  JobEstimate& estimate = aScheduler.ranking.estimates[aJob.number];
+  if (!estimate.stageRunMs.empty() && aNow < estimate.validUntil) {
+    return estimate;
+  }
+  const QueueSettings* const queue = FindQueue(aState, aJob.spec.queue);
+  estimate.stageRunMs = StageRunMs(aScheduler, aJob.spec);
+  const double chainMs = LongestChainMs(aJob.spec, estimate.stageRunMs);
+  estimate.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
+  estimate.validUntil = aNow + kEstimateLifetime;
+  return estimate;
+}
+
+// Returns the job's rank and adds its remaining work to the load of the cell.
+double Rank(Scheduler& aScheduler, const State& aState, const Job& aJob,
+            TimePoint aNow, std::int64_t aUnixMs) {
+  ++aScheduler.work.jobsRanked;
+  RecordIdle(aScheduler, aJob, aNow);
+  const JobEstimate& estimate = EstimateOf(aScheduler, aState, aJob, aNow);
+  WaitingJob waiting;
+  waiting.longRunning = IsLongRunning(aJob);
+  waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
+  waiting.objectiveMs = estimate.objectiveMs;
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    waiting.remainingMs =
+        std::max(waiting.remainingMs,
+                 RemainingMs(aJob, occurrence, estimate.stageRunMs));
+    AddRemainingWork(aJob, occurrence, estimate.stageRunMs,
+                     aScheduler.cellLoad);
+  }
+  return StartRank(waiting);
+}
+
+// Appends the jobs accepted since the last call; their ranks are not set.
+void AppendNewJobs(JobRanking& aRanking, const State& aState) {
+  for (auto it = aState.jobs.upper_bound(aRanking.lastSeen);
+       it != aState.jobs.end(); ++it) {
+    aRanking.lastSeen = it->first;
+    aRanking.jobs.push_back(RankedJob{it->first, 0});
+  }
+}
+
+bool IsActive(const State& aState, JobNumber aNumber) {
+  const auto job = aState.jobs.find(aNumber);
+  return job != aState.jobs.end() && job->second.phase == JobPhase::Active;
+}
+
+void ForgetEndedJobs(Scheduler& aScheduler, const State& aState) {
+  JobRanking& ranking = aScheduler.ranking;
+  ranking.jobs.erase(std::remove_if(ranking.jobs.begin(), ranking.jobs.end(),
+                                    [&](const RankedJob& aJob) {
+                                      return !IsActive(aState, aJob.number);
+                                    }),
+                     ranking.jobs.end());
+  if (ranking.estimates.size() <= kMaxEstimatesPerJob * ranking.jobs.size()) {
+    return;
+  }
+  for (auto it = ranking.estimates.begin(); it != ranking.estimates.end();) {
+    it = IsActive(aState, it->first) ? std::next(it)
+                                     : ranking.estimates.erase(it);
+  }
+  for (auto it = aScheduler.idleSince.begin();
+       it != aScheduler.idleSince.end();) {
+    it = IsActive(aState, it->first) ? std::next(it)
+                                     : aScheduler.idleSince.erase(it);
+  }
+}
+
+void ResetRemainingWork(CellLoad& aLoad) {
+  aLoad.reserving.backlogWork = 0;
+  aLoad.filling.backlogWork = 0;
+  aLoad.longRunningMilli = 0;
+}
+
+}  // namespace
+
+void RankJobs(Scheduler& aScheduler, const State& aState, TimePoint aNow,
+              std::int64_t aUnixMs) {
+  JobRanking& ranking = aScheduler.ranking;
+  const auto ranked = static_cast<std::ptrdiff_t>(ranking.jobs.size());
+  AppendNewJobs(ranking, aState);
+  auto first = ranking.jobs.begin() + ranked;
+  if (aNow >= ranking.nextAt) {
+    ranking.nextAt = aNow + kRankingInterval;
+    ForgetEndedJobs(aScheduler, aState);
+    ResetRemainingWork(aScheduler.cellLoad);
+    first = ranking.jobs.begin();
+  }
+  for (auto it = first; it != ranking.jobs.end(); ++it) {
+    const auto job = aState.jobs.find(it->number);
+    if (job->second.phase == JobPhase::Active) {
+      it->rank = Rank(aScheduler, aState, job->second, aNow, aUnixMs);
+    }
+  }
+  std::sort(first, ranking.jobs.end(), RanksBefore);
+  std::inplace_merge(ranking.jobs.begin(), first, ranking.jobs.end(),
+                     RanksBefore);
+}
+
+}  // namespace bramleypath::workflow::detail
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -96,6 +96,10 @@
 ProcessorUse UseOf(const Scheduler& aScheduler, const State& aState,
                    const Worker& aWorker);
 
+// Ranks the active jobs and measures their remaining work if that is due;
+// otherwise adds only the jobs accepted since.
+void RankJobs(Scheduler& aScheduler, const State& aState, TimePoint aNow,
+              std::int64_t aUnixMs);
 // Chooses workers for waiting tasks and commits the placements.
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions);
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -69,6 +69,14 @@
   }
 }
 
+// A stage that fits on no worker, for a reason that says nothing about other
+// stages.
+StageSpec UnplaceableStage() {
+  StageSpec stage = MakeStage(kTasksPerJob, 1000, 500);
+  stage.requiredLabel = "none";
+  return stage;
+}
+
 StageSpec LimitedStage() {
   StageSpec stage = MakeStage(kTasksPerJob, 1000, 500);
   stage.maxPerWorker = 1;
@@ -83,6 +91,7 @@
   CPPUNIT_TEST_SUITE(CycleCostTest);
   CPPUNIT_TEST(testPassReadsOnlyTheStagesOwnPendingPlacements);
   CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
+  CPPUNIT_TEST(testPassesDoNotRankAllJobsEachTime);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -128,6 +137,23 @@
     CPPUNIT_ASSERT(work.sessionSweeps <= kMaxRenewalSweeps);
     CPPUNIT_ASSERT(work.sessionSweeps > 0);
   }
+
+  // Guards against ranking the whole backlog in each pass of a burst.
+  void testPassesDoNotRankAllJobsEachTime() {
+    Cell cell;
+    Apply(cell.state, SetLayout{MakeLayout(1)});
+    AddWorkers(cell, kWorkers, kSmallWorker);
+    AcceptJobs(cell, UnplaceableStage(), 5000);
+    Lead(cell);
+    for (int pass = 0; pass < 10; ++pass) {
+      cell.scheduler.dispatchWanted = true;
+      cell.Tick(Millis(10));
+    }
+    const std::uint64_t jobs = cell.state.jobs.size();
+    CPPUNIT_ASSERT(cell.scheduler.work.passes >= 5);
+    // At most once per 50 ms.
+    CPPUNIT_ASSERT(cell.scheduler.work.jobsRanked <= 3 * jobs);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CycleCostTest);
