Rate workers once per kind of stage and limit the stages tried in vain

A pass rated all 490 workers again for each stage it examined, and examined each waiting stage whose conditions (label, limit per worker, rack, ticket, gang) kept it out of the list of unplaceable demands.

Stages with the same conditions, and for fillers and serving tasks the same image and demand, now share one rated list of workers, in which only those are rated again on which the pass has placed tasks. A pass ends after 32 stages in rank order that fit nowhere and 32 more that follow in turn from where the pass before ended, so that none starves.

testPassDoesBoundedWorkUnderABacklog failed before this change. testStageBehindManyUnplaceableOnesIsPlaced guards the turn.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -259,6 +259,8 @@
   // As of the last ranking and survey.
   CellLoad cellLoad;
   JobRanking ranking;
+  // Where the next pass continues in the ranking after the jobs at its top.
+  std::size_t nextJobInTurn = 0;
   HostSurvey survey;
   RecurringJobs recurringJobs;
   Sweep occurrenceSweep;
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -11,6 +11,13 @@
 
 // Limit on the placements that one pass commits; only a gang may exceed it.
 constexpr std::size_t kMaxPlacements = 256;
+// Limits on the stages that one pass tries in vain: in the order of the
+// ranking, and after those, continuing where the pass before ended, so that no
+// stage starves behind others that fit nowhere.
+constexpr std::size_t kMaxVainStages = 32;
+constexpr std::size_t kMaxVainStagesInTurn = 32;
+// Limit on the rated lists of workers that a pass keeps.
+constexpr std::size_t kMaxRatedLists = 16;
 // Between two surveys, a pass adds only its own placements to the tasks of the
 // workers. Their resources are read in each pass.
 constexpr Duration kSurveyInterval = Millis(50);
@@ -29,6 +36,37 @@
   bool relaxed = false;  // see HasIdled
 };
 
+// What a rating of the workers depends on, apart from the limits of one stage.
+struct RatingKey {
+  ServiceId service;
+  std::string requiredLabel;
+  RackId dataRack;
+  bool relaxed = false;  // see HasIdled
+  bool filler = false;
+  // Of fillers and serving tasks, which interfere with others.
+  std::string image;
+  std::int64_t processorsMilli = 0;
+  // Of serving tasks, which avoid those of their own job.
+  JobNumber job = 0;
+};
+
+bool operator==(const RatingKey& aLeft, const RatingKey& aRight) {
+  return aLeft.job == aRight.job && aLeft.filler == aRight.filler &&
+         aLeft.relaxed == aRight.relaxed &&
+         aLeft.processorsMilli == aRight.processorsMilli &&
+         aLeft.image == aRight.image && aLeft.service == aRight.service &&
+         aLeft.requiredLabel == aRight.requiredLabel &&
+         aLeft.dataRack == aRight.dataRack;
+}
+
+// The views of the workers for all stages with the same key.
+struct RatedHosts {
+  RatingKey key;
+  std::vector<HostView> views;
+  // Entries of PlacementPass::changedHosts that the views include.
+  std::size_t changesSeen = 0;
+};
+
 struct PlacementPass {
   Scheduler& scheduler;
   const State& state;
@@ -37,6 +75,11 @@
   PlaceTasks places;
   std::optional<RequestTickets> tickets;
   std::vector<UnplaceableDemand> unplaceable;
+  std::vector<RatedHosts> rated;
+  std::size_t nextRated = 0;  // to be replaced next
+  // Workers on which tasks were placed, in that order.
+  std::vector<std::size_t> changedHosts;
+  std::size_t vainStages = 0;  // examined without placing a task
 };
 
 bool HasLabel(const Worker& aWorker, const std::string& aLabel) {
@@ -112,38 +155,100 @@
   return best == freeByRack.end() ? RackId() : best->first;
 }
 
-// The views of the workers with the conditions of one stage applied.
-// aUsed holds the number of tasks of the stage on each worker.
-std::vector<HostView> ViewsFor(PlacementPass& aPass, const Job& aJob,
-                               const QueueSettings& aQueue,
-                               const TaskKey& aStage, const StageState& aState,
-                               gsl::span<const std::uint32_t> aUsed,
-                               bool aRelaxed) {
-  const StageSpec& spec = aJob.spec.stages[aStage.stage];
-  RackId stageRack;
-  if (spec.sameRack) {
-    stageRack = RackOfStage(aPass, aStage, aState);
-    if (stageRack.empty()) {
-      stageRack = RackWithMostFreeProcessors(aPass);
-    }
+RatingKey KeyFor(const Job& aJob, const StageSpec& aSpec,
+                 const QueueSettings& aQueue, bool aRelaxed) {
+  const bool isServing = !aSpec.filler && aSpec.tailTargetMs > 0;
+  RatingKey key;
+  key.service = aQueue.service;
+  key.requiredLabel = aSpec.requiredLabel;
+  key.dataRack = aSpec.dataRack;
+  key.filler = aSpec.filler;
+  if (aSpec.filler || isServing) {
+    key.image = aSpec.image;
+    key.processorsMilli = aSpec.demand.processorsMilli;
+    key.relaxed = aRelaxed;
+    key.job = isServing ? aJob.number : 0;
   }
-  std::vector<HostView> views = aPass.hosts.views;
-  for (std::size_t index = 0; index < views.size(); ++index) {
-    HostView& view = views[index];
-    const Worker& worker = *aPass.hosts.workers[index];
-    if (worker.spec.service != aQueue.service ||
-        (!spec.requiredLabel.empty() &&
-         !HasLabel(worker, spec.requiredLabel)) ||
-        (spec.maxPerWorker > 0 && aUsed[index] >= spec.maxPerWorker)) {
-      view.excluded = true;
-    }
-    view.isDataRack =
-        spec.dataRack.empty() || worker.spec.rack == spec.dataRack;
-    view.isStageRack = !spec.sameRack || worker.spec.rack == stageRack;
-    RateHost(aPass.scheduler, aJob.number, spec, aPass.hosts.neighbours[index],
-             aRelaxed, view);
+  return key;
+}
+
+// The view of one worker for the stages with the key.
+HostView RatedView(PlacementPass& aPass, const Job& aJob,
+                   const StageSpec& aSpec, const RatingKey& aKey,
+                   std::size_t aHost) {
+  HostView view = aPass.hosts.views[aHost];
+  const Worker& worker = *aPass.hosts.workers[aHost];
+  if (worker.spec.service != aKey.service ||
+      (!aKey.requiredLabel.empty() && !HasLabel(worker, aKey.requiredLabel))) {
+    view.excluded = true;
+  }
+  view.isDataRack = aKey.dataRack.empty() || worker.spec.rack == aKey.dataRack;
+  RateHost(aPass.scheduler, aJob.number, aSpec, aPass.hosts.neighbours[aHost],
+           aKey.relaxed, view);
+  return view;
+}
+
+RatedHosts RateAll(PlacementPass& aPass, const Job& aJob,
+                   const StageSpec& aSpec, const RatingKey& aKey) {
+  RatedHosts rated;
+  rated.key = aKey;
+  rated.changesSeen = aPass.changedHosts.size();
+  rated.views.reserve(aPass.hosts.views.size());
+  for (std::size_t host = 0; host < aPass.hosts.views.size(); ++host) {
+    rated.views.push_back(RatedView(aPass, aJob, aSpec, aKey, host));
+  }
+  return rated;
+}
+
+RatedHosts& StoreRated(PlacementPass& aPass, RatedHosts aRated) {
+  if (aPass.rated.size() < kMaxRatedLists) {
+    aPass.rated.push_back(std::move(aRated));
+    return aPass.rated.back();
+  }
+  RatedHosts& replaced = aPass.rated[aPass.nextRated++ % kMaxRatedLists];
+  replaced = std::move(aRated);
+  return replaced;
+}
+
+// The rated workers for the stage. All workers are rated once for each key, and
+// after that only those on which tasks were placed since.
+const RatedHosts& RatedFor(PlacementPass& aPass, const Job& aJob,
+                           const StageSpec& aSpec, const RatingKey& aKey) {
+  const auto found = std::find_if(
+      aPass.rated.begin(), aPass.rated.end(),
+      [&](const RatedHosts& aRated) { return aRated.key == aKey; });
+  if (found == aPass.rated.end()) {
+    return StoreRated(aPass, RateAll(aPass, aJob, aSpec, aKey));
+  }
+  for (; found->changesSeen < aPass.changedHosts.size(); ++found->changesSeen) {
+    const std::size_t host = aPass.changedHosts[found->changesSeen];
+    found->views[host] = RatedView(aPass, aJob, aSpec, aKey, host);
+  }
+  return *found;
+}
+
+// Excludes the workers with as many tasks of the stage as it allows, and marks
+// the rack of the stage's tasks if they must share one.
+void ApplyStageLimits(PlacementPass& aPass, const StageSpec& aSpec,
+                      const TaskKey& aStage, const StageState& aState,
+                      gsl::span<const std::uint32_t> aUsed,
+                      gsl::span<HostView> aViews) {
+  for (std::size_t host = 0; aSpec.maxPerWorker > 0 && host < aViews.size();
+       ++host) {
+    aViews[host].excluded =
+        aViews[host].excluded || aUsed[host] >= aSpec.maxPerWorker;
+  }
+  if (!aSpec.sameRack) {
+    return;
+  }
+  RackId stageRack = RackOfStage(aPass, aStage, aState);
+  if (stageRack.empty()) {
+    stageRack = RackWithMostFreeProcessors(aPass);
+  }
+  for (std::size_t host = 0; host < aViews.size(); ++host) {
+    aViews[host].isStageRack =
+        aPass.hosts.workers[host]->spec.rack == stageRack;
   }
-  return views;
 }
 
 void Reserve(PlacementPass& aPass, const StageSpec& aSpec, std::size_t aHost,
@@ -151,6 +256,7 @@
   HostView& view = aPass.hosts.views[aHost];
   const Resources reserved = Reservation(aSpec);
   view.available = view.available - reserved;
+  aPass.changedHosts.push_back(aHost);
   Resources& pending = aPass.scheduler.pendingReservations[aPlaced.worker];
   pending = pending + reserved;
   aPass.scheduler.pendingPlacements[aPlaced.task] = aPlaced;
@@ -311,7 +417,8 @@
   ++aPass.scheduler.work.stagesExamined;
   std::vector<std::uint32_t> used = CountByWorker(aPass, aStage, aState);
   std::vector<HostView> views =
-      ViewsFor(aPass, aJob, *queue, aStage, aState, used, relaxed);
+      RatedFor(aPass, aJob, spec, KeyFor(aJob, spec, *queue, relaxed)).views;
+  ApplyStageLimits(aPass, spec, aStage, aState, used, views);
   if (queue->needsTicket) {
     RestrictToTicketHolders(aPass, aJob, aStage, waiting.size(), views);
   }
@@ -344,11 +451,13 @@
     }
   }
   if (spec.gang && chosen.size() < waiting.size()) {
+    ++aPass.vainStages;
     std::for_each(before.rbegin(), before.rend(), [&](auto& aBefore) {
       neighbours[aBefore.first] = std::move(aBefore.second);
     });
     return;
   }
+  aPass.vainStages += chosen.empty() ? 1 : 0;
   for (const auto& [placed, host] : chosen) {
     Reserve(aPass, spec, host, placed);
   }
@@ -365,6 +474,53 @@
                   aPass.scheduler.cellLoad);
 }
 
+void PlaceJob(PlacementPass& aPass, JobNumber aNumber) {
+  const auto found = aPass.state.jobs.find(aNumber);
+  if (found == aPass.state.jobs.end() ||
+      found->second.phase != JobPhase::Active) {
+    return;
+  }
+  const Job& job = found->second;
+  for (const auto& [number, occurrence] : job.occurrences) {
+    for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
+      if (occurrence.stages[stage].waiting > 0 &&
+          IsStageOpen(job, occurrence, stage)) {
+        PlaceStage(aPass, job, {job.number, number, stage, 0},
+                   occurrence.stages[stage]);
+      }
+    }
+  }
+}
+
+// Places tasks of the ranked jobs from aFirst on, until the pass has placed
+// kMaxPlacements tasks or tried aMaxVain stages in vain. Returns the index of
+// the first job that was not reached.
+std::size_t PlaceFrom(PlacementPass& aPass, std::size_t aFirst,
+                      std::size_t aMaxVain) {
+  const std::vector<RankedJob>& jobs = aPass.scheduler.ranking.jobs;
+  std::size_t index = aFirst;
+  while (index < jobs.size() && aPass.vainStages < aMaxVain &&
+         aPass.places.tasks.size() < kMaxPlacements) {
+    PlaceJob(aPass, jobs[index++].number);
+  }
+  return index;
+}
+
+// Places tasks in the order of the ranking. Once too many stages were tried in
+// vain, continues with the jobs that the pass before did not reach.
+void PlaceInOrder(PlacementPass& aPass) {
+  Scheduler& scheduler = aPass.scheduler;
+  const std::size_t reached = PlaceFrom(aPass, 0, kMaxVainStages);
+  const std::size_t turn =
+      PlaceFrom(aPass, std::max(reached, scheduler.nextJobInTurn),
+                kMaxVainStages + kMaxVainStagesInTurn);
+  const bool isComplete = turn >= scheduler.ranking.jobs.size();
+  scheduler.nextJobInTurn = isComplete ? 0 : turn;
+  if (!isComplete || aPass.places.tasks.size() >= kMaxPlacements) {
+    scheduler.dispatchWanted = true;
+  }
+}
+
 }  // namespace
 
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
@@ -374,29 +530,12 @@
       aScheduler, aState,
       aNow,       CollectCandidateHosts(aScheduler, aState, aNow),
       {},         std::nullopt,
-      {}};
+      {},         {},
+      0,          {},
+      0};
   SurveyIfDue(pass);
   RankJobs(aScheduler, aState, aNow, aUnixMs);
-  for (const RankedJob& ranked : aScheduler.ranking.jobs) {
-    const auto found = aState.jobs.find(ranked.number);
-    if (found == aState.jobs.end() || found->second.phase != JobPhase::Active) {
-      continue;
-    }
-    const Job& job = found->second;
-    for (const auto& [number, occurrence] : job.occurrences) {
-      for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
-        if (occurrence.stages[stage].waiting > 0 &&
-            IsStageOpen(job, occurrence, stage)) {
-          PlaceStage(pass, job, {job.number, number, stage, 0},
-                     occurrence.stages[stage]);
-        }
-      }
-    }
-    if (pass.places.tasks.size() >= kMaxPlacements) {
-      aScheduler.dispatchWanted = true;
-      break;
-    }
-  }
+  PlaceInOrder(pass);
   if (pass.tickets) {
     aScheduler.tickets.requestInFlight = true;
     aActions.push_back(std::move(*pass.tickets));
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <variant>
 
 #include "tests/workflow/Samples.h"
 
@@ -69,6 +70,21 @@
   }
 }
 
+std::size_t CountPlaced(const SchedulerActions& aActions) {
+  std::size_t placed = 0;
+  for (const SchedulerAction& action : aActions) {
+    const auto* const commit = std::get_if<Commit>(&action);
+    if (!commit) {
+      continue;
+    }
+    for (const Command& command : commit->commands) {
+      const auto* const places = std::get_if<PlaceTasks>(&command);
+      placed += places ? places->tasks.size() : 0;
+    }
+  }
+  return placed;
+}
+
 // A stage that fits on no worker, for a reason that says nothing about other
 // stages.
 StageSpec UnplaceableStage() {
@@ -83,18 +99,60 @@
   return stage;
 }
 
+StageSpec FillerStage() {
+  StageSpec stage = MakeStage(kTasksPerJob, 1000, 500);
+  stage.filler = true;
+  stage.image = "filler";
+  return stage;
+}
+
+struct BacklogCase {
+  const char* name;
+  StageSpec stage;
+  std::size_t waiting;
+};
+
 }  // namespace
 
 // The cost of a cycle is stated as counts of work instead of time, so that the
 // tests don't depend on the machine.
 class CycleCostTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(CycleCostTest);
+  CPPUNIT_TEST(testPassDoesBoundedWorkUnderABacklog);
   CPPUNIT_TEST(testPassReadsOnlyTheStagesOwnPendingPlacements);
   CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
   CPPUNIT_TEST(testPassesDoNotRankAllJobsEachTime);
+  CPPUNIT_TEST(testStageBehindManyUnplaceableOnesIsPlaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a pass that rates all workers again for each waiting stage.
+  void testPassDoesBoundedWorkUnderABacklog() {
+    // A pass may place 256 tasks and try 64 stages in vain. Each stage is worth
+    // one rating of all workers, each placement a few single ones.
+    constexpr std::uint64_t kMaxStages = 256 + 64;
+    constexpr std::uint64_t kMaxRated = 64 * kWorkers + 256 * 16;
+    const BacklogCase cases[] = {
+        {"unplaceable", UnplaceableStage(), 100},
+        {"unplaceable", UnplaceableStage(), 5000},
+        {"limited", LimitedStage(), 5000},
+        {"filler", FillerStage(), 5000},
+        {"plain", MakeStage(kTasksPerJob, 1000, 500), 5000},
+    };
+    for (const BacklogCase& one : cases) {
+      Cell cell;
+      Apply(cell.state, SetLayout{MakeLayout(1)});
+      AddWorkers(cell, kWorkers, kSmallWorker);
+      AcceptJobs(cell, one.stage, one.waiting);
+      Lead(cell);
+      cell.Tick(Millis(1));
+      const CycleWork& work = cell.scheduler.work;
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::uint64_t(1), work.passes);
+      CPPUNIT_ASSERT_MESSAGE(one.name, work.stagesExamined <= kMaxStages);
+      CPPUNIT_ASSERT_MESSAGE(one.name, work.hostsRated <= kMaxRated);
+    }
+  }
+
   // Guards against a pass that reads all pending placements for each worker,
   // which made the leader slower the more commits it waited for.
   void testPassReadsOnlyTheStagesOwnPendingPlacements() {
@@ -154,6 +212,24 @@
     // At most once per 50 ms.
     CPPUNIT_ASSERT(cell.scheduler.work.jobsRanked <= 3 * jobs);
   }
+
+  // Guards against a limit on the stages of a pass that starves the stages
+  // behind the limit.
+  void testStageBehindManyUnplaceableOnesIsPlaced() {
+    Cell cell;
+    Apply(cell.state, SetLayout{MakeLayout(1)});
+    AddWorkers(cell, 2, kSmallWorker);
+    AcceptJobs(cell, UnplaceableStage(), 5000);
+    AcceptJobs(cell, MakeStage(1, 1000, 500), 1);
+    Lead(cell);
+    std::size_t placed = 0;
+    constexpr int kMaxPasses = 40;
+    for (int pass = 0; pass < kMaxPasses && placed == 0; ++pass) {
+      cell.scheduler.dispatchWanted = true;
+      placed = CountPlaced(cell.Tick(Millis(10)));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), placed);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CycleCostTest);
