Space placement passes by the time that they take

A leader whose pass takes longer than the 8 ms between two passes placed tasks all the time, on the thread that also answers workers, renews leases and sends heartbeats. The controller now measures each cycle, and a pass is followed by twice the cycle's time without one (at most 250 ms, since a long cycle may be due to a suspended process). Passes thus use at most a third of the leader's time whatever waits.

testSlowPassesAreSpaced guards the spacing; it calls a new function, so that it could not run before this change.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -146,6 +146,10 @@
     this->ExecuteAll(workflow::OnTick(*this->scheduler, this->State(), now,
                                       this->group->AgreedUnixMs(now)));
   }
+  if (this->scheduler) {
+    const TimePoint end = net::Now();
+    workflow::OnCycleMeasured(*this->scheduler, end - now, end);
+  }
   this->RecordCycle(now);
   this->LogSummary(now);
   this->ArmTimer();
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -11,6 +11,9 @@
 
 // Minimum time between placement passes; a burst of events costs one pass.
 constexpr Duration kDispatchInterval = Millis(8);
+// Limit on the delay of a pass after a slow one, which may have been slow
+// because the process was suspended.
+constexpr Duration kMaxPassDelay = Millis(250);
 // Without an event, a placement pass follows after this time, since leases,
 // avoided workers and ranks change with time.
 constexpr Duration kIdleDispatchInterval = Millis(500);
@@ -235,6 +238,16 @@
   return actions;
 }
 
+void OnCycleMeasured(Scheduler& aScheduler, Duration aTook, TimePoint aNow) {
+  if (aScheduler.measuredPasses == aScheduler.work.passes) {
+    return;
+  }
+  aScheduler.measuredPasses = aScheduler.work.passes;
+  constexpr std::int64_t kDelayPerPass = 2;
+  const Duration delay = std::min(aTook * kDelayPerPass, kMaxPassDelay);
+  aScheduler.nextDispatchAt = std::max(aScheduler.nextDispatchAt, aNow + delay);
+}
+
 TimePoint NextTickAt(const Scheduler& aScheduler, TimePoint aNow) {
   TimePoint next = aNow + kMaxTickInterval;
   if (aScheduler.dispatchWanted) {
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -267,6 +267,7 @@
   Sweep attemptSweep;
   Sweep renewalSweep;
   CycleWork work;
+  std::uint64_t measuredPasses = 0;  // of work.passes; see OnCycleMeasured
 };
 
 // Creates the scheduler of a new leader. The status of the attempts in aState
@@ -306,6 +307,10 @@
 // in which an event was handled. aUnixMs is the replicated time of day.
 SchedulerActions OnTick(Scheduler& aScheduler, const State& aState,
                         TimePoint aNow, std::int64_t aUnixMs);
+// A cycle with a call of OnTick, including its actions, took aTook and ended at
+// aNow. If it ran a placement pass, the next pass is put off by twice that
+// time, so that passes use at most a third of the leader's time.
+void OnCycleMeasured(Scheduler& aScheduler, Duration aTook, TimePoint aNow);
 // When OnTick must be called next, unless an event comes first.
 TimePoint NextTickAt(const Scheduler& aScheduler, TimePoint aNow);
 
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -123,6 +123,7 @@
   CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
   CPPUNIT_TEST(testPassesDoNotRankAllJobsEachTime);
   CPPUNIT_TEST(testStageBehindManyUnplaceableOnesIsPlaced);
+  CPPUNIT_TEST(testSlowPassesAreSpaced);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -230,6 +231,35 @@
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t(1), placed);
   }
+
+  // Guards against a leader that spends all of its time on passes once they are
+  // slow, so that it answers no worker in time.
+  void testSlowPassesAreSpaced() {
+    struct Case {
+      Duration took;
+      Duration next;  // earliest, from the end of the cycle
+    };
+    const Case cases[] = {
+        {Millis(1), Millis(2)},
+        {Millis(50), Millis(100)},
+        // Longer ones show that the process was suspended.
+        {Seconds(10), Millis(250)},
+    };
+    for (const Case& one : cases) {
+      Cell cell;
+      Apply(cell.state, SetLayout{MakeLayout(1)});
+      AddWorkers(cell, 2, kSmallWorker);
+      Lead(cell);
+      cell.Tick(Millis(1));
+      const TimePoint end = cell.now + one.took;
+      OnCycleMeasured(cell.scheduler, one.took, end);
+      CPPUNIT_ASSERT(end + one.next <= cell.scheduler.nextDispatchAt);
+      // A cycle without a pass puts nothing off.
+      const TimePoint due = cell.scheduler.nextDispatchAt;
+      OnCycleMeasured(cell.scheduler, one.took, due);
+      CPPUNIT_ASSERT(due == cell.scheduler.nextDispatchAt);
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(CycleCostTest);
