Look up what a rating needs once per stage

Rating a worker for a filler looked up the class of the filler's image by name, and predicted the added level for each serving task there with a square root. The class and the added level by class of the serving image are now computed once for a kind of stage.

--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -73,18 +73,14 @@
 // Rates a worker for a filler by what it adds to the levels of the serving
 // tasks there and by the processors that it would lack. Unless aRelaxed,
 // workers where either is too much are excluded.
-void RateForFiller(Scheduler& aScheduler, const StageSpec& aStage,
-                   const Neighbours& aNeighbours, bool aRelaxed,
+void RateForFiller(const StageRating& aRating, const Neighbours& aNeighbours,
                    HostView& aView) {
-  const placement::ClassIndex image =
-      ClassOf(aScheduler.tailModel, aStage.image);
-  const double processors = ProcessorsOf(aStage);
+  const double processors = aRating.processors;
   double interference = 0;
   for (const ServingTask& serving : aNeighbours.serving) {
-    const double added = PredictAddedLevel(aScheduler.tailModel, serving.image,
-                                           image, processors);
+    const double added = aRating.addedLevels[serving.image];
     interference += added;
-    if (!aRelaxed && serving.level + added > kFillerLevelLimit) {
+    if (!aRating.relaxed && serving.level + added > kFillerLevelLimit) {
       aView.excluded = true;
     }
   }
@@ -92,7 +88,7 @@
   const double left =
       static_cast<double>(aView.capacity.processorsMilli) / kThousandths -
       aNeighbours.usedProcessors;
-  if (!aRelaxed && left < processors * kMinFillerShare) {
+  if (!aRating.relaxed && left < processors * kMinFillerShare) {
     aView.excluded = true;
   }
   aView.interference =
@@ -103,21 +99,18 @@
 // level. Serving tasks of one image preferably share workers, which leaves
 // other workers to the fillers that interfere with them. Tasks of one job have
 // a small penalty, since their load rises and falls together.
-void RateForServing(Scheduler& aScheduler, JobNumber aJob,
-                    const StageSpec& aStage, const Neighbours& aNeighbours,
-                    HostView& aView) {
-  const placement::ClassIndex image =
-      ClassOf(aScheduler.tailModel, aStage.image);
+void RateForServing(const TailModel& aModel, const StageRating& aRating,
+                    const Neighbours& aNeighbours, HostView& aView) {
   const double level =
-      PredictLevel(aScheduler.tailModel, image, aNeighbours.fillers) -
-      aScheduler.tailModel.baseLevel[image];
+      PredictLevel(aModel, aRating.image, aNeighbours.fillers) -
+      aModel.baseLevel[aRating.image];
   double interference = level;
   bool hasSameJob = false;
   for (const ServingTask& serving : aNeighbours.serving) {
-    hasSameJob = hasSameJob || serving.job == aJob;
-    if (serving.job != aJob) {
-      interference +=
-          serving.image == image ? kOtherJobPenalty : kOtherImagePenalty;
+    hasSameJob = hasSameJob || serving.job == aRating.job;
+    if (serving.job != aRating.job) {
+      interference += serving.image == aRating.image ? kOtherJobPenalty
+                                                     : kOtherImagePenalty;
     }
   }
   aView.interference = interference + (hasSameJob ? kSameJobPenalty : 0);
@@ -155,14 +148,36 @@
 
 }  // namespace
 
-void RateHost(Scheduler& aScheduler, JobNumber aJob, const StageSpec& aStage,
-              const Neighbours& aNeighbours, bool aRelaxed, HostView& aView) {
+StageRating MakeStageRating(Scheduler& aScheduler, JobNumber aJob,
+                            const StageSpec& aStage, bool aRelaxed) {
+  StageRating rating;
+  rating.filler = aStage.filler;
+  rating.serving = !aStage.filler && aStage.tailTargetMs > 0;
+  rating.relaxed = aRelaxed;
+  rating.job = aJob;
+  rating.processors = ProcessorsOf(aStage);
+  if (!rating.filler && !rating.serving) {
+    return rating;
+  }
+  TailModel& model = aScheduler.tailModel;
+  rating.image = ClassOf(model, aStage.image);
+  for (std::size_t serving = 0;
+       rating.filler && serving < model.baseLevel.size(); ++serving) {
+    rating.addedLevels.push_back(
+        PredictAddedLevel(model, static_cast<placement::ClassIndex>(serving),
+                          rating.image, rating.processors));
+  }
+  return rating;
+}
+
+void RateHost(Scheduler& aScheduler, const StageRating& aRating,
+              const Neighbours& aNeighbours, HostView& aView) {
   ++aScheduler.work.hostsRated;
   aView.interference = 0;
-  if (aStage.filler) {
-    RateForFiller(aScheduler, aStage, aNeighbours, aRelaxed, aView);
-  } else if (aStage.tailTargetMs > 0) {
-    RateForServing(aScheduler, aJob, aStage, aNeighbours, aView);
+  if (aRating.filler) {
+    RateForFiller(aRating, aNeighbours, aView);
+  } else if (aRating.serving) {
+    RateForServing(aScheduler.tailModel, aRating, aNeighbours, aView);
   }
 }
 
--- a/src/bramleypath/workflow/internal/CandidateHosts.h
+++ b/src/bramleypath/workflow/internal/CandidateHosts.h
@@ -32,11 +32,27 @@
 void AddNeighbour(Scheduler& aScheduler, JobNumber aJob,
                   const StageSpec& aStage, Neighbours& aNeighbours,
                   std::uint32_t aPace, std::optional<double> aLevel);
+// What the rating of a worker for the tasks of one stage needs, looked up once
+// for all workers.
+struct StageRating {
+  bool filler = false;
+  bool serving = false;
+  bool relaxed = false;
+  JobNumber job = 0;
+  placement::ClassIndex image = 0;
+  double processors = 0;
+  // Of a filler: the expected increase in the level of a serving task, by the
+  // class of its image.
+  std::vector<double> addedLevels;
+};
+
+StageRating MakeStageRating(Scheduler& aScheduler, JobNumber aJob,
+                            const StageSpec& aStage, bool aRelaxed);
 // Sets the interference between a task of the stage and the tasks on the
-// worker. Excludes workers where a filler would have to be slowed, unless
-// aRelaxed.
-void RateHost(Scheduler& aScheduler, JobNumber aJob, const StageSpec& aStage,
-              const Neighbours& aNeighbours, bool aRelaxed, HostView& aView);
+// worker. Excludes workers where a filler would have to be slowed, unless the
+// rating is relaxed.
+void RateHost(Scheduler& aScheduler, const StageRating& aRating,
+              const Neighbours& aNeighbours, HostView& aView);
 // Processors that a task of the stage demands.
 double ProcessorsOf(const StageSpec& aStage);
 
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -62,6 +62,7 @@
 // The views of the workers for all stages with the same key.
 struct RatedHosts {
   RatingKey key;
+  StageRating rating;
   std::vector<HostView> views;
   // Entries of PlacementPass::changedHosts that the views include.
   std::size_t changesSeen = 0;
@@ -167,24 +168,23 @@
     key.image = aSpec.image;
     key.processorsMilli = aSpec.demand.processorsMilli;
     key.relaxed = aRelaxed;
-    key.job = isServing ? aJob.number : 0;
+    key.job = aSpec.tailTargetMs > 0 ? aJob.number : 0;
   }
   return key;
 }
 
-// The view of one worker for the stages with the key.
-HostView RatedView(PlacementPass& aPass, const Job& aJob,
-                   const StageSpec& aSpec, const RatingKey& aKey,
+// The view of one worker for the stages with the key of aRated.
+HostView RatedView(PlacementPass& aPass, const RatedHosts& aRated,
                    std::size_t aHost) {
+  const RatingKey& key = aRated.key;
   HostView view = aPass.hosts.views[aHost];
   const Worker& worker = *aPass.hosts.workers[aHost];
-  if (worker.spec.service != aKey.service ||
-      (!aKey.requiredLabel.empty() && !HasLabel(worker, aKey.requiredLabel))) {
+  if (worker.spec.service != key.service ||
+      (!key.requiredLabel.empty() && !HasLabel(worker, key.requiredLabel))) {
     view.excluded = true;
   }
-  view.isDataRack = aKey.dataRack.empty() || worker.spec.rack == aKey.dataRack;
-  RateHost(aPass.scheduler, aJob.number, aSpec, aPass.hosts.neighbours[aHost],
-           aKey.relaxed, view);
+  view.isDataRack = key.dataRack.empty() || worker.spec.rack == key.dataRack;
+  RateHost(aPass.scheduler, aRated.rating, aPass.hosts.neighbours[aHost], view);
   return view;
 }
 
@@ -192,10 +192,12 @@
                    const StageSpec& aSpec, const RatingKey& aKey) {
   RatedHosts rated;
   rated.key = aKey;
+  rated.rating =
+      MakeStageRating(aPass.scheduler, aJob.number, aSpec, aKey.relaxed);
   rated.changesSeen = aPass.changedHosts.size();
   rated.views.reserve(aPass.hosts.views.size());
   for (std::size_t host = 0; host < aPass.hosts.views.size(); ++host) {
-    rated.views.push_back(RatedView(aPass, aJob, aSpec, aKey, host));
+    rated.views.push_back(RatedView(aPass, rated, host));
   }
   return rated;
 }
@@ -222,7 +224,7 @@
   }
   for (; found->changesSeen < aPass.changedHosts.size(); ++found->changesSeen) {
     const std::size_t host = aPass.changedHosts[found->changesSeen];
-    found->views[host] = RatedView(aPass, aJob, aSpec, aKey, host);
+    found->views[host] = RatedView(aPass, *found, host);
   }
   return *found;
 }
@@ -265,25 +267,22 @@
   aPass.places.tasks.push_back(aPlaced);
 }
 
-void ReserveInViews(Scheduler& aScheduler, JobNumber aJob,
-                    std::vector<HostView>& aViews,
-                    gsl::span<Neighbours> aNeighbours, const StageSpec& aSpec,
-                    std::size_t aHost, std::uint32_t aUsed, bool aRelaxed) {
+void ReserveInViews(Scheduler& aScheduler, const StageRating& aRating,
+                    const StageSpec& aSpec, std::size_t aHost,
+                    std::uint32_t aUsed, gsl::span<HostView> aViews,
+                    gsl::span<Neighbours> aNeighbours) {
   HostView& view = aViews[aHost];
   view.available = view.available - Reservation(aSpec);
   Neighbours& neighbours = aNeighbours[aHost];
-  const double processors = ProcessorsOf(aSpec);
   constexpr std::uint32_t kFullPace = 100;
-  AddNeighbour(aScheduler, aJob, aSpec, neighbours, kFullPace, std::nullopt);
-  if (aSpec.filler) {
-    const placement::ClassIndex image =
-        ClassOf(aScheduler.tailModel, aSpec.image);
+  AddNeighbour(aScheduler, aRating.job, aSpec, neighbours, kFullPace,
+               std::nullopt);
+  if (aRating.filler) {
     for (ServingTask& serving : neighbours.serving) {
-      serving.level += PredictAddedLevel(aScheduler.tailModel, serving.image,
-                                         image, processors);
+      serving.level += aRating.addedLevels[serving.image];
     }
   }
-  RateHost(aScheduler, aJob, aSpec, neighbours, aRelaxed, view);
+  RateHost(aScheduler, aRating, neighbours, view);
   if (aSpec.maxPerWorker > 0 && aUsed >= aSpec.maxPerWorker) {
     view.excluded = true;
   }
@@ -416,8 +415,9 @@
   }
   ++aPass.scheduler.work.stagesExamined;
   std::vector<std::uint32_t> used = CountByWorker(aPass, aStage, aState);
-  std::vector<HostView> views =
-      RatedFor(aPass, aJob, spec, KeyFor(aJob, spec, *queue, relaxed)).views;
+  const RatedHosts& rated =
+      RatedFor(aPass, aJob, spec, KeyFor(aJob, spec, *queue, relaxed));
+  std::vector<HostView> views = rated.views;
   ApplyStageLimits(aPass, spec, aStage, aState, used, views);
   if (queue->needsTicket) {
     RestrictToTicketHolders(aPass, aJob, aStage, waiting.size(), views);
@@ -441,8 +441,8 @@
     if (spec.gang) {
       before.emplace_back(*host, neighbours[*host]);
     }
-    ReserveInViews(aPass.scheduler, aJob.number, views, neighbours, spec, *host,
-                   used[*host], relaxed);
+    ReserveInViews(aPass.scheduler, rated.rating, spec, *host, used[*host],
+                   views, neighbours);
     const PlacedTask placed{key, NextAttempt(aState, key, spec.gang),
                             aPass.hosts.numbers[*host]};
     chosen.emplace_back(placed, *host);
