--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -117,9 +117,10 @@
 void Controller::ArmTimer() {
   Duration wait = kCycleInterval;
   const TimePoint now = net::Now();
-  if (this->scheduler && this->scheduler->dispatchWanted) {
-    const Duration untilDispatch = this->scheduler->nextDispatchAt - now;
-    wait = std::max(kMinTimerWait, std::min(wait, untilDispatch));
+  if (this->scheduler) {
+    const Duration untilTick =
+        workflow::NextTickAt(*this->scheduler, now) - now;
+    wait = std::max(kMinTimerWait, std::min(wait, untilTick));
   }
   this->timer.expires_after(std::chrono::microseconds(wait.micros));
   this->timer.async_wait([this, isAlive = this->alive,
@@ -150,6 +151,10 @@
     this->ExecuteAll(workflow::OnTick(*this->scheduler, this->State(), now,
                                       this->group->AgreedUnixMs(now)));
   }
+  if (this->scheduler) {
+    const TimePoint end = net::Now();
+    workflow::OnCycleMeasured(*this->scheduler, end - now, end);
+  }
   this->RecordCycle(now);
   this->LogSummary(now);
   this->ArmTimer();
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -14,6 +14,7 @@
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/workflow/Admission.h"
 #include "bramleypath/workflow/Driver.h"
+#include "bramleypath/workflow/Neighbours.h"
 #include "bramleypath/workflow/State.h"
 #include "bramleypath/workflow/TailModel.h"
 #include "bramleypath/workflow/Tickets.h"
@@ -181,6 +182,49 @@
   AttemptNumber attempt = 0;
 };
 
+// When a sweep over all entries of a kind runs next. A sweep runs at most once
+// in an interval, however many events come in.
+struct Sweep {
+  TimePoint nextAt;
+  // A tick came before nextAt, so that a sweep is needed at that time.
+  bool postponed = false;
+};
+
+// Jobs that repeat, so that due occurrences are found without reading all jobs.
+struct RecurringJobs {
+  std::vector<JobNumber> numbers;
+  JobNumber lastSeen = 0;  // jobs up to it have been looked at
+};
+
+// The tasks on each worker as of the last survey, and those placed since.
+struct HostSurvey {
+  TimePoint nextAt;
+  std::vector<WorkerNumber> numbers;   // ascending
+  std::vector<Neighbours> neighbours;  // in the order of numbers
+};
+
+// An active job and its rank, see StartRank.
+struct RankedJob {
+  JobNumber number = 0;
+  double rank = 0;
+};
+
+// Expected times of a job, which change slowly.
+struct JobEstimate {
+  std::vector<double> stageRunMs;
+  double objectiveMs = 0;
+  TimePoint validUntil;
+};
+
+// The active jobs in the order in which their tasks start, as of the last
+// ranking, and the jobs accepted since.
+struct JobRanking {
+  TimePoint nextAt;
+  std::vector<RankedJob> jobs;
+  JobNumber lastSeen = 0;  // jobs up to it have been ranked
+  std::unordered_map<JobNumber, JobEstimate> estimates;
+};
+
 // Counts of the work done in scheduling cycles, which bounds their cost.
 struct CycleWork {
   std::uint64_t passes = 0;          // placement passes
@@ -229,8 +273,18 @@
   // Earliest time to move another filler away; see AdjustPaces.
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> jobsOpeningOccurrence;  // being committed
-  CellLoad cellLoad;  // as of the last dispatch
+  // As of the last ranking and survey.
+  CellLoad cellLoad;
+  JobRanking ranking;
+  // Where the next pass continues in the ranking after the jobs at its top.
+  std::size_t nextJobInTurn = 0;
+  HostSurvey survey;
+  RecurringJobs recurringJobs;
+  Sweep occurrenceSweep;
+  Sweep attemptSweep;
+  Sweep renewalSweep;
   CycleWork work;
+  std::uint64_t measuredPasses = 0;  // of work.passes; see OnCycleMeasured
 };
 
 // Creates the scheduler of a new leader. The status of the attempts in aState
@@ -270,6 +324,12 @@
 // in which an event was handled. aUnixMs is the replicated time of day.
 SchedulerActions OnTick(Scheduler& aScheduler, const State& aState,
                         TimePoint aNow, std::int64_t aUnixMs);
+// A cycle with a call of OnTick, including its actions, took aTook and ended at
+// aNow. If it ran a placement pass, the next pass is put off by twice that
+// time, so that passes use at most a third of the leader's time.
+void OnCycleMeasured(Scheduler& aScheduler, Duration aTook, TimePoint aNow);
+// When OnTick must be called next, unless an event comes first.
+TimePoint NextTickAt(const Scheduler& aScheduler, TimePoint aNow);
 
 // Summary of the whole cell for logs and metrics.
 struct CellSummary {
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -12,14 +12,19 @@
 // A pass places no fewer tasks than this because of kStartWindow, so that a
 // full window does not cost a pass for each answer.
 constexpr std::size_t kMinStartRoom = 64;
+// Limits on the stages that one pass tries in vain: in the order of the
+// ranking, and after those, continuing where the pass before ended, so that no
+// stage starves behind others that fit nowhere.
+constexpr std::size_t kMaxVainStages = 32;
+constexpr std::size_t kMaxVainStagesInTurn = 32;
+// Limit on the rated lists of workers that a pass keeps.
+constexpr std::size_t kMaxRatedLists = 16;
+// Between two surveys, a pass adds only its own placements to the tasks of the
+// workers. Their resources are read in each pass.
+constexpr Duration kSurveyInterval = Millis(50);
 // See HasIdled.
 constexpr Duration kMaxIdleTime = Millis(1200);
 
-struct RankedJob {
-  const Job* job = nullptr;
-  double rank = 0;
-};
-
 // The demand of a task that fits on no worker in this pass. Available resources
 // only shrink during a pass, so that a task with at least this demand fits on
 // none either.
@@ -32,6 +37,38 @@
   bool relaxed = false;  // see HasIdled
 };
 
+// What a rating of the workers depends on, apart from the limits of one stage.
+struct RatingKey {
+  ServiceId service;
+  std::string requiredLabel;
+  RackId dataRack;
+  bool relaxed = false;  // see HasIdled
+  bool filler = false;
+  // Of fillers and serving tasks, which interfere with others.
+  std::string image;
+  std::int64_t processorsMilli = 0;
+  // Of serving tasks, which avoid those of their own job.
+  JobNumber job = 0;
+};
+
+bool operator==(const RatingKey& aLeft, const RatingKey& aRight) {
+  return aLeft.job == aRight.job && aLeft.filler == aRight.filler &&
+         aLeft.relaxed == aRight.relaxed &&
+         aLeft.processorsMilli == aRight.processorsMilli &&
+         aLeft.image == aRight.image && aLeft.service == aRight.service &&
+         aLeft.requiredLabel == aRight.requiredLabel &&
+         aLeft.dataRack == aRight.dataRack;
+}
+
+// The views of the workers for all stages with the same key.
+struct RatedHosts {
+  RatingKey key;
+  StageRating rating;
+  std::vector<HostView> views;
+  // Entries of PlacementPass::changedHosts that the views include.
+  std::size_t changesSeen = 0;
+};
+
 struct PlacementPass {
   Scheduler& scheduler;
   const State& state;
@@ -39,9 +76,13 @@
   CandidateHosts hosts;
   PlaceTasks places;
   std::optional<RequestTickets> tickets;
-  CellLoad cellLoad;
   std::vector<UnplaceableDemand> unplaceable;
   bool isLimited = false;  // a stage did not fit into kStartWindow
+  std::vector<RatedHosts> rated;
+  std::size_t nextRated = 0;  // to be replaced next
+  // Workers on which tasks were placed, in that order.
+  std::vector<std::size_t> changedHosts;
+  std::size_t vainStages = 0;  // examined without placing a task
 };
 
 // Whether the start window has room for so many further placements. A gang
@@ -125,38 +166,101 @@
   return best == freeByRack.end() ? RackId() : best->first;
 }
 
-// The views of the workers with the conditions of one stage applied.
-// aUsed holds the number of tasks of the stage on each worker.
-std::vector<HostView> ViewsFor(PlacementPass& aPass, const Job& aJob,
-                               const QueueSettings& aQueue,
-                               const TaskKey& aStage, const StageState& aState,
-                               gsl::span<const std::uint32_t> aUsed,
-                               bool aRelaxed) {
-  const StageSpec& spec = aJob.spec.stages[aStage.stage];
-  RackId stageRack;
-  if (spec.sameRack) {
-    stageRack = RackOfStage(aPass, aStage, aState);
-    if (stageRack.empty()) {
-      stageRack = RackWithMostFreeProcessors(aPass);
-    }
+RatingKey KeyFor(const Job& aJob, const StageSpec& aSpec,
+                 const QueueSettings& aQueue, bool aRelaxed) {
+  const bool isServing = !aSpec.filler && aSpec.tailTargetMs > 0;
+  RatingKey key;
+  key.service = aQueue.service;
+  key.requiredLabel = aSpec.requiredLabel;
+  key.dataRack = aSpec.dataRack;
+  key.filler = aSpec.filler;
+  if (aSpec.filler || isServing) {
+    key.image = aSpec.image;
+    key.processorsMilli = aSpec.demand.processorsMilli;
+    key.relaxed = aRelaxed;
+    key.job = aSpec.tailTargetMs > 0 ? aJob.number : 0;
   }
-  std::vector<HostView> views = aPass.hosts.views;
-  for (std::size_t index = 0; index < views.size(); ++index) {
-    HostView& view = views[index];
-    const Worker& worker = *aPass.hosts.workers[index];
-    if (worker.spec.service != aQueue.service ||
-        (!spec.requiredLabel.empty() &&
-         !HasLabel(worker, spec.requiredLabel)) ||
-        (spec.maxPerWorker > 0 && aUsed[index] >= spec.maxPerWorker)) {
-      view.excluded = true;
-    }
-    view.isDataRack =
-        spec.dataRack.empty() || worker.spec.rack == spec.dataRack;
-    view.isStageRack = !spec.sameRack || worker.spec.rack == stageRack;
-    RateHost(aPass.scheduler, aJob.number, spec, aPass.hosts.neighbours[index],
-             aRelaxed, view);
+  return key;
+}
+
+// The view of one worker for the stages with the key of aRated.
+HostView RatedView(PlacementPass& aPass, const RatedHosts& aRated,
+                   std::size_t aHost) {
+  const RatingKey& key = aRated.key;
+  HostView view = aPass.hosts.views[aHost];
+  const Worker& worker = *aPass.hosts.workers[aHost];
+  if (worker.spec.service != key.service ||
+      (!key.requiredLabel.empty() && !HasLabel(worker, key.requiredLabel))) {
+    view.excluded = true;
+  }
+  view.isDataRack = key.dataRack.empty() || worker.spec.rack == key.dataRack;
+  RateHost(aPass.scheduler, aRated.rating, aPass.hosts.neighbours[aHost], view);
+  return view;
+}
+
+RatedHosts RateAll(PlacementPass& aPass, const Job& aJob,
+                   const StageSpec& aSpec, const RatingKey& aKey) {
+  RatedHosts rated;
+  rated.key = aKey;
+  rated.rating =
+      MakeStageRating(aPass.scheduler, aJob.number, aSpec, aKey.relaxed);
+  rated.changesSeen = aPass.changedHosts.size();
+  rated.views.reserve(aPass.hosts.views.size());
+  for (std::size_t host = 0; host < aPass.hosts.views.size(); ++host) {
+    rated.views.push_back(RatedView(aPass, rated, host));
+  }
+  return rated;
+}
+
+RatedHosts& StoreRated(PlacementPass& aPass, RatedHosts aRated) {
+  if (aPass.rated.size() < kMaxRatedLists) {
+    aPass.rated.push_back(std::move(aRated));
+    return aPass.rated.back();
+  }
+  RatedHosts& replaced = aPass.rated[aPass.nextRated++ % kMaxRatedLists];
+  replaced = std::move(aRated);
+  return replaced;
+}
+
+// The rated workers for the stage. All workers are rated once for each key, and
+// after that only those on which tasks were placed since.
+const RatedHosts& RatedFor(PlacementPass& aPass, const Job& aJob,
+                           const StageSpec& aSpec, const RatingKey& aKey) {
+  const auto found = std::find_if(
+      aPass.rated.begin(), aPass.rated.end(),
+      [&](const RatedHosts& aRated) { return aRated.key == aKey; });
+  if (found == aPass.rated.end()) {
+    return StoreRated(aPass, RateAll(aPass, aJob, aSpec, aKey));
+  }
+  for (; found->changesSeen < aPass.changedHosts.size(); ++found->changesSeen) {
+    const std::size_t host = aPass.changedHosts[found->changesSeen];
+    found->views[host] = RatedView(aPass, *found, host);
+  }
+  return *found;
+}
+
+// Excludes the workers with as many tasks of the stage as it allows, and marks
+// the rack of the stage's tasks if they must share one.
+void ApplyStageLimits(PlacementPass& aPass, const StageSpec& aSpec,
+                      const TaskKey& aStage, const StageState& aState,
+                      gsl::span<const std::uint32_t> aUsed,
+                      gsl::span<HostView> aViews) {
+  for (std::size_t host = 0; aSpec.maxPerWorker > 0 && host < aViews.size();
+       ++host) {
+    aViews[host].excluded =
+        aViews[host].excluded || aUsed[host] >= aSpec.maxPerWorker;
+  }
+  if (!aSpec.sameRack) {
+    return;
+  }
+  RackId stageRack = RackOfStage(aPass, aStage, aState);
+  if (stageRack.empty()) {
+    stageRack = RackWithMostFreeProcessors(aPass);
+  }
+  for (std::size_t host = 0; host < aViews.size(); ++host) {
+    aViews[host].isStageRack =
+        aPass.hosts.workers[host]->spec.rack == stageRack;
   }
-  return views;
 }
 
 void Reserve(PlacementPass& aPass, const StageSpec& aSpec, std::size_t aHost,
@@ -164,6 +268,7 @@
   HostView& view = aPass.hosts.views[aHost];
   const Resources reserved = Reservation(aSpec);
   view.available = view.available - reserved;
+  aPass.changedHosts.push_back(aHost);
   Resources& pending = aPass.scheduler.pendingReservations[aPlaced.worker];
   pending = pending + reserved;
   aPass.scheduler.pendingPlacements[aPlaced.task] = aPlaced;
@@ -172,26 +277,22 @@
   aPass.places.tasks.push_back(aPlaced);
 }
 
-void ReserveInViews(Scheduler& aScheduler, JobNumber aJob,
-                    std::vector<HostView>& aViews,
-                    std::vector<Neighbours>& aNeighbours,
+void ReserveInViews(Scheduler& aScheduler, const StageRating& aRating,
                     const StageSpec& aSpec, std::size_t aHost,
-                    std::uint32_t aUsed, bool aRelaxed) {
+                    std::uint32_t aUsed, gsl::span<HostView> aViews,
+                    gsl::span<Neighbours> aNeighbours) {
   HostView& view = aViews[aHost];
   view.available = view.available - Reservation(aSpec);
   Neighbours& neighbours = aNeighbours[aHost];
-  const double processors = ProcessorsOf(aSpec);
   constexpr std::uint32_t kFullPace = 100;
-  AddNeighbour(aScheduler, aJob, aSpec, neighbours, kFullPace, std::nullopt);
-  if (aSpec.filler) {
-    const placement::ClassIndex image =
-        ClassOf(aScheduler.tailModel, aSpec.image);
+  AddNeighbour(aScheduler, aRating.job, aSpec, neighbours, kFullPace,
+               std::nullopt);
+  if (aRating.filler) {
     for (ServingTask& serving : neighbours.serving) {
-      serving.level += PredictAddedLevel(aScheduler.tailModel, serving.image,
-                                         image, processors);
+      serving.level += aRating.addedLevels[serving.image];
     }
   }
-  RateHost(aScheduler, aJob, aSpec, neighbours, aRelaxed, view);
+  RateHost(aScheduler, aRating, neighbours, view);
   if (aSpec.maxPerWorker > 0 && aUsed >= aSpec.maxPerWorker) {
     view.excluded = true;
   }
@@ -236,18 +337,10 @@
 // is placed even where it will be slowed.
 bool HasIdled(const PlacementPass& aPass, const Job& aJob) {
   const auto idle = aPass.scheduler.idleSince.find(aJob.number);
-  return idle != aPass.scheduler.idleSince.end() &&
+  return aJob.placed == 0 && idle != aPass.scheduler.idleSince.end() &&
          kMaxIdleTime < aPass.now - idle->second;
 }
 
-void RecordIdle(Scheduler& aScheduler, const Job& aJob, TimePoint aNow) {
-  if (aJob.placed > 0) {
-    aScheduler.idleSince.erase(aJob.number);
-  } else {
-    aScheduler.idleSince.emplace(aJob.number, aNow);
-  }
-}
-
 // Excludes workers without a valid ticket, and prepares a request for more
 // tickets.
 void RestrictToTicketHolders(PlacementPass& aPass, const Job& aJob,
@@ -332,17 +425,18 @@
   }
   ++aPass.scheduler.work.stagesExamined;
   std::vector<std::uint32_t> used = CountByWorker(aPass, aStage, aState);
-  std::vector<HostView> views =
-      ViewsFor(aPass, aJob, *queue, aStage, aState, used, relaxed);
+  const RatedHosts& rated =
+      RatedFor(aPass, aJob, spec, KeyFor(aJob, spec, *queue, relaxed));
+  std::vector<HostView> views = rated.views;
+  ApplyStageLimits(aPass, spec, aStage, aState, used, views);
   if (queue->needsTicket) {
     RestrictToTicketHolders(aPass, aJob, aStage, waiting.size(), views);
   }
   const TaskView task = ViewOfTask(aPass.scheduler, spec);
   std::vector<std::pair<PlacedTask, std::size_t>> chosen;
-  std::vector<Neighbours>& neighbours = aPass.hosts.neighbours;
+  const gsl::span<Neighbours> neighbours = aPass.hosts.neighbours;
   // Restored if not all tasks of a gang can be placed.
-  const std::vector<Neighbours> before =
-      spec.gang ? neighbours : std::vector<Neighbours>();
+  std::vector<std::pair<std::size_t, Neighbours>> before;
   for (const TaskKey& key : waiting) {
     if (!spec.gang && !HasStartRoom(aPass.scheduler, chosen.size() + 1)) {
       aPass.isLimited = true;
@@ -354,8 +448,11 @@
       break;
     }
     ++used[*host];
-    ReserveInViews(aPass.scheduler, aJob.number, views, neighbours, spec, *host,
-                   used[*host], relaxed);
+    if (spec.gang) {
+      before.emplace_back(*host, neighbours[*host]);
+    }
+    ReserveInViews(aPass.scheduler, rated.rating, spec, *host, used[*host],
+                   views, neighbours);
     const PlacedTask placed{key, NextAttempt(aState, key, spec.gang),
                             aPass.hosts.numbers[*host]};
     chosen.emplace_back(placed, *host);
@@ -368,42 +465,75 @@
     aPass.isLimited = !HasStartRoom(aPass.scheduler, chosen.size());
   }
   if (spec.gang && (!isComplete || aPass.isLimited)) {
-    neighbours = before;
+    aPass.vainStages += isComplete ? 0 : 1;
+    std::for_each(before.rbegin(), before.rend(), [&](auto& aBefore) {
+      neighbours[aBefore.first] = std::move(aBefore.second);
+    });
     return;
   }
+  aPass.vainStages += chosen.empty() ? 1 : 0;
   for (const auto& [placed, host] : chosen) {
     Reserve(aPass, spec, host, placed);
   }
 }
 
-// Ranks a job and adds its remaining work to the load of the cell.
-RankedJob Rank(PlacementPass& aPass, const Job& aJob, std::int64_t aUnixMs) {
-  ++aPass.scheduler.work.jobsRanked;
-  const QueueSettings* const queue = FindQueue(aPass.state, aJob.spec.queue);
-  WaitingJob waiting;
-  waiting.longRunning = IsLongRunning(aJob);
-  waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
-  const std::vector<double> runMs = StageRunMs(aPass.scheduler, aJob.spec);
-  const double chainMs = LongestChainMs(aJob.spec, runMs);
-  waiting.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
-  for (const auto& [number, occurrence] : aJob.occurrences) {
-    waiting.remainingMs =
-        std::max(waiting.remainingMs, RemainingMs(aJob, occurrence, runMs));
-    AddRemainingWork(aJob, occurrence, runMs, aPass.cellLoad);
-  }
-  return RankedJob{&aJob, StartRank(waiting)};
+void SurveyIfDue(PlacementPass& aPass) {
+  HostSurvey& survey = aPass.scheduler.survey;
+  if (aPass.now < survey.nextAt && IsSurveyed(aPass.scheduler, aPass.hosts)) {
+    return;
+  }
+  survey.nextAt = aPass.now + kSurveyInterval;
+  SurveyNeighbours(aPass.scheduler, aPass.state, aPass.hosts);
+  MeasureCapacity(aPass.scheduler, aPass.state, aPass.hosts,
+                  aPass.scheduler.cellLoad);
 }
 
-bool HasWaitingTask(const Job& aJob) {
-  for (const auto& [number, occurrence] : aJob.occurrences) {
+void PlaceJob(PlacementPass& aPass, JobNumber aNumber) {
+  const auto found = aPass.state.jobs.find(aNumber);
+  if (found == aPass.state.jobs.end() ||
+      found->second.phase != JobPhase::Active) {
+    return;
+  }
+  const Job& job = found->second;
+  for (const auto& [number, occurrence] : job.occurrences) {
     for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
       if (occurrence.stages[stage].waiting > 0 &&
-          IsStageOpen(aJob, occurrence, stage)) {
-        return true;
+          IsStageOpen(job, occurrence, stage)) {
+        PlaceStage(aPass, job, {job.number, number, stage, 0},
+                   occurrence.stages[stage]);
       }
     }
   }
-  return false;
+}
+
+// Places tasks of the ranked jobs from aFirst on, until the start window is
+// full or the pass has tried aMaxVain stages in vain. Returns the index of the
+// first job that was not reached.
+std::size_t PlaceFrom(PlacementPass& aPass, std::size_t aFirst,
+                      std::size_t aMaxVain) {
+  const std::vector<RankedJob>& jobs = aPass.scheduler.ranking.jobs;
+  std::size_t index = aFirst;
+  while (index < jobs.size() && aPass.vainStages < aMaxVain &&
+         !aPass.isLimited) {
+    PlaceJob(aPass, jobs[index++].number);
+  }
+  return index;
+}
+
+// Places tasks in the order of the ranking. Once too many stages were tried in
+// vain, continues with the jobs that the pass before did not reach.
+void PlaceInOrder(PlacementPass& aPass) {
+  Scheduler& scheduler = aPass.scheduler;
+  const std::size_t reached = PlaceFrom(aPass, 0, kMaxVainStages);
+  const std::size_t turn =
+      PlaceFrom(aPass, std::max(reached, scheduler.nextJobInTurn),
+                kMaxVainStages + kMaxVainStagesInTurn);
+  const bool isComplete = turn >= scheduler.ranking.jobs.size();
+  scheduler.nextJobInTurn = isComplete ? 0 : turn;
+  // With a full window, the next answer of a start asks for a pass.
+  if (!isComplete && !aPass.isLimited) {
+    scheduler.dispatchWanted = true;
+  }
 }
 
 }  // namespace
@@ -419,46 +549,17 @@
       aScheduler, aState,
       aNow,       CollectCandidateHosts(aScheduler, aState, aNow),
       {},         std::nullopt,
-      {},         {}};
-  MeasureCapacity(aScheduler, aState, pass.hosts, pass.cellLoad);
-  std::vector<RankedJob> rankedJobs;
-  for (const auto& [number, job] : aState.jobs) {
-    if (job.phase != JobPhase::Active || job.occurrences.empty()) {
-      continue;
-    }
-    const RankedJob rankedJob = Rank(pass, job, aUnixMs);
-    if (HasWaitingTask(job)) {
-      RecordIdle(aScheduler, job, aNow);
-      rankedJobs.push_back(rankedJob);
-    }
-  }
-  std::sort(rankedJobs.begin(), rankedJobs.end(),
-            [](const RankedJob& aLeft, const RankedJob& aRight) {
-              return aLeft.rank != aRight.rank
-                         ? aLeft.rank < aRight.rank
-                         : aLeft.job->number < aRight.job->number;
-            });
-  for (const RankedJob& rankedJob : rankedJobs) {
-    const Job& job = *rankedJob.job;
-    for (const auto& [number, occurrence] : job.occurrences) {
-      for (std::uint32_t stage = 0; stage < occurrence.stages.size(); ++stage) {
-        if (occurrence.stages[stage].waiting > 0 &&
-            IsStageOpen(job, occurrence, stage)) {
-          PlaceStage(pass, job, {job.number, number, stage, 0},
-                     occurrence.stages[stage]);
-        }
-      }
-    }
-    if (pass.isLimited) {
-      aScheduler.isStartWindowFull = true;
-      break;
-    }
-  }
+      {},         false,
+      {},         0,
+      {},         0};
+  SurveyIfDue(pass);
+  RankJobs(aScheduler, aState, aNow, aUnixMs);
+  PlaceInOrder(pass);
+  aScheduler.isStartWindowFull = pass.isLimited;
   if (pass.tickets) {
     aScheduler.tickets.requestInFlight = true;
     aActions.push_back(std::move(*pass.tickets));
   }
-  aScheduler.cellLoad = pass.cellLoad;
   if (!pass.places.tasks.empty()) {
     Commit commit;
     commit.commands.emplace_back(std::move(pass.places));
