Renew leases from a waiting batch before a worker expires them

Cause: HandleBatch expired leases before it read the batch. A worker that was paused past the end of a lease stopped its attempts although a renewal, granted in time, waited in its socket, and the work was started again from its beginning.

Ruled out: two running attempts of one task. The leader counts the lease from the sending of the renewal, which is not before the timestamp that it echoes.

Change: renewals of the batch count first. A renewal whose own lease is over still renews nothing.

--- a/src/bramleypath/workeragent/WorkerAgent.cpp
+++ b/src/bramleypath/workeragent/WorkerAgent.cpp
@@ -127,11 +127,9 @@
   if (running == aContext.agent.running.end()) {
     return;
   }
-  if (aCommand.kind == CommandKind::Renew) {
-    ExtendLease(running->second, aContext.leaseUntil);
-  } else if (aCommand.kind == CommandKind::Throttle) {
+  if (aCommand.kind == CommandKind::Throttle) {
     Throttle(aContext, aCommand, running->second);
-  } else {
+  } else if (aCommand.kind == CommandKind::Checkpoint) {
     Checkpoint(aContext, aCommand, running->second);
   }
 }
@@ -147,6 +145,18 @@
   }
 }
 
+void Renew(WorkerAgent& aAgent, const CommandBatch& aBatch, TimePoint aUntil) {
+  if (aBatch.renewAll) {
+    RenewAll(aAgent, aBatch, aUntil);
+  }
+  for (const WorkerCommand& command : aBatch.commands) {
+    const auto running = aAgent.running.find(command.attempt);
+    if (command.kind == CommandKind::Renew && running != aAgent.running.end()) {
+      ExtendLease(running->second, aUntil);
+    }
+  }
+}
+
 void Acknowledge(WorkerAgent& aAgent, const CommandBatch& aBatch,
                  TimePoint aNow) {
   for (const AttemptId& id : aBatch.acknowledged) {
@@ -171,19 +181,19 @@
 
 std::vector<Effect> HandleBatch(WorkerAgent& aAgent, const CommandBatch& aBatch,
                                 TimePoint aNow) {
-  std::vector<Effect> effects = Expire(aAgent, aNow);
   if (aBatch.worker != aAgent.worker ||
       aBatch.incarnation != aAgent.incarnation ||
       aBatch.epoch < aAgent.highestEpoch) {
-    return effects;
+    return Expire(aAgent, aNow);
   }
   aAgent.highestEpoch = aBatch.epoch;
   const TimePoint leaseUntil =
       TimePoint{aBatch.echoedTimestamp} + Millis(aBatch.leaseMs);
+  // Renewals count first: while this process was paused, they may have waited
+  // in its socket, and the leader counts the leases as renewed.
+  Renew(aAgent, aBatch, leaseUntil);
+  std::vector<Effect> effects = Expire(aAgent, aNow);
   const BatchContext context{aAgent, aNow, leaseUntil, effects};
-  if (aBatch.renewAll) {
-    RenewAll(aAgent, aBatch, leaseUntil);
-  }
   for (const WorkerCommand& command : aBatch.commands) {
     Execute(context, command);
   }
--- a/tests/workeragent/WorkerAgentTest.cpp
+++ b/tests/workeragent/WorkerAgentTest.cpp
@@ -42,6 +42,7 @@
 class WorkerAgentTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkerAgentTest);
   CPPUNIT_TEST(testLeaseCountsFromTheEchoedTimestamp);
+  CPPUNIT_TEST(testWaitingRenewalCountsBeforeExpiry);
   CPPUNIT_TEST(testRefusesStaleCommands);
   CPPUNIT_TEST(testEndedAttemptIsNotStartedAgain);
   CPPUNIT_TEST(testStopBeforeStart);
@@ -68,6 +69,37 @@
                        .empty());
   }
 
+  // Guards against a worker that was paused and stops an attempt although its
+  // renewal was granted in time and waited in the socket.
+  void testWaitingRenewalCountsBeforeExpiry() {
+    struct Row {
+      const char* label;
+      bool renewAll;
+      Duration handledAfter;
+      bool runs;
+    };
+    const Row rows[] = {
+        {"renewed by name", false, Seconds(12), true},
+        {"all renewed", true, Seconds(12), true},
+        {"the renewed lease is over too", false, Seconds(19), false},
+    };
+    for (const Row& row : rows) {
+      WorkerAgent agent = MakeAgent();
+      HandleBatch(agent, MakeBatch(CommandKind::Start, kStart), kStart);
+      CommandBatch batch = MakeBatch(CommandKind::Renew, kStart + Seconds(9));
+      if (row.renewAll) {
+        batch.commands.clear();
+        batch.renewAll = true;
+        batch.runningCount = 1;
+        batch.runningDigest = cell::DigestOf(kAttempt);
+      }
+      const auto effects = HandleBatch(agent, batch, kStart + row.handledAfter);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.runs, effects.empty());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.runs,
+                                   agent.running.count(kAttempt) == 1);
+    }
+  }
+
   // Guards against executing commands of a deposed leader, or those meant for
   // an earlier process of the worker.
   void testRefusesStaleCommands() {
