Measure cell and routing costs at a growing backlog

bench_cell steps a full cell of 320 workers with 100 to 15,000 waiting jobs; bench_routing has 100 to 16,000 calls wait for 10 or 1,000 client accounts.

--- a/bench/cell/CellBench.cpp
+++ b/bench/cell/CellBench.cpp
@@ -258,6 +258,45 @@
   Print("snapshot", aWorkers, take);
 }
 
+// Measures each kind of event while aJobs jobs of different sizes wait in a
+// full cell.
+void MeasureBacklog(std::size_t aWorkers, std::size_t aJobs) {
+  constexpr std::size_t kSizes = 97;
+  Bench bench;
+  Cost ignored;
+  AddWorkers(bench, aWorkers);
+  MeasureStarts(bench, aWorkers);
+  Cost submitting;
+  for (std::size_t index = 0; index < aJobs; ++index) {
+    JobSpec spec = MakeJob("waits-" + std::to_string(index), 1);
+    spec.perTask.processorsMilli +=
+        static_cast<std::int64_t>(index % kSizes) * 100;
+    spec.perTask.memoryMb += static_cast<std::int64_t>(kSizes - index % kSizes);
+    const SubmitJob submit{RequestId("r" + spec.id.value), spec};
+    bench.Commit(submit, 0, submitting);
+    ++submitting.count;
+  }
+  bench.CommitAll(ignored);
+  Cost report;
+  Cost tick;
+  for (std::size_t turn = 0; turn < kRounds; ++turn) {
+    bench.now = bench.now + Seconds(2);
+    for (std::size_t index = 0; index < aWorkers; ++index) {
+      bench.Step(WorkerReported{ReportOf(bench, index)}, report);
+      ++report.count;
+    }
+    bench.Step(Tick{}, tick);
+    ++tick.count;
+    bench.CommitAll(ignored);
+    bench.batches.clear();
+  }
+  std::printf("cell backlog=%zu\n", aJobs);
+  Print("submission", aWorkers, submitting);
+  Print("report_and_renewal", aWorkers, report);
+  Print("tick", aWorkers, tick);
+  MeasureSnapshot(bench, aWorkers);
+}
+
 void Run(std::size_t aWorkers) {
   const std::size_t before = HeapBytes();
   Bench bench;
@@ -285,5 +324,9 @@
   for (const std::size_t workers : {100, 320, 400, 1600}) {
     bramleypath::cell::Run(workers);
   }
+  constexpr std::size_t kBacklogWorkers = 320;
+  for (const std::size_t jobs : {100, 1000, 5000, 15000}) {
+    bramleypath::cell::MeasureBacklog(kBacklogWorkers, jobs);
+  }
   return 0;
 }
--- a/bench/routing/Costs.cpp
+++ b/bench/routing/Costs.cpp
@@ -123,6 +123,60 @@
               NanosSince(start, kCalls));
 }
 
+// Measures one arrival and one answer while aWaiting calls of aClientAccounts
+// client accounts wait for the slots of 50 targets.
+void PrintBacklog(int aWaiting, int aClientAccounts) {
+  constexpr int kTargets = 50;
+  constexpr int kSlots = kTargets * 8;
+  constexpr int kMeasured = 2000;
+  routing::Router router = MakeLoadedRouter(kTargets);
+  const TimePoint now{2000000};
+  routing::CallId next = 0;
+  const auto accept = [&] {
+    routing::CallAccepted call;
+    call.call = ++next;
+    call.requestId = RequestId("6f1c9a52-0000-4000-8000-000000000000");
+    call.clientAccount =
+        ClientAccountId("account-" + std::to_string(next % aClientAccounts));
+    call.callClass = ClassId("plan");
+    call.service = ServiceId("delivery-planning");
+    call.deadline = now + Seconds(3600);
+    Step(router, call, now);
+  };
+  routing::PoliciesChanged policies;
+  for (int account = 0; account < aClientAccounts; ++account) {
+    routing::ClientAccountPolicy policy;
+    policy.clientAccount =
+        ClientAccountId("account-" + std::to_string(account));
+    policy.maxQueued = static_cast<std::uint32_t>(aWaiting + kMeasured);
+    policies.policies.push_back(policy);
+  }
+  Step(router, policies, now);
+  for (int call = 0; call < kSlots + aWaiting; ++call) {
+    accept();
+  }
+  auto start = Clock::now();
+  for (int count = 0; count < kMeasured; ++count) {
+    accept();
+  }
+  const double arrival = NanosSince(start, kMeasured);
+  start = Clock::now();
+  for (int count = 1; count <= kMeasured; ++count) {
+    routing::AnswerReceived answer;
+    answer.generation = static_cast<routing::Generation>(count);
+    answer.requestId = RequestId("6f1c9a52-0000-4000-8000-000000000000");
+    Step(router, answer, now + Micros(count));
+  }
+  const double answered = NanosSince(start, kMeasured);
+  start = Clock::now();
+  Step(router, routing::Tick{}, now + Millis(20));
+  std::printf(
+      "%5zu calls wait, %4d client accounts: arrival %.0f ns, answer %.0f ns, "
+      "tick %.0f ns\n",
+      router.services[0].queued, aClientAccounts, arrival, answered,
+      NanosSince(start, 1));
+}
+
 void PrintMemory() {
   constexpr int kTargets = 400;
   constexpr int kCalls = 2000;
@@ -203,6 +257,11 @@
   for (const int targets : {50, 400, 1600}) {
     PrintCall(targets);
   }
+  for (const int waiting : {100, 1000, 4000, 16000}) {
+    for (const int clientAccounts : {10, 1000}) {
+      PrintBacklog(waiting, clientAccounts);
+    }
+  }
   PrintMemory();
   for (const int targets : {50, 400, 1600}) {
     PrintGossip(targets);
