--- a/src/bramleypath/cell/Snapshot.cpp
+++ b/src/bramleypath/cell/Snapshot.cpp
@@ -2,31 +2,47 @@
 
 #include "bramleypath/cell/CellState.h"
 #include "bramleypath/cell/internal/CborReader.h"
+#include "bramleypath/codec/CborWriter.h"
 
 namespace bramleypath::cell {
 
 namespace {
 
 using namespace detail;
+using codec::CborWriter;
 
 // Increased when the layout changes; snapshots of other versions are refused.
 constexpr std::uint64_t kSnapshotVersion = 1;
 
-Json WriteTask(const Task& aTask) {
-  Json failedOn = Json::array();
+// Rows are appended as CBOR one by one. One JSON value of all rows would take
+// most of the time of a snapshot.
+void AppendRow(CborWriter& aWriter, const Json& aRow) {
+  Json::to_cbor(aRow, aWriter.out);
+}
+
+void AppendTask(CborWriter& aWriter, const Task& aTask) {
+  aWriter.OpenArray();
+  aWriter.Value(static_cast<unsigned>(aTask.state));
+  aWriter.Value(aTask.attempts);
+  aWriter.Value(aTask.evictions);
+  aWriter.Value(aTask.resumptions);
+  aWriter.Value(aTask.failures);
+  aWriter.OpenArray();
   for (const WorkerId& worker : aTask.failedOn) {
-    failedOn.push_back(worker.value);
+    aWriter.Value(worker);
   }
-  Json live = Json::array();
+  aWriter.Close();
+  aWriter.Value(aTask.checkpoint);
+  aWriter.OpenArray();
   if (aTask.live) {
-    live = Json::array({aTask.live->number,
-                        static_cast<unsigned>(aTask.live->state),
-                        aTask.live->worker.value, aTask.live->incarnation,
-                        Write(aTask.live->resources)});
-  }
-  return Json::array({static_cast<unsigned>(aTask.state), aTask.attempts,
-                      aTask.evictions, aTask.resumptions, aTask.failures,
-                      std::move(failedOn), aTask.checkpoint, std::move(live)});
+    aWriter.Value(aTask.live->number);
+    aWriter.Value(static_cast<unsigned>(aTask.live->state));
+    aWriter.Value(aTask.live->worker);
+    aWriter.Value(aTask.live->incarnation);
+    AppendRow(aWriter, Write(aTask.live->resources));
+  }
+  aWriter.Close();
+  aWriter.Close();
 }
 
 Task ReadTask(ArrayReader& aReader) {
@@ -55,13 +71,19 @@
   return task;
 }
 
-Json WriteJob(const Job& aJob) {
-  Json tasks = Json::array();
+void AppendJob(CborWriter& aWriter, const Job& aJob) {
+  aWriter.OpenArray();
+  AppendRow(aWriter, Write(aJob.spec));
+  aWriter.Value(aJob.sequence);
+  aWriter.Value(aJob.cancelled);
+  aWriter.Value(aJob.evictionsUsed);
+  aWriter.Value(aJob.endedTasks);
+  aWriter.OpenArray();
   for (const Task& task : aJob.tasks) {
-    tasks.push_back(WriteTask(task));
+    AppendTask(aWriter, task);
   }
-  return Json::array({Write(aJob.spec), aJob.sequence, aJob.cancelled,
-                      aJob.evictionsUsed, aJob.endedTasks, std::move(tasks)});
+  aWriter.Close();
+  aWriter.Close();
 }
 
 Job ReadJob(ArrayReader& aReader) {
@@ -199,30 +221,38 @@
 }  // namespace
 
 std::vector<std::uint8_t> TakeSnapshot(const CellState& aState) {
-  Json workers = Json::array();
+  std::vector<std::uint8_t> bytes;
+  CborWriter writer{bytes};
+  writer.OpenArray();
+  writer.Value(kSnapshotVersion);
+  writer.Value(aState.lastSequence);
+  writer.OpenArray();
   for (const auto& [id, worker] : aState.workers) {
-    workers.push_back(WriteWorker(id, worker));
+    AppendRow(writer, WriteWorker(id, worker));
   }
-  Json clientAccounts = Json::array();
+  writer.Close();
+  writer.OpenArray();
   for (const auto& [id, clientAccount] : aState.clientAccounts) {
-    clientAccounts.push_back(WriteClientAccount(id, clientAccount));
+    AppendRow(writer, WriteClientAccount(id, clientAccount));
   }
-  Json jobs = Json::array();
+  writer.Close();
+  writer.OpenArray();
   for (const auto& [id, job] : aState.jobs) {
-    jobs.push_back(WriteJob(job));
+    AppendJob(writer, job);
   }
-  Json ended = Json::array();
+  writer.Close();
+  writer.OpenArray();
   for (const JobId& job : aState.endedJobs) {
-    ended.push_back(job.value);
+    writer.Value(job);
   }
-  Json requests = Json::array();
+  writer.Close();
+  writer.OpenArray();
   for (const RequestId& id : aState.requestOrder) {
-    requests.push_back(WriteRequest(id, aState.requests.at(id)));
+    AppendRow(writer, WriteRequest(id, aState.requests.at(id)));
   }
-  return Json::to_cbor(
-      Json::array({kSnapshotVersion, aState.lastSequence, std::move(workers),
-                   std::move(clientAccounts), std::move(jobs), std::move(ended),
-                   std::move(requests)}));
+  writer.Close();
+  writer.Close();
+  return bytes;
 }
 
 std::optional<CellState> RestoreSnapshot(gsl::span<const std::uint8_t> aBytes) {
--- a/src/bramleypath/codec/CborWriter.h
+++ b/src/bramleypath/codec/CborWriter.h
@@ -35,6 +35,11 @@
 
   void Byte(std::uint8_t aByte) { this->out.push_back(aByte); }
 
+  // Each array and map that is opened must be closed after its last item.
+  void OpenArray() { this->Byte(detail::kCborOpenArray); }
+  void OpenMap() { this->Byte(detail::kCborOpenMap); }
+  void Close() { this->Byte(detail::kCborEnd); }
+
   // Appends the initial byte of an item and its length or value.
   void Head(std::uint8_t aKind, std::uint64_t aValue) {
     constexpr std::uint64_t kMaxInline = 23;
@@ -82,10 +87,10 @@
       }
     } else {
       static_assert(std::is_class_v<T>, "this type has no CBOR encoding here");
-      this->Byte(detail::kCborOpenMap);
+      this->OpenMap();
       // VisitFields also serves to read a struct, so it takes a mutable one.
       VisitFields(*this, const_cast<T&>(aValue));
-      this->Byte(detail::kCborEnd);
+      this->Close();
     }
   }
 
--- a/src/bramleypath/journal/State.cpp
+++ b/src/bramleypath/journal/State.cpp
@@ -297,16 +297,16 @@
   Bytes bytes;
   bytes.reserve(aState.bytes);
   codec::CborWriter writer{bytes};
-  writer.Byte(codec::detail::kCborOpenMap);
+  writer.OpenMap();
   writer.Required("revision", aState.revision);
   writer.Required("limits", aState.limits);
   writer.Text("records");
-  writer.Byte(codec::detail::kCborOpenArray);
+  writer.OpenArray();
   for (const auto& [key, record] : aState.records) {
     writer.Value(SnapshotRecordOf(key, record));
   }
-  writer.Byte(codec::detail::kCborEnd);
-  writer.Byte(codec::detail::kCborEnd);
+  writer.Close();
+  writer.Close();
   return bytes;
 }
 
