Admit a call without a walk over all waiting client accounts

Cause: while calls wait, the admission of each arrival added up the queued work and the weights of every client account, so that an entry host's cost per arrival rose with the client accounts in its backlog.

Change: the queued work comes from the counts per class, and a service keeps the sum of the weights of the client accounts that wait.

--- a/src/bramleypath/routing/Router.cpp
+++ b/src/bramleypath/routing/Router.cpp
@@ -4,6 +4,7 @@
 #include <tuple>
 
 #include "bramleypath/routing/internal/Calls.h"
+#include "bramleypath/routing/internal/Queues.h"
 #include "bramleypath/routing/internal/Targets.h"
 
 namespace bramleypath::routing {
@@ -75,6 +76,7 @@
       policy.weight = std::max(policy.weight, kMinWeight);
       this->router.policies[policy.clientAccount] = policy;
     }
+    detail::UpdateWaitingWeights(this->router);
     this->DispatchAllQueued();
   }
   void operator()(const StopRequested& aEvent) {
--- a/src/bramleypath/routing/Router.h
+++ b/src/bramleypath/routing/Router.h
@@ -108,6 +108,8 @@
   std::unordered_map<ClientAccountId, std::uint32_t> clientAccountIndex;
   double virtualTime = 0;
   std::size_t queued = 0;
+  // Sum of the weights of the client accounts with waiting calls.
+  double waitingWeight = 0;
   std::uint32_t inFlight = 0;
   std::uint32_t serving = 0;
   std::uint32_t ejected = 0;
--- a/src/bramleypath/routing/internal/Queues.cpp
+++ b/src/bramleypath/routing/internal/Queues.cpp
@@ -60,6 +60,14 @@
   }
 }
 
+const ClientAccountQueue* FindClientAccount(
+    const ServiceState& aService, const ClientAccountId& aClientAccount) {
+  const auto found = aService.clientAccountIndex.find(aClientAccount);
+  return found == aService.clientAccountIndex.end()
+             ? nullptr
+             : &aService.clientAccounts[found->second];
+}
+
 ClientAccountQueue* FindClientAccount(ServiceState& aService,
                                       const ClientAccountId& aClientAccount) {
   const auto found = aService.clientAccountIndex.find(aClientAccount);
@@ -209,6 +217,15 @@
   return work;
 }
 
+// The queued work of all client accounts.
+double QueuedWorkMicros(const ServiceState& aService) {
+  double work = 0;
+  for (const ClassState& one : aService.classes) {
+    work += static_cast<double>(one.queued) * MeanServiceMicros(one);
+  }
+  return work;
+}
+
 // Expected time until a slot is free for a call that is queued now. This is the
 // time for all queued work, or less if the call's client account or class has
 // queued less than its weighted share of that work.
@@ -216,23 +233,16 @@
   const ServiceState& service = aRouter.services[aCall.service];
   const double ownWeight =
       PolicyOf(aRouter, aCall.request.clientAccount).weight;
-  double all = 0;
-  double clientAccounts = 1;
+  const double all = QueuedWorkMicros(service);
+  const ClientAccountQueue* own =
+      FindClientAccount(service, aCall.request.clientAccount);
   WorkAhead ownWork;
-  for (const ClientAccountQueue& clientAccount : service.clientAccounts) {
-    if (clientAccount.queued == 0) {
-      continue;
-    }
-    const WorkAhead work =
-        ClientAccountWork(service, clientAccount, aCall.callClass);
-    all += work.all;
-    if (clientAccount.clientAccount == aCall.request.clientAccount) {
-      ownWork = work;
-    } else {
-      clientAccounts +=
-          PolicyOf(aRouter, clientAccount.clientAccount).weight / ownWeight;
-    }
+  double otherWeights = service.waitingWeight;
+  if (own != nullptr && own->queued > 0) {
+    ownWork = ClientAccountWork(service, *own, aCall.callClass);
+    otherWeights -= ownWeight;
   }
+  const double clientAccounts = 1 + std::max(0.0, otherWeights) / ownWeight;
   const double ahead =
       std::min(ownWork.all, ownWork.ofFlow * ownWork.competition) *
       clientAccounts;
@@ -330,12 +340,30 @@
   }
   ++flow->queued;
   ServiceState& service = aRouter.services[aCall.service];
-  ++FindClientAccount(service, aCall.request.clientAccount)->queued;
+  ClientAccountQueue* clientAccount =
+      FindClientAccount(service, aCall.request.clientAccount);
+  if (clientAccount->queued == 0) {
+    service.waitingWeight +=
+        PolicyOf(aRouter, clientAccount->clientAccount).weight;
+  }
+  ++clientAccount->queued;
   ++service.classes[aCall.callClass].queued;
   ++service.queued;
   return true;
 }
 
+void UpdateWaitingWeights(Router& aRouter) {
+  for (ServiceState& service : aRouter.services) {
+    service.waitingWeight = 0;
+    for (const ClientAccountQueue& clientAccount : service.clientAccounts) {
+      if (clientAccount.queued > 0) {
+        service.waitingWeight +=
+            PolicyOf(aRouter, clientAccount.clientAccount).weight;
+      }
+    }
+  }
+}
+
 void DecrementQueueCounts(Router& aRouter, const Call& aCall) {
   ServiceState& service = aRouter.services[aCall.service];
   ClientAccountQueue* clientAccount =
@@ -344,6 +372,13 @@
   --clientAccount->queued;
   --service.classes[aCall.callClass].queued;
   --service.queued;
+  if (service.queued == 0) {
+    // Clears the rounding errors of the sum as well.
+    service.waitingWeight = 0;
+  } else if (clientAccount->queued == 0) {
+    service.waitingWeight -=
+        PolicyOf(aRouter, clientAccount->clientAccount).weight;
+  }
 }
 
 std::optional<Selected> SelectNext(Router& aRouter, ServiceIndex aService,
--- a/src/bramleypath/routing/internal/Queues.h
+++ b/src/bramleypath/routing/internal/Queues.h
@@ -22,6 +22,9 @@
 
 // Subtracts a waiting call that was dequeued or has ended from the counts of
 // its queues.
+// Recomputes the sums of weights after the policies have changed.
+void UpdateWaitingWeights(Router& aRouter);
+
 void DecrementQueueCounts(Router& aRouter, const Call& aCall);
 
 enum class Destination { Local, Remote };
--- a/tests/routing/RouterPropertyTest.cpp
+++ b/tests/routing/RouterPropertyTest.cpp
@@ -1,6 +1,8 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
 
+#include <cmath>
+
 #include "tests/routing/RouterModel.h"
 
 namespace bramleypath::routing {
@@ -244,6 +246,23 @@
   }
 }
 
+// The sum that admission uses instead of a walk over all client accounts.
+void CheckWaitingWeights(const RouterModel& aModel) {
+  constexpr double kRounding = 1e-6;
+  for (const ServiceState& service : aModel.router.services) {
+    double sum = 0;
+    for (const ClientAccountQueue& clientAccount : service.clientAccounts) {
+      const auto policy =
+          aModel.router.policies.find(clientAccount.clientAccount);
+      const double weight =
+          policy == aModel.router.policies.end() ? 1.0 : policy->second.weight;
+      sum += clientAccount.queued > 0 ? weight : 0;
+    }
+    Require(std::abs(service.waitingWeight - sum) < kRounding,
+            "the sum of waiting weights drifted");
+  }
+}
+
 // Checks the invariants of the counts that must hold after every operation.
 void CheckCounts(const RouterModel& aModel) {
   const Router& router = aModel.router;
@@ -273,6 +292,7 @@
     Require(!listed || target.outstanding < std::max(1U, target.share),
             "more calls than the share");
   }
+  CheckWaitingWeights(aModel);
 }
 
 // Advances past all deadlines and checks that every call has an outcome, every
--- a/tests/routing/RouterTest.cpp
+++ b/tests/routing/RouterTest.cpp
@@ -81,6 +81,7 @@
   CPPUNIT_TEST(testForwardsOnlyOnce);
   CPPUNIT_TEST(testReservesSlotsForShortCalls);
   CPPUNIT_TEST(testFairBetweenClientAccounts);
+  CPPUNIT_TEST(testWaitingWeightsFollowThePolicies);
   CPPUNIT_TEST(testRefusesWhatCannotMeetItsDeadline);
   CPPUNIT_TEST(testEjectsAtMostTheSetShareAndReadmits);
   CPPUNIT_TEST(testLateDeadlineTimerIsNoFailureOfTheTarget);
@@ -328,6 +329,32 @@
     CPPUNIT_ASSERT_EQUAL(13, served["heavy"]);
   }
 
+  // Guards the sum that admission uses against weights that change while calls
+  // wait.
+  void testWaitingWeightsFollowThePolicies() {
+    RouterModel model = MakeModel(Settings{}, 1);
+    AddTarget(model, "t", 1);
+    const ServiceState& service = model.router.services[0];
+    Accept(model, MakeCall(model, kLong));
+    for (const char* name : {"a", "a", "b"}) {
+      CallAccepted call = MakeCall(model, kLong);
+      call.clientAccount = ClientAccountId(name);
+      Accept(model, call);
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(2.0, service.waitingWeight, 1e-9);
+    ClientAccountPolicy heavy;
+    heavy.clientAccount = ClientAccountId("a");
+    heavy.weight = 3;
+    Apply(model, PoliciesChanged{{heavy}});
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(4.0, service.waitingWeight, 1e-9);
+    for (const CallId id : {2U, 3U}) {
+      Apply(model, CallerGone{id});
+    }
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(1.0, service.waitingWeight, 1e-9);
+    AdvanceTime(model, kLong);
+    CPPUNIT_ASSERT_DOUBLES_EQUAL(0.0, service.waitingWeight, 1e-9);
+  }
+
   void testRefusesWhatCannotMeetItsDeadline() {
     RouterModel model = MakeModel(Settings{}, 1);
     AddTarget(model, "t", 1);
