Try the leader after a pause of the relay

Cause: the relay refuses requests at once when the leader has not answered for 3 s. After a pause of its own process that time has passed without a query, so that the requests that waited in its sockets were refused as if the leader were unreachable.

Change: a gap of 500 ms without a tick or request counts as a pause, and silence is counted from its end. A leader that stays silent while the relay runs is still reported at once.

RelayTest::testOwnPauseIsNoLossOfTheLeader failed before (503 in place of 200 after a pause of 3.2 s) and passes.

--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -29,6 +29,9 @@
 constexpr Duration kSearchInterval = Millis(250);
 constexpr Duration kLeaderQueryTimeout = Millis(700);
 constexpr Duration kLeaderContactLifetime = Millis(3000);
+// A longer gap between ticks, which are due every 100 ms, shows that this
+// process was paused.
+constexpr Duration kMaxTickGap = Millis(500);
 constexpr std::uint32_t kTooManyRequests = 429;
 constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint32_t kGatewayTimeout = 504;
@@ -119,7 +122,7 @@
   const TimePoint now = net::Now();
   auto pending = std::make_shared<PendingRequest>(PendingRequest{
       std::move(aRequest), std::move(aResponder), now, now + timeout});
-  if (!this->HasLeaderContact(now) && this->hadLeaderContact) {
+  if (this->HasLostLeader(now)) {
     // The leader has been unreachable for seconds, so a retry is unlikely to
     // succeed and the caller can try another front at once.
     this->Fail(pending);
@@ -248,7 +251,21 @@
   aPending->responder.Send(std::move(aResponse));
 }
 
+void Relay::NoticePause(TimePoint aNow) {
+  if (aNow >= this->lastRunAt + kMaxTickGap) {
+    this->resumedAt = aNow;
+  }
+  this->lastRunAt = aNow;
+}
+
+bool Relay::HasLostLeader(TimePoint aNow) {
+  this->NoticePause(aNow);
+  return this->hadLeaderContact && !this->HasLeaderContact(aNow) &&
+         aNow >= this->resumedAt + kLeaderContactLifetime;
+}
+
 void Relay::Tick(TimePoint aNow) {
+  this->NoticePause(aNow);
   if (!this->queryPending && aNow >= this->nextQueryAt) {
     this->QueryLeader(aNow);
   }
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -73,6 +73,9 @@
   void Fail(const std::shared_ptr<PendingRequest>& aPending);
   void Answer(const std::shared_ptr<PendingRequest>& aPending,
               net::HttpResponse aResponse);
+  // Whether the leader has been silent for seconds in which this process ran.
+  bool HasLostLeader(TimePoint aNow);
+  void NoticePause(TimePoint aNow);
   HostId NextHost();
   void LearnLeader(const HostId& aLeader);
   void ForgetLeader(const HostId& aHost);
@@ -87,6 +90,9 @@
   std::size_t nextHost = 0;
   TimePoint leaderContactAt;
   bool hadLeaderContact = false;
+  TimePoint lastRunAt;
+  // When a pause of this process was last noticed.
+  TimePoint resumedAt;
   bool queryPending = false;
   TimePoint nextQueryAt;
   RelayCounters counters;
--- a/tests/relay/RelayTest.cpp
+++ b/tests/relay/RelayTest.cpp
@@ -2,9 +2,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -146,6 +148,7 @@
   CPPUNIT_TEST(testRequestGoesToNamedLeader);
   CPPUNIT_TEST(testRefusalAfterALostAnswer);
   CPPUNIT_TEST(testNoHostIsReachable);
+  CPPUNIT_TEST(testOwnPauseIsNoLossOfTheLeader);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -218,6 +221,39 @@
     CPPUNIT_ASSERT(!front.relay.HasLeaderContact(net::Now()));
   }
 
+  // Guards against refusing the requests that waited while this process was
+  // paused, as if the leader were unreachable.
+  void testOwnPauseIsNoLossOfTheLeader() {
+    struct Row {
+      const char* label;
+      bool paused;
+      std::uint32_t expected;
+    };
+    const Row rows[] = {
+        {"paused", true, 200},
+        {"the leader is silent", false, 503},
+    };
+    constexpr Duration kSilence = Millis(3200);
+    for (const Row& row : rows) {
+      ControlHost host(this->context, kFirst.value + ":0",
+                       [](std::size_t) { return MakeResponse(200, "done"); });
+      Front front(this->context, {kFirst}, host.Port());
+      CPPUNIT_ASSERT_EQUAL(200U, front.Call("/jobs/1").response.status);
+      front.relay.Tick(net::Now());
+      const TimePoint end = net::Now() + kSilence;
+      if (row.paused) {
+        std::this_thread::sleep_for(std::chrono::microseconds(kSilence.micros));
+      } else {
+        RunUntil(this->context, [&] {
+          front.relay.Tick(net::Now());
+          return net::Now() >= end;
+        });
+      }
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.expected,
+                                   front.Call("/jobs/2").response.status);
+    }
+  }
+
  private:
   asio::io_context context;
 };
