Expire no targets and hosts before the messages of a pause are read

Cause: the tick expires records and hosts by the age of their last message. After a pause of this process it fires before the messages that waited in the sockets are read, so that an entry host took all targets and all other entry hosts as gone, dropped what it knew of its targets and claimed the slots of the whole data centre for its waiting calls.

Ruled out: a target that did leave. A departure is applied when it is read, and what has sent nothing expires 200 ms after the pause.

Change: after a gap of 500 ms between ticks nothing expires for 200 ms.

--- a/src/bramleypath/membership/Members.cpp
+++ b/src/bramleypath/membership/Members.cpp
@@ -11,6 +11,12 @@
 
 namespace {
 
+// A longer gap between ticks, which are due every gossipInterval, shows that
+// this process was paused.
+constexpr Duration kMaxTickGap = Millis(500);
+// Time after a pause in which the messages that waited in the sockets are read.
+constexpr Duration kReadTime = Millis(200);
+
 void Handle(Members& aMembers, const TargetAnnounced& aEvent, TimePoint aNow,
             Actions& aActions) {
   detail::ApplyTarget(aMembers, aEvent.record, aNow,
@@ -67,9 +73,19 @@
   detail::SendSummaries(aMembers, aNow, aActions);
 }
 
+void NoticePause(Members& aMembers, TimePoint aNow) {
+  if (aNow >= aMembers.lastTickAt + kMaxTickGap) {
+    aMembers.expireFrom = aNow + kReadTime;
+  }
+  aMembers.lastTickAt = aNow;
+}
+
 void Handle(Members& aMembers, const Tick&, TimePoint aNow, Actions& aActions) {
-  detail::ExpireRecords(aMembers, aNow, aActions);
-  detail::UpdateLiveHosts(aMembers, aNow, aActions);
+  NoticePause(aMembers, aNow);
+  if (aNow >= aMembers.expireFrom) {
+    detail::ExpireRecords(aMembers, aNow, aActions);
+    detail::UpdateLiveHosts(aMembers, aNow, aActions);
+  }
   const Settings& settings = aMembers.settings;
   if (aNow >= aMembers.gossipAt) {
     aMembers.gossipAt = aNow + settings.gossipInterval;
@@ -96,6 +112,7 @@
   members.self = aSelf;
   members.session = aSession;
   members.startedAt = aNow;
+  members.lastTickAt = aNow;
   members.chart = LoadTargetChart();
   members.gossipAt = aNow;
   members.digestAt = aNow + aSettings.digestInterval;
--- a/src/bramleypath/membership/Members.h
+++ b/src/bramleypath/membership/Members.h
@@ -105,6 +105,10 @@
   std::vector<HostId> localHosts;
   std::map<DataCentreId, DataCentreSummary> summaries;
 
+  TimePoint lastTickAt;
+  // Nothing expires before this time; set after a pause of this process, whose
+  // messages may wait unread.
+  TimePoint expireFrom;
   TimePoint gossipAt;
   TimePoint loadsAt;
   TimePoint digestAt;
--- a/tests/membership/MembersTest.cpp
+++ b/tests/membership/MembersTest.cpp
@@ -14,6 +14,7 @@
   CPPUNIT_TEST(testLeaveBeforeFirstAnnouncement);
   CPPUNIT_TEST(testLateGossipExpiresOnTime);
   CPPUNIT_TEST(testLiveHostsFollowFailuresAndStops);
+  CPPUNIT_TEST(testOwnPauseExpiresNothing);
   CPPUNIT_TEST(testPeerLoadsAndSummaries);
   CPPUNIT_TEST(testTablesAreBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -131,6 +132,34 @@
     CPPUNIT_ASSERT(IsHostLive(network.members[0], HostId("e2")));
   }
 
+  // Guards against a host that was paused and takes all targets and hosts as
+  // gone before it reads the messages that wait in its sockets.
+  void testOwnPauseExpiresNothing() {
+    constexpr std::size_t kPaused = 1;
+    constexpr Duration kPause = Seconds(60);
+    Network network = MakeNetwork(1);
+    Apply(network, 0, TargetAnnounced{MakeTarget("t")});
+    for (int step = 0; step < 5; ++step) {
+      AdvanceTime(network);
+    }
+    CPPUNIT_ASSERT(IsServing(network, kPaused, "t"));
+    network.log[kPaused].clear();
+    network.now = network.now + kPause;
+    Apply(network, kPaused, Tick{});
+    CPPUNIT_ASSERT(LoggedActions<TargetGone>(network, kPaused).empty());
+    CPPUNIT_ASSERT(LoggedActions<LocalHostsChanged>(network, kPaused).empty());
+    // Without any message they are gone soon after.
+    for (int step = 0; step < 10; ++step) {
+      network.now = network.now + Millis(100);
+      Apply(network, kPaused, Tick{});
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1},
+                         LoggedActions<TargetGone>(network, kPaused).size());
+    CPPUNIT_ASSERT_EQUAL(
+        std::size_t{1},
+        LoggedActions<LocalHostsChanged>(network, kPaused).size());
+  }
+
   void testPeerLoadsAndSummaries() {
     Network network = MakeNetwork(1);
     Apply(network, 0, TargetAnnounced{MakeTarget("t")});
