--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -23,7 +23,7 @@
 // Minimum times between sweeps. Lease renewals go first, so that they never
 // wait behind other work.
 constexpr Duration kOccurrenceSweepInterval = Millis(25);
-constexpr Duration kAttemptSweepInterval = Millis(25);
+constexpr Duration kAttemptSweepInterval = Millis(50);
 constexpr Duration kRenewalSweepInterval = Millis(5);
 constexpr Duration kMaxTickInterval = Millis(100);
 
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -13,10 +13,7 @@
 // The stop is sent again if the attempt is not listed as ended by then.
 constexpr Duration kStopRepeatInterval = Seconds(2);
 
-}  // namespace
-
-namespace {
-
+// Whether the task is placed with this attempt.
 bool IsPlacedAs(const TaskState& aTask, const Attempt& aAttempt) {
   return aTask.phase == TaskPhase::Placed && aTask.attempt == aAttempt.number;
 }
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -20,7 +20,7 @@
 constexpr std::size_t kMaxRatedLists = 16;
 // Between two surveys, a pass adds only its own placements to the tasks of the
 // workers. Their resources are read in each pass.
-constexpr Duration kSurveyInterval = Millis(50);
+constexpr Duration kSurveyInterval = Millis(100);
 // See HasIdled.
 constexpr Duration kMaxIdleTime = Millis(1200);
 
