--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -121,6 +121,7 @@
   CPPUNIT_TEST(testPassDoesBoundedWorkUnderABacklog);
   CPPUNIT_TEST(testPassReadsOnlyTheStagesOwnPendingPlacements);
   CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
+  CPPUNIT_TEST(testPostponedSweepsSetTheNextTick);
   CPPUNIT_TEST(testPassesDoNotRankAllJobsEachTime);
   CPPUNIT_TEST(testStageBehindManyUnplaceableOnesIsPlaced);
   CPPUNIT_TEST(testSlowPassesAreSpaced);
@@ -197,6 +198,24 @@
     CPPUNIT_ASSERT(work.sessionSweeps > 0);
   }
 
+  // Guards against a sweep that is put off until the idle timer fires, so that
+  // a lease renewal that became due by an event is late by 100 ms.
+  void testPostponedSweepsSetTheNextTick() {
+    Cell cell;
+    Apply(cell.state, SetLayout{MakeLayout(1)});
+    AddWorkers(cell, 2, kSmallWorker);
+    Lead(cell);
+    cell.Tick(Millis(1));
+    const TimePoint swept = cell.now;
+    cell.scheduler.dispatchWanted = false;
+    CPPUNIT_ASSERT(swept + Millis(100) == NextTickAt(cell.scheduler, cell.now));
+    cell.Tick(Millis(1));
+    CPPUNIT_ASSERT(NextTickAt(cell.scheduler, cell.now) <= swept + Millis(5));
+    // The sweep that was put off has run.
+    cell.Tick(Millis(4));
+    CPPUNIT_ASSERT(!cell.scheduler.renewalSweep.postponed);
+  }
+
   // Guards against ranking the whole backlog in each pass of a burst.
   void testPassesDoNotRankAllJobsEachTime() {
     Cell cell;
