Keep the ends of a worker's unannounced boot

A start may reach a worker that has restarted and not announced itself yet. The numbers of its ends start anew, so that the next renewal acknowledged them with the numbers of the earlier boot; a task that was done there was started again. Renewals usually show the new boot before its first task ends; a late leader's don't.

The answer to a start carries the worker's clock. If it shows less than the clock of the known boot did when the start was sent, renewals now acknowledge nothing until the new boot is registered.

SchedulerTest testEndsOfAnUnannouncedBootAreNotAcknowledged failed before.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -93,6 +93,9 @@
   std::uint64_t committedEnd = 0;
   std::uint64_t acknowledgedEnd = 0;
   bool isCommittingEnds = false;  // those of the worker's latest list
+  // Another boot answered a start. Its ends have other numbers, so that
+  // committedEnd is not sent to it.
+  bool isOtherBoot = false;
   // Stops for attempts of an earlier incarnation whose starts may still arrive.
   // They are sent before any other request, so that the worker refuses the
   // starts.
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -363,6 +363,10 @@
   }
   switch (aAnswer.outcome) {
     case RequestOutcome::Done:
+      session.isOtherBoot =
+          session.isOtherBoot ||
+          (attempt &&
+           detail::IsFromOtherBoot(session, aAnswer.clockMs, attempt->sentAt));
       detail::RecordClock(session, aAnswer.clockMs, aNow);
       detail::RecordMessage(aScheduler, session, aNow);
       if (attempt) {
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -43,6 +43,10 @@
 // Records a reading of the worker's clock; 0 means that it sent none.
 void RecordClock(WorkerSession& aSession, std::int64_t aClockMs,
                  TimePoint aNow);
+// Whether an answer to a request sent at aSentAt comes from another boot of the
+// worker: its clock shows less than this boot's did when the request was sent.
+bool IsFromOtherBoot(const WorkerSession& aSession, std::int64_t aClockMs,
+                     TimePoint aSentAt);
 // Records that the worker sent something.
 void RecordMessage(Scheduler& aScheduler, WorkerSession& aSession,
                    TimePoint aNow);
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <cmath>
 #include <iterator>
 #include <utility>
 
@@ -107,6 +108,13 @@
   aSession.clock = ClockSample{aClockMs, aNow};
 }
 
+bool IsFromOtherBoot(const WorkerSession& aSession, std::int64_t aClockMs,
+                     TimePoint aSentAt) {
+  return aClockMs > 0 && aSession.clock && !(aSentAt < aSession.clock->at) &&
+         static_cast<double>(aClockMs) <
+             std::floor(LowestClock(*aSession.clock, aSentAt));
+}
+
 void RecordMessage(Scheduler& aScheduler, WorkerSession& aSession,
                    TimePoint aNow) {
   if (!aSession.lastMessageAt) {
@@ -182,7 +190,7 @@
     }
     RenewLeaseRequest request;
     request.epoch = aScheduler.epoch;
-    request.lastSeen = session.committedEnd;
+    request.lastSeen = session.isOtherBoot ? 0 : session.committedEnd;
     // The lease is not renewed while the worker does not answer, so that it
     // expires.
     if (EstimateClock(session, aNow) && session.missedRenewals == 0) {
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -108,6 +108,7 @@
   CPPUNIT_TEST(testUnstartedPlacementsAreBounded);
   CPPUNIT_TEST(testGangLargerThanTheStartWindowIsPlaced);
   CPPUNIT_TEST(testNewLeaderBoundsItsRenewals);
+  CPPUNIT_TEST(testEndsOfAnUnannouncedBootAreNotAcknowledged);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
   CPPUNIT_TEST(testNewLeaderCommitsUnreportedEnds);
@@ -338,6 +339,29 @@
     }
   }
 
+  // Regression test, found by seed 135 of FaultPropertyTest: a start reached a
+  // worker that had restarted and not announced itself yet. The next renewal
+  // acknowledged the ends of the earlier boot, whose numbers covered those of
+  // the new one, and the task was started again although it was done.
+  void testEndsOfAnUnannouncedBootAreNotAcknowledged() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeJob("first"));
+    cell.Run(Millis(800));
+    cell.SetPartitioned("w0", true);
+    cell.RestartWorker("w0");
+    cell.SetPartitioned("w0", false);
+    cell.Submit(MakeJob("second"));
+    cell.Run(Millis(15));
+    CPPUNIT_ASSERT(!cell.scheduler->attempts.empty());
+    // No renewal shows the new boot until its tasks are done.
+    cell.SetLeaderLate(true);
+    cell.Run(Millis(400));
+    cell.SetLeaderLate(false);
+    cell.Run(Seconds(5));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT(PhaseOf(cell, "second") == JobPhase::Completed);
+  }
+
   // A worker that was out of reach for longer than its lease lists ends of
   // attempts that the leader has given up. They were skipped and acknowledged,
   // and the tasks were started again although they were done.
