--- a/tests/net/FullListener.h
+++ b/tests/net/FullListener.h
@@ -1,13 +1,10 @@
 #pragma once
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
-
-#include <array>
-#include <cstdint>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <cstddef>
 #include <string>
+#include <vector>
 
 namespace net_test {
 
@@ -16,42 +13,27 @@
 // that is cut off.
 class FullListener {
  public:
-  FullListener() : listener(NewSocket()) {
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof(address);
-    auto* const generic = reinterpret_cast<sockaddr*>(&address);
-    ::bind(this->listener, generic, size);
-    ::listen(this->listener, 0);
-    ::getsockname(this->listener, generic, &size);
-    this->port = ntohs(address.sin_port);
-    for (int& filler : this->fillers) {
-      filler = NewSocket();
-      ::connect(filler, generic, size);
-    }
-  }
-  ~FullListener() {
-    for (const int filler : this->fillers) {
-      ::close(filler);
+  explicit FullListener(asio::io_context& aContext) : acceptor(aContext) {
+    const asio::ip::tcp::endpoint any(asio::ip::make_address("127.0.0.1"), 0);
+    this->acceptor.open(any.protocol());
+    this->acceptor.bind(any);
+    this->acceptor.listen(0);
+    // One more than the queue holds.
+    constexpr std::size_t kFillers = 3;
+    for (std::size_t i = 0; i < kFillers; ++i) {
+      this->fillers.emplace_back(aContext).async_connect(
+          this->acceptor.local_endpoint(), [](const asio::error_code&) {});
     }
-    ::close(this->listener);
   }
-  FullListener(const FullListener&) = delete;
-  FullListener& operator=(const FullListener&) = delete;
 
   std::string Address() const {
-    return "127.0.0.1:" + std::to_string(this->port);
+    return "127.0.0.1:" +
+           std::to_string(this->acceptor.local_endpoint().port());
   }
 
  private:
-  static int NewSocket() {
-    return ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-  }
-
-  int listener = -1;
-  std::uint16_t port = 0;
-  std::array<int, 3> fillers{};
+  asio::ip::tcp::acceptor acceptor;
+  std::vector<asio::ip::tcp::socket> fillers;
 };
 
 }  // namespace net_test
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -137,7 +137,7 @@
     for (const Row& row : rows) {
       asio::io_context context;
       RawServer server(context, nullptr);
-      net_test::FullListener full;
+      const net_test::FullListener full(context);
       const std::string address = row.peer == Peer::DropsConnections
                                       ? full.Address()
                                       : server.Address();
