State the bound on timer delays as a count of handlers

ReplicaTest::testManyOutcomesDoNotDelayTimers and the last part of testProposalsWithinAnIntervalAreSentTogether failed on a machine with a load of 17: both compared wall time, and other processes ran in between.

The delay of the timer is now counted in handlers of 3 ms that ran while it was overdue, with the same bound of 150 ms, and the single proposal has an interval of 4 s that it must not wait for, in a test of its own. Without turns 300 handlers run while the timer is overdue.

--- a/tests/group/ReplicaTest.cpp
+++ b/tests/group/ReplicaTest.cpp
@@ -256,6 +256,7 @@
   CPPUNIT_TEST(testDisklessLearner);
   CPPUNIT_TEST(testManyOutcomesDoNotDelayTimers);
   CPPUNIT_TEST(testProposalsWithinAnIntervalAreSentTogether);
+  CPPUNIT_TEST(testSingleProposalDoesNotWaitForTheInterval);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -267,16 +268,16 @@
     group.WaitForLeader();
     constexpr int kProposals = 300;
     int outcomes = 0;
+    net_test::TimerProbe probe(group.context);
     for (int i = 0; i < kProposals; ++i) {
-      group.members[0]->replica->Propose(
-          {1}, kTimeout, [&](const ProposeOutcome&) {
-            net_test::Compute(std::chrono::milliseconds(3));
-            ++outcomes;
-          });
+      group.members[0]->replica->Propose({1}, kTimeout,
+                                         [&](const ProposeOutcome&) {
+                                           probe.RunHandler();
+                                           ++outcomes;
+                                         });
     }
-    const net_test::TimerProbe probe(group.context);
     CPPUNIT_ASSERT(group.RunUntil([&] { return outcomes == kProposals; }));
-    CPPUNIT_ASSERT(probe.Latest() < net_test::kMaxTimerDelay);
+    CPPUNIT_ASSERT(probe.MostOverdue() < net_test::kMaxOverdueHandlers);
   }
 
   // Each batch of proposals costs messages to all members and a sync on each. A
@@ -304,11 +305,18 @@
         static_cast<std::size_t>(elapsed / std::chrono::milliseconds(50));
     constexpr std::size_t kFollowers = 2;
     CPPUNIT_ASSERT(group.appendsWithEntries <= (intervals + 2) * kFollowers);
-    // A single proposal does not wait.
-    const auto single = std::chrono::steady_clock::now();
+  }
+
+  // The interval is longer than a commit takes on a loaded machine.
+  void testSingleProposalDoesNotWaitForTheInterval() {
+    Group group(3, 3);
+    group.proposalInterval = Seconds(4);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    const auto begin = std::chrono::steady_clock::now();
     CPPUNIT_ASSERT(group.Propose(leader, {2}).Ok());
-    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - single <
-                   std::chrono::milliseconds(50));
+    CPPUNIT_ASSERT(std::chrono::steady_clock::now() - begin <
+                   std::chrono::seconds(4));
   }
 
   void testProposeIsAppliedEverywhere() {
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -282,18 +282,18 @@
     HttpClient client(context, HttpClientLimits());
     constexpr int kRequests = 200;
     int results = 0;
+    net_test::TimerProbe probe(context);
     for (int i = 0; i < kRequests; ++i) {
-      client.Send(RequestTo(address), [&results](const ClientResult&) {
-        net_test::Compute(std::chrono::milliseconds(3));
+      client.Send(RequestTo(address), [&](const ClientResult&) {
+        probe.RunHandler();
         ++results;
       });
     }
     // All results wait for the io_context by then.
     std::this_thread::sleep_for(std::chrono::milliseconds(500));
-    const net_test::TimerProbe probe(context);
     CPPUNIT_ASSERT(
         RunUntil(context, [&results] { return results == kRequests; }));
-    CPPUNIT_ASSERT(probe.Latest() < net_test::kMaxTimerDelay);
+    CPPUNIT_ASSERT(probe.MostOverdue() < net_test::kMaxOverdueHandlers);
   }
 };
 
