Send no queued start of a task that is done

SendOne now checks the replicated state itself and ends the attempt as never run. testQueuedStartOfADoneTaskIsNotSent failed before the change. test_workflow passes.

--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -39,6 +39,13 @@
   return start;
 }
 
+// Whether the task has still to run: its job may have ended since the
+// placement, and an end of an earlier attempt may have been recorded.
+bool IsStillNeeded(const State& aState, const TaskKey& aKey) {
+  return aState.jobs.at(aKey.job).phase == JobPhase::Active &&
+         !FindTask(aState, aKey)->doneByEarlierAttempt;
+}
+
 void SendOne(Scheduler& aScheduler, const State& aState,
              const QueuedStart& aQueued, TimePoint aNow, EndTasks& aNeverRan,
              SchedulerActions& aActions) {
@@ -55,7 +62,7 @@
   if (session == aScheduler.sessions.end()) {
     return;
   }
-  if (attempt.stopReason ||
+  if (attempt.stopReason || !IsStillNeeded(aState, aQueued.task) ||
       LacksTicket(aScheduler, aState, aQueued.task, attempt.worker, aNow)) {
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
     return;
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -104,6 +104,7 @@
   CPPUNIT_TEST(testPausedLeaderEndsNoAttempt);
   CPPUNIT_TEST(testDelayedStartIsSentAgain);
   CPPUNIT_TEST(testDelayedStartOfACancelledJobIsNotSent);
+  CPPUNIT_TEST(testQueuedStartOfADoneTaskIsNotSent);
   CPPUNIT_TEST(testMembersOfAGangEndOneAfterTheOther);
   CPPUNIT_TEST(testUnstartedPlacementsAreBounded);
   CPPUNIT_TEST(testGangLargerThanTheStartWindowIsPlaced);
@@ -260,6 +261,37 @@
     CPPUNIT_ASSERT_EQUAL(0U, FindJob(cell.state, "job")->placed);
   }
 
+  // A start was sent although the late end of an earlier attempt had been
+  // recorded as done, if it was due before the next sweep over the attempts.
+  void testQueuedStartOfADoneTaskIsNotSent() {
+    CellModel cell = MakeCell(1);
+    JobSpec job = MakeJob("job");
+    job.stages = {MakeStage(1, 1000, 500)};
+    cell.SetLeaderLate(true);
+    cell.Submit(job);
+    while (cell.scheduler->queuedStarts.empty()) {
+      cell.Run(Millis(5));
+    }
+    Scheduler& scheduler = *cell.scheduler;
+    const TaskKey key = scheduler.queuedStarts.front().task;
+    Apply(cell.state, EndTasks{{{key, 1, EndKind::LeaseExpired, ""}}});
+    const WorkerNumber worker = FindWorker(cell.state, "w0")->number;
+    Apply(cell.state, PlaceTasks{{{key, 2, worker}}});
+    Apply(cell.state, EndTasks{{{key, 1, EndKind::Done, ""}}});
+    CPPUNIT_ASSERT(FindTask(cell.state, key)->doneByEarlierAttempt);
+    scheduler.attempts.at(key).number = 2;
+    scheduler.queuedStarts.front().attempt = 2;
+    scheduler.nextStartAt = cell.now;
+    scheduler.attemptSweep.nextAt = cell.now + Seconds(1);
+    const SchedulerActions actions =
+        OnTick(scheduler, cell.state, cell.now, cell.UnixMs());
+    CPPUNIT_ASSERT(std::none_of(
+        actions.begin(), actions.end(), [](const SchedulerAction& aAction) {
+          return std::holds_alternative<SendStart>(aAction);
+        }));
+    CPPUNIT_ASSERT(scheduler.attempts.at(key).proposedEnd);
+  }
+
   // The first end of a member completes the gang and its job. The leader
   // crashed when it looked up the stage of another member that was listed
   // afterwards.
