Stop an attempt whose end was not committed

A refused start ends its attempt as never run. If that commit was rejected while the leader went on, for example for want of disk space, the attempt stayed as being started: it was in no queue, and an idle worker gets no renewal that would show it as missing. Its task stayed placed and neither started nor ended until the leader changed.

The attempt now counts as unanswered and is stopped, so that it ends with the acknowledgement of its stop. testAttemptIsResolvedIfItsEndIsNotCommitted failed before the change. test_workflow passes.

--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -330,7 +330,7 @@
 }
 
 void OnEndsCommitted(Scheduler& aScheduler, const State& aState,
-                     const EndTasks& aEnds, bool aOk,
+                     const EndTasks& aEnds, bool aOk, TimePoint aNow,
                      SchedulerActions& aActions) {
   for (const EndedTask& end : aEnds.tasks) {
     const auto found = aScheduler.attempts.find(end.task);
@@ -339,6 +339,11 @@
       continue;
     }
     found->second.proposedEnd.reset();
+    // Its start may have left the queue, and nothing else would end it.
+    if (!aOk && found->second.startStatus == Attempt::StartStatus::Sending) {
+      found->second.startStatus = Attempt::StartStatus::Unknown;
+      detail::RequestStop(found->second, "end not committed", aNow);
+    }
     if (aOk && detail::HasEnded(aState, end.task, found->second)) {
       aScheduler.attempts.erase(found);
       RecordJobEnd(aState, end.task.job, aActions);
@@ -386,7 +391,7 @@
     if (const auto* places = std::get_if<PlaceTasks>(&command)) {
       OnPlacesCommitted(aScheduler, aState, *places, aOk, aNow);
     } else if (const auto* ends = std::get_if<EndTasks>(&command)) {
-      OnEndsCommitted(aScheduler, aState, *ends, aOk, actions);
+      OnEndsCommitted(aScheduler, aState, *ends, aOk, aNow, actions);
     } else if (const auto* opened = std::get_if<OpenOccurrence>(&command)) {
       aScheduler.jobsOpeningOccurrence.erase(opened->job);
     } else {
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -105,6 +105,7 @@
   CPPUNIT_TEST(testDelayedStartIsSentAgain);
   CPPUNIT_TEST(testDelayedStartOfACancelledJobIsNotSent);
   CPPUNIT_TEST(testQueuedStartOfADoneTaskIsNotSent);
+  CPPUNIT_TEST(testAttemptIsResolvedIfItsEndIsNotCommitted);
   CPPUNIT_TEST(testMembersOfAGangEndOneAfterTheOther);
   CPPUNIT_TEST(testUnstartedPlacementsAreBounded);
   CPPUNIT_TEST(testGangLargerThanTheStartWindowIsPlaced);
@@ -292,6 +293,39 @@
     CPPUNIT_ASSERT(scheduler.attempts.at(key).proposedEnd);
   }
 
+  // A refused start whose end was rejected, for example for want of disk space,
+  // left its task placed but neither started nor ended until the leader
+  // changed.
+  void testAttemptIsResolvedIfItsEndIsNotCommitted() {
+    CellModel cell = MakeCell(1);
+    JobSpec job = MakeJob("job");
+    job.stages = {MakeStage(1, 1000, 500)};
+    cell.SetLeaderLate(true);
+    cell.Submit(job);
+    Scheduler& scheduler = *cell.scheduler;
+    // Nothing is in flight while the delayed start is queued again.
+    while (scheduler.queuedStarts.empty() || scheduler.startsInFlight > 0) {
+      cell.Run(Millis(5));
+    }
+    SendStart start;
+    start.task = scheduler.queuedStarts.front().task;
+    start.worker = FindWorker(cell.state, "w0")->number;
+    start.request.attempt = 1;
+    scheduler.queuedStarts.clear();
+    ++scheduler.startsInFlight;
+    RequestAnswer refused;
+    refused.outcome = RequestOutcome::Refused;
+    const SchedulerActions actions =
+        OnStartAnswer(scheduler, cell.state, start, refused, cell.now);
+    CPPUNIT_ASSERT(scheduler.attempts.at(start.task).proposedEnd);
+    OnCommitted(scheduler, cell.state, std::get<Commit>(actions.back()), false,
+                cell.now);
+    cell.SetLeaderLate(false);
+    cell.Run(Seconds(8));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+  }
+
   // The first end of a member completes the gang and its job. The leader
   // crashed when it looked up the stage of another member that was listed
   // afterwards.
