--- a/src/bramleypath/codec/CborWriter.h
+++ b/src/bramleypath/codec/CborWriter.h
@@ -16,6 +16,7 @@
 
 // Initial bytes of CBOR items (RFC 8949); the lengths are in the low five bits.
 constexpr std::uint8_t kCborUnsigned = 0x00;
+constexpr std::uint8_t kCborNegative = 0x20;
 constexpr std::uint8_t kCborBytes = 0x40;
 constexpr std::uint8_t kCborText = 0x60;
 constexpr std::uint8_t kCborOpenArray = 0x9f;
@@ -66,17 +67,33 @@
     this->out.insert(this->out.end(), aText.begin(), aText.end());
   }
 
+  void Signed(std::int64_t aValue) {
+    if (aValue < 0) {
+      this->Head(detail::kCborNegative, static_cast<std::uint64_t>(~aValue));
+    } else {
+      this->Head(detail::kCborUnsigned, static_cast<std::uint64_t>(aValue));
+    }
+  }
+
   template <typename T>
   void Value(const T& aValue) {
     if constexpr (std::is_same_v<T, bool>) {
       this->Byte(aValue ? detail::kCborTrue : detail::kCborFalse);
     } else if constexpr (std::is_unsigned_v<T>) {
       this->Head(detail::kCborUnsigned, aValue);
+    } else if constexpr (std::is_integral_v<T>) {
+      this->Signed(aValue);
     } else if constexpr (std::is_same_v<T, std::string>) {
       this->Text(aValue);
     } else if constexpr (std::is_same_v<T, std::vector<std::uint8_t>>) {
       this->Head(detail::kCborBytes, aValue.size());
       this->out.insert(this->out.end(), aValue.begin(), aValue.end());
+    } else if constexpr (detail::IsVector<T>::value) {
+      this->OpenArray();
+      for (const auto& item : aValue) {
+        this->Value(item);
+      }
+      this->Close();
     } else if constexpr (detail::IsStrongId<T>::value) {
       this->Text(aValue.value);
     } else if constexpr (detail::IsOptional<T>::value) {
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "bramleypath/base/Text.h"
+#include "bramleypath/codec/CborWriter.h"
 #include "bramleypath/workflow/internal/WorkflowFields.h"
 
 namespace bramleypath::workflow {
@@ -412,6 +413,20 @@
   }
 }
 
+// Appends a value by itself. One JSON value of the whole state would take most
+// of the time of a snapshot.
+template <typename T>
+void AppendItem(codec::CborWriter& aWriter, const T& aValue) {
+  codec::Json::to_cbor(codec::ToJson(aValue), aWriter.out);
+}
+
+template <typename T>
+void AppendField(codec::CborWriter& aWriter, const char* aName,
+                 const T& aValue) {
+  aWriter.Text(aName);
+  AppendItem(aWriter, aValue);
+}
+
 }  // namespace
 
 ApplyResult Apply(State& aState, const Command& aCommand) {
@@ -518,21 +533,34 @@
 }
 
 std::vector<std::uint8_t> EncodeState(const State& aState) {
-  StoredState stored;
-  stored.layout = aState.layout;
-  stored.layoutChanges = aState.layoutChanges;
-  stored.lastJob = aState.lastJob;
-  stored.lastWorker = aState.lastWorker;
+  std::vector<std::uint8_t> bytes;
+  codec::CborWriter writer{bytes};
+  writer.OpenMap();
+  AppendField(writer, "layout", aState.layout);
+  writer.Required("changes", aState.layoutChanges);
+  writer.Required("last_job", aState.lastJob);
+  writer.Required("last_worker", aState.lastWorker);
+  writer.Text("jobs");
+  writer.OpenArray();
   for (const auto& [number, job] : aState.jobs) {
-    stored.jobs.push_back(job);
+    // Writing moves the occurrences of the job that it visits.
+    writer.Value(Job(job));
   }
+  writer.Close();
+  writer.Text("workers");
+  writer.OpenArray();
   for (const auto& [number, worker] : aState.workers) {
-    stored.workers.push_back({number, worker.spec});
+    AppendItem(writer, NumberedWorker{number, worker.spec});
   }
+  writer.Close();
+  writer.Text("queues");
+  writer.OpenArray();
   for (const auto& [name, queue] : aState.knownQueues) {
-    stored.queues.push_back(queue);
+    AppendItem(writer, queue);
   }
-  return codec::ToCbor(stored);
+  writer.Close();
+  writer.Close();
+  return bytes;
 }
 
 bool DecodeState(const std::vector<std::uint8_t>& aBytes, State& aState,
