Acknowledge no ends after an unanswered start until the boot is known

A start reached a worker that had restarted and not announced itself, and its answer was lost.

After an unanswered start, renewals acknowledge nothing until one has been answered by the known boot; the worker lists its ends once more meanwhile. testUnansweredStartOnAnUnannouncedBootIsNotAcknowledged failed before the change: two ends acknowledged as done but not recorded, 6 starts instead of 4. test_workflow passes.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -97,6 +97,9 @@
   // Another boot answered a start. Its ends have other numbers, so that
   // committedEnd is not sent to it.
   bool isOtherBoot = false;
+  // A start was not answered, so that another boot may have executed it. Ends
+  // are acknowledged again once this boot has answered a renewal.
+  bool isBootUnconfirmed = false;
   // Stops for attempts of an earlier incarnation whose starts may still arrive.
   // They are sent before any other request, so that the worker refuses the
   // starts.
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -471,6 +471,7 @@
     case RequestOutcome::OtherIncarnation:
       return RemoveIncarnation(aState, aRequest.worker);
     case RequestOutcome::NoAnswer:
+      session.isBootUnconfirmed = true;
       session.avoidUntil =
           std::max(session.avoidUntil, aNow + kUnansweredAvoid);
       if (attempt) {
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -390,6 +390,7 @@
     aScheduler.dispatchWanted = true;
   }
   session.missedRenewals = 0;
+  session.isBootUnconfirmed = false;
   detail::RecordClock(session, aAnswer.result.clockMs, aNow);
   detail::RecordMessage(aScheduler, session, aNow);
   session.hasAnsweredRenewal = true;
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -191,7 +191,9 @@
     }
     RenewLeaseRequest request;
     request.epoch = aScheduler.epoch;
-    request.lastSeen = session.isOtherBoot ? 0 : session.committedEnd;
+    request.lastSeen = session.isOtherBoot || session.isBootUnconfirmed
+                           ? 0
+                           : session.committedEnd;
     // The lease is not renewed while the worker does not answer, so that it
     // expires.
     if (EstimateClock(session, aNow) && session.missedRenewals == 0) {
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -111,6 +111,7 @@
   CPPUNIT_TEST(testGangLargerThanTheStartWindowIsPlaced);
   CPPUNIT_TEST(testNewLeaderBoundsItsRenewals);
   CPPUNIT_TEST(testEndsOfAnUnannouncedBootAreNotAcknowledged);
+  CPPUNIT_TEST(testUnansweredStartOnAnUnannouncedBootIsNotAcknowledged);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
   CPPUNIT_TEST(testPlacementThatIsAppliedLateIsResolved);
@@ -429,6 +430,28 @@
     CPPUNIT_ASSERT(PhaseOf(cell, "second") == JobPhase::Completed);
   }
 
+  // As above, but the answer of the start is lost and shows no other boot.
+  void testUnansweredStartOnAnUnannouncedBootIsNotAcknowledged() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeJob("first"));
+    cell.Run(Millis(800));
+    cell.SetPartitioned("w0", true);
+    cell.RestartWorker("w0");
+    cell.SetPartitioned("w0", false);
+    cell.faults.answerLost = 1;
+    cell.Submit(MakeJob("second"));
+    cell.Run(Millis(15));
+    cell.faults.answerLost = 0;
+    // A renewal reaches the worker before its next announcement arrives.
+    cell.SetPartitioned("w0", true);
+    cell.Run(Seconds(2));
+    cell.SetPartitioned("w0", false);
+    cell.Run(Seconds(20));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, cell.starts);
+    CPPUNIT_ASSERT(PhaseOf(cell, "second") == JobPhase::Completed);
+  }
+
   // A worker that was out of reach for longer than its lease lists ends of
   // attempts that the leader has given up. They were skipped and acknowledged,
   // and the tasks were started again although they were done.
