--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -104,11 +104,14 @@
   CPPUNIT_TEST(testPausedLeaderEndsNoAttempt);
   CPPUNIT_TEST(testDelayedStartIsSentAgain);
   CPPUNIT_TEST(testDelayedStartOfACancelledJobIsNotSent);
+  CPPUNIT_TEST(testQueuedStartOfADoneTaskIsNotSent);
+  CPPUNIT_TEST(testAttemptIsResolvedIfItsEndIsNotCommitted);
   CPPUNIT_TEST(testMembersOfAGangEndOneAfterTheOther);
   CPPUNIT_TEST(testUnstartedPlacementsAreBounded);
   CPPUNIT_TEST(testGangLargerThanTheStartWindowIsPlaced);
   CPPUNIT_TEST(testNewLeaderBoundsItsRenewals);
   CPPUNIT_TEST(testEndsOfAnUnannouncedBootAreNotAcknowledged);
+  CPPUNIT_TEST(testUnansweredStartOnAnUnannouncedBootIsNotAcknowledged);
   CPPUNIT_TEST(testDoneEndOfAnExpiredAttemptIsRecorded);
   CPPUNIT_TEST(testLateDoneEndStopsTheNextAttempt);
   CPPUNIT_TEST(testPlacementThatIsAppliedLateIsResolved);
@@ -260,6 +263,70 @@
     CPPUNIT_ASSERT_EQUAL(0U, FindJob(cell.state, "job")->placed);
   }
 
+  // A start was sent although the late end of an earlier attempt had been
+  // recorded as done, if it was due before the next sweep over the attempts.
+  void testQueuedStartOfADoneTaskIsNotSent() {
+    CellModel cell = MakeCell(1);
+    JobSpec job = MakeJob("job");
+    job.stages = {MakeStage(1, 1000, 500)};
+    cell.SetLeaderLate(true);
+    cell.Submit(job);
+    while (cell.scheduler->queuedStarts.empty()) {
+      cell.Run(Millis(5));
+    }
+    Scheduler& scheduler = *cell.scheduler;
+    const TaskKey key = scheduler.queuedStarts.front().task;
+    Apply(cell.state, EndTasks{{{key, 1, EndKind::LeaseExpired, ""}}});
+    const WorkerNumber worker = FindWorker(cell.state, "w0")->number;
+    Apply(cell.state, PlaceTasks{{{key, 2, worker}}});
+    Apply(cell.state, EndTasks{{{key, 1, EndKind::Done, ""}}});
+    CPPUNIT_ASSERT(FindTask(cell.state, key)->doneByEarlierAttempt);
+    scheduler.attempts.at(key).number = 2;
+    scheduler.queuedStarts.front().attempt = 2;
+    scheduler.nextStartAt = cell.now;
+    scheduler.attemptSweep.nextAt = cell.now + Seconds(1);
+    const SchedulerActions actions =
+        OnTick(scheduler, cell.state, cell.now, cell.UnixMs());
+    CPPUNIT_ASSERT(std::none_of(
+        actions.begin(), actions.end(), [](const SchedulerAction& aAction) {
+          return std::holds_alternative<SendStart>(aAction);
+        }));
+    CPPUNIT_ASSERT(scheduler.attempts.at(key).proposedEnd);
+  }
+
+  // A refused start whose end was rejected, for example for want of disk space,
+  // left its task placed but neither started nor ended until the leader
+  // changed.
+  void testAttemptIsResolvedIfItsEndIsNotCommitted() {
+    CellModel cell = MakeCell(1);
+    JobSpec job = MakeJob("job");
+    job.stages = {MakeStage(1, 1000, 500)};
+    cell.SetLeaderLate(true);
+    cell.Submit(job);
+    Scheduler& scheduler = *cell.scheduler;
+    // Nothing is in flight while the delayed start is queued again.
+    while (scheduler.queuedStarts.empty() || scheduler.startsInFlight > 0) {
+      cell.Run(Millis(5));
+    }
+    SendStart start;
+    start.task = scheduler.queuedStarts.front().task;
+    start.worker = FindWorker(cell.state, "w0")->number;
+    start.request.attempt = 1;
+    scheduler.queuedStarts.clear();
+    ++scheduler.startsInFlight;
+    RequestAnswer refused;
+    refused.outcome = RequestOutcome::Refused;
+    const SchedulerActions actions =
+        OnStartAnswer(scheduler, cell.state, start, refused, cell.now);
+    CPPUNIT_ASSERT(scheduler.attempts.at(start.task).proposedEnd);
+    OnCommitted(scheduler, cell.state, std::get<Commit>(actions.back()), false,
+                cell.now);
+    cell.SetLeaderLate(false);
+    cell.Run(Seconds(8));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Completed);
+  }
+
   // The first end of a member completes the gang and its job. The leader
   // crashed when it looked up the stage of another member that was listed
   // afterwards.
@@ -363,6 +430,28 @@
     CPPUNIT_ASSERT(PhaseOf(cell, "second") == JobPhase::Completed);
   }
 
+  // As above, but the answer of the start is lost and shows no other boot.
+  void testUnansweredStartOnAnUnannouncedBootIsNotAcknowledged() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeJob("first"));
+    cell.Run(Millis(800));
+    cell.SetPartitioned("w0", true);
+    cell.RestartWorker("w0");
+    cell.SetPartitioned("w0", false);
+    cell.faults.answerLost = 1;
+    cell.Submit(MakeJob("second"));
+    cell.Run(Millis(15));
+    cell.faults.answerLost = 0;
+    // A renewal reaches the worker before its next announcement arrives.
+    cell.SetPartitioned("w0", true);
+    cell.Run(Seconds(2));
+    cell.SetPartitioned("w0", false);
+    cell.Run(Seconds(20));
+    CPPUNIT_ASSERT(cell.violations.empty());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, cell.starts);
+    CPPUNIT_ASSERT(PhaseOf(cell, "second") == JobPhase::Completed);
+  }
+
   // A worker that was out of reach for longer than its lease lists ends of
   // attempts that the leader has given up. They were skipped and acknowledged,
   // and the tasks were started again although they were done.
