Make a turn of the HTTP client depend on the ready sockets

Cause: each wakeup of the thread of libcurl called curl_multi_perform and curl_multi_poll, which go through all open transfers. The leader of a large cell keeps about 490 long-polling requests open, so each of its short requests paid for them.

Ruled out: a second multi handle for the long-polling requests. It would split the limit of connections per host, and its own cost would still grow.

Change: CurlLoop drives the multi handle through curl_multi_socket_action. Its sockets are watched by Asio descriptors, which are released when libcurl drops a socket, and commands wake the thread through asio::post, once for all that wait. The order of a turn is the same: commands, libcurl, finished transfers, deadlines. performedAt is taken right before the sockets are polled without waiting, so that a thread that was stopped after its wait still looks at a connection before it reports the peer as unreachable. Each socket is processed at most once a turn.

--- a/src/bramleypath/net/HttpClient.cpp
+++ b/src/bramleypath/net/HttpClient.cpp
@@ -16,12 +16,12 @@
 #include <curl/curl.h>
 
 #include "bramleypath/net/Clock.h"
+#include "bramleypath/net/CurlLoop.h"
 
 namespace bramleypath::net {
 
 namespace {
 
-constexpr int kMaxPollMs = 1000;
 constexpr const char* kTooLate = "this host was too late to send the request";
 constexpr long kSpareConnections = 64;
 // Handlers are called for at most this long before others on the io_context get
@@ -240,23 +240,23 @@
 // State that only the thread of libcurl uses.
 struct CurlEngine {
   HttpClientLimits limits;
-  CURLM* multi = nullptr;
+  detail::CurlLoop loop;
   std::unordered_map<ClientRequestId, std::unique_ptr<Transfer>> transfers;
   std::set<TransferDeadline> connectDeadlines;
   std::set<TransferDeadline> deadlines;
-  TimePoint performedAt;  // start of the last turn of libcurl
+  TimePoint performedAt;  // when libcurl last looked for ready sockets
 };
 
 void Release(CurlEngine& aEngine, Transfer& aTransfer) {
   aEngine.connectDeadlines.erase(
       {aTransfer.request.connectBy.micros, aTransfer.id});
   aEngine.deadlines.erase({aTransfer.request.deadline.micros, aTransfer.id});
-  curl_multi_remove_handle(aEngine.multi, aTransfer.easy);
+  curl_multi_remove_handle(aEngine.loop.Multi(), aTransfer.easy);
   curl_easy_cleanup(aTransfer.easy);
   curl_slist_free_all(aTransfer.headers);
 }
 
-std::int64_t NextDeadline(const CurlEngine& aEngine) {
+TimePoint NextDeadline(const CurlEngine& aEngine) {
   std::int64_t next = kNever.micros;
   if (!aEngine.connectDeadlines.empty()) {
     next = aEngine.connectDeadlines.begin()->first;
@@ -264,7 +264,7 @@
   if (!aEngine.deadlines.empty()) {
     next = std::min(next, aEngine.deadlines.begin()->first);
   }
-  return next;
+  return TimePoint{next};
 }
 
 }  // namespace
@@ -290,18 +290,17 @@
   std::mutex mutex;
   std::deque<std::unique_ptr<Transfer>> submitted;
   std::deque<ClientRequestId> cancelled;
+  bool isWakePosted = false;  // the thread of libcurl will take the commands
   std::deque<Finished> finished;
   bool isCallPosted = false;  // a call of CallHandlers is pending
 
   void Run() {
     while (!this->stopping) {
       this->ProcessCommands();
-      int running = 0;
-      this->engine.performedAt = Now();
-      curl_multi_perform(this->engine.multi, &running);
+      this->engine.performedAt = this->engine.loop.Perform();
       this->FinishTransfers();
       this->AbortOverdue();
-      curl_multi_poll(this->engine.multi, nullptr, 0, this->PollMs(), nullptr);
+      this->engine.loop.WaitUntil(NextDeadline(this->engine));
     }
     for (auto& [id, transfer] : this->engine.transfers) {
       Release(this->engine, *transfer);
@@ -309,15 +308,15 @@
     this->engine.transfers.clear();
   }
 
-  int PollMs() const {
-    const std::int64_t next = NextDeadline(this->engine);
-    const std::int64_t now = Now().micros;
-    constexpr std::int64_t kMicrosPerMs = 1000;
-    if (next <= now) {
-      return 0;
+  // Wakes the thread of libcurl after a command was added.
+  void WakeEngine() {
+    {
+      const std::lock_guard<std::mutex> lock(this->mutex);
+      if (std::exchange(this->isWakePosted, true)) {
+        return;
+      }
     }
-    return static_cast<int>(
-        std::min<std::int64_t>(kMaxPollMs, (next - now) / kMicrosPerMs + 1));
+    this->engine.loop.Wake();
   }
 
   void ProcessCommands() {
@@ -325,6 +324,7 @@
     std::deque<ClientRequestId> cancelledIds;
     {
       const std::lock_guard<std::mutex> lock(this->mutex);
+      this->isWakePosted = false;
       added.swap(this->submitted);
       cancelledIds.swap(this->cancelled);
     }
@@ -344,7 +344,7 @@
     this->engine.deadlines.insert(
         {transfer.request.deadline.micros, transfer.id});
     this->engine.transfers.emplace(transfer.id, std::move(aTransfer));
-    curl_multi_add_handle(this->engine.multi, transfer.easy);
+    curl_multi_add_handle(this->engine.loop.Multi(), transfer.easy);
   }
 
   void Abort(ClientRequestId aId, const char* aDetail) {
@@ -383,7 +383,7 @@
   void FinishTransfers() {
     int left = 0;
     while (CURLMsg* const message =
-               curl_multi_info_read(this->engine.multi, &left)) {
+               curl_multi_info_read(this->engine.loop.Multi(), &left)) {
       if (message->msg != CURLMSG_DONE) {
         continue;
       }
@@ -444,21 +444,19 @@
 HttpClient::HttpClient(asio::io_context& aContext,
                        const HttpClientLimits& aLimits)
     : state(std::make_shared<State>(aContext, aLimits)) {
-  curl_global_init(CURL_GLOBAL_DEFAULT);
-  this->state->engine.multi = curl_multi_init();
-  curl_multi_setopt(this->state->engine.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
+  CURLM* const multi = this->state->engine.loop.Multi();
+  curl_multi_setopt(multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                     static_cast<long>(aLimits.maxConnectionsPerHost));
   curl_multi_setopt(
-      this->state->engine.multi, CURLMOPT_MAXCONNECTS,
+      multi, CURLMOPT_MAXCONNECTS,
       static_cast<long>(aLimits.maxIdleConnections) + kSpareConnections);
   this->state->thread = std::thread([this] { this->state->Run(); });
 }
 
 HttpClient::~HttpClient() {
   this->state->stopping = true;
-  curl_multi_wakeup(this->state->engine.multi);
+  this->state->engine.loop.Wake();
   this->state->thread.join();
-  curl_multi_cleanup(this->state->engine.multi);
 }
 
 ClientRequestId HttpClient::Send(ClientRequest aRequest,
@@ -473,7 +471,7 @@
     const std::lock_guard<std::mutex> lock(this->state->mutex);
     this->state->submitted.push_back(std::move(transfer));
   }
-  curl_multi_wakeup(this->state->engine.multi);
+  this->state->WakeEngine();
   return id;
 }
 
@@ -482,7 +480,7 @@
     const std::lock_guard<std::mutex> lock(this->state->mutex);
     this->state->cancelled.push_back(aId);
   }
-  curl_multi_wakeup(this->state->engine.multi);
+  this->state->WakeEngine();
 }
 
 std::size_t HttpClient::OpenRequests() const { return this->state->open; }
