Count a job as waiting until one of its tasks has run

Cause: a job counted as begun once a task of it was placed. A placed task whose start is lost, delayed or fenced by a new leader has not run, and the mark was never taken back.

Change: the leader counts a job as begun when a worker has accepted or listed one of its tasks, or the state has an end of one. SchedulerTest::testJobWhoseStartsNeverArriveIsWaiting failed with the former condition (expected 1, actual 0).

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -186,6 +186,11 @@
                                    this->group->AgreedUnixMs(net::Now()));
 }
 
+std::uint32_t Controller::CountWaitingJobs(
+    const workflow::QueueId& aQueue) const {
+  return workflow::CountWaitingJobs(*this->scheduler, this->State(), aQueue);
+}
+
 Epoch Controller::CurrentEpoch() const {
   return this->scheduler ? this->scheduler->epoch : 0;
 }
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -97,6 +97,10 @@
                 AnswerCallback aCallback);
   void Leave(const WorkerId& aWorker, AnswerCallback aCallback);
 
+  // Number of the queue's jobs of which no task has run; see
+  // workflow::CountWaitingJobs. May be called while MayRead().
+  std::uint32_t CountWaitingJobs(const workflow::QueueId& aQueue) const;
+
   // While this host does not lead, these return none, a summary of the local
   // replica, and 0.
   std::optional<workflow::CellSummary> SummariseCell() const;
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -216,6 +216,22 @@
   return summaries;
 }
 
+namespace {
+
+// Removes jobs that the state has forgotten, once they are the larger part.
+void PruneBegunJobs(Scheduler& aScheduler, const State& aState) {
+  if (aScheduler.begunJobs.size() <= 2 * aState.jobs.size()) {
+    return;
+  }
+  for (auto it = aScheduler.begunJobs.begin();
+       it != aScheduler.begunJobs.end();) {
+    it = aState.jobs.count(*it) == 0 ? aScheduler.begunJobs.erase(it)
+                                     : std::next(it);
+  }
+}
+
+}  // namespace
+
 SchedulerActions OnTick(Scheduler& aScheduler, const State& aState,
                         TimePoint aNow, std::int64_t aUnixMs) {
   SchedulerActions actions;
@@ -242,6 +258,7 @@
     aScheduler.nextDispatchAt = aNow + kDispatchInterval;
     detail::Dispatch(aScheduler, aState, aNow, aUnixMs, actions);
     ForgetOldJobs(aState, actions);
+    PruneBegunJobs(aScheduler, aState);
   }
   return actions;
 }
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -279,6 +279,8 @@
   // Earliest time to move another filler away; see AdjustPaces.
   TimePoint nextMoveAt;
   std::unordered_set<JobNumber> jobsOpeningOccurrence;  // being committed
+  // Jobs of which a worker has accepted or listed a task.
+  std::unordered_set<JobNumber> begunJobs;
   // As of the last ranking and survey.
   CellLoad cellLoad;
   JobRanking ranking;
@@ -382,7 +384,9 @@
                                const JobSpec& aSpec,
                                const QueueSettings& aQueue);
 
-// Number of the queue's active jobs of which no task has been placed.
-std::uint32_t CountWaitingJobs(const State& aState, const QueueId& aQueue);
+// Number of the queue's active jobs of which no task is known to have run. A
+// task that was placed may never have started.
+std::uint32_t CountWaitingJobs(const Scheduler& aScheduler, const State& aState,
+                               const QueueId& aQueue);
 
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -452,6 +452,7 @@
            detail::IsFromOtherBoot(session, aAnswer.clockMs, attempt->sentAt));
       detail::RecordClock(session, aAnswer.clockMs, aNow);
       detail::RecordMessage(aScheduler, session, aNow);
+      aScheduler.begunJobs.insert(aRequest.task.job);
       if (attempt) {
         attempt->startStatus = Attempt::StartStatus::Accepted;
         attempt->answeredAt = aNow;
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -120,10 +120,39 @@
   return view;
 }
 
-std::uint32_t CountWaitingJobs(const State& aState, const QueueId& aQueue) {
+namespace {
+
+bool HasEndedTask(const Job& aJob) {
+  if (aJob.finished > 0) {
+    return true;
+  }
+  for (const auto& [number, occurrence] : aJob.occurrences) {
+    for (const StageState& stage : occurrence.stages) {
+      const bool ended = std::any_of(
+          stage.tasks.begin(), stage.tasks.end(), [](const TaskState& aTask) {
+            return aTask.phase == TaskPhase::Done || aTask.failures > 0 ||
+                   !aTask.checkpoint.empty();
+          });
+      if (ended) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+}  // namespace
+
+std::uint32_t CountWaitingJobs(const Scheduler& aScheduler, const State& aState,
+                               const QueueId& aQueue) {
   std::uint32_t count = 0;
   for (const auto& [number, job] : aState.jobs) {
-    count += IsWaiting(job) && job.spec.queue == aQueue ? 1 : 0;
+    if (job.phase != JobPhase::Active || job.spec.queue != aQueue) {
+      continue;
+    }
+    const bool begun = job.started && (aScheduler.begunJobs.count(number) > 0 ||
+                                       HasEndedTask(job));
+    count += begun ? 0 : 1;
   }
   return count;
 }
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -137,6 +137,9 @@
       continue;
     }
     const auto key = detail::KeyOf(aState, row.task);
+    if (key) {
+      aScheduler.begunJobs.insert(key->job);
+    }
     ForgetIfEnded(aScheduler, aState, key);
     const std::string_view skipReason =
         SkipReason(aScheduler, aSession, key, row);
@@ -225,6 +228,9 @@
                     std::unordered_set<TaskKey>& aListed) {
   for (const RunningAttempt& row : aAnswer.running) {
     const auto key = detail::KeyOf(aState, row.task);
+    if (key) {
+      aScheduler.begunJobs.insert(key->job);
+    }
     ForgetIfEnded(aScheduler, aState, key);
     const auto found =
         key ? aScheduler.attempts.find(*key) : aScheduler.attempts.end();
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -126,6 +126,7 @@
   CPPUNIT_TEST(testRepeatedStopDoesNotDelayTheEnd);
   CPPUNIT_TEST(testTicketsAreRequestedOnceAndUsed);
   CPPUNIT_TEST(testQueueSummaryReportsTheOldestJob);
+  CPPUNIT_TEST(testJobWhoseStartsNeverArriveIsWaiting);
   CPPUNIT_TEST(testLostPacesAreSentAgain);
   CPPUNIT_TEST(testOverwrittenPaceIsSentAgain);
   CPPUNIT_TEST(testPacesOfAnEarlierLeaderAreReplaced);
@@ -672,6 +673,31 @@
     CPPUNIT_ASSERT(after[0].oldestWaitMs <= 3100);
   }
 
+  // A job counted as begun once its tasks were placed. After starts that never
+  // arrived, callers were told that nothing waits.
+  void testJobWhoseStartsNeverArriveIsWaiting() {
+    CellModel cell = MakeCell(1);
+    const QueueId queue("checks");
+    cell.faults.requestLost = 1;
+    cell.Submit(MakeJob("job"));
+    cell.Run(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(2U, FindJob(cell.state, "job")->placed);
+    CPPUNIT_ASSERT_EQUAL(1U,
+                         CountWaitingJobs(*cell.scheduler, cell.state, queue));
+    cell.faults.requestLost = 0;
+    while (cell.starts == 0) {
+      cell.Run(Millis(50));
+    }
+    cell.Run(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(0U,
+                         CountWaitingJobs(*cell.scheduler, cell.state, queue));
+    cell.ChangeLeader();
+    cell.Run(Millis(100));
+    CPPUNIT_ASSERT(PhaseOf(cell, "job") == JobPhase::Active);
+    CPPUNIT_ASSERT_EQUAL(0U,
+                         CountWaitingJobs(*cell.scheduler, cell.state, queue));
+  }
+
   // Regression test: after a lost pace request the filler kept running at full
   // pace although the leader considered it stopped.
   void testLostPacesAreSentAgain() {
