Answer questions about jobs in a file of their own

CellService.cpp had 785 lines, of which 130 only turn the state of a cell into the answers to an operator. They are free functions over a view of the cell now.

--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -9,6 +9,7 @@
 #include "bramleypath/base/Text.h"
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/daemon/EventLog.h"
+#include "bramleypath/daemon/JobReports.h"
 #include "bramleypath/journal/Codec.h"
 #include "bramleypath/net/Clock.h"
 #include "bramleypath/wire/JobMessages.h"
@@ -30,37 +31,8 @@
 constexpr const char* kJobsPath = "/v1/ops/jobs";
 constexpr const char* kCancelPath = "/v1/ops/jobs/cancel";
 constexpr const char* kPairsPath = "/v1/ops/explain/pairs";
-constexpr std::size_t kMaxPairs = 200;
 constexpr const char* kExplainPath = "/v1/ops/explain/job/";
 
-const char* StateOf(const cell::Job& aJob) {
-  if (cell::HasEnded(aJob)) {
-    return aJob.cancelled ? "Cancelled" : "Ended";
-  }
-  for (const cell::Task& task : aJob.tasks) {
-    if (task.live) {
-      return "Running";
-    }
-  }
-  return "Queued";
-}
-
-const char* NameOf(cell::TaskState aState) {
-  switch (aState) {
-    case cell::TaskState::Pending:
-      return "Waiting";
-    case cell::TaskState::Running:
-      return "Running";
-    case cell::TaskState::Finished:
-      return "Finished";
-    case cell::TaskState::Failed:
-      return "Failed";
-    case cell::TaskState::Cancelled:
-      return "Cancelled";
-  }
-  return "";
-}
-
 }  // namespace
 
 CellService::CellService(asio::io_context& aContext, HostId aSelf,
@@ -613,12 +585,12 @@
   } else if (aRequest.path == kJobsPath && aRequest.method == "POST") {
     this->SubmitJob(aRequest, std::move(aRespond));
   } else if (aRequest.path == kJobsPath) {
-    aRespond(this->ListJobs(aRequest));
+    aRespond(ListJobs(this->View(), aRequest));
   } else if (aRequest.path == kPairsPath) {
-    aRespond(this->ExplainPairs(aRequest));
+    aRespond(ExplainPairs(this->advisor, this->machine.Cell(), aRequest));
   } else if (StartsWith(aRequest.path, kExplainPath)) {
-    aRespond(this->ExplainJob(
-        aRequest.path.substr(std::string(kExplainPath).size())));
+    aRespond(ExplainJob(
+        this->View(), aRequest.path.substr(std::string(kExplainPath).size())));
   } else {
     aRespond(OperatorError(404, "not_found", "", "no such endpoint"));
   }
@@ -663,6 +635,10 @@
       });
 }
 
+CellView CellService::View() const {
+  return CellView{this->machine.Cell(), this->scheduler, this->dataCentre};
+}
+
 void CellService::SubmitJob(const net::HttpRequest& aRequest,
                             PeerRpc::Respond aRespond) {
   wire::WireReason reason;
@@ -686,100 +662,4 @@
                            std::move(aRespond));
 }
 
-net::HttpResponse CellService::ListJobs(
-    const net::HttpRequest& aRequest) const {
-  const std::string clientAccount =
-      net::FindQueryValue(aRequest.query, "member");
-  const std::string state = net::FindQueryValue(aRequest.query, "state");
-  json jobs = json::array();
-  for (const auto& [id, job] : this->machine.Cell().jobs) {
-    if ((!clientAccount.empty() &&
-         job.spec.clientAccount.value != clientAccount) ||
-        (!state.empty() && state != StateOf(job))) {
-      continue;
-    }
-    std::size_t running = 0;
-    std::size_t finished = 0;
-    for (const cell::Task& task : job.tasks) {
-      running += task.live ? 1 : 0;
-      finished += task.state == cell::TaskState::Finished ? 1 : 0;
-    }
-    const auto explanation =
-        cell::Explain(this->machine.Cell(), this->scheduler, id);
-    jobs.push_back(
-        {{"job", id.value},
-         {"member", job.spec.clientAccount.value},
-         {"class", job.spec.classId.value},
-         {"data_centre", this->dataCentre.value},
-         {"state", StateOf(job)},
-         {"tasks", job.spec.taskCount},
-         {"running", running},
-         {"finished", finished},
-         {"ended", job.endedTasks},
-         {"evictions", job.evictionsUsed},
-         {"reason",
-          explanation && explanation->waiting > 0 ? explanation->text : ""}});
-  }
-  return net::JsonResponse(200, {{"jobs", std::move(jobs)}});
-}
-
-net::HttpResponse CellService::ExplainPairs(
-    const net::HttpRequest& aRequest) const {
-  const std::string clientAccount =
-      net::FindQueryValue(aRequest.query, "member");
-  const std::string className = net::FindQueryValue(aRequest.query, "class");
-  json pairs = json::array();
-  for (const cellplacement::PairDescription& pair :
-       cellplacement::DescribeWorstPairs(this->advisor, this->machine.Cell(),
-                                         kMaxPairs)) {
-    json clientAccounts = json::array();
-    bool wanted = clientAccount.empty();
-    for (const ClientAccountId& one : pair.clientAccounts) {
-      clientAccounts.push_back(one.value);
-      wanted = wanted || one.value == clientAccount;
-    }
-    if (!wanted || (!className.empty() && pair.aggressor.value != className &&
-                    pair.victim.value != className)) {
-      continue;
-    }
-    const char* const band = pair.band == placement::LoadBand::Low ? "low"
-                             : pair.band == placement::LoadBand::Middle
-                                 ? "middle"
-                                 : "high";
-    pairs.push_back({{"victim", pair.victim.value},
-                     {"aggressor", pair.aggressor.value},
-                     {"aggressor_members", std::move(clientAccounts)},
-                     {"load_band", band},
-                     {"slowdown", pair.slowdown},
-                     {"deviation", pair.deviation},
-                     {"samples", pair.samples}});
-  }
-  return net::JsonResponse(200, {{"pairs", std::move(pairs)}});
-}
-
-net::HttpResponse CellService::ExplainJob(const std::string& aJob) const {
-  const cell::Job* const job = cell::FindJob(this->machine.Cell(), JobId(aJob));
-  if (!job) {
-    return OperatorError(404, "not_found", "job", "no job " + aJob);
-  }
-  const auto explanation =
-      cell::Explain(this->machine.Cell(), this->scheduler, JobId(aJob));
-  const std::string reason = explanation ? explanation->text : std::string();
-  json tasks = json::array();
-  for (std::size_t i = 0; i < job->tasks.size(); ++i) {
-    const cell::Task& task = job->tasks[i];
-    const bool waits = task.state == cell::TaskState::Pending && !task.live;
-    tasks.push_back({{"index", i},
-                     {"state", NameOf(task.state)},
-                     {"attempt", task.attempts},
-                     {"worker", task.live ? task.live->worker.value : ""},
-                     {"reason", waits ? reason : ""}});
-  }
-  return net::JsonResponse(200, {{"job", aJob},
-                                 {"data_centre", this->dataCentre.value},
-                                 {"state", StateOf(*job)},
-                                 {"reason", reason},
-                                 {"tasks", std::move(tasks)}});
-}
-
 }  // namespace bramleypath::daemon
--- a/src/bramleypath/daemon/CellService.h
+++ b/src/bramleypath/daemon/CellService.h
@@ -15,6 +15,7 @@
 #include "bramleypath/daemon/ConfigService.h"
 #include "bramleypath/daemon/Groups.h"
 #include "bramleypath/daemon/HeartbeatBatcher.h"
+#include "bramleypath/daemon/JobReports.h"
 #include "bramleypath/daemon/PeerRpc.h"
 #include "bramleypath/journal/Coordinator.h"
 #include "bramleypath/metrics/Registry.h"
@@ -74,11 +75,6 @@
   void HandleJobs(const net::HttpRequest& aRequest, bool aForwarded,
                   TimePoint aDeadline, PeerRpc::Respond aRespond);
 
-  // The pairs of classes that interfere most, which only the leader knows. The
-  // query parameter member selects by a client account of the aggressor, and
-  // class by the class of the aggressor or of the victim.
-  net::HttpResponse ExplainPairs(const net::HttpRequest& aRequest) const;
-
   const CellCounters& Counters() const { return this->counters; }
 
  private:
@@ -113,8 +109,7 @@
                           PeerRpc::Respond aRespond);
   void SubmitJob(const net::HttpRequest& aRequest, PeerRpc::Respond aRespond);
   void CancelJob(const net::HttpRequest& aRequest, PeerRpc::Respond aRespond);
-  net::HttpResponse ListJobs(const net::HttpRequest& aRequest) const;
-  net::HttpResponse ExplainJob(const std::string& aJob) const;
+  CellView View() const;
 
   asio::io_context& context;
   HostId self;
