--- a/src/bramleypath/cli/internal/ConfigCommands.cpp
+++ b/src/bramleypath/cli/internal/ConfigCommands.cpp
@@ -8,7 +8,6 @@
 
 namespace {
 
-constexpr long kOk = 200;
 constexpr const char* kConfigPath = "/v1/ops/config";
 
 struct CurrentConfiguration {
@@ -21,12 +20,8 @@
                                                 ExitCode& aCode) {
   SendReason reason;
   const auto reply = Get(aSession, kConfigPath, reason);
-  if (!reply) {
-    aCode = Fail(aSession, reason);
-    return std::nullopt;
-  }
-  if (reply->status != kOk) {
-    aCode = FailWithReply(aSession, *reply);
+  if (const auto failure = FindFailure(aSession, reply, reason)) {
+    aCode = *failure;
     return std::nullopt;
   }
   const Json& body = reply->body;
@@ -298,11 +293,8 @@
 ExitCode ConfigGet(const Session& aSession) {
   SendReason reason;
   const auto reply = Get(aSession, kConfigPath, reason);
-  if (!reply) {
-    return Fail(aSession, reason);
-  }
-  if (reply->status != kOk) {
-    return FailWithReply(aSession, *reply);
+  if (const auto failure = FindFailure(aSession, reply, reason)) {
+    return *failure;
   }
   if (aSession.json) {
     PrintJson(aSession, reply->body);
--- a/src/bramleypath/cli/internal/Session.cpp
+++ b/src/bramleypath/cli/internal/Session.cpp
@@ -130,6 +130,18 @@
               isRefusal ? ExitCode::Refused : ExitCode::UnexpectedReply, text);
 }
 
+std::optional<ExitCode> FindFailure(const Session& aSession,
+                                    const std::optional<HostReply>& aReply,
+                                    const SendReason& aReason) {
+  if (!aReply) {
+    return Fail(aSession, aReason);
+  }
+  if (aReply->status != kOk) {
+    return FailWithReply(aSession, *aReply);
+  }
+  return std::nullopt;
+}
+
 std::string UrlEscape(const std::string& aText) {
   constexpr const char* kDigits = "0123456789ABCDEF";
   std::string escaped;
--- a/src/bramleypath/cli/internal/Session.h
+++ b/src/bramleypath/cli/internal/Session.h
@@ -13,6 +13,8 @@
 
 using codec::Json;
 
+constexpr long kOk = 200;
+
 // The context of one command: its arguments and the common options.
 struct Session {
   const Environment& environment;
@@ -52,6 +54,11 @@
 // Prints the error of a reply whose status is not 200. Refusals by the
 // scheduler have a "code" field, other errors an "error" field.
 ExitCode FailWithReply(const Session& aSession, const HostReply& aReply);
+// Prints why a request failed and returns the exit code; none if aReply has
+// status 200. aReason is that of a missing reply.
+std::optional<ExitCode> FindFailure(const Session& aSession,
+                                    const std::optional<HostReply>& aReply,
+                                    const SendReason& aReason);
 
 // Percent-encodes the bytes that are reserved in a path or query.
 std::string UrlEscape(const std::string& aText);
--- a/src/bramleypath/cli/internal/WorkCommands.cpp
+++ b/src/bramleypath/cli/internal/WorkCommands.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr long kOk = 200;
-
 const std::string& Operand(const Session& aSession) {
   return aSession.arguments.operands.front();
 }
@@ -17,11 +15,8 @@
               const char* aList, const std::vector<const char*>& aNames) {
   SendReason reason;
   const auto reply = Get(aSession, aPath, reason);
-  if (!reply) {
-    return Fail(aSession, reason);
-  }
-  if (reply->status != kOk) {
-    return FailWithReply(aSession, *reply);
+  if (const auto failure = FindFailure(aSession, reply, reason)) {
+    return *failure;
   }
   if (aSession.json) {
     PrintJson(aSession, reply->body);
@@ -140,11 +135,8 @@
                          "/v1/ops/explain/job/" + UrlEscape(Operand(aSession)) +
                              QueryOf(aSession, {"data-centre"}),
                          reason);
-  if (!reply) {
-    return Fail(aSession, reason);
-  }
-  if (reply->status != kOk) {
-    return FailWithReply(aSession, *reply);
+  if (const auto failure = FindFailure(aSession, reply, reason)) {
+    return *failure;
   }
   if (aSession.json) {
     PrintJson(aSession, reply->body);
@@ -190,11 +182,8 @@
   SendReason reason;
   const Json body{{"request_id", ChooseRequestId(aSession)}};
   const auto reply = Send(direct, "POST", "/v1/ops/stop", body, reason);
-  if (!reply) {
-    return Fail(aSession, reason);
-  }
-  if (reply->status != kOk) {
-    return FailWithReply(aSession, *reply);
+  if (const auto failure = FindFailure(aSession, reply, reason)) {
+    return *failure;
   }
   if (aSession.json) {
     PrintJson(aSession, reply->body);
@@ -207,11 +196,8 @@
 ExitCode Status(const Session& aSession) {
   SendReason reason;
   const auto reply = Get(aSession, "/v1/ops/status", reason);
-  if (!reply) {
-    return Fail(aSession, reason);
-  }
-  if (reply->status != kOk) {
-    return FailWithReply(aSession, *reply);
+  if (const auto failure = FindFailure(aSession, reply, reason)) {
+    return *failure;
   }
   const Json& body = reply->body;
   if (aSession.json) {
