Record why a long-running task is not at work

An attempt whose queued start is dropped writes start_dropped, so that each number that is used up has a line: start_dropped, start_not_done, attempt_given_up or lease_over.

--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -260,6 +260,9 @@
     ForgetOldJobs(aState, actions);
     PruneBegunJobs(aScheduler, aState);
   }
+  if (aNow >= aScheduler.longRunningJobs.nextReportAt) {
+    detail::RecordLongRunningWaits(aScheduler, aState, aNow, actions);
+  }
   return actions;
 }
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -202,6 +202,14 @@
   JobNumber lastSeen = 0;  // jobs up to it have been looked at
 };
 
+// Jobs with long-running tasks, and those of their tasks that are not at work.
+struct LongRunningJobs {
+  std::vector<JobNumber> numbers;
+  JobNumber lastSeen = 0;  // jobs up to it have been looked at
+  std::unordered_map<TaskKey, TimePoint> waitingSince;
+  TimePoint nextReportAt;
+};
+
 // The tasks on each worker as of the last survey, and those placed since.
 struct HostSurvey {
   TimePoint nextAt;
@@ -288,6 +296,7 @@
   std::size_t nextJobInTurn = 0;
   HostSurvey survey;
   RecurringJobs recurringJobs;
+  LongRunningJobs longRunningJobs;
   Sweep occurrenceSweep;
   Sweep attemptSweep;
   Sweep renewalSweep;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -138,6 +138,9 @@
 void AdjustPaces(Scheduler& aScheduler, const State& aState,
                  WorkerSession& aSession, TimePoint aNow,
                  SchedulerActions& aActions);
+// Records why long-running tasks are not at work.
+void RecordLongRunningWaits(Scheduler& aScheduler, const State& aState,
+                            TimePoint aNow, SchedulerActions& aActions);
 // Sends the stops that are due and ends attempts whose lease has expired.
 void WatchAttempts(Scheduler& aScheduler, const State& aState, TimePoint aNow,
                    SchedulerActions& aActions);
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -46,6 +46,22 @@
          !FindTask(aState, aKey)->doneByEarlierAttempt;
 }
 
+// Why a queued start must not be sent; empty if it may be.
+std::string WhyNotToStart(const Scheduler& aScheduler, const State& aState,
+                          const TaskKey& aKey, const Attempt& aAttempt,
+                          TimePoint aNow) {
+  if (aAttempt.stopReason) {
+    return *aAttempt.stopReason;
+  }
+  if (!IsStillNeeded(aState, aKey)) {
+    return "no longer needed";
+  }
+  if (LacksTicket(aScheduler, aState, aKey, aAttempt.worker, aNow)) {
+    return "no valid ticket";
+  }
+  return "";
+}
+
 void SendOne(Scheduler& aScheduler, const State& aState,
              const QueuedStart& aQueued, TimePoint aNow, EndTasks& aNeverRan,
              SchedulerActions& aActions) {
@@ -62,8 +78,12 @@
   if (session == aScheduler.sessions.end()) {
     return;
   }
-  if (attempt.stopReason || !IsStillNeeded(aState, aQueued.task) ||
-      LacksTicket(aScheduler, aState, aQueued.task, attempt.worker, aNow)) {
+  const std::string reason =
+      WhyNotToStart(aScheduler, aState, aQueued.task, attempt, aNow);
+  if (!reason.empty()) {
+    aActions.push_back(DecisionRecord{
+        "start_dropped", ToText(NameOf(aState, aQueued.task)),
+        "attempt=" + std::to_string(attempt.number) + " reason=" + reason});
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
     return;
   }
