Let the cell model lose and delay starts alone, and renewals wait

The model of the tests answered each lease renewal at once and treated starts like any other request, so that it could not show what a start waits for when renewals take up to two seconds, when only starts are late or lost, when a commit takes hundreds of milliseconds or when a worker refuses starts.

Three tests pass on the current code: a task whose leader is late for 30 s starts in time afterwards with its first attempt number, a start that two workers refuse goes to a third, and a wait is explained in the log.

--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -11,7 +11,6 @@
 
 constexpr Duration kStep = Millis(5);
 constexpr Duration kNetworkDelay = Millis(1);
-constexpr Duration kCommitDelay = Millis(6);
 constexpr Duration kRequestTimeout = Millis(1200);
 constexpr Duration kConnectTimeout = Millis(500);
 constexpr Duration kAnnounceInterval = Millis(1500);
@@ -200,7 +199,7 @@
   }
   const bool lost = NextUnit(this->random) < this->faults.commitLost;
   this->ScheduleOnLeader(
-      this->now + kCommitDelay, [this, aCommit, proposedBy, lost] {
+      this->now + this->commitDelay, [this, aCommit, proposedBy, lost] {
         const bool applied = !lost || NextBelow(this->random, 2) == 0;
         // A command is lost if a new leader takes over before it is committed.
         if (proposedBy != this->epoch) {
@@ -230,10 +229,25 @@
   return &this->workers.at(known->second.spec.id.value);
 }
 
+void CellModel::DeliverTooLate(
+    const std::function<void(const RequestAnswer&)>& aOnAnswer) {
+  const Epoch sentBy = this->epoch;
+  this->ScheduleOnLeader(this->now + kConnectTimeout,
+                         [this, sentBy, aOnAnswer] {
+                           RequestAnswer notSent;
+                           notSent.outcome = RequestOutcome::NotSent;
+                           notSent.delayedByLeader = true;
+                           if (sentBy == this->epoch) {
+                             aOnAnswer(notSent);
+                           }
+                         });
+}
+
 void CellModel::Deliver(
     WorkerNumber aWorker,
     const std::function<RequestAnswer(WorkerModel&)>& aExecute,
-    const std::function<void(const RequestAnswer&)>& aOnAnswer) {
+    const std::function<void(const RequestAnswer&)>& aOnAnswer,
+    Duration aExecutionDelay, Duration aAnswerDelay) {
   const Epoch sentBy = this->epoch;
   const auto answer = [this, sentBy, aOnAnswer](const RequestAnswer& aAnswer) {
     if (sentBy == this->epoch) {
@@ -243,12 +257,7 @@
   if (this->isLeaderLate ||
       (this->faults.sentTooLate > 0 &&
        NextUnit(this->random) < this->faults.sentTooLate)) {
-    this->ScheduleOnLeader(this->now + kConnectTimeout, [answer] {
-      RequestAnswer notSent;
-      notSent.outcome = RequestOutcome::NotSent;
-      notSent.delayedByLeader = true;
-      answer(notSent);
-    });
+    this->DeliverTooLate(aOnAnswer);
     return;
   }
   WorkerModel* const model = this->FindModel(aWorker);
@@ -264,10 +273,10 @@
     const Duration delay =
         late ? Millis(kMinLateDelayMs + static_cast<std::int64_t>(NextBelow(
                                             this->random, kMaxExtraDelayMs)))
-             : kNetworkDelay;
+             : kNetworkDelay + aExecutionDelay;
     const std::int64_t startedUnixMs = model->spec.startedUnixMs;
     this->Schedule(this->now + delay, [this, id, startedUnixMs, late, aExecute,
-                                       answer, unanswered] {
+                                       answer, unanswered, aAnswerDelay] {
       WorkerModel& worker = this->workers.at(id);
       // A worker refuses a late request that names an earlier incarnation.
       // Requests without a delay reach the new incarnation, since the id
@@ -281,7 +290,7 @@
       }
       const RequestAnswer given = aExecute(worker);
       if (!unanswered) {
-        this->ScheduleOnLeader(this->now + kNetworkDelay,
+        this->ScheduleOnLeader(this->now + kNetworkDelay + aAnswerDelay,
                                [answer, given] { answer(given); });
       }
     });
@@ -345,15 +354,23 @@
 }
 
 void CellModel::PerformOne(const SendStart& aStart) {
+  const auto onAnswer = [this, aStart](const RequestAnswer& aAnswer) {
+    this->Perform(OnStartAnswer(*this->scheduler, this->state, aStart, aAnswer,
+                                this->now));
+  };
+  if (this->faults.startTooLate > 0 &&
+      NextUnit(this->random) < this->faults.startTooLate) {
+    this->DeliverTooLate(onAnswer);
+    return;
+  }
+  const bool isLost = this->faults.startLost > 0 &&
+                      NextUnit(this->random) < this->faults.startLost;
   this->Deliver(
-      aStart.worker,
+      isLost ? 0 : aStart.worker,
       [this, aStart](WorkerModel& aWorker) {
         return this->StartOn(aWorker, aStart.request);
       },
-      [this, aStart](const RequestAnswer& aAnswer) {
-        this->Perform(OnStartAnswer(*this->scheduler, this->state, aStart,
-                                    aAnswer, this->now));
-      });
+      onAnswer, this->startDelay);
 }
 
 void CellModel::PerformOne(const SendStop& aStop) {
@@ -407,6 +424,8 @@
 void CellModel::PerformOne(const SendLeaseRenewal& aRenewal) {
   const TimePoint sentAt = this->now;
   auto lists = std::make_shared<RenewLeaseAnswer>();
+  const Duration wait =
+      this->renewalsWait ? Millis(aRenewal.request.waitMs) : Duration();
   this->Deliver(
       aRenewal.worker,
       [this, aRenewal, lists](WorkerModel& aWorker) {
@@ -414,7 +433,11 @@
         *lists = Handle(aWorker, aRenewal.request, this->random, this->now);
         return lists->result;
       },
-      [this, aRenewal, sentAt, lists](const RequestAnswer& aAnswer) {
+      [this, aRenewal, sentAt, lists, wait](const RequestAnswer& aAnswer) {
+        WorkerModel* const model = this->FindModel(aRenewal.worker);
+        if (Duration() < wait && model && model->up) {
+          *lists = Handle(*model, aRenewal.request, this->random, this->now);
+        }
         RenewLeaseAnswer answer;
         if (aAnswer.outcome == RequestOutcome::Done) {
           answer = *lists;
@@ -423,7 +446,8 @@
         this->Perform(OnLeaseRenewalAnswer(*this->scheduler, this->state,
                                            aRenewal, sentAt, answer,
                                            this->now));
-      });
+      },
+      Duration(), wait);
 }
 
 void CellModel::PerformOne(const RequestTickets& aRequest) {
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -21,6 +21,8 @@
   double commitLost = 0;    // the outcome is unknown; applied or not
   double paceLost = 0;      // as requestLost, but only for pace requests
   double sentTooLate = 0;   // not sent, since the leader was late
+  double startLost = 0;     // as requestLost, but only for starts
+  double startTooLate = 0;  // as sentTooLate, but only for starts
 };
 
 // A leader and its workers in virtual time, connected by a network that loses
@@ -64,6 +66,12 @@
   // Workers that the admission service allows; empty: all.
   std::set<std::string> allowed;
   std::uint64_t ticketRequests = 0;
+  Duration commitDelay = Millis(6);
+  // How long a worker takes for a start.
+  Duration startDelay;
+  // Workers answer a lease renewal only after the time that it allows them,
+  // also if an attempt ends before.
+  bool renewalsWait = false;
 
  private:
   struct Event {
@@ -89,7 +97,11 @@
   // Delivers a request and its answer, or loses or delays either.
   void Deliver(WorkerNumber aWorker,
                const std::function<RequestAnswer(WorkerModel&)>& aExecute,
-               const std::function<void(const RequestAnswer&)>& aOnAnswer);
+               const std::function<void(const RequestAnswer&)>& aOnAnswer,
+               Duration aExecutionDelay = {}, Duration aAnswerDelay = {});
+  // Delivers as if the leader had been too late to send the request.
+  void DeliverTooLate(
+      const std::function<void(const RequestAnswer&)>& aOnAnswer);
   WorkerModel* FindModel(WorkerNumber aWorker);
   RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest);
   void CheckStart(const WorkerModel& aWorker, const StartRequest& aRequest);
--- /dev/null
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -0,0 +1,128 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+
+#include "tests/workflow/CellModel.h"
+#include "tests/workflow/Samples.h"
+
+namespace bramleypath::workflow {
+
+namespace {
+
+// A task of a long-running job that could run must run after this time.
+constexpr Duration kLongestWait = Seconds(3);
+constexpr std::uint32_t kRunMs = 600000;
+
+CellModel MakeCell(int aWorkers) {
+  CellModel cell(1);
+  for (int worker = 0; worker < aWorkers; ++worker) {
+    const std::string id = "w" + std::to_string(worker);
+    cell.AddWorker(id);
+    cell.workers.at(id).runMs = kRunMs;
+  }
+  cell.Run(Seconds(1));
+  return cell;
+}
+
+JobSpec MakeLongRunningJob(const std::string& aId) {
+  JobSpec spec = MakeJob(aId);
+  spec.stages = {MakeStage(1, 1000, 0)};
+  spec.stages[0].longRunning = true;
+  return spec;
+}
+
+bool IsRunning(const CellModel& aCell, const std::string& aJob) {
+  return std::any_of(aCell.workers.begin(), aCell.workers.end(),
+                     [&](const auto& aWorker) {
+                       return aWorker.second.running.count(aJob + ".0.0.0") > 0;
+                     });
+}
+
+const TaskState& TaskOf(const CellModel& aCell, const std::string& aJob) {
+  return FindJob(aCell.state, aJob)->occurrences.at(0).stages[0].tasks[0];
+}
+
+// Runs the cell until the job's task runs, for up to aLongest. Returns the time
+// that it took.
+Duration RunUntilRunning(CellModel& aCell, const std::string& aJob,
+                         Duration aLongest) {
+  const TimePoint begin = aCell.now;
+  while (!IsRunning(aCell, aJob) && aCell.now - begin < aLongest) {
+    aCell.Run(Millis(5));
+  }
+  return aCell.now - begin;
+}
+
+void AssertRunsInTime(CellModel& aCell, const std::string& aJob) {
+  const Duration took = RunUntilRunning(aCell, aJob, Seconds(20));
+  CPPUNIT_ASSERT_MESSAGE("waited " + std::to_string(ToMillis(took)) + " ms",
+                         took < kLongestWait);
+}
+
+// Lets the leader place the job's task while it is too late to send starts.
+void PlaceWithoutStart(CellModel& aCell, const std::string& aJob) {
+  aCell.faults.startTooLate = 1;
+  aCell.Submit(MakeLongRunningJob(aJob));
+  aCell.Run(Millis(700));
+  CPPUNIT_ASSERT(TaskOf(aCell, aJob).phase == TaskPhase::Placed);
+  CPPUNIT_ASSERT(!IsRunning(aCell, aJob));
+}
+
+// Whether a wait was recorded with this text.
+bool IsExplained(const CellModel& aCell, const std::string& aText) {
+  return std::any_of(aCell.decisions.begin(), aCell.decisions.end(),
+                     [&](const DecisionRecord& aDecision) {
+                       return aDecision.event == "long_running_waits" &&
+                              aDecision.detail.find(aText) != std::string::npos;
+                     });
+}
+
+}  // namespace
+
+class LongRunningStartTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LongRunningStartTest);
+  CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
+  CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
+  CPPUNIT_TEST(testWaitingTaskIsExplained);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // The worker that costs least refuses each start; the task must not wait for
+  // it.
+  void testRefusedStartGoesToAnotherWorker() {
+    CellModel cell = MakeCell(3);
+    cell.workers.at("w0").refusesStarts = true;
+    cell.workers.at("w1").refusesStarts = true;
+    cell.Submit(MakeLongRunningJob("job"));
+    AssertRunsInTime(cell, "job");
+  }
+
+  // A leader that is late for longer than its leases last must start the task
+  // soon after it is in time.
+  void testTaskStartsOnceALateLeaderIsInTime() {
+    CellModel cell = MakeCell(3);
+    cell.SetLeaderLate(true);
+    cell.Submit(MakeLongRunningJob("job"));
+    cell.Run(Seconds(30));
+    cell.SetLeaderLate(false);
+    AssertRunsInTime(cell, "job");
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{1}, TaskOf(cell, "job").attempt);
+  }
+
+  // No log line told what a task of a long-running job was waiting for.
+  void testWaitingTaskIsExplained() {
+    CellModel late = MakeCell(1);
+    PlaceWithoutStart(late, "job");
+    late.Run(Seconds(2));
+    CPPUNIT_ASSERT(IsExplained(late, "reason=start "));
+    CellModel empty = MakeCell(0);
+    empty.Submit(MakeLongRunningJob("job"));
+    empty.Run(Seconds(3));
+    CPPUNIT_ASSERT(IsExplained(empty, "reason=not placed suitable=0"));
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningStartTest);
+
+}  // namespace bramleypath::workflow
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -87,6 +87,9 @@
   if (clock >= aRequest.untilWorkerMs) {
     return Refuse(aWorker, "late", aNow);
   }
+  if (aWorker.refusesStarts) {
+    return Refuse(aWorker, "full", aNow);
+  }
   aWorker.untilMs = std::max(aWorker.untilMs, aRequest.untilWorkerMs);
   const auto running = aWorker.running.find(task);
   if (running != aWorker.running.end()) {
--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -35,6 +35,7 @@
   std::uint64_t lastEnd = 0;
   std::uint32_t runMs = 300;
   double failureShare = 0;
+  bool refusesStarts = false;
   // The job of the serving task and that of the filler beside it, and the tail
   // of the serving task without the filler and with the filler at full pace.
   std::string servingJob;
