Use an avoided worker for a long-running task that fits nowhere else

A worker that gave no answer to a start is avoided for 2 s, one that failed or stalled for up to 12 s. While all workers with room are avoided, a task of a long-running job waits although it could run.

Such a task now takes an avoided worker if it fits on no other, but not within 700 ms of the refusal, silence or failure, so that a worker which refuses each start gets no more than one in that time. Other tasks, tickets and the capacity of the cell are judged as before.

The test failed before with 'waited 3490 ms' in virtual time, of which 1.2 s are the request's timeout. The record doesn't show that all workers with room were avoided; with several workers a refused start went to another at once.

--- a/src/bramleypath/workflow/ChooseHost.cpp
+++ b/src/bramleypath/workflow/ChooseHost.cpp
@@ -29,16 +29,16 @@
   return cost;
 }
 
-}  // namespace
-
-std::optional<std::size_t> ChooseHost(gsl::span<const HostView> aHosts,
-                                      const TaskView& aTask) {
+// The host with the lowest cost among those that are avoided or not.
+std::optional<std::size_t> ChooseAmong(gsl::span<const HostView> aHosts,
+                                       const TaskView& aTask, bool aAvoided) {
   const Resources reserved = Reservation(aTask.demand, aTask.filler);
   std::optional<std::size_t> best;
   double bestCost = 0;
   for (std::size_t index = 0; index < aHosts.size(); ++index) {
     const HostView& host = aHosts[index];
-    if (host.excluded || !Fits(reserved, host.available)) {
+    if (host.excluded || host.avoided != aAvoided ||
+        !Fits(reserved, host.available)) {
       continue;
     }
     const double cost = Cost(host, aTask);
@@ -50,4 +50,15 @@
   return best;
 }
 
+}  // namespace
+
+std::optional<std::size_t> ChooseHost(gsl::span<const HostView> aHosts,
+                                      const TaskView& aTask) {
+  const std::optional<std::size_t> best = ChooseAmong(aHosts, aTask, false);
+  if (best || !aTask.longRunning) {
+    return best;
+  }
+  return ChooseAmong(aHosts, aTask, true);
+}
+
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/ChooseHost.h
+++ b/src/bramleypath/workflow/ChooseHost.h
@@ -15,9 +15,12 @@
   Resources capacity;
   // Capacity less the reservations of attempts that may be running.
   Resources available;
-  // Unreachable, draining, avoided after failures, at the stage's limit, or
-  // without a label that the stage requires.
+  // Unreachable, draining, at the stage's limit, or without a label that the
+  // stage requires.
   bool excluded = false;
+  // Has refused, not answered or failed lately. Chosen only for a long-running
+  // task that fits on no other worker.
+  bool avoided = false;
   bool isDataRack = true;
   // In the rack of the stage's other tasks, if they must share one.
   bool isStageRack = true;
@@ -32,6 +35,7 @@
 struct TaskView {
   Resources demand;  // includes the processors that a filler uses
   bool filler = false;
+  bool longRunning = false;
   double farFactor = 1;  // run time in another rack, as a factor
 };
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -106,7 +106,10 @@
   std::vector<StopRequest> fencingStops;
   // Failures since the last task that was done.
   std::uint32_t recentFailures = 0;
-  TimePoint avoidUntil;  // no placements on the worker before then
+  // Until then the worker is given only long-running tasks that fit on no other
+  // worker, and before barredUntil no task at all; see AvoidWorker.
+  TimePoint avoidUntil;
+  TimePoint barredUntil;
   // Smoothed ratio of expected to actual run time of its tasks.
   double speed = 1;
   // Tails reported from then on show the effect of the last pace change.
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -462,7 +462,7 @@
       break;
     case RequestOutcome::Refused:
     case RequestOutcome::NotSent:
-      session.avoidUntil = std::max(session.avoidUntil, aNow + kRefusedAvoid);
+      detail::AvoidWorker(session, aNow + kRefusedAvoid, aNow);
       DropTicket(aScheduler.tickets, detail::StageKey(aRequest.task),
                  aRequest.worker);
       if (attempt) {
@@ -473,8 +473,7 @@
       return RemoveIncarnation(aState, aRequest.worker);
     case RequestOutcome::NoAnswer:
       session.isBootUnconfirmed = true;
-      session.avoidUntil =
-          std::max(session.avoidUntil, aNow + kUnansweredAvoid);
+      detail::AvoidWorker(session, aNow + kUnansweredAvoid, aNow);
       if (attempt) {
         attempt->startStatus = Attempt::StartStatus::Unknown;
       }
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -198,7 +198,8 @@
     }
     view.excluded = worker.spec.draining || !session->second.clock ||
                     !IsReachable(aScheduler, session->second, aNow) ||
-                    aNow < session->second.avoidUntil;
+                    aNow < session->second.barredUntil;
+    view.avoided = aNow < session->second.avoidUntil;
     view.recentFailures = session->second.recentFailures;
     view.speed = session->second.speed;
     hosts.views.push_back(view);
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -72,7 +72,7 @@
     }
   }
   for (std::size_t index = 0; index < aHosts.views.size(); ++index) {
-    if (aHosts.views[index].excluded) {
+    if (aHosts.views[index].excluded || aHosts.views[index].avoided) {
       continue;
     }
     const Worker& worker = *aHosts.workers[index];
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -154,7 +154,8 @@
 RackId RackWithMostFreeProcessors(const PlacementPass& aPass) {
   std::map<RackId, std::int64_t> freeByRack;
   for (std::size_t index = 0; index < aPass.hosts.views.size(); ++index) {
-    if (!aPass.hosts.views[index].excluded) {
+    if (!aPass.hosts.views[index].excluded &&
+        !aPass.hosts.views[index].avoided) {
       freeByRack[aPass.hosts.workers[index]->spec.rack] +=
           aPass.hosts.views[index].available.processorsMilli;
     }
@@ -317,6 +318,7 @@
   TaskView view;
   view.demand = aSpec.demand;
   view.filler = aSpec.filler;
+  view.longRunning = aSpec.longRunning;
   view.farFactor = aScheduler.settings.farFactor;
   return view;
 }
@@ -351,7 +353,8 @@
   std::vector<WorkerNumber> candidates;
   for (std::size_t index = 0; index < aViews.size(); ++index) {
     const WorkerNumber number = aPass.hosts.numbers[index];
-    if (!aViews[index].excluded && Fits(reserved, aViews[index].available)) {
+    if (!aViews[index].excluded && !aViews[index].avoided &&
+        Fits(reserved, aViews[index].available)) {
       candidates.push_back(number);
     }
     if (!FindTicket(cache, aStage, number, aPass.now)) {
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -36,7 +36,8 @@
     constexpr Duration kShortestAvoid = Millis(1500);
     const std::uint32_t doublings = std::min(
         kMaxDoublings, aSession.recentFailures - kToleratedFailures - 1);
-    aSession.avoidUntil = aNow + kShortestAvoid * (1 << doublings);
+    detail::AvoidWorker(aSession, aNow + kShortestAvoid * (1 << doublings),
+                        aNow);
     aScheduler.dispatchWanted = true;
   }
 }
@@ -217,7 +218,7 @@
   if (limit < aNow - aAttempt.progressAt && !aAttempt.stopReason) {
     detail::RequestStop(aAttempt, "no progress", aNow);
     if (!stage.filler) {
-      aSession.avoidUntil = aNow + kStalledAvoid;
+      detail::AvoidWorker(aSession, aNow + kStalledAvoid, aNow);
     }
   }
 }
--- a/src/bramleypath/workflow/internal/LongRunningWaits.cpp
+++ b/src/bramleypath/workflow/internal/LongRunningWaits.cpp
@@ -95,7 +95,7 @@
       !IsReachable(aScheduler, session->second, aNow)) {
     return aCounts.unreachable;
   }
-  if (aNow < session->second.avoidUntil) {
+  if (aNow < session->second.barredUntil) {
     return aCounts.avoided;
   }
   Resources available = aWorker.spec.capacity - aWorker.reserved;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -126,6 +126,8 @@
 // never run.
 void SendQueuedStarts(Scheduler& aScheduler, const State& aState,
                       TimePoint aNow, SchedulerActions& aActions);
+// Avoids the worker until then, after it refused, did not answer or failed.
+void AvoidWorker(WorkerSession& aSession, TimePoint aUntil, TimePoint aNow);
 // Whether an attempt on the worker waits for the worker's list: the renewals
 // until then are answered at once.
 bool HasUnresolvedAttempt(const Scheduler& aScheduler, const Worker& aWorker,
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -186,6 +186,13 @@
          aScheduler.settings.announceInterval * kMissedAnnouncements;
 }
 
+void AvoidWorker(WorkerSession& aSession, TimePoint aUntil, TimePoint aNow) {
+  // Bounds how often a task is started on the only worker that has room.
+  constexpr Duration kBarred = Millis(700);
+  aSession.avoidUntil = std::max(aSession.avoidUntil, aUntil);
+  aSession.barredUntil = std::max(aSession.barredUntil, aNow + kBarred);
+}
+
 bool HasUnresolvedAttempt(const Scheduler& aScheduler, const Worker& aWorker,
                           TimePoint aNow) {
   return std::any_of(aWorker.attempts.begin(), aWorker.attempts.end(),
--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -83,6 +83,7 @@
 class LongRunningStartTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LongRunningStartTest);
   CPPUNIT_TEST(testLostStartIsResolvedWhileRenewalsWait);
+  CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
   CPPUNIT_TEST(testWaitingTaskIsExplained);
@@ -110,6 +111,19 @@
     }
   }
 
+  // While all workers with room were avoided, for seconds after a start without
+  // an answer or after failures, the task waited.
+  void testAvoidedWorkerTakesATaskThatFitsNowhereElse() {
+    CellModel cell = MakeCell(1);
+    cell.renewalsWait = true;
+    cell.faults.startLost = 1;
+    cell.Submit(MakeLongRunningJob("job"));
+    cell.Run(Millis(100));
+    cell.faults.startLost = 0;
+    AssertRunsInTime(cell, "job");
+    CPPUNIT_ASSERT(cell.violations.empty());
+  }
+
   // The worker that costs least refuses each start; the task must not wait for
   // it.
   void testRefusedStartGoesToAnotherWorker() {
