Don't send a delayed start to a worker that has begun to drain

A start that a late leader could not send is queued again and sent once the leader is in time. By then its worker may drain, or belong to another service; the start was sent all the same, which breaks the rule on draining, and the task was lost again with its worker.

Such an attempt now ends as never run, as one without a ticket does, and the task is placed elsewhere. The test failed before: the draining worker ran the task.

--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -46,6 +46,17 @@
          !FindTask(aState, aKey)->doneByEarlierAttempt;
 }
 
+// Whether the worker may still take the task. A queued start waits while the
+// leader is late, so that this may have changed since the placement.
+bool MayStartOn(const State& aState, const TaskKey& aKey,
+                WorkerNumber aWorker) {
+  const auto worker = aState.workers.find(aWorker);
+  const QueueSettings* const queue =
+      FindQueue(aState, aState.jobs.at(aKey.job).spec.queue);
+  return worker != aState.workers.end() && !worker->second.spec.draining &&
+         queue && worker->second.spec.service == queue->service;
+}
+
 // Why a queued start must not be sent; empty if it may be.
 std::string WhyNotToStart(const Scheduler& aScheduler, const State& aState,
                           const TaskKey& aKey, const Attempt& aAttempt,
@@ -56,6 +67,9 @@
   if (!IsStillNeeded(aState, aKey)) {
     return "no longer needed";
   }
+  if (!MayStartOn(aState, aKey, aAttempt.worker)) {
+    return "worker drains or has left the queue's service";
+  }
   if (LacksTicket(aScheduler, aState, aKey, aAttempt.worker, aNow)) {
     return "no valid ticket";
   }
--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST_SUITE(LongRunningStartTest);
   CPPUNIT_TEST(testLostStartIsResolvedWhileRenewalsWait);
   CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
+  CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
   CPPUNIT_TEST(testWaitingTaskIsExplained);
@@ -124,6 +125,22 @@
     CPPUNIT_ASSERT(cell.violations.empty());
   }
 
+  // A start that waited for a late leader was sent to a worker that had begun
+  // to drain meanwhile.
+  void testDelayedStartIsNotSentToADrainingWorker() {
+    CellModel cell = MakeCell(2);
+    PlaceWithoutStart(cell, "job");
+    const std::string id =
+        cell.state.workers.at(TaskOf(cell, "job").worker).spec.id.value;
+    WorkerSpec draining = cell.workers.at(id).spec;
+    draining.draining = true;
+    Apply(cell.state, RegisterWorker{draining});
+    OnStateChanged(*cell.scheduler, cell.state, cell.now);
+    cell.faults.startTooLate = 0;
+    AssertRunsInTime(cell, "job");
+    CPPUNIT_ASSERT(cell.workers.at(id).running.empty());
+  }
+
   // The worker that costs least refuses each start; the task must not wait for
   // it.
   void testRefusedStartGoesToAnotherWorker() {
