Start what an earlier leader placed instead of ending it

A task of a long-running job doesn't run while its attempt number rises and no worker sees a run.

Cause: a new leader ends each placement whose start its predecessor had not carried out, and places the task anew. That takes the answer of the worker, two commits, a placement pass and the start queue. A leader that loses leadership before the start is sent leaves the same to its successor, so that each term uses up a number, with no bound on the wait.

The answer to the first renewal shows that the worker doesn't run the attempt and has seen the new epoch, so that the earlier start can't run any more. The new leader now sends the start itself, under the same number, on the same worker, with no commit. Members of a gang, attempts to be stopped and those that this leader has seen running are ended as before.

--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -254,7 +254,38 @@
   }
 }
 
-// Ends or stops attempts that the worker lists neither as running nor as ended.
+// Whether an attempt of an earlier leader that the worker has never listed can
+// be started by this one. The members of a gang are only placed together.
+bool MayTakeOver(const State& aState, const TaskKey& aKey,
+                 const Attempt& aAttempt) {
+  const Job& job = aState.jobs.at(aKey.job);
+  return !aAttempt.listed && !aAttempt.stopReason &&
+         job.phase == JobPhase::Active && !detail::StageOf(aState, aKey).gang;
+}
+
+// Starts an attempt that an earlier leader placed. The worker has not begun it
+// and refuses the earlier leader's start, so that it can't run twice; ending it
+// would take two commits, and be lost again if this leader does not last.
+void TakeOver(Scheduler& aScheduler, const State& aState, const TaskKey& aKey,
+              Attempt& aAttempt, TimePoint aNow, SchedulerActions& aActions) {
+  aActions.push_back(DecisionRecord{
+      "attempt_taken_over", detail::ToText(detail::NameOf(aState, aKey)),
+      "attempt=" + std::to_string(aAttempt.number) +
+          " worker=" + detail::WorkerText(aState, aAttempt.worker)});
+  // The earlier start may still reach a new incarnation of the worker.
+  detail::RecordAbandonedStart(aScheduler, aState, aKey, aAttempt, aNow);
+  Attempt next;
+  next.number = aAttempt.number;
+  next.worker = aAttempt.worker;
+  next.startStatus = Attempt::StartStatus::Sending;
+  next.sentAt = aNow;
+  next.progressAt = aNow;
+  aAttempt = std::move(next);
+  detail::QueueStart(aScheduler, aKey, aAttempt.number);
+}
+
+// Starts, ends or stops attempts that the worker lists neither as running nor
+// as ended.
 void ProcessUnlisted(Scheduler& aScheduler, const State& aState,
                      WorkerSession& aSession, const RenewLeaseAnswer& aAnswer,
                      TimePoint aSentAt, TimePoint aNow,
@@ -276,6 +307,10 @@
     const bool fenced = attempt.isFromEarlierEpoch;
     const bool stopped =
         attempt.stopAcknowledgedAt && *attempt.stopAcknowledgedAt < aSentAt;
+    if (fenced && !stopped && MayTakeOver(aState, key, attempt)) {
+      TakeOver(aScheduler, aState, key, attempt, aNow, aActions);
+      continue;
+    }
     if (fenced || stopped) {
       aActions.push_back(DecisionRecord{
           "attempt_given_up", detail::ToText(detail::NameOf(aState, key)),
--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -84,6 +84,7 @@
   CPPUNIT_TEST_SUITE(LongRunningStartTest);
   CPPUNIT_TEST(testLostStartIsResolvedWhileRenewalsWait);
   CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
+  CPPUNIT_TEST(testChangesOfLeaderUseUpNoAttempt);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
@@ -125,6 +126,24 @@
     CPPUNIT_ASSERT(cell.violations.empty());
   }
 
+  // Each new leader ended the placements of the one before whose starts had not
+  // been sent, and lost the next placement with its own leadership.
+  void testChangesOfLeaderUseUpNoAttempt() {
+    CellModel cell = MakeCell(3);
+    cell.commitDelay = Millis(400);
+    PlaceWithoutStart(cell, "job");
+    for (int leader = 0; leader < 10; ++leader) {
+      cell.ChangeLeader();
+      cell.Run(Millis(1500));
+    }
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{1}, TaskOf(cell, "job").attempt);
+    cell.faults.startTooLate = 0;
+    cell.ChangeLeader();
+    AssertRunsInTime(cell, "job");
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{1}, TaskOf(cell, "job").attempt);
+    CPPUNIT_ASSERT(cell.violations.empty());
+  }
+
   // A start that waited for a late leader was sent to a worker that had begun
   // to drain meanwhile.
   void testDelayedStartIsNotSentToADrainingWorker() {
