Start a late placement also if an ended attempt of its task is left

A placement whose commit is reported as failed and applied all the same is found by comparing the replicated state with the leader's attempts. An entry of an earlier attempt of the task, whose end was applied in the same way, hid it: the task stayed placed and was neither started nor ended until the leader changed.

The entry now counts only while its attempt is the placed one. The test failed before with 'waited 20000 ms', where it gives up. A leader's proposals end only when they are applied or leadership is lost, so that this is not known to have happened outside the test.

--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -286,8 +286,10 @@
                               TimePoint aNow, SchedulerActions& aActions) {
   for (const auto& [number, worker] : aState.workers) {
     for (const TaskKey& key : worker.attempts) {
-      if (aScheduler.attempts.count(key) > 0 ||
-          aScheduler.pendingPlacements.count(key) > 0) {
+      const auto attempt = aScheduler.attempts.find(key);
+      const bool isKnown = attempt != aScheduler.attempts.end() &&
+                           !HasEnded(aState, key, attempt->second);
+      if (isKnown || aScheduler.pendingPlacements.count(key) > 0) {
         continue;
       }
       const PlacedTask placed{key, FindTask(aState, key)->attempt, number};
--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -86,6 +86,7 @@
   CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
   CPPUNIT_TEST(testChangesOfLeaderUseUpNoAttempt);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
+  CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
   CPPUNIT_TEST(testWaitingTaskIsExplained);
@@ -160,6 +161,27 @@
     CPPUNIT_ASSERT(cell.workers.at(id).running.empty());
   }
 
+  // The leader's entry of an attempt that had ended hid a later placement whose
+  // commit was reported as failed, so that it was never started.
+  void testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate() {
+    CellModel cell = MakeCell(2);
+    cell.Submit(MakeLongRunningJob("job"));
+    cell.Run(Millis(500));
+    CPPUNIT_ASSERT(IsRunning(cell, "job"));
+    const Job& job = *FindJob(cell.state, "job");
+    const TaskKey key{job.number, 0, 0, 0};
+    const WorkerNumber worker = TaskOf(cell, "job").worker;
+    const std::string id = cell.state.workers.at(worker).spec.id.value;
+    cell.SetPartitioned(id, true);
+    cell.Run(Seconds(2));
+    cell.workers.at(id).running.clear();
+    Apply(cell.state, EndTasks{{EndedTask{key, 1, EndKind::LeaseExpired, ""}}});
+    Apply(cell.state, PlaceTasks{{PlacedTask{key, 2, worker}}});
+    cell.SetPartitioned(id, false);
+    AssertRunsInTime(cell, "job");
+    CPPUNIT_ASSERT(cell.violations.empty());
+  }
+
   // The worker that costs least refuses each start; the task must not wait for
   // it.
   void testRefusedStartGoesToAnotherWorker() {
