Renew workers with long-running tasks first after a change of leader

When it is late, workers with high numbers get theirs seconds later, and tasks that an earlier leader placed there and didn't start wait for it. Leaders that follow each other soon reach the same low numbers each time.

The first renewals of an epoch now go to workers with long-running tasks, then to those with other tasks, then to the rest. A worker that has answered or missed one is no longer preferred, so that none is kept waiting for long.

The test failed before: the first renewal went to worker 1 of 100, the task was on worker 100.

--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -75,19 +75,46 @@
   aSession.fencingStops.clear();
 }
 
-// The sessions whose renewal is due, the longest overdue first.
-std::vector<WorkerSession*> DueSessions(Scheduler& aScheduler, TimePoint aNow) {
-  std::vector<WorkerSession*> due;
+// Order of the first renewals of an epoch, which are sent a bounded number at a
+// time. Attempts that an earlier leader placed wait for them. Later renewals
+// follow in the order of their times.
+enum class RenewalClass : std::uint8_t { LongRunning, Busy, Other };
+
+RenewalClass RenewalClassOf(const WorkerSession& aSession,
+                            const State& aState) {
+  const auto worker = aState.workers.find(aSession.worker);
+  if (aSession.hasAnsweredRenewal || aSession.missedRenewals > 0 ||
+      worker == aState.workers.end() || worker->second.attempts.empty()) {
+    return RenewalClass::Other;
+  }
+  const bool isLongRunning = std::any_of(
+      worker->second.attempts.begin(), worker->second.attempts.end(),
+      [&](const TaskKey& aKey) { return StageOf(aState, aKey).longRunning; });
+  return isLongRunning ? RenewalClass::LongRunning : RenewalClass::Busy;
+}
+
+struct DueSession {
+  RenewalClass renewalClass = RenewalClass::Other;
+  WorkerSession* session = nullptr;
+};
+
+bool IsRenewedBefore(const DueSession& aLeft, const DueSession& aRight) {
+  return aLeft.renewalClass != aRight.renewalClass
+             ? aLeft.renewalClass < aRight.renewalClass
+             : aLeft.session->nextRenewalAt < aRight.session->nextRenewalAt;
+}
+
+// The sessions whose renewal is due, the most urgent first.
+std::vector<DueSession> DueSessions(Scheduler& aScheduler, const State& aState,
+                                    TimePoint aNow) {
+  std::vector<DueSession> due;
   for (auto& [number, session] : aScheduler.sessions) {
     if (!session.renewalInFlight && !session.isCommittingEnds &&
         !(aNow < session.nextRenewalAt)) {
-      due.push_back(&session);
+      due.push_back({RenewalClassOf(session, aState), &session});
     }
   }
-  std::stable_sort(due.begin(), due.end(),
-                   [](const WorkerSession* aLeft, const WorkerSession* aRight) {
-                     return aLeft->nextRenewalAt < aRight->nextRenewalAt;
-                   });
+  std::stable_sort(due.begin(), due.end(), IsRenewedBefore);
   return due;
 }
 
@@ -207,8 +234,8 @@
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions) {
   ++aScheduler.work.sessionSweeps;
-  for (WorkerSession* const one : DueSessions(aScheduler, aNow)) {
-    WorkerSession& session = *one;
+  for (const DueSession& due : DueSessions(aScheduler, aState, aNow)) {
+    WorkerSession& session = *due.session;
     const auto worker = aState.workers.find(session.worker);
     if (worker == aState.workers.end()) {
       continue;
--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(testLostStartIsResolvedWhileRenewalsWait);
   CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
   CPPUNIT_TEST(testChangesOfLeaderUseUpNoAttempt);
+  CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
@@ -145,6 +146,30 @@
     CPPUNIT_ASSERT(cell.violations.empty());
   }
 
+  // The renewals of a new leader went out in the order of the workers' numbers,
+  // a bounded number at a time, so that those of a late leader took seconds to
+  // reach the workers with long-running tasks.
+  void testNewLeaderFirstRenewsWorkersWithLongRunningTasks() {
+    CellModel cell = MakeCell(100);
+    for (int worker = 0; worker < 99; ++worker) {
+      cell.SetPartitioned("w" + std::to_string(worker), true);
+    }
+    cell.Run(Seconds(6));
+    cell.Submit(MakeLongRunningJob("job"));
+    cell.Run(Seconds(1));
+    CPPUNIT_ASSERT(IsRunning(cell, "job"));
+    cell.ChangeLeader();
+    const SchedulerActions actions =
+        OnTick(*cell.scheduler, cell.state, cell.now, cell.UnixMs());
+    const auto renewal = std::find_if(
+        actions.begin(), actions.end(), [](const SchedulerAction& aAction) {
+          return std::holds_alternative<SendLeaseRenewal>(aAction);
+        });
+    CPPUNIT_ASSERT(renewal != actions.end());
+    CPPUNIT_ASSERT_EQUAL(TaskOf(cell, "job").worker,
+                         std::get<SendLeaseRenewal>(*renewal).worker);
+  }
+
   // A start that waited for a late leader was sent to a worker that had begun
   // to drain meanwhile.
   void testDelayedStartIsNotSentToADrainingWorker() {
