Place and start long-running tasks ahead of a full start window

A task of a long-running job ranked first, but shared the start window and the queue of starts with all short tasks. While workers or the leader answer slowly, 256 placements without an answer close the window, and a start behind them waits for 128 in flight at a time.

Starts of long-running tasks now have a queue that is sent first, 32 starts in flight and 64 places of the window of their own. With a full window, a pass for them alone runs at most every 100 ms, and only while one of them waits.

The test failed before with 'waited 3240 ms': 600 short tasks, each start answered after 1.1 s.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -269,7 +269,9 @@
   std::map<TaskKey, PlacedTask> pendingPlacements;
   // Since when there has always been a pending placement.
   std::optional<TimePoint> pendingSince;
-  std::deque<QueuedStart> queuedStarts;  // oldest first
+  // Oldest first. Those of long-running tasks are sent before all others.
+  std::deque<QueuedStart> queuedLongRunningStarts;
+  std::deque<QueuedStart> queuedStarts;
   std::uint32_t startsInFlight = 0;
   // A pass left tasks waiting because of kStartWindow.
   bool isStartWindowFull = false;
@@ -282,6 +284,8 @@
   TailModel tailModel;
   TicketCache tickets;
   TimePoint nextDispatchAt;  // earliest time of the next placement pass
+  // Earliest time of the next pass for long-running tasks alone.
+  TimePoint nextLongRunningPassAt;
   bool dispatchWanted = false;
   TimePoint nextReconcileAt;  // see StartUnstartedPlacements
   std::map<WorkerId, std::vector<AbandonedStart>> abandonedStarts;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -275,7 +275,7 @@
   attempt.sentAt = aNow;
   attempt.progressAt = aNow;
   aScheduler.attempts[aPlaced.task] = std::move(attempt);
-  detail::QueueStart(aScheduler, aPlaced.task, aPlaced.attempt);
+  detail::QueueStart(aScheduler, aState, aPlaced.task, aPlaced.attempt);
 }
 
 }  // namespace
@@ -435,7 +435,7 @@
                        "attempt=" + std::to_string(aRequest.request.attempt) +
                            " reason=" + aAnswer.reason});
     if (attempt) {
-      detail::QueueDelayedStart(aScheduler, aRequest, *attempt, aNow);
+      detail::QueueDelayedStart(aScheduler, aState, aRequest, *attempt, aNow);
     }
     return actions;
   }
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -87,10 +87,30 @@
 
 // Whether the start window has room for so many further placements. A gang
 // larger than the window is placed when little else is unstarted.
-bool HasStartRoom(const Scheduler& aScheduler, std::size_t aPlacements) {
+bool HasStartRoom(const Scheduler& aScheduler, std::size_t aPlacements,
+                  std::size_t aWindow = kStartWindow) {
   constexpr std::size_t kLargestGang = kStartWindow - kMinStartRoom;
   return CountUnstarted(aScheduler) + std::min(aPlacements, kLargestGang) <=
-         kStartWindow;
+         aWindow;
+}
+
+// Long-running tasks have a part of the window to themselves.
+std::size_t WindowFor(const StageSpec& aStage) {
+  constexpr std::size_t kLongRunningRoom = 64;
+  return kStartWindow + (aStage.longRunning ? kLongRunningRoom : 0);
+}
+
+// Whether a pass may place long-running tasks although the window is full for
+// all others. The pass ends at the first stage of another kind, since
+// long-running jobs rank first.
+bool IsLongRunningPassDue(Scheduler& aScheduler, const State& aState,
+                          TimePoint aNow) {
+  constexpr Duration kLongRunningPassInterval = Millis(100);
+  if (aNow < aScheduler.nextLongRunningPassAt) {
+    return false;
+  }
+  aScheduler.nextLongRunningPassAt = aNow + kLongRunningPassInterval;
+  return HasUnplacedLongRunningTask(aScheduler, aState);
 }
 
 bool HasLabel(const Worker& aWorker, const std::string& aLabel) {
@@ -441,7 +461,8 @@
   // Restored if not all tasks of a gang can be placed.
   std::vector<std::pair<std::size_t, Neighbours>> before;
   for (const TaskKey& key : waiting) {
-    if (!spec.gang && !HasStartRoom(aPass.scheduler, chosen.size() + 1)) {
+    if (!spec.gang &&
+        !HasStartRoom(aPass.scheduler, chosen.size() + 1, WindowFor(spec))) {
       aPass.isLimited = true;
       break;
     }
@@ -544,7 +565,8 @@
 void Dispatch(Scheduler& aScheduler, const State& aState, TimePoint aNow,
               std::int64_t aUnixMs, SchedulerActions& aActions) {
   aScheduler.isStartWindowFull = !HasStartRoom(aScheduler, kMinStartRoom);
-  if (aScheduler.isStartWindowFull) {
+  if (aScheduler.isStartWindowFull &&
+      !IsLongRunningPassDue(aScheduler, aState, aNow)) {
     return;
   }
   ++aScheduler.work.passes;
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -281,7 +281,7 @@
   next.sentAt = aNow;
   next.progressAt = aNow;
   aAttempt = std::move(next);
-  detail::QueueStart(aScheduler, aKey, aAttempt.number);
+  detail::QueueStart(aScheduler, aState, aKey, aAttempt.number);
 }
 
 // Starts, ends or stops attempts that the worker lists neither as running nor
--- a/src/bramleypath/workflow/internal/LongRunningWaits.cpp
+++ b/src/bramleypath/workflow/internal/LongRunningWaits.cpp
@@ -154,8 +154,8 @@
   if (attempt.startStatus == Attempt::StartStatus::Unknown) {
     return "start unanswered";
   }
-  return IsQueued(aScheduler.queuedStarts, aKey) ? "start queued"
-                                                 : "start in flight";
+  return IsQueued(aScheduler.queuedLongRunningStarts, aKey) ? "start queued"
+                                                            : "start in flight";
 }
 
 void RecordWait(const Scheduler& aScheduler, const State& aState,
@@ -175,6 +175,19 @@
 
 }  // namespace
 
+bool HasUnplacedLongRunningTask(Scheduler& aScheduler, const State& aState) {
+  UpdateLongRunningJobs(aScheduler.longRunningJobs, aState);
+  bool isFound = false;
+  for (const JobNumber number : aScheduler.longRunningJobs.numbers) {
+    ForEachLongRunningTask(aState.jobs.at(number), [&](const TaskKey& aKey,
+                                                       const TaskState& aTask) {
+      isFound = isFound || (aTask.phase == TaskPhase::Waiting &&
+                            aScheduler.pendingPlacements.count(aKey) == 0);
+    });
+  }
+  return isFound;
+}
+
 void RecordLongRunningWaits(Scheduler& aScheduler, const State& aState,
                             TimePoint aNow, SchedulerActions& aActions) {
   UpdateLongRunningJobs(aScheduler.longRunningJobs, aState);
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -114,12 +114,13 @@
 // Placements that are being committed, and starts without an answer.
 std::size_t CountUnstarted(const Scheduler& aScheduler);
 // Queues the start of an attempt; SendQueuedStarts sends it.
-void QueueStart(Scheduler& aScheduler, const TaskKey& aKey,
+void QueueStart(Scheduler& aScheduler, const State& aState, const TaskKey& aKey,
                 AttemptNumber aAttempt);
 // Queues a start that was not sent because the leader was late. Nothing was
 // sent, so that the same attempt may start later.
-void QueueDelayedStart(Scheduler& aScheduler, const SendStart& aRequest,
-                       const Attempt& aAttempt, TimePoint aNow);
+void QueueDelayedStart(Scheduler& aScheduler, const State& aState,
+                       const SendStart& aRequest, const Attempt& aAttempt,
+                       TimePoint aNow);
 // Records that a start in flight was answered or failed.
 void RecordStartAnswered(Scheduler& aScheduler);
 // Sends the starts that are queued. Attempts that are no longer to start end as
@@ -144,6 +145,8 @@
 void AdjustPaces(Scheduler& aScheduler, const State& aState,
                  WorkerSession& aSession, TimePoint aNow,
                  SchedulerActions& aActions);
+// Whether a long-running task waits for its placement.
+bool HasUnplacedLongRunningTask(Scheduler& aScheduler, const State& aState);
 // Records why long-running tasks are not at work.
 void RecordLongRunningWaits(Scheduler& aScheduler, const State& aState,
                             TimePoint aNow, SchedulerActions& aActions);
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -11,6 +11,9 @@
 constexpr Duration kDelayedStartPause = Millis(50);
 // 800 starts per second with answers after 100 ms need 80.
 constexpr std::uint32_t kMaxStartsInFlight = 128;
+// Further starts of long-running tasks, which must not wait for the answers to
+// others.
+constexpr std::uint32_t kMaxLongRunningInFlight = 32;
 
 // Whether the stage needs a ticket for the worker and holds no valid one.
 bool LacksTicket(const Scheduler& aScheduler, const State& aState,
@@ -108,11 +111,24 @@
                                session->second, aNow));
 }
 
+// Sends the starts of one queue while fewer than aMaxInFlight are in flight.
+void SendQueue(Scheduler& aScheduler, const State& aState,
+               std::deque<QueuedStart>& aQueue, std::uint32_t aMaxInFlight,
+               TimePoint aNow, EndTasks& aNeverRan,
+               SchedulerActions& aActions) {
+  while (!aQueue.empty() && aNow >= aScheduler.nextStartAt &&
+         aScheduler.startsInFlight < aMaxInFlight) {
+    const QueuedStart next = aQueue.front();
+    aQueue.pop_front();
+    SendOne(aScheduler, aState, next, aNow, aNeverRan, aActions);
+  }
+}
+
 }  // namespace
 
 std::size_t CountUnstarted(const Scheduler& aScheduler) {
   return aScheduler.pendingPlacements.size() + aScheduler.queuedStarts.size() +
-         aScheduler.startsInFlight;
+         aScheduler.queuedLongRunningStarts.size() + aScheduler.startsInFlight;
 }
 
 void RecordStartAnswered(Scheduler& aScheduler) {
@@ -122,30 +138,34 @@
   }
 }
 
-void QueueStart(Scheduler& aScheduler, const TaskKey& aKey,
+void QueueStart(Scheduler& aScheduler, const State& aState, const TaskKey& aKey,
                 AttemptNumber aAttempt) {
-  aScheduler.queuedStarts.push_back(QueuedStart{aKey, aAttempt});
+  std::deque<QueuedStart>& queue = StageOf(aState, aKey).longRunning
+                                       ? aScheduler.queuedLongRunningStarts
+                                       : aScheduler.queuedStarts;
+  queue.push_back(QueuedStart{aKey, aAttempt});
 }
 
-void QueueDelayedStart(Scheduler& aScheduler, const SendStart& aRequest,
-                       const Attempt& aAttempt, TimePoint aNow) {
+void QueueDelayedStart(Scheduler& aScheduler, const State& aState,
+                       const SendStart& aRequest, const Attempt& aAttempt,
+                       TimePoint aNow) {
   aScheduler.nextStartAt = aNow + kDelayedStartPause;
   // An attempt that was moved to another incarnation is being stopped there.
   if (aAttempt.worker == aRequest.worker &&
-      aAttempt.startStatus == Attempt::StartStatus::Sending) {
-    QueueStart(aScheduler, aRequest.task, aAttempt.number);
+      aAttempt.startStatus == Attempt::StartStatus::Sending &&
+      !HasEnded(aState, aRequest.task, aAttempt)) {
+    QueueStart(aScheduler, aState, aRequest.task, aAttempt.number);
   }
 }
 
 void SendQueuedStarts(Scheduler& aScheduler, const State& aState,
                       TimePoint aNow, SchedulerActions& aActions) {
   EndTasks neverRan;
-  while (!aScheduler.queuedStarts.empty() && aNow >= aScheduler.nextStartAt &&
-         aScheduler.startsInFlight < kMaxStartsInFlight) {
-    const QueuedStart next = aScheduler.queuedStarts.front();
-    aScheduler.queuedStarts.pop_front();
-    SendOne(aScheduler, aState, next, aNow, neverRan, aActions);
-  }
+  SendQueue(aScheduler, aState, aScheduler.queuedLongRunningStarts,
+            kMaxStartsInFlight + kMaxLongRunningInFlight, aNow, neverRan,
+            aActions);
+  SendQueue(aScheduler, aState, aScheduler.queuedStarts, kMaxStartsInFlight,
+            aNow, neverRan, aActions);
   if (!neverRan.tasks.empty()) {
     Commit commit;
     commit.commands.emplace_back(std::move(neverRan));
--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -85,6 +85,7 @@
   CPPUNIT_TEST(testLostStartIsResolvedWhileRenewalsWait);
   CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
   CPPUNIT_TEST(testChangesOfLeaderUseUpNoAttempt);
+  CPPUNIT_TEST(testFullStartQueueDoesNotDelayALongRunningTask);
   CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
@@ -146,6 +147,21 @@
     CPPUNIT_ASSERT(cell.violations.empty());
   }
 
+  // The start of a long-running task waited for room in the start window and
+  // then behind all starts of short tasks.
+  void testFullStartQueueDoesNotDelayALongRunningTask() {
+    CellModel cell = MakeCell(80);
+    cell.startDelay = Millis(1100);
+    for (int job = 0; job < 60; ++job) {
+      JobSpec spec = MakeJob("short" + std::to_string(job));
+      spec.stages = {MakeStage(10, 500, 500)};
+      cell.Submit(spec);
+    }
+    cell.Run(Millis(100));
+    cell.Submit(MakeLongRunningJob("job"));
+    AssertRunsInTime(cell, "job");
+  }
+
   // The renewals of a new leader went out in the order of the workers' numbers,
   // a bounded number at a time, so that those of a late leader took seconds to
   // reach the workers with long-running tasks.
