Play a long-running job in the fault property test

The property test played only tasks that end, so that a long-running task that isn't started again after leaders changed, commits were lost or workers restarted passed unseen. It now keeps a job with two such tasks through all kinds of faults and requires both at work afterwards; the check that no task runs on two workers covers them too.

--- a/tests/workflow/FaultPropertyTest.cpp
+++ b/tests/workflow/FaultPropertyTest.cpp
@@ -20,7 +20,8 @@
 };
 
 // Each row guards against a task that runs on two workers, is lost or is
-// started again after its end, under one kind of fault or several at once.
+// started again after its end, under one kind of fault or several at once. A
+// long-running task must be at work once the faults are over.
 constexpr FaultCase kCases[] = {
     {"no faults", {}, false, false, false},
     {"answers lost", {0, 0.2, 0, 0}, false, false, false},
@@ -46,6 +47,8 @@
 constexpr const char* kSeedsVariable = "FAULT_SEEDS";
 constexpr int kFaultSeconds = 30;
 constexpr int kWorkers = 5;
+constexpr const char* kLongRunningJob = "long";
+constexpr std::uint32_t kLongRunningTasks = 2;
 
 void InjectFaults(CellModel& aCell, const FaultCase& aCase) {
   const std::string worker =
@@ -67,11 +70,49 @@
   }
 }
 
+JobSpec MakeLongRunningJob() {
+  JobSpec spec = MakeJob(kLongRunningJob);
+  spec.stages = {MakeStage(kLongRunningTasks, 500, 0)};
+  spec.stages[0].longRunning = true;
+  return spec;
+}
+
+std::size_t CountLongRunning(const CellModel& aCell) {
+  std::size_t count = 0;
+  for (const auto& [id, worker] : aCell.workers) {
+    for (const auto& [task, run] : worker.running) {
+      count += worker.names.at(task).job.value == kLongRunningJob ? 1 : 0;
+    }
+  }
+  return count;
+}
+
+// What is wrong with the jobs once the faults are over; empty if nothing is.
+std::string FindUnfinished(const CellModel& aCell) {
+  for (const auto& [number, job] : aCell.state.jobs) {
+    if (job.id.value == kLongRunningJob) {
+      continue;
+    }
+    if (job.phase == JobPhase::Active) {
+      return job.id.value + " is not done";
+    }
+    if (job.placed > 0) {
+      return job.id.value + " still holds a reservation";
+    }
+  }
+  return CountLongRunning(aCell) == kLongRunningTasks
+             ? ""
+             : "a long-running task is not at work";
+}
+
 std::string RunCase(const FaultCase& aCase, std::uint64_t aSeed) {
   CellModel cell(aSeed);
   for (int worker = 0; worker < kWorkers; ++worker) {
-    cell.AddWorker("w" + std::to_string(worker));
+    const std::string id = "w" + std::to_string(worker);
+    cell.AddWorker(id);
+    cell.workers.at(id).endlessJob = kLongRunningJob;
   }
+  cell.Submit(MakeLongRunningJob());
   cell.faults = aCase.faults;
   int jobs = 0;
   for (int second = 0; second < kFaultSeconds; ++second) {
@@ -97,15 +138,7 @@
   if (!cell.violations.empty()) {
     return cell.violations.front();
   }
-  for (const auto& [number, job] : cell.state.jobs) {
-    if (job.phase == JobPhase::Active) {
-      return job.id.value + " is not done";
-    }
-    if (job.placed > 0) {
-      return job.id.value + " still holds a reservation";
-    }
-  }
-  return "";
+  return FindUnfinished(cell);
 }
 
 std::uint64_t CountSeeds() {
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace bramleypath::workflow {
 
@@ -105,7 +106,9 @@
   WorkerModel::Running run;
   run.attempt = aRequest.attempt;
   run.startedAtMs = clock;
-  run.endsAtMs = clock + aWorker.runMs;
+  run.endsAtMs = aRequest.task.job.value == aWorker.endlessJob
+                     ? std::numeric_limits<std::int64_t>::max()
+                     : clock + aWorker.runMs;
   run.fails = NextUnit(aRandom) < aWorker.failureShare;
   aWorker.running[task] = run;
   aWorker.names[task] = aRequest.task;
@@ -196,6 +199,7 @@
   next.clockStartedAt = aNow;
   next.runMs = aWorker.runMs;
   next.failureShare = aWorker.failureShare;
+  next.endlessJob = aWorker.endlessJob;
   aWorker = next;
 }
 
--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -34,6 +34,7 @@
   std::vector<EndedAttempt> ended;
   std::uint64_t lastEnd = 0;
   std::uint32_t runMs = 300;
+  std::string endlessJob;  // its tasks run until they are stopped
   double failureShare = 0;
   bool refusesStarts = false;
   // The job of the serving task and that of the filler beside it, and the tail
