Test that a taken-over start fits the worker as it is now

A new leader starts what an earlier one placed without a new placement, so that a worker which has become smaller since, or has restarted as another kind, gets a task that doesn't fit there or may not run there.

The test fails for a smaller worker with

LongRunningStartTest.cpp:239: assertion failed - Expression: !IsRunning(cell, "job") - smaller

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <string>
+#include <vector>
 
 #include "tests/workflow/CellModel.h"
 #include "tests/workflow/Samples.h"
@@ -88,6 +89,7 @@
   CPPUNIT_TEST(testFullStartQueueDoesNotDelayALongRunningTask);
   CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
+  CPPUNIT_TEST(testTakenOverStartIsNotSentToAChangedWorker);
   CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
@@ -202,6 +204,43 @@
     CPPUNIT_ASSERT(cell.workers.at(id).running.empty());
   }
 
+  // A new leader started what its predecessor had placed on a worker that has
+  // become smaller meanwhile, or has restarted without the required label.
+  void testTakenOverStartIsNotSentToAChangedWorker() {
+    struct Case {
+      const char* change;
+      bool restarts;
+      std::vector<std::string> labels;
+      Resources capacity;
+    };
+    const Case cases[] = {
+        {"smaller", false, {"a", "r1"}, Resources{500, 8000, 0}},
+        {"restarted smaller", true, {"a", "r1"}, Resources{500, 8000, 0}},
+        {"restarted without label", true, {"r1"}, Resources{8000, 8000, 0}}};
+    for (const Case& one : cases) {
+      CellModel cell = MakeCell(1);
+      cell.faults.startTooLate = 1;
+      JobSpec spec = MakeLongRunningJob("job");
+      spec.stages[0].requiredLabel = "a";
+      cell.Submit(spec);
+      cell.Run(Millis(700));
+      CPPUNIT_ASSERT(TaskOf(cell, "job").phase == TaskPhase::Placed);
+      cell.workers.at("w0").spec.labels = one.labels;
+      cell.workers.at("w0").spec.capacity = one.capacity;
+      if (one.restarts) {
+        cell.RestartWorker("w0");
+      } else {
+        Apply(cell.state, RegisterWorker{cell.workers.at("w0").spec});
+      }
+      cell.faults.startTooLate = 0;
+      cell.ChangeLeader();
+      cell.Run(Seconds(3));
+      CPPUNIT_ASSERT_MESSAGE(one.change, !IsRunning(cell, "job"));
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.change, std::size_t{0},
+                                   cell.violations.size());
+    }
+  }
+
   // The leader's entry of an attempt that had ended hid a later placement whose
   // commit was reported as failed, so that it was never started.
   void testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate() {
