Start a taken-over attempt only on a worker that still suits it

Callers could see a start over a worker's capacity, or on a worker without the required label.

Cause: a new leader starts what its predecessor placed, on the same worker and without a new placement. The worker may have become smaller since, or have restarted with the same id as another kind; attempts move to the new incarnation. Only draining and the service were checked before a start.

A queued start is now dropped as never run, and its task placed anew, if the worker lacks the label or has no room for it beside its other attempts, by the same comparison as in placement. With the capacity check alone the test still failed for 'restarted without label'; with both it passes.

--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
@@ -49,15 +50,32 @@
          !FindTask(aState, aKey)->doneByEarlierAttempt;
 }
 
+// Whether the worker has room for the task beside the other attempts that are
+// placed on it.
+bool FitsOn(const Worker& aWorker, const StageSpec& aStage) {
+  const Resources own = Reservation(aStage);
+  return Fits(own, aWorker.spec.capacity - (aWorker.reserved - own));
+}
+
+bool HasRequiredLabel(const Worker& aWorker, const StageSpec& aStage) {
+  const std::vector<std::string>& labels = aWorker.spec.labels;
+  return aStage.requiredLabel.empty() ||
+         std::find(labels.begin(), labels.end(), aStage.requiredLabel) !=
+             labels.end();
+}
+
 // Whether the worker may still take the task. A queued start waits while the
-// leader is late, so that this may have changed since the placement.
+// leader is late, and a new leader starts what an earlier one placed, so that
+// the worker may have changed since the placement.
 bool MayStartOn(const State& aState, const TaskKey& aKey,
                 WorkerNumber aWorker) {
   const auto worker = aState.workers.find(aWorker);
   const QueueSettings* const queue =
       FindQueue(aState, aState.jobs.at(aKey.job).spec.queue);
   return worker != aState.workers.end() && !worker->second.spec.draining &&
-         queue && worker->second.spec.service == queue->service;
+         queue && worker->second.spec.service == queue->service &&
+         HasRequiredLabel(worker->second, StageOf(aState, aKey)) &&
+         FitsOn(worker->second, StageOf(aState, aKey));
 }
 
 // Why a queued start must not be sent; empty if it may be.
@@ -71,7 +89,7 @@
     return "no longer needed";
   }
   if (!MayStartOn(aState, aKey, aAttempt.worker)) {
-    return "worker drains or has left the queue's service";
+    return "worker no longer suitable";
   }
   if (LacksTicket(aScheduler, aState, aKey, aAttempt.worker, aNow)) {
     return "no valid ticket";
