Test that attempts without an answer don't hold back renewals

A worker with an attempt that waits for its list is renewed only while fewer than 64 renewals that are answered at once are in flight. When answers are slow or many workers can't be reached, the leases of its other tasks expire.

The test fails with

LongRunningStartTest.cpp:261: assertion failed - Expression: IsRunning(cell, "other")

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testTakenOverStartIsNotSentToAChangedWorker);
+  CPPUNIT_TEST(testUnresolvedAttemptDoesNotHoldBackRenewals);
   CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
@@ -241,6 +242,25 @@
     }
   }
 
+  // A worker with an attempt that waits for its list got no renewal at all
+  // while renewals that are answered at once were at their bound, so that the
+  // leases of its other tasks expired.
+  void testUnresolvedAttemptDoesNotHoldBackRenewals() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeLongRunningJob("other"));
+    cell.Run(Seconds(1));
+    CPPUNIT_ASSERT(IsRunning(cell, "other"));
+    cell.faults.startLost = 1;
+    cell.Submit(MakeLongRunningJob("job"));
+    cell.Run(Millis(100));
+    // As many as never end during the test.
+    constexpr std::uint32_t kRenewalsOfOthers = 1000;
+    cell.scheduler->promptRenewalsInFlight += kRenewalsOfOthers;
+    cell.Run(Seconds(20));
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{1}, TaskOf(cell, "other").attempt);
+    CPPUNIT_ASSERT(IsRunning(cell, "other"));
+  }
+
   // The leader's entry of an attempt that had ended hid a later placement whose
   // commit was reported as failed, so that it was never started.
   void testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate() {
