Renew a worker with an unanswered start also when prompt renewals are many

Leases of tasks that are at work expire on a worker with one unanswered start, when the leader is late or many workers can't be reached.

Cause: such a worker is renewed with a request that is answered at once, and of those at most 64 are in flight. With answers after 0.8 s and 490 such workers, each is renewed every 6 s, which is as long as a lease lasts. Before, it was renewed with a request that waits and has no such bound.

At the bound the worker now gets a renewal that waits, as it did before.

--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -250,10 +250,14 @@
       session.nextRenewalAt = kNever;
       continue;
     }
-    const bool waits = busy && session.hasAnsweredRenewal &&
-                       session.missedRenewals == 0 &&
-                       !HasUnresolvedAttempt(aScheduler, worker->second, aNow);
-    if (!waits && aScheduler.promptRenewalsInFlight >= kMaxPromptRenewals) {
+    const bool isPromptFull =
+        aScheduler.promptRenewalsInFlight >= kMaxPromptRenewals;
+    // A lease must not expire because an attempt waits for a prompt answer.
+    const bool waits =
+        busy && session.hasAnsweredRenewal && session.missedRenewals == 0 &&
+        (isPromptFull ||
+         !HasUnresolvedAttempt(aScheduler, worker->second, aNow));
+    if (!waits && isPromptFull) {
       continue;
     }
     RenewLeaseRequest request;
