Test that queued starts don't shorten lease renewals

A start that is still queued on the leader counts as unanswered after 400 ms, so that the renewals of its worker are repeated every 250 ms. After a change of leader and under load that holds for most workers.

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -91,6 +91,7 @@
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testTakenOverStartIsNotSentToAChangedWorker);
   CPPUNIT_TEST(testUnresolvedAttemptDoesNotHoldBackRenewals);
+  CPPUNIT_TEST(testQueuedStartDoesNotShortenRenewals);
   CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
@@ -261,6 +262,24 @@
     CPPUNIT_ASSERT(IsRunning(cell, "other"));
   }
 
+  // A start that waits in the leader's queue made the renewals of its worker
+  // short, although no list can tell anything about it. After a change of
+  // leader or under load that holds for most workers at once.
+  void testQueuedStartDoesNotShortenRenewals() {
+    CellModel cell = MakeCell(1);
+    cell.renewalsWait = true;
+    cell.Submit(MakeLongRunningJob("other"));
+    cell.Run(Seconds(3));
+    constexpr std::uint32_t kStartsOfOthers = 160;
+    cell.scheduler->startsInFlight += kStartsOfOthers;
+    cell.Submit(MakeLongRunningJob("job"));
+    for (int step = 0; step < 400; ++step) {
+      cell.Run(Millis(5));
+      CPPUNIT_ASSERT_EQUAL(0U, cell.scheduler->promptRenewalsInFlight);
+    }
+    CPPUNIT_ASSERT(TaskOf(cell, "job").phase == TaskPhase::Placed);
+  }
+
   // The leader's entry of an attempt that had ended hid a later placement whose
   // commit was reported as failed, so that it was never started.
   void testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate() {
