Don't shorten renewals of workers whose starts are still queued

The renewals of a leader under load become more frequent the longer its queue of starts is, which delays the starts further.

Cause: an attempt counts as unanswered 400 ms after it was queued, also if its start has not been sent. Renewals of its worker are then answered at once and repeated every 250 ms, although no list can tell anything about the start. Since a new leader queues all placements of the earlier one, that holds for most workers after a change of leader.

Only a start in flight counts now.

--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -123,6 +123,7 @@
     return;
   }
   ++aScheduler.startsInFlight;
+  attempt.isStartInFlight = true;
   attempt.sentAt = aNow;
   attempt.progressAt = aNow;
   aActions.push_back(MakeStart(aScheduler, aState, aQueued.task, attempt,
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -49,8 +49,9 @@
   switch (aAttempt.startStatus) {
     case Attempt::StartStatus::Sending:
       // A renewal that waits for seconds would hide for as long that the start
-      // is lost.
-      return aNow >= aAttempt.sentAt + kLateStartAnswer;
+      // is lost. A list tells nothing about a start that is still queued.
+      return aAttempt.isStartInFlight &&
+             aNow >= aAttempt.sentAt + kLateStartAnswer;
     case Attempt::StartStatus::Unknown:
       return true;
     case Attempt::StartStatus::Accepted:
