--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -254,6 +254,8 @@
   std::uint64_t jobSweeps = 0;      // over all jobs, for due occurrences
   std::uint64_t attemptSweeps = 0;  // over all attempts
   std::uint64_t sessionSweeps = 0;  // over all sessions, for lease renewals
+  // Workers whose tasks were read to order the first renewals of an epoch.
+  std::uint64_t workersClassified = 0;
 };
 
 // Volatile state of the leader, rebuilt from the replicated state and the
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -81,13 +81,15 @@
 // follow in the order of their times.
 enum class RenewalClass : std::uint8_t { LongRunning, Busy, Other };
 
-RenewalClass RenewalClassOf(const WorkerSession& aSession,
+RenewalClass RenewalClassOf(Scheduler& aScheduler,
+                            const WorkerSession& aSession,
                             const State& aState) {
   const auto worker = aState.workers.find(aSession.worker);
   if (aSession.hasAnsweredRenewal || aSession.missedRenewals > 0 ||
       worker == aState.workers.end() || worker->second.attempts.empty()) {
     return RenewalClass::Other;
   }
+  ++aScheduler.work.workersClassified;
   const bool isLongRunning = std::any_of(
       worker->second.attempts.begin(), worker->second.attempts.end(),
       [&](const TaskKey& aKey) { return StageOf(aState, aKey).longRunning; });
@@ -112,7 +114,7 @@
   for (auto& [number, session] : aScheduler.sessions) {
     if (!session.renewalInFlight && !session.isCommittingEnds &&
         !(aNow < session.nextRenewalAt)) {
-      due.push_back({RenewalClassOf(session, aState), &session});
+      due.push_back({RenewalClassOf(aScheduler, session, aState), &session});
     }
   }
   std::stable_sort(due.begin(), due.end(), IsRenewedBefore);
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -115,6 +115,7 @@
   CPPUNIT_TEST(testPassReadsOnlyTheStagesOwnPendingPlacements);
   CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
   CPPUNIT_TEST(testPostponedSweepsSetTheNextTick);
+  CPPUNIT_TEST(testFirstRenewalsReadTheTasksOfAWorkerOnce);
   CPPUNIT_TEST(testPassesDoNotRankAllJobsEachTime);
   CPPUNIT_TEST(testStageBehindManyUnplaceableOnesIsPlaced);
   CPPUNIT_TEST(testSlowPassesAreSpaced);
@@ -212,6 +213,32 @@
     CPPUNIT_ASSERT(!cell.scheduler.renewalSweep.postponed);
   }
 
+  // Guards against sweeps that read all tasks of all workers again while the
+  // first renewals of a new leader wait for answers to others.
+  void testFirstRenewalsReadTheTasksOfAWorkerOnce() {
+    Cell cell;
+    Apply(cell.state, SetLayout{MakeLayout(1)});
+    AddWorkers(cell, kWorkers, kSmallWorker);
+    AcceptJobs(cell, MakeStage(kTasksPerJob, 1000, 500), kWorkers);
+    PlaceTasks places;
+    WorkerNumber worker = 0;
+    for (const auto& [number, job] : cell.state.jobs) {
+      for (std::uint32_t task = 0; task < job.spec.stages[0].tasks; ++task) {
+        places.tasks.push_back({TaskKey{number, 0, 0, task}, 1, ++worker});
+      }
+    }
+    Apply(cell.state, places);
+    Lead(cell);
+    constexpr int kSweeps = 20;
+    for (int sweep = 0; sweep < kSweeps; ++sweep) {
+      cell.Tick(Millis(5));
+    }
+    CPPUNIT_ASSERT(cell.scheduler.work.workersClassified > 0);
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(
+        std::to_string(cell.scheduler.work.workersClassified) + " reads", true,
+        cell.scheduler.work.workersClassified <= kWorkers);
+  }
+
   // Guards against ranking the whole backlog in each pass of a burst.
   void testPassesDoNotRankAllJobsEachTime() {
     Cell cell;
