Order the first renewals of an epoch without reading all tasks each time

A new leader on the grown site spends up to half of its processor on ordering renewals that it doesn't send yet.

The order is now decided once per worker and epoch. The test failed before with '8584 reads', now one for each worker.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -76,6 +76,11 @@
   TimePoint at;
 };
 
+// Order of the first renewals of an epoch, which are sent a bounded number at a
+// time. Attempts that an earlier leader placed wait for them. Later renewals
+// follow in the order of their times.
+enum class RenewalClass : std::uint8_t { LongRunning, Busy, Other };
+
 // The leader's view of one worker incarnation.
 struct WorkerSession {
   WorkerNumber worker = 0;
@@ -87,6 +92,8 @@
   TimePoint earlierLeaseEndsAt;
   // The worker has answered a lease renewal of this epoch.
   bool hasAnsweredRenewal = false;
+  // Set by the first sweep over the session.
+  std::optional<RenewalClass> firstRenewal;
   bool renewalInFlight = false;
   TimePoint nextRenewalAt;
   std::uint32_t missedRenewals = 0;
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -76,24 +76,30 @@
   aSession.fencingStops.clear();
 }
 
-// Order of the first renewals of an epoch, which are sent a bounded number at a
-// time. Attempts that an earlier leader placed wait for them. Later renewals
-// follow in the order of their times.
-enum class RenewalClass : std::uint8_t { LongRunning, Busy, Other };
+RenewalClass ClassifyByTasks(const Worker& aWorker, const State& aState) {
+  if (aWorker.attempts.empty()) {
+    return RenewalClass::Other;
+  }
+  const bool isLongRunning = std::any_of(
+      aWorker.attempts.begin(), aWorker.attempts.end(),
+      [&](const TaskKey& aKey) { return StageOf(aState, aKey).longRunning; });
+  return isLongRunning ? RenewalClass::LongRunning : RenewalClass::Busy;
+}
 
-RenewalClass RenewalClassOf(Scheduler& aScheduler,
-                            const WorkerSession& aSession,
+RenewalClass RenewalClassOf(Scheduler& aScheduler, WorkerSession& aSession,
                             const State& aState) {
   const auto worker = aState.workers.find(aSession.worker);
   if (aSession.hasAnsweredRenewal || aSession.missedRenewals > 0 ||
-      worker == aState.workers.end() || worker->second.attempts.empty()) {
+      worker == aState.workers.end()) {
     return RenewalClass::Other;
   }
-  ++aScheduler.work.workersClassified;
-  const bool isLongRunning = std::any_of(
-      worker->second.attempts.begin(), worker->second.attempts.end(),
-      [&](const TaskKey& aKey) { return StageOf(aState, aKey).longRunning; });
-  return isLongRunning ? RenewalClass::LongRunning : RenewalClass::Busy;
+  // The first renewals wait for many sweeps. The tasks that matter are those
+  // of the first sweep, which an earlier leader placed.
+  if (!aSession.firstRenewal) {
+    ++aScheduler.work.workersClassified;
+    aSession.firstRenewal = ClassifyByTasks(worker->second, aState);
+  }
+  return *aSession.firstRenewal;
 }
 
 struct DueSession {
