Test that an attempt of an earlier incarnation is not started again

After a restart of its worker and a change of leader, the new leader starts an attempt that had run before under the same number, although the numbers count the starts of a task. The test fails with

equality assertion failed - Expected: 2 - Actual : 1

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -90,6 +90,7 @@
   CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testTakenOverStartIsNotSentToAChangedWorker);
+  CPPUNIT_TEST(testAttemptOfAnEarlierIncarnationIsNotStartedAgain);
   CPPUNIT_TEST(testUnresolvedAttemptDoesNotHoldBackRenewals);
   CPPUNIT_TEST(testQueuedStartDoesNotShortenRenewals);
   CPPUNIT_TEST(testStaleAttemptDoesNotHideAPlacementThatIsAppliedLate);
@@ -243,6 +244,19 @@
     }
   }
 
+  // A new leader started an attempt again that had run on its worker before the
+  // worker restarted, so that two starts had the same number.
+  void testAttemptOfAnEarlierIncarnationIsNotStartedAgain() {
+    CellModel cell = MakeCell(1);
+    cell.Submit(MakeLongRunningJob("job"));
+    cell.Run(Millis(500));
+    CPPUNIT_ASSERT(IsRunning(cell, "job"));
+    cell.RestartWorker("w0");
+    cell.ChangeLeader();
+    AssertRunsInTime(cell, "job");
+    CPPUNIT_ASSERT_EQUAL(AttemptNumber{2}, TaskOf(cell, "job").attempt);
+  }
+
   // A worker with an attempt that waits for its list got no renewal at all
   // while renewals that are answered at once were at their bound, so that the
   // leases of its other tasks expired.
