Split the wait of a job's first start into its steps

first_start_seconds shows that jobs wait for their first start, but not where: the placement pass, the commit, the queue of starts or the worker. Four histograms on the metrics address record the steps. They count the same first attempts as first_start_seconds.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -59,6 +59,13 @@
   return answer;
 }
 
+gsl::span<const workflow::PlacedTask> PlacedBy(
+    const workflow::Command& aCommand) {
+  const auto* const places = std::get_if<workflow::PlaceTasks>(&aCommand);
+  return places ? gsl::span<const workflow::PlacedTask>(places->tasks)
+                : gsl::span<const workflow::PlacedTask>();
+}
+
 RequestAnswer NotSentAnswer() {
   RequestAnswer answer;
   answer.outcome = RequestOutcome::NotSent;
@@ -460,8 +467,11 @@
   batch->commit = std::move(aCommit);
   batch->open = batch->commit.commands.size();
   const Epoch epoch = this->scheduler->epoch;
+  const TimePoint now = net::Now();
   for (const workflow::Command& command : batch->commit.commands) {
     ++this->counters.commits;
+    RecordPlaced(this->counters.firstStarts, this->State(), PlacedBy(command),
+                 now, this->group->AgreedUnixMs(now));
     this->Propose(
         command, kNoTimeout,
         [this, isAlive = this->alive, batch, epoch](const Answer& aAnswer) {
@@ -477,6 +487,10 @@
           if (--batch->open > 0) {
             return;
           }
+          for (const workflow::Command& one : batch->commit.commands) {
+            RecordCommitted(this->counters.firstStarts, PlacedBy(one),
+                            batch->ok, net::Now());
+          }
           this->WithScheduler(epoch, [&](workflow::Scheduler& aScheduler) {
             return workflow::OnCommitted(aScheduler, this->State(),
                                          batch->commit, batch->ok, net::Now());
@@ -515,6 +529,8 @@
     } else {
       ++this->counters.startsNotDone;
     }
+    RecordAnswered(this->counters.firstStarts, sent.task,
+                   aAnswer.outcome == RequestOutcome::Done, net::Now());
     this->WithScheduler(epoch, [&](workflow::Scheduler& aScheduler) {
       return workflow::OnStartAnswer(aScheduler, this->State(), sent, aAnswer,
                                      net::Now());
@@ -527,6 +543,7 @@
     return;
   }
   this->RecordFirstStart(aStart, sentAt);
+  RecordSent(this->counters.firstStarts, aStart.task, sentAt);
   eventlog::Write("start_sent",
                   {{"job", aStart.request.task.job.value},
                    {"stage", NumberText(aStart.request.task.stage)},
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -11,6 +11,7 @@
 #include <asio/steady_timer.hpp>
 
 #include "bramleypath/controller/ControlGroup.h"
+#include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/metrics/LatencyHistogram.h"
 #include "bramleypath/workflow/Driver.h"
@@ -59,6 +60,7 @@
   metrics::LatencyHistogram startLatency;
   // From the acceptance of a job to its first start command.
   metrics::LatencyHistogram firstStartLatency;
+  FirstStarts firstStarts;
   // Time that a scheduling cycle takes.
   metrics::LatencyHistogram cycleDuration;
   // How much later than requested the cycle timer fired.
