--- a/tests/platform/WorkerListsTest.cpp
+++ b/tests/platform/WorkerListsTest.cpp
@@ -1,4 +1,4 @@
-#include "platform/Messages.h"
+#include "platform/WorkerLists.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 
@@ -7,6 +7,8 @@
 #include <new>
 #include <string>
 
+#include "platform/Messages.h"
+
 namespace {
 
 std::atomic<std::size_t> allocations{0};
@@ -38,14 +40,84 @@
   return result;
 }
 
+struct ListCase {
+  const char* body;
+  bool hasLists;
+  std::size_t running;
+  std::size_t ended;
+  std::size_t unreadable;
+};
+
 }  // namespace
 
 class WorkerListsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(WorkerListsTest);
+  CPPUNIT_TEST(testRowsOfAnyShape);
+  CPPUNIT_TEST(testFieldsOfAnyType);
   CPPUNIT_TEST(testRowCostsFewAllocations);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against an attempt that counts as absent because its row has another
+  // shape, and against an answer without lists that counts as one with empty
+  // lists.
+  void testRowsOfAnyShape() {
+    const ListCase cases[] = {
+        {R"({"running":[],"ended":[]})", true, 0, 0, 0},
+        {R"({"running":[["a.0.0.1",1,"",5]],"ended":[]})", true, 1, 0, 0},
+        {R"({"running":[["a.0.0.1",1,"",5,7,[1,[2]],{"x":[]}]],"ended":[]})",
+         true, 1, 0, 0},
+        {R"({"running":[["a.0.0.1",1,""]],"ended":[]})", true, 0, 0, 1},
+        {R"({"running":[["a",1,"",5]],"ended":[]})", true, 0, 0, 1},
+        {R"({"running":[[[],1,"",5],[{},1,"",5]],"ended":[]})", true, 0, 0, 2},
+        {R"({"running":[7,"x",null,true,1.5,{"a":[]}],"ended":[]})", true, 0, 0,
+         6},
+        {R"({"running":[[]],"ended":[[]]})", true, 0, 0, 2},
+        {R"({"running":[],"ended":[[1,"a.0.0.1",1,"done",""]]})", true, 0, 1,
+         0},
+        {R"({"running":[],"ended":[[1,"a.0.0.1",1,"done"]]})", true, 0, 0, 1},
+        {R"({"running":[],"ended":[[1,"a.0.0.1",1,"odd",""],3]})", true, 0, 0,
+         2},
+        {R"({"running":[],"ended":[["a.0.0.1",1,"",5]]})", true, 0, 0, 1},
+        {R"({"running":[3],"running":[],"ended":[]})", true, 0, 0, 0},
+        {R"({"running":[],"running":{},"ended":[]})", false, 0, 0, 0},
+        {R"({"running":{"running":[]},"ended":[]})", false, 0, 0, 0},
+        {R"({"x":{"running":[],"ended":[]}})", false, 0, 0, 0},
+        {R"({"running":[]})", false, 0, 0, 0},
+        {R"([{"running":[],"ended":[]}])", false, 0, 0, 0},
+        {R"({"running":[["a.0.0.1",1,"",5]],"ended":[])", false, 0, 0, 0},
+        {R"({"running":[],"ended":[]}{})", false, 0, 0, 0},
+        {"7", false, 0, 0, 0},
+        {"", false, 0, 0, 0},
+    };
+    for (const ListCase& one : cases) {
+      const WorkerLists read = ReadWorkerLists(one.body);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.body, one.hasLists, read.hasLists);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.body, one.running, read.running.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.body, one.ended, read.ended.size());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.body, one.unreadable, read.unreadable);
+    }
+  }
+
+  void testFieldsOfAnyType() {
+    const WorkerLists read = ReadWorkerLists(
+        R"({"clockMs":8.6,"born":"x","reason":"room","running":
+          [["a.0.0.1",-2,7,41.9,null]],
+          "ended":[[-1,"a.0.0.2",3,"stopped","c"]]})");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(9), read.clockMs);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), read.startedUnixMs);
+    CPPUNIT_ASSERT_EQUAL(std::string("room"), read.reason);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), read.running.size());
+    CPPUNIT_ASSERT_EQUAL(0U, read.running[0].attempt);
+    CPPUNIT_ASSERT_EQUAL(std::string(), read.running[0].checkpoint);
+    CPPUNIT_ASSERT_EQUAL(41U, read.running[0].percent);
+    CPPUNIT_ASSERT_EQUAL(0U, read.running[0].load);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), read.ended.size());
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0), read.ended[0].number);
+    CPPUNIT_ASSERT_EQUAL(std::string("c"), read.ended[0].checkpoint);
+    CPPUNIT_ASSERT(workflow::EndKind::Stopped == read.ended[0].kind);
+  }
+
   // Guards against a leader that builds a JSON value for each list of a worker,
   // which took an eighth of its processor time with 490 workers.
   void testRowCostsFewAllocations() {
