--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -241,7 +241,8 @@
   std::uint64_t pendingRead = 0;
   std::uint64_t jobSweeps = 0;      // over all jobs, for due occurrences
   std::uint64_t attemptSweeps = 0;  // over all attempts
-  std::uint64_t sessionSweeps = 0;  // over all sessions, for lease renewals
+  std::uint64_t sessionSweeps = 0;  // over sessions, for lease renewals
+  std::uint64_t sessionsRead = 0;   // in these sweeps
 };
 
 // Volatile state of the leader, rebuilt from the replicated state and the
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -58,6 +58,7 @@
 std::vector<WorkerSession*> DueSessions(Scheduler& aScheduler, TimePoint aNow) {
   std::vector<WorkerSession*> due;
   for (auto& [number, session] : aScheduler.sessions) {
+    ++aScheduler.work.sessionsRead;
     if (!session.renewalInFlight && !session.isCommittingEnds &&
         !(aNow < session.nextRenewalAt)) {
       due.push_back(&session);
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -99,6 +99,58 @@
   return stage;
 }
 
+// Places one task on each worker, in the order of their numbers.
+void PlaceOnEachWorker(State& aState) {
+  PlaceTasks places;
+  JobNumber job = 1;
+  std::uint32_t index = 0;
+  for (const auto& [number, worker] : aState.workers) {
+    places.tasks.push_back({{job, 0, 0, index}, 1, number});
+    if (++index == kTasksPerJob) {
+      index = 0;
+      ++job;
+    }
+  }
+  Apply(aState, places);
+}
+
+// The list of a worker on which all placed attempts run.
+std::vector<RunningAttempt> RunningOn(const State& aState,
+                                      WorkerNumber aWorker) {
+  std::vector<RunningAttempt> running;
+  for (const TaskKey& key : aState.workers.at(aWorker).attempts) {
+    RunningAttempt row;
+    row.task = TaskName{aState.jobs.at(key.job).id, key.occurrence, key.stage,
+                        key.index};
+    row.attempt = FindTask(aState, key)->attempt;
+    running.push_back(row);
+  }
+  return running;
+}
+
+// Answers the first renewals of all workers, so that each holds one open that
+// waits for an end. Returns the number of those.
+std::size_t SendWaitingRenewals(Cell& aCell) {
+  std::size_t waiting = 0;
+  constexpr int kMaxSweeps = 40;
+  for (int sweep = 0; sweep < kMaxSweeps; ++sweep) {
+    for (const SchedulerAction& action : aCell.Tick(Millis(5))) {
+      const auto* const renewal = std::get_if<SendLeaseRenewal>(&action);
+      if (renewal && renewal->request.waitMs > 0) {
+        ++waiting;
+      } else if (renewal) {
+        RenewLeaseAnswer answer;
+        answer.result.outcome = RequestOutcome::Done;
+        answer.result.clockMs = kSteadyClockMs;
+        answer.running = RunningOn(aCell.state, renewal->worker);
+        OnLeaseRenewalAnswer(aCell.scheduler, aCell.state, *renewal, aCell.now,
+                             answer, aCell.now);
+      }
+    }
+  }
+  return waiting;
+}
+
 struct BacklogCase {
   const char* name;
   StageSpec stage;
@@ -114,6 +166,7 @@
   CPPUNIT_TEST(testPassDoesBoundedWorkUnderABacklog);
   CPPUNIT_TEST(testPassReadsOnlyTheStagesOwnPendingPlacements);
   CPPUNIT_TEST(testEventsDoNotRepeatSweeps);
+  CPPUNIT_TEST(testRenewalSweepsReadOnlySessionsThatMayBeDue);
   CPPUNIT_TEST(testPostponedSweepsSetTheNextTick);
   CPPUNIT_TEST(testPassesDoNotRankAllJobsEachTime);
   CPPUNIT_TEST(testStageBehindManyUnplaceableOnesIsPlaced);
@@ -194,6 +247,25 @@
     CPPUNIT_ASSERT(work.sessionSweeps > 0);
   }
 
+  // Guards against sweeps that read all workers to find the few whose renewal
+  // is due: nearly all of them hold one open.
+  void testRenewalSweepsReadOnlySessionsThatMayBeDue() {
+    Cell cell;
+    Apply(cell.state, SetLayout{MakeLayout(1)});
+    AddWorkers(cell, kWorkers, kSmallWorker);
+    AcceptJobs(cell, MakeStage(kTasksPerJob, 1000, 500), kWorkers);
+    PlaceOnEachWorker(cell.state);
+    Lead(cell);
+    CPPUNIT_ASSERT_EQUAL(kWorkers, SendWaitingRenewals(cell));
+    const std::uint64_t before = cell.scheduler.work.sessionsRead;
+    constexpr std::uint64_t kSweeps = 20;
+    for (std::uint64_t sweep = 0; sweep < kSweeps; ++sweep) {
+      cell.Tick(Millis(5));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t(0),
+                         cell.scheduler.work.sessionsRead - before);
+  }
+
   // Guards against a sweep that is put off until the idle timer fires, so that
   // a lease renewal that became due by an event is late by 100 ms.
   void testPostponedSweepsSetTheNextTick() {
