Read only the sessions whose renewal may be due

Nearly all of them hold a long poll open, so that none of them can be due.

The order of renewals is unchanged.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -86,7 +87,6 @@
   TimePoint earlierLeaseEndsAt;
   // The worker has answered a lease renewal of this epoch.
   bool hasAnsweredRenewal = false;
-  bool renewalInFlight = false;
   TimePoint nextRenewalAt;
   std::uint32_t missedRenewals = 0;
   // Numbers of the worker's last end that is committed, and of the last one
@@ -253,6 +253,8 @@
   Random random;
   TimePoint leaderSince;
   std::map<WorkerNumber, WorkerSession> sessions;
+  // Sessions without a renewal in flight; only their renewals can be due.
+  std::set<WorkerNumber> sessionsWithoutRenewal;
   std::unordered_map<TaskKey, Attempt> attempts;
   // Placements that are being committed, so ordered that those of one stage are
   // adjacent.
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -373,7 +373,7 @@
     return actions;
   }
   WorkerSession& session = found->second;
-  session.renewalInFlight = false;
+  aScheduler.sessionsWithoutRenewal.insert(session.worker);
   RenewalChanges changes;
   if (IsOtherIncarnation(aState, session, aAnswer.result)) {
     session.nextRenewalAt = aNow + kRenewalRetry;
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -57,10 +57,10 @@
 // The sessions whose renewal is due, the longest overdue first.
 std::vector<WorkerSession*> DueSessions(Scheduler& aScheduler, TimePoint aNow) {
   std::vector<WorkerSession*> due;
-  for (auto& [number, session] : aScheduler.sessions) {
+  for (const WorkerNumber number : aScheduler.sessionsWithoutRenewal) {
     ++aScheduler.work.sessionsRead;
-    if (!session.renewalInFlight && !session.isCommittingEnds &&
-        !(aNow < session.nextRenewalAt)) {
+    WorkerSession& session = aScheduler.sessions.at(number);
+    if (!session.isCommittingEnds && !(aNow < session.nextRenewalAt)) {
       due.push_back(&session);
     }
   }
@@ -206,7 +206,7 @@
     } else {
       ++aScheduler.promptRenewalsInFlight;
     }
-    session.renewalInFlight = true;
+    aScheduler.sessionsWithoutRenewal.erase(session.worker);
     aActions.push_back(SendLeaseRenewal{session.worker, request});
   }
 }
@@ -270,11 +270,16 @@
       session.earlierLeaseEndsAt = aNow + longest;
     }
     aScheduler.sessions.emplace(number, std::move(session));
+    aScheduler.sessionsWithoutRenewal.insert(number);
   }
   for (auto it = aScheduler.sessions.begin();
        it != aScheduler.sessions.end();) {
-    it = aState.workers.count(it->first) == 0 ? aScheduler.sessions.erase(it)
-                                              : std::next(it);
+    if (aState.workers.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    aScheduler.sessionsWithoutRenewal.erase(it->first);
+    it = aScheduler.sessions.erase(it);
   }
   for (auto& [key, attempt] : aScheduler.attempts) {
     detail::MoveToNewIncarnation(aState, key, attempt, aNow);
@@ -296,7 +301,8 @@
   WorkerSession& session = found->second;
   detail::RecordClock(session, aClockMs, aNow);
   detail::RecordMessage(aScheduler, session, aNow);
-  if (session.missedRenewals > 0 && !session.renewalInFlight) {
+  const bool mayBeDue = aScheduler.sessionsWithoutRenewal.count(aWorker) > 0;
+  if (session.missedRenewals > 0 && mayBeDue) {
     session.nextRenewalAt = std::min(session.nextRenewalAt, aNow);
   }
 }
