--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -94,7 +95,6 @@
   bool hasAnsweredRenewal = false;
   // Set by the first sweep over the session.
   std::optional<RenewalClass> firstRenewal;
-  bool renewalInFlight = false;
   TimePoint nextRenewalAt;
   std::uint32_t missedRenewals = 0;
   // Numbers of the worker's last end that is committed, and of the last one
@@ -260,7 +260,8 @@
   std::uint64_t pendingRead = 0;
   std::uint64_t jobSweeps = 0;      // over all jobs, for due occurrences
   std::uint64_t attemptSweeps = 0;  // over all attempts
-  std::uint64_t sessionSweeps = 0;  // over all sessions, for lease renewals
+  std::uint64_t sessionSweeps = 0;  // over sessions, for lease renewals
+  std::uint64_t sessionsRead = 0;   // in these sweeps
   // Workers whose tasks were read to order the first renewals of an epoch.
   std::uint64_t workersClassified = 0;
 };
@@ -273,6 +274,8 @@
   Random random;
   TimePoint leaderSince;
   std::map<WorkerNumber, WorkerSession> sessions;
+  // Sessions without a renewal in flight; only their renewals can be due.
+  std::set<WorkerNumber> sessionsWithoutRenewal;
   std::unordered_map<TaskKey, Attempt> attempts;
   // Placements that are being committed, so ordered that those of one stage are
   // adjacent.
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -117,9 +117,10 @@
 std::vector<DueSession> DueSessions(Scheduler& aScheduler, const State& aState,
                                     TimePoint aNow) {
   std::vector<DueSession> due;
-  for (auto& [number, session] : aScheduler.sessions) {
-    if (!session.renewalInFlight && !session.isCommittingEnds &&
-        !(aNow < session.nextRenewalAt)) {
+  for (const WorkerNumber number : aScheduler.sessionsWithoutRenewal) {
+    ++aScheduler.work.sessionsRead;
+    WorkerSession& session = aScheduler.sessions.at(number);
+    if (!session.isCommittingEnds && !(aNow < session.nextRenewalAt)) {
       due.push_back({RenewalClassOf(aScheduler, session, aState), &session});
     }
   }
@@ -285,7 +286,7 @@
     } else {
       ++aScheduler.promptRenewalsInFlight;
     }
-    session.renewalInFlight = true;
+    aScheduler.sessionsWithoutRenewal.erase(session.worker);
     aActions.push_back(SendLeaseRenewal{session.worker, request});
   }
 }
@@ -349,11 +350,16 @@
       session.earlierLeaseEndsAt = aNow + longest;
     }
     aScheduler.sessions.emplace(number, std::move(session));
+    aScheduler.sessionsWithoutRenewal.insert(number);
   }
   for (auto it = aScheduler.sessions.begin();
        it != aScheduler.sessions.end();) {
-    it = aState.workers.count(it->first) == 0 ? aScheduler.sessions.erase(it)
-                                              : std::next(it);
+    if (aState.workers.count(it->first) > 0) {
+      ++it;
+      continue;
+    }
+    aScheduler.sessionsWithoutRenewal.erase(it->first);
+    it = aScheduler.sessions.erase(it);
   }
   for (auto& [key, attempt] : aScheduler.attempts) {
     detail::MoveToNewIncarnation(aState, key, attempt, aNow);
@@ -375,7 +381,8 @@
   WorkerSession& session = found->second;
   detail::RecordClock(session, aClockMs, aNow);
   detail::RecordMessage(aScheduler, session, aNow);
-  if (session.missedRenewals > 0 && !session.renewalInFlight) {
+  const bool mayBeDue = aScheduler.sessionsWithoutRenewal.count(aWorker) > 0;
+  if (session.missedRenewals > 0 && mayBeDue) {
     session.nextRenewalAt = std::min(session.nextRenewalAt, aNow);
   }
 }
