Test that a task that crashes its workers is given up

Callers see the job start again without end, and each crash takes down what else runs on the worker. The test plays a job whose first task crashes each worker 10 ms after its start, beside innocent jobs, in virtual time.

--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -15,6 +15,7 @@
 constexpr Duration kRequestTimeout = Millis(1200);
 constexpr Duration kConnectTimeout = Millis(500);
 constexpr Duration kAnnounceInterval = Millis(1500);
+constexpr Duration kCrashedFor = Seconds(3);
 constexpr std::int64_t kUnixOriginMs = 1700000000000;
 
 bool IsLater(TimePoint aLeft, TimePoint aRight) { return aRight < aLeft; }
@@ -70,6 +71,22 @@
   this->Announce();
 }
 
+void CellModel::CrashWorker(const std::string& aId, Duration aLength) {
+  WorkerModel& worker = this->workers.at(aId);
+  if (!worker.up) {
+    return;
+  }
+  for (const auto& [task, run] : worker.running) {
+    ++this->crashesUnder[task];
+  }
+  worker.up = false;
+  worker.running.clear();
+  this->Schedule(this->now + aLength, [this, aId] {
+    Restart(this->workers.at(aId), this->now);
+    this->Announce();
+  });
+}
+
 void CellModel::SetPartitioned(const std::string& aId, bool aPartitioned) {
   if (aPartitioned) {
     this->partitioned.insert(aId);
@@ -120,6 +137,9 @@
     }
     for (auto& [id, worker] : this->workers) {
       Advance(worker, this->random, this->now);
+      if (CrashesNow(worker, this->now)) {
+        this->CrashWorker(id, kCrashedFor);
+      }
     }
     this->RunDueEvents();
     if (!isPaused) {
@@ -328,6 +348,7 @@
     return answer;
   }
   ++this->starts;
+  ++this->startsOf[task];
   this->CheckStart(aWorker, aRequest);
   std::int64_t used = 0;
   for (const auto& [name, run] : aWorker.running) {
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -42,6 +42,8 @@
   // afterwards, in order, although its proposal timed out.
   void StallLog(Duration aLength);
   void RestartWorker(const std::string& aId);
+  // The worker loses all of its tasks and is back after aLength.
+  void CrashWorker(const std::string& aId, Duration aLength);
   // A partitioned worker receives no requests and announces itself to nobody.
   void SetPartitioned(const std::string& aId, bool aPartitioned);
   // A late leader sends no request in time.
@@ -60,6 +62,9 @@
   // Violated invariants; empty if none was violated.
   std::vector<std::string> violations;
   std::uint64_t starts = 0;
+  // By task: how often it was started, and how many workers crashed under it.
+  std::map<std::string, std::uint32_t> startsOf;
+  std::map<std::string, std::uint32_t> crashesUnder;
   std::vector<DecisionRecord> decisions;
   // Workers that the admission service allows; empty: all.
   std::set<std::string> allowed;
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -185,6 +185,19 @@
   return answer;
 }
 
+bool CrashesNow(const WorkerModel& aWorker, TimePoint aNow) {
+  constexpr std::int64_t kCrashAfterMs = 10;
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  return aWorker.up &&
+         std::any_of(aWorker.running.begin(), aWorker.running.end(),
+                     [&](const auto& aOne) {
+                       const TaskName& name = aWorker.names.at(aOne.first);
+                       return name.index == 0 &&
+                              aWorker.deadlyJobs.count(name.job.value) > 0 &&
+                              clock >= aOne.second.startedAtMs + kCrashAfterMs;
+                     });
+}
+
 void Restart(WorkerModel& aWorker, TimePoint aNow) {
   WorkerModel next;
   next.spec = aWorker.spec;
@@ -193,6 +206,7 @@
   next.clockStartedAt = aNow;
   next.runMs = aWorker.runMs;
   next.failureShare = aWorker.failureShare;
+  next.deadlyJobs = aWorker.deadlyJobs;
   aWorker = next;
 }
 
--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,6 +36,8 @@
   std::uint64_t lastEnd = 0;
   std::uint32_t runMs = 300;
   double failureShare = 0;
+  // Jobs whose first task crashes the worker soon after its start.
+  std::set<std::string> deadlyJobs;
   // The job of the serving task and that of the filler beside it, and the tail
   // of the serving task without the filler and with the filler at full pace.
   std::string servingJob;
@@ -59,6 +62,8 @@
 std::uint32_t TailOf(const WorkerModel& aWorker);
 RenewLeaseAnswer Handle(WorkerModel& aWorker, const RenewLeaseRequest& aRequest,
                         Random& aRandom, TimePoint aNow);
+// Whether a running task crashes the worker by now.
+bool CrashesNow(const WorkerModel& aWorker, TimePoint aNow);
 // Replaces the process by a new incarnation with the same id.
 void Restart(WorkerModel& aWorker, TimePoint aNow);
 
