Give up a job whose task crashes the workers that start it

Cause: nothing counted crashes. The end of an incarnation ends its attempts as LeaseExpired, which CountFailure does not see, so the task waits again at once. Ruled out: a count lost with the leader (there was none, and the attempts repeat under one leader), and a repeated start of an unanswered request (runs follow the return of the worker, not the retry of a start).

A suspect is placed apart from other suspects, so that the next crash tells which task caused it. The job fails at the fourth crash at different addresses if no other task there had as many, and at the fifth in any case. An end of its own, or 2 s of running, clears a task.

--- a/src/bramleypath/explain/RequestTimeline.cpp
+++ b/src/bramleypath/explain/RequestTimeline.cpp
@@ -50,7 +50,8 @@
   if (FindEvent(aJobLines, "job_completed")) {
     return JobOutcome::Completed;
   }
-  if (FindEvent(aJobLines, "job_failed")) {
+  if (FindEvent(aJobLines, "job_failed") ||
+      FindEvent(aJobLines, "job_given_up")) {
     return JobOutcome::Failed;
   }
   if (FindEvent(aJobLines, "job_cancelled")) {
@@ -199,7 +200,8 @@
     const bool isDelay =
         line.event == "lease_over" || line.event == "start_not_done" ||
         line.event == "stopping" || line.event == "attempt_ended" ||
-        line.event == "stray_attempt";
+        line.event == "stray_attempt" || line.event == "task_suspected" ||
+        line.event == "job_given_up";
     if (isDelay) {
       aTimeline.causes.push_back(line.event + ": " + Text(line, "subject") +
                                  " " + Text(line, "detail"));
--- /dev/null
+++ b/src/bramleypath/workflow/Crashes.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <vector>
+
+#include <gsl/span>
+
+#include "bramleypath/workflow/State.h"
+
+// Evidence against tasks that crash the workers that start them. All tasks of a
+// crashed worker become suspects. A suspect is placed apart from other
+// suspects, so that the next crash tells which of them caused it.
+namespace bramleypath::workflow {
+
+// A task is given up after crashes of this many workers at different addresses
+// if no other task of the last one had as many. With three, tasks that met
+// three crashes by chance were given up while a sixth of the workers crashed
+// every 4 s.
+constexpr std::size_t kCrashesToGiveUp = 4;
+// A task is given up after this many crashes at two or more addresses, whatever
+// else ran on the workers.
+constexpr std::size_t kMaxCrashes = 5;
+
+// Counts the crash of aWorker under its tasks, and returns those to be given
+// up. Must be called before the attempts are ended or moved.
+std::vector<TaskKey> RecordCrash(State& aState, const Worker& aWorker);
+
+// The task ended by itself or ran for so long that it is no longer a suspect.
+void ClearCrashes(State& aState, const TaskKey& aKey);
+void ClearTasks(State& aState, gsl::span<const ClearedTask> aTasks);
+
+// Remembers an attempt whose lease expired on the worker.
+void RememberExpired(Worker& aWorker, const TaskKey& aKey,
+                     AttemptNumber aAttempt);
+
+// Rebuilds State::suspects.
+void IndexSuspects(State& aState);
+
+}  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
+#include "bramleypath/workflow/internal/Suspects.h"
 
 namespace bramleypath::workflow {
 
@@ -246,6 +247,8 @@
   }
   if (StartIfDue(aScheduler.attemptSweep, kAttemptSweepInterval, aNow)) {
     detail::WatchAttempts(aScheduler, aState, aNow, actions);
+    detail::ClearSuspects(aScheduler, aState, actions);
+    detail::LogCrashes(aScheduler, aState, actions);
   }
   if (StartIfDue(aScheduler.occurrenceSweep, kOccurrenceSweepInterval, aNow)) {
     OpenDueOccurrences(aScheduler, aState, aUnixMs, actions);
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -67,6 +67,8 @@
   std::optional<TimePoint> stopAcknowledgedAt;
   // How its end was proposed, until the commit has finished.
   std::optional<EndKind> proposedEnd;
+  // A suspect's clearance is being committed, see ClearSuspects.
+  bool isClearancePending = false;
 };
 
 // A reading of a worker's clock and when the leader received it.
@@ -258,6 +260,9 @@
   std::map<TaskKey, PlacedTask> pendingPlacements;
   // Since when there has always been a pending placement.
   std::optional<TimePoint> pendingSince;
+  // Suspects that found no worker without another suspect, and since when.
+  std::unordered_map<TaskKey, TimePoint> suspectsWaitingSince;
+  std::uint64_t lastLoggedCrash = 0;     // WorkerCrash::number
   std::deque<QueuedStart> queuedStarts;  // oldest first
   std::uint32_t startsInFlight = 0;
   // A pass left tasks waiting because of kStartWindow.
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -5,6 +5,7 @@
 
 #include "bramleypath/base/Text.h"
 #include "bramleypath/codec/CborWriter.h"
+#include "bramleypath/workflow/Crashes.h"
 #include "bramleypath/workflow/internal/WorkflowFields.h"
 
 namespace bramleypath::workflow {
@@ -178,6 +179,9 @@
     DropSpec(job);
     return ApplyResult::Ok;
   }
+  if (aEnd.kind == EndKind::Done || aEnd.kind == EndKind::Failed) {
+    ClearCrashes(aState, aEnd.task);
+  }
   const StageSpec& spec = SpecOf(job, aEnd.task);
   if (spec.gang && aEnd.kind == EndKind::Done) {
     EndGang(aState, job, aEnd);
@@ -185,6 +189,10 @@
     DropSpec(job);
     return ApplyResult::Ok;
   }
+  const auto worker = aState.workers.find(task->worker);
+  if (aEnd.kind == EndKind::LeaseExpired && worker != aState.workers.end()) {
+    RememberExpired(worker->second, aEnd.task, aEnd.attempt);
+  }
   ReleaseReservation(aState, job, aEnd.task, *task);
   if (!aEnd.checkpoint.empty()) {
     task->checkpoint = aEnd.checkpoint;
@@ -233,9 +241,24 @@
   ++job.placed;
   job.started = true;
   worker.attempts.insert(aPlaced.task);
+  // Tasks are placed on workers that answer, so that this one lives.
+  worker.expired.clear();
   worker.reserved = worker.reserved + Reservation(SpecOf(job, aPlaced.task));
 }
 
+void GiveUpJobs(State& aState, gsl::span<const TaskKey> aTasks) {
+  for (const TaskKey& key : aTasks) {
+    Finish(aState.jobs.at(key.job), JobPhase::Failed);
+  }
+}
+
+// A worker that drains may end without an acknowledged leave.
+std::vector<TaskKey> RecordCrashUnlessDraining(State& aState,
+                                               const Worker& aWorker) {
+  return aWorker.spec.draining ? std::vector<TaskKey>()
+                               : RecordCrash(aState, aWorker);
+}
+
 void EraseWorker(State& aState, WorkerNumber aNumber) {
   const auto found = aState.workers.find(aNumber);
   if (found == aState.workers.end()) {
@@ -333,6 +356,8 @@
   worker.number = ++aState.lastWorker;
   worker.spec = spec;
   if (byId != aState.workersById.end()) {
+    GiveUpJobs(aState, RecordCrashUnlessDraining(
+                           aState, aState.workers.at(byId->second)));
     MoveAttempts(aState, byId->second, worker);
   }
   aState.workersById[spec.id.value] = worker.number;
@@ -341,9 +366,13 @@
 }
 
 ApplyResult ApplyOne(State& aState, const RemoveWorker& aCommand) {
-  if (aState.workers.count(aCommand.worker) == 0) {
+  const auto worker = aState.workers.find(aCommand.worker);
+  if (worker == aState.workers.end()) {
     return ApplyResult::Repeated;
   }
+  if (aCommand.hasCrashed) {
+    GiveUpJobs(aState, RecordCrashUnlessDraining(aState, worker->second));
+  }
   EraseWorker(aState, aCommand.worker);
   return ApplyResult::Ok;
 }
@@ -359,6 +388,7 @@
   for (const EndedTask& end : aCommand.tasks) {
     ApplyEnd(aState, end);
   }
+  ClearTasks(aState, aCommand.cleared);
   return ApplyResult::Ok;
 }
 
@@ -550,7 +580,7 @@
   writer.Text("workers");
   writer.OpenArray();
   for (const auto& [number, worker] : aState.workers) {
-    AppendItem(writer, NumberedWorker{number, worker.spec});
+    AppendItem(writer, NumberedWorker{number, worker.spec, worker.expired});
   }
   writer.Close();
   writer.Text("queues");
@@ -579,6 +609,7 @@
     Worker worker;
     worker.number = one.number;
     worker.spec = std::move(one.spec);
+    worker.expired = std::move(one.expired);
     state.workersById[worker.spec.id.value] = worker.number;
     state.workers.emplace(one.number, std::move(worker));
   }
@@ -590,6 +621,7 @@
     state.knownQueues[queue.id.value] = std::move(queue);
   }
   RebuildIndexes(state);
+  IndexSuspects(state);
   aState = std::move(state);
   return true;
 }
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -16,6 +18,13 @@
 
 enum class TaskPhase : std::uint8_t { Waiting, Placed, Done };
 
+// An attempt whose worker crashed before the attempt was known to have ended.
+struct TaskCrash {
+  AttemptNumber attempt = 0;
+  WorkerId worker;
+  std::string address;  // the successor has it too, maybe under another id
+};
+
 struct TaskState {
   TaskPhase phase = TaskPhase::Waiting;
   // Failed attempts; those that ended otherwise don't count.
@@ -31,6 +40,9 @@
   // acknowledged, so that an end may be proposed more than once. Empty for
   // long-running tasks, whose failures have no limit.
   std::vector<AttemptNumber> failedAttempts;
+  // The crashes under the task since it last ended by itself or was cleared. A
+  // task with a crash is called a suspect.
+  std::vector<TaskCrash> crashes;
 };
 
 struct StageState {
@@ -67,6 +79,26 @@
   // Reserved by attempts that may be running. Fillers reserve no processors.
   Resources reserved;
   std::unordered_set<TaskKey> attempts;
+  // The latest attempts that ended with their lease. They are counted as
+  // crashed if another incarnation turns out to have replaced this one.
+  std::vector<ClearedTask> expired;
+};
+
+// A task under which too many workers crashed. Its job has failed.
+struct GivenUpTask {
+  TaskKey task;
+  std::vector<TaskCrash> crashes;
+};
+
+// A crash of a worker, for the event log. Not part of a snapshot.
+struct WorkerCrash {
+  std::uint64_t number = 0;  // ascending
+  WorkerId worker;
+  std::string address;
+  std::uint32_t attempts = 0;
+  // Tasks under which a worker had crashed before, at most kMaxLoggedSuspects.
+  std::vector<TaskKey> suspects;
+  std::vector<GivenUpTask> givenUp;
 };
 
 // The replicated state, identical on all replicas after the same commands.
@@ -81,6 +113,10 @@
   std::unordered_map<std::string, WorkerNumber> workersById;
   // Queues of earlier layouts are kept for the jobs that they accepted.
   std::unordered_map<std::string, QueueSettings> knownQueues;
+  // Index of the tasks with crashes; may hold tasks that have none any more.
+  std::set<TaskKey> suspects;
+  // The latest crashes, oldest first.
+  std::deque<WorkerCrash> recentCrashes;
 };
 
 // Result of a command, returned to its proposer.
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -167,6 +167,8 @@
 // The incarnation has ended, and with it all of its attempts.
 struct RemoveWorker {
   WorkerNumber worker = 0;
+  // Another incarnation answers at its address, and it did not leave.
+  bool hasCrashed = false;
 };
 struct PlacedTask {
   TaskKey task;
@@ -182,8 +184,15 @@
   EndKind kind = EndKind::NeverRan;
   std::string checkpoint;
 };
+// A task that ran for so long that it isn't suspected of crashing its worker.
+struct ClearedTask {
+  TaskKey task;
+  AttemptNumber attempt = 0;
+};
+
 struct EndTasks {
   std::vector<EndedTask> tasks;
+  std::vector<ClearedTask> cleared = {};
 };
 // This occurrence, the next one of its job, is due.
 struct OpenOccurrence {
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -351,6 +351,16 @@
   }
 }
 
+void OnClearedCommitted(Scheduler& aScheduler, const EndTasks& aEnds) {
+  for (const ClearedTask& one : aEnds.cleared) {
+    const auto found = aScheduler.attempts.find(one.task);
+    if (found != aScheduler.attempts.end() &&
+        found->second.number == one.attempt) {
+      found->second.isClearancePending = false;
+    }
+  }
+}
+
 void CommitEnd(const TaskKey& aKey, Attempt& aAttempt, EndKind aKind,
                SchedulerActions& aActions) {
   EndTasks ends;
@@ -372,7 +382,7 @@
 
 SchedulerActions RemoveIncarnation(const State& aState, WorkerNumber aWorker) {
   Commit commit;
-  commit.commands.emplace_back(RemoveWorker{aWorker});
+  commit.commands.emplace_back(RemoveWorker{aWorker, true});
   SchedulerActions actions;
   actions.push_back(DecisionRecord{"worker_replaced",
                                    detail::WorkerText(aState, aWorker),
@@ -392,6 +402,7 @@
       OnPlacesCommitted(aScheduler, aState, *places, aOk, aNow);
     } else if (const auto* ends = std::get_if<EndTasks>(&command)) {
       OnEndsCommitted(aScheduler, aState, *ends, aOk, aNow, actions);
+      OnClearedCommitted(aScheduler, *ends);
     } else if (const auto* opened = std::get_if<OpenOccurrence>(&command)) {
       aScheduler.jobsOpeningOccurrence.erase(opened->job);
     } else {
--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -4,6 +4,7 @@
 #include "bramleypath/workflow/JobOrder.h"
 #include "bramleypath/workflow/internal/CandidateHosts.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
+#include "bramleypath/workflow/internal/Suspects.h"
 
 namespace bramleypath::workflow::detail {
 
@@ -83,6 +84,7 @@
   // Workers on which tasks were placed, in that order.
   std::vector<std::size_t> changedHosts;
   std::size_t vainStages = 0;  // examined without placing a task
+  SuspectHosts suspectHosts;
 };
 
 // Whether the start window has room for so many further placements. A gang
@@ -409,6 +411,17 @@
                                aRelaxed});
 }
 
+// Keeps other suspects off the worker, and other tasks as well if the suspect
+// needs it for itself.
+void MarkSuspectHost(PlacementPass& aPass, const TaskState& aTask,
+                     std::size_t aHost, gsl::span<HostView> aViews) {
+  aPass.suspectHosts.occupied[aHost] = true;
+  if (NeedsOwnHost(aTask)) {
+    aPass.hosts.views[aHost].excluded = true;
+    aViews[aHost].excluded = true;
+  }
+}
+
 // Places the waiting tasks of the stage that fit on a worker; of a gang, all
 // tasks or none.
 void PlaceStage(PlacementPass& aPass, const Job& aJob, TaskKey aStage,
@@ -442,7 +455,17 @@
       aPass.isLimited = true;
       break;
     }
-    const auto host = ChooseHost(views, task);
+    const TaskState& taskState = aState.tasks[key.index];
+    const bool isApart = !spec.gang && !taskState.crashes.empty() &&
+                         aPass.suspectHosts.placesApart;
+    const auto host =
+        isApart ? ChooseHostForSuspect(aPass.scheduler, aPass.hosts,
+                                       aPass.suspectHosts, views, task, key,
+                                       taskState, aPass.now)
+                : ChooseHost(views, task);
+    if (!host && isApart) {
+      continue;
+    }
     if (!host) {
       RecordUnplaceable(aPass, *queue, spec, relaxed);
       break;
@@ -456,6 +479,9 @@
     const PlacedTask placed{key, NextAttempt(aState, key, spec.gang),
                             aPass.hosts.numbers[*host]};
     chosen.emplace_back(placed, *host);
+    if (isApart) {
+      MarkSuspectHost(aPass, taskState, *host, views);
+    }
     if (relaxed && spec.filler) {
       break;
     }
@@ -551,7 +577,9 @@
       {},         std::nullopt,
       {},         false,
       {},         0,
-      {},         0};
+      {},         0,
+      {}};
+  pass.suspectHosts = CollectSuspectHosts(aScheduler, aState, pass.hosts);
   SurveyIfDue(pass);
   RankJobs(aScheduler, aState, aNow, aUnixMs);
   PlaceInOrder(pass);
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -306,7 +306,7 @@
     return;
   }
   if (aAnswer.outcome == RequestOutcome::OtherIncarnation) {
-    aChanges.others.emplace_back(RemoveWorker{aSession.worker});
+    aChanges.others.emplace_back(RemoveWorker{aSession.worker, true});
     return;
   }
   RegisterWorker command;
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -224,6 +224,9 @@
   scheduler.leaderSince = aNow;
   scheduler.nextDispatchAt = aNow;
   scheduler.tailModel = MakeTailModel();
+  if (!aState.recentCrashes.empty()) {
+    scheduler.lastLoggedCrash = aState.recentCrashes.back().number;
+  }
   OnStateChanged(scheduler, aState, aNow);
   for (const auto& [number, worker] : aState.workers) {
     for (const TaskKey& key : worker.attempts) {
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <type_traits>
 
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/workflow/State.h"
@@ -19,6 +20,15 @@
   }
 }
 
+// Older replicas reject unknown fields, so that a field added later is written
+// only where it says something.
+template <typename Visitor, typename T>
+void OptionalIf(Visitor& aVisitor, const char* aName, T& aValue, bool aIsSet) {
+  if (aIsSet || std::is_same_v<Visitor, codec::Reader>) {
+    aVisitor.Optional(aName, aValue);
+  }
+}
+
 template <typename Visitor>
 void VisitResources(Visitor& aVisitor, Resources& aResources) {
   aVisitor.Required("cpu", aResources.processorsMilli);
@@ -139,6 +149,7 @@
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, RemoveWorker& aCommand) {
   aVisitor.Required("w", aCommand.worker);
+  OptionalIf(aVisitor, "x", aCommand.hasCrashed, aCommand.hasCrashed);
 }
 
 template <typename Visitor>
@@ -146,9 +157,16 @@
   aVisitor.Required("t", aCommand.tasks);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, ClearedTask& aCleared) {
+  VisitFields(aVisitor, aCleared.task);
+  aVisitor.Required("a", aCleared.attempt);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, EndTasks& aCommand) {
   aVisitor.Required("t", aCommand.tasks);
+  OptionalIf(aVisitor, "ok", aCommand.cleared, !aCommand.cleared.empty());
 }
 
 template <typename Visitor>
@@ -164,6 +182,13 @@
 
 // Types that appear only in snapshots.
 
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, TaskCrash& aCrash) {
+  aVisitor.Required("a", aCrash.attempt);
+  aVisitor.Required("w", aCrash.worker);
+  aVisitor.Required("addr", aCrash.address);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, TaskState& aTask) {
   VisitEnum(aVisitor, "p", aTask.phase, TaskPhase::Done);
@@ -173,6 +198,7 @@
   aVisitor.Required("c", aTask.checkpoint);
   aVisitor.Optional("e", aTask.doneByEarlierAttempt);
   aVisitor.Optional("fa", aTask.failedAttempts);
+  OptionalIf(aVisitor, "cr", aTask.crashes, !aTask.crashes.empty());
 }
 
 template <typename Visitor>
@@ -225,12 +251,14 @@
 struct NumberedWorker {
   WorkerNumber number = 0;
   WorkerSpec spec;
+  std::vector<ClearedTask> expired;
 };
 
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, NumberedWorker& aWorker) {
   aVisitor.Required("n", aWorker.number);
   aVisitor.Required("spec", aWorker.spec);
+  OptionalIf(aVisitor, "x", aWorker.expired, !aWorker.expired.empty());
 }
 
 // The parts of State that a snapshot stores; DecodeState derives the rest.
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -32,6 +32,7 @@
 void CellModel::AddWorker(const std::string& aId) {
   WorkerModel worker;
   worker.spec = MakeWorker(aId);
+  worker.spec.address = aId + ":1";
   // The clock is as slow as the protocol allows, or exact.
   worker.clockRate = NextBelow(this->random, 2) == 0 ? 0.98 : 1.0;
   worker.clockStartedAt = this->now;
