--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -69,6 +69,8 @@
   std::optional<TimePoint> stopAcknowledgedAt;
   // How its end was proposed, until the commit has finished.
   std::optional<EndKind> proposedEnd;
+  // A suspect's clearance is being committed, see ClearSuspects.
+  bool isClearancePending = false;
 };
 
 // A reading of a worker's clock and when the leader received it.
@@ -285,6 +287,9 @@
   // Oldest first. Those of long-running tasks are sent before all others.
   std::deque<QueuedStart> queuedLongRunningStarts;
   std::deque<QueuedStart> queuedStarts;
+  // Suspects that found no worker without another suspect, and since when.
+  std::unordered_map<TaskKey, TimePoint> suspectsWaitingSince;
+  std::uint64_t lastLoggedCrash = 0;  // WorkerCrash::number
   std::uint32_t startsInFlight = 0;
   // A pass left tasks waiting because of kStartWindow.
   bool isStartWindowFull = false;
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -14,6 +14,7 @@
 constexpr Duration kRequestTimeout = Millis(1200);
 constexpr Duration kConnectTimeout = Millis(500);
 constexpr Duration kAnnounceInterval = Millis(1500);
+constexpr Duration kCrashedFor = Seconds(3);
 constexpr std::int64_t kUnixOriginMs = 1700000000000;
 
 bool IsLater(TimePoint aLeft, TimePoint aRight) { return aRight < aLeft; }
@@ -30,6 +31,7 @@
 void CellModel::AddWorker(const std::string& aId) {
   WorkerModel worker;
   worker.spec = MakeWorker(aId);
+  worker.spec.address = aId + ":1";
   // The clock is as slow as the protocol allows, or exact.
   worker.clockRate = NextBelow(this->random, 2) == 0 ? 0.98 : 1.0;
   worker.clockStartedAt = this->now;
@@ -69,6 +71,22 @@
   this->Announce();
 }
 
+void CellModel::CrashWorker(const std::string& aId, Duration aLength) {
+  WorkerModel& worker = this->workers.at(aId);
+  if (!worker.up) {
+    return;
+  }
+  for (const auto& [task, run] : worker.running) {
+    ++this->crashesUnder[task];
+  }
+  worker.up = false;
+  worker.running.clear();
+  this->Schedule(this->now + aLength, [this, aId] {
+    Restart(this->workers.at(aId), this->now);
+    this->Announce();
+  });
+}
+
 void CellModel::SetPartitioned(const std::string& aId, bool aPartitioned) {
   if (aPartitioned) {
     this->partitioned.insert(aId);
@@ -119,6 +137,9 @@
     }
     for (auto& [id, worker] : this->workers) {
       Advance(worker, this->random, this->now);
+      if (CrashesNow(worker, this->now)) {
+        this->CrashWorker(id, kCrashedFor);
+      }
     }
     this->RunDueEvents();
     if (!isPaused) {
@@ -337,6 +358,7 @@
     return answer;
   }
   ++this->starts;
+  ++this->startsOf[task];
   this->CheckStart(aWorker, aRequest);
   std::int64_t used = 0;
   for (const auto& [name, run] : aWorker.running) {
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -191,6 +191,19 @@
   return answer;
 }
 
+bool CrashesNow(const WorkerModel& aWorker, TimePoint aNow) {
+  constexpr std::int64_t kCrashAfterMs = 10;
+  const std::int64_t clock = ClockOf(aWorker, aNow);
+  return aWorker.up &&
+         std::any_of(aWorker.running.begin(), aWorker.running.end(),
+                     [&](const auto& aOne) {
+                       const TaskName& name = aWorker.names.at(aOne.first);
+                       return name.index == 0 &&
+                              aWorker.deadlyJobs.count(name.job.value) > 0 &&
+                              clock >= aOne.second.startedAtMs + kCrashAfterMs;
+                     });
+}
+
 void Restart(WorkerModel& aWorker, TimePoint aNow) {
   WorkerModel next;
   next.spec = aWorker.spec;
@@ -200,6 +213,7 @@
   next.runMs = aWorker.runMs;
   next.failureShare = aWorker.failureShare;
   next.endlessJob = aWorker.endlessJob;
+  next.deadlyJobs = aWorker.deadlyJobs;
   aWorker = next;
 }
 
