Decide in the workflow module which announcements are committed

The decision moves out of the controller, unchanged, so that the model of the cell in the tests uses the same one. The announcement's sequence is passed on; nothing reads it yet.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -338,36 +338,21 @@
                 });
 }
 
-namespace {
-
-// Whether the announcement changes the replicated entry of the worker and must
-// therefore be committed; the others only show that the worker is alive.
-bool MustCommitAnnouncement(const workflow::Worker* aKnown,
-                            const workflow::WorkerSpec& aWorker) {
-  if (!aKnown) {
-    return true;
-  }
-  const workflow::WorkerSpec& spec = aKnown->spec;
-  return aWorker.startedUnixMs > spec.startedUnixMs ||
-         (aWorker.startedUnixMs == spec.startedUnixMs &&
-          ((aWorker.draining && !spec.draining) ||
-           aWorker.address != spec.address || aWorker.service != spec.service));
-}
-
-}  // namespace
-
-void Controller::Announce(const workflow::WorkerSpec& aWorker,
-                          std::int64_t aClockMs, AnswerCallback aCallback) {
+void Controller::Announce(const workflow::Announcement& aAnnouncement,
+                          AnswerCallback aCallback) {
   if (!this->MayRead()) {
     aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
     return;
   }
-  const workflow::Worker* const known =
-      workflow::FindWorker(this->State(), aWorker.id.value);
-  if (!MustCommitAnnouncement(known, aWorker)) {
-    if (known->spec.startedUnixMs == aWorker.startedUnixMs) {
-      workflow::OnAnnounced(*this->scheduler, known->number, aClockMs,
-                            net::Now());
+  const workflow::WorkerSpec& announced = aAnnouncement.worker;
+  const auto changed =
+      workflow::SpecToCommit(*this->scheduler, this->State(), aAnnouncement);
+  if (!changed) {
+    const workflow::Worker* const known =
+        workflow::FindWorker(this->State(), announced.id.value);
+    if (known->spec.startedUnixMs == announced.startedUnixMs) {
+      workflow::OnAnnounced(*this->scheduler, known->number,
+                            aAnnouncement.clockMs, net::Now());
       if (this->scheduler->dispatchWanted) {
         this->RequestCycle();
       }
@@ -375,16 +360,10 @@
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
     return;
   }
-  workflow::WorkerSpec spec = aWorker;
-  if (known && known->spec.draining &&
-      known->spec.startedUnixMs == aWorker.startedUnixMs) {
-    // An incarnation that drains never stops draining, so an announcement that
-    // says otherwise was sent earlier and delayed.
-    spec.draining = true;
-  }
   this->Propose(
-      workflow::RegisterWorker{spec}, kCallerTimeout,
-      [this, isAlive = this->alive, spec, aClockMs,
+      workflow::RegisterWorker{*changed}, kCallerTimeout,
+      [this, isAlive = this->alive, spec = *changed,
+       clockMs = aAnnouncement.clockMs,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
         if (!*isAlive || !this->scheduler) {
@@ -403,7 +382,7 @@
                          {"draining", spec.draining ? "true" : "false"}});
         const TimePoint now = net::Now();
         workflow::OnStateChanged(*this->scheduler, this->State(), now);
-        workflow::OnAnnounced(*this->scheduler, worker->number, aClockMs, now);
+        workflow::OnAnnounced(*this->scheduler, worker->number, clockMs, now);
         this->RequestCycle();
       });
 }
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -13,6 +13,7 @@
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/metrics/LatencyHistogram.h"
+#include "bramleypath/workflow/Announcements.h"
 #include "bramleypath/workflow/Driver.h"
 #include "bramleypath/workflow/Scheduler.h"
 
@@ -91,9 +92,7 @@
               const workflow::QueueSettings& aQueue, AnswerCallback aCallback);
   void Cancel(const JobId& aJob, AnswerCallback aCallback);
   void SetLayout(const workflow::Layout& aLayout, AnswerCallback aCallback);
-  // Handles a worker's announcement. aClockMs is the worker's steady clock in
-  // ms; 0: not given.
-  void Announce(const workflow::WorkerSpec& aWorker, std::int64_t aClockMs,
+  void Announce(const workflow::Announcement& aAnnouncement,
                 AnswerCallback aCallback);
   void Leave(const WorkerId& aWorker, AnswerCallback aCallback);
 
