Test that starts fit into capacities that shrink and grow

The virtual-time model gets workers whose capacity changes while they run, announcements that are lost, late and out of order, stops that take time, and restarts as another kind. A start is checked against the present capacity and against those of the last contact window and announcement interval.

--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -44,6 +44,7 @@
 
 void CellModel::Submit(const JobSpec& aSpec) {
   Apply(this->state, AcceptJob{aSpec, this->UnixMs()});
+  this->stages[aSpec.id.value] = aSpec.stages;
   if (this->scheduler) {
     this->scheduler->dispatchWanted = true;
   }
@@ -70,6 +71,13 @@
   this->Announce();
 }
 
+void CellModel::RestartWorkerAs(const std::string& aId,
+                                const Resources& aCapacity) {
+  WorkerModel& worker = this->workers.at(aId);
+  Restart(worker, this->now);
+  worker.spec.capacity = aCapacity;
+}
+
 void CellModel::SetPartitioned(const std::string& aId, bool aPartitioned) {
   if (aPartitioned) {
     this->partitioned.insert(aId);
@@ -95,17 +103,49 @@
 }
 
 void CellModel::Announce() {
-  for (auto& [id, worker] : this->workers) {
-    if (this->partitioned.count(id) > 0 || !worker.up) {
-      continue;
-    }
-    const Worker* const known = FindWorker(this->state, id);
-    if (!known || known->spec.startedUnixMs != worker.spec.startedUnixMs) {
-      Apply(this->state, RegisterWorker{worker.spec});
-      OnStateChanged(*this->scheduler, this->state, this->now);
-    }
-    OnAnnounced(*this->scheduler, FindWorker(this->state, id)->number,
-                ClockOf(worker, this->now), this->now);
+  for (const auto& [id, worker] : this->workers) {
+    this->AnnounceWorker(id);
+  }
+}
+
+void CellModel::AnnounceWorker(const std::string& aId) {
+  WorkerModel& worker = this->workers.at(aId);
+  if (this->partitioned.count(aId) > 0 || !worker.up) {
+    return;
+  }
+  if (this->faults.announcementLost > 0 &&
+      NextUnit(this->random) < this->faults.announcementLost) {
+    constexpr Duration kRepeatAfter = Seconds(1);
+    this->Schedule(this->now + kRepeatAfter,
+                   [this, aId] { this->AnnounceWorker(aId); });
+    return;
+  }
+  const Announcement announcement{worker.spec, ++worker.announcements,
+                                  ClockOf(worker, this->now)};
+  if (this->faults.announcementLate > 0 &&
+      NextUnit(this->random) < this->faults.announcementLate) {
+    constexpr std::uint64_t kLongestDelayMs = 4000;
+    this->ScheduleOnLeader(
+        this->now + Millis(static_cast<std::int64_t>(
+                        NextBelow(this->random, kLongestDelayMs))),
+        [this, announcement] { this->Receive(announcement); });
+    return;
+  }
+  this->Receive(announcement);
+}
+
+void CellModel::Receive(const Announcement& aAnnouncement) {
+  const auto changed =
+      SpecToCommit(*this->scheduler, this->state, aAnnouncement);
+  if (changed) {
+    Apply(this->state, RegisterWorker{*changed});
+    OnStateChanged(*this->scheduler, this->state, this->now);
+  }
+  const Worker* const known =
+      FindWorker(this->state, aAnnouncement.worker.id.value);
+  if (known->spec.startedUnixMs == aAnnouncement.worker.startedUnixMs) {
+    OnAnnounced(*this->scheduler, known->number, aAnnouncement.clockMs,
+                this->now);
   }
 }
 
@@ -318,8 +358,30 @@
   }
 }
 
+// A capacity that has shrunk counts for a contact window and an announcement
+// interval. An order that is executed late counts as of its sending.
+void CellModel::CheckCapacity(const WorkerModel& aWorker, TimePoint aSentAt) {
+  constexpr Duration kContactWindow = Seconds(3);
+  Resources used;
+  for (const auto& [name, run] : aWorker.running) {
+    // The replicated state forgets the stages of a job that has ended.
+    const TaskName& task = aWorker.names.at(name);
+    used = used + Reservation(this->stages.at(task.job.value)[task.stage]);
+  }
+  bool fits = Fits(used, aWorker.spec.capacity);
+  for (const WorkerModel::PastCapacity& past : aWorker.pastCapacities) {
+    const bool counts =
+        aSentAt < past.until + kContactWindow + kAnnounceInterval;
+    fits = fits || (counts && Fits(used, past.capacity));
+  }
+  if (!fits) {
+    this->violations.push_back(aWorker.spec.id.value + " is over its capacity");
+  }
+}
+
 RequestAnswer CellModel::StartOn(WorkerModel& aWorker,
-                                 const StartRequest& aRequest) {
+                                 const StartRequest& aRequest,
+                                 TimePoint aSentAt) {
   const std::string task = TextOf(aRequest.task);
   const bool ran = aWorker.running.count(task) > 0;
   const RequestAnswer answer =
@@ -329,26 +391,15 @@
   }
   ++this->starts;
   this->CheckStart(aWorker, aRequest);
-  std::int64_t used = 0;
-  for (const auto& [name, run] : aWorker.running) {
-    const Job* const job =
-        FindJob(this->state, aWorker.names.at(name).job.value);
-    const std::uint32_t stage = aWorker.names.at(name).stage;
-    if (job && stage < job->spec.stages.size()) {
-      used += Reservation(job->spec.stages[stage]).processorsMilli;
-    }
-  }
-  if (used > aWorker.spec.capacity.processorsMilli) {
-    this->violations.push_back(aWorker.spec.id.value + " is over its capacity");
-  }
+  this->CheckCapacity(aWorker, aSentAt);
   return answer;
 }
 
 void CellModel::PerformOne(const SendStart& aStart) {
   this->Deliver(
       aStart.worker,
-      [this, aStart](WorkerModel& aWorker) {
-        return this->StartOn(aWorker, aStart.request);
+      [this, aStart, sentAt = this->now](WorkerModel& aWorker) {
+        return this->StartOn(aWorker, aStart.request, sentAt);
       },
       [this, aStart](const RequestAnswer& aAnswer) {
         this->Perform(OnStartAnswer(*this->scheduler, this->state, aStart,
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "bramleypath/workflow/Announcements.h"
 #include "bramleypath/workflow/Scheduler.h"
 #include "tests/workflow/WorkerModel.h"
 
@@ -21,6 +22,9 @@
   double commitLost = 0;    // the outcome is unknown; applied or not
   double paceLost = 0;      // as requestLost, but only for pace requests
   double sentTooLate = 0;   // not sent, since the leader was late
+  // The announcement is lost and repeated a second later.
+  double announcementLost = 0;
+  double announcementLate = 0;  // it arrives up to 4 s later
 };
 
 // A leader and its workers in virtual time, connected by a network that loses
@@ -42,6 +46,9 @@
   // afterwards, in order, although its proposal timed out.
   void StallLog(Duration aLength);
   void RestartWorker(const std::string& aId);
+  // As RestartWorker, with another capacity. The first announcement follows
+  // with those of the other workers.
+  void RestartWorkerAs(const std::string& aId, const Resources& aCapacity);
   // A partitioned worker receives no requests and announces itself to nobody.
   void SetPartitioned(const std::string& aId, bool aPartitioned);
   // A late leader sends no request in time.
@@ -78,6 +85,9 @@
   void ScheduleOnLeader(TimePoint aAt, std::function<void()> aAction);
   void RunDueEvents();
   void Announce();
+  void AnnounceWorker(const std::string& aId);
+  // The leader receives an announcement.
+  void Receive(const Announcement& aAnnouncement);
   void Perform(SchedulerActions aActions);
   void PerformOne(const Commit& aCommit);
   void PerformOne(const SendStart& aStart);
@@ -91,7 +101,9 @@
                const std::function<RequestAnswer(WorkerModel&)>& aExecute,
                const std::function<void(const RequestAnswer&)>& aOnAnswer);
   WorkerModel* FindModel(WorkerNumber aWorker);
-  RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest);
+  RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest,
+                        TimePoint aSentAt);
+  void CheckCapacity(const WorkerModel& aWorker, TimePoint aSentAt);
   void CheckStart(const WorkerModel& aWorker, const StartRequest& aRequest);
   void RecordEnds(const Commit& aCommit);
   // Checks that the done ends that the worker is about to discard are recorded.
@@ -106,6 +118,7 @@
   TimePoint leaderPausedUntil;
   bool isLeaderLate = false;
   std::set<std::string> partitioned;
+  std::map<std::string, std::vector<StageSpec>> stages;  // by job
   std::set<std::string> done;  // tasks whose end is committed
 };
 
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -71,7 +71,10 @@
     if (clock >= aWorker.untilMs) {
       End(aWorker, task, EndKind::LeaseExpired);
     } else if (clock >= run.endsAtMs) {
-      End(aWorker, task, run.fails ? EndKind::Failed : EndKind::Done);
+      End(aWorker, task,
+          run.isStopping ? EndKind::Stopped
+          : run.fails    ? EndKind::Failed
+                         : EndKind::Done);
     }
   }
 }
@@ -119,7 +122,12 @@
   const auto running = aWorker.running.find(task);
   if (running != aWorker.running.end() &&
       running->second.attempt <= aRequest.attempt) {
-    End(aWorker, task, EndKind::Stopped);
+    if (aWorker.stopMs == 0) {
+      End(aWorker, task, EndKind::Stopped);
+    } else if (!running->second.isStopping) {
+      running->second.isStopping = true;
+      running->second.endsAtMs = ClockOf(aWorker, aNow) + aWorker.stopMs;
+    }
   }
   aWorker.finished[task] = std::max(aWorker.finished[task], aRequest.attempt);
   return Accept(aWorker, aNow);
@@ -185,6 +193,12 @@
   return answer;
 }
 
+void SetCapacity(WorkerModel& aWorker, const Resources& aCapacity,
+                 TimePoint aNow) {
+  aWorker.pastCapacities.push_back({aWorker.spec.capacity, aNow});
+  aWorker.spec.capacity = aCapacity;
+}
+
 void Restart(WorkerModel& aWorker, TimePoint aNow) {
   WorkerModel next;
   next.spec = aWorker.spec;
@@ -192,6 +206,7 @@
   next.clockRate = aWorker.clockRate;
   next.clockStartedAt = aNow;
   next.runMs = aWorker.runMs;
+  next.stopMs = aWorker.stopMs;
   next.failureShare = aWorker.failureShare;
   aWorker = next;
 }
--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -19,12 +19,19 @@
     std::int64_t startedAtMs = 0;
     bool fails = false;
     std::uint32_t pace = 100;  // percent
+    bool isStopping = false;   // ends as stopped at endsAtMs
+  };
+  // A capacity that the worker had.
+  struct PastCapacity {
+    Resources capacity;
+    TimePoint until;
   };
 
   WorkerSpec spec;
   double clockRate = 1;
   TimePoint clockStartedAt;
   bool up = true;
+  std::uint64_t announcements = 0;  // sent so far
   Epoch epoch = 0;
   std::int64_t untilMs = 0;
   std::map<std::string, Running> running;
@@ -34,6 +41,8 @@
   std::vector<EndedAttempt> ended;
   std::uint64_t lastEnd = 0;
   std::uint32_t runMs = 300;
+  std::uint32_t stopMs = 0;  // how long a stop takes
+  std::vector<PastCapacity> pastCapacities;
   double failureShare = 0;
   // The job of the serving task and that of the filler beside it, and the tail
   // of the serving task without the filler and with the filler at full pace.
@@ -59,6 +68,9 @@
 std::uint32_t TailOf(const WorkerModel& aWorker);
 RenewLeaseAnswer Handle(WorkerModel& aWorker, const RenewLeaseRequest& aRequest,
                         Random& aRandom, TimePoint aNow);
+// Changes the capacity of the running process. Its announcements show it.
+void SetCapacity(WorkerModel& aWorker, const Resources& aCapacity,
+                 TimePoint aNow);
 // Replaces the process by a new incarnation with the same id.
 void Restart(WorkerModel& aWorker, TimePoint aNow);
 
