Commit a worker's changed capacity and labels, in the order of its reports

A start could bring a worker over a capacity that had shrunk while it ran (LIMIT), and run a task without its requiredLabel (ROUTE).

Cause: an announcement of a known incarnation was committed only if the worker drained or had another address or service. Announcements had no order.

Change: whatever changes the entry is committed, with the announcement that shows it. The leader keeps the highest sequence of each incarnation and ignores earlier ones, but for draining, which never ends. A new leader doesn't know the sequence: it takes a lower capacity at once, and a higher one with a second, later announcement.

worker_capacity_changed logs the capacity before and after, what is reserved, and the sequence.

--- a/src/bramleypath/base/Resources.cpp
+++ b/src/bramleypath/base/Resources.cpp
@@ -30,4 +30,10 @@
          aDemand.accelerators <= aAvailable.accelerators;
 }
 
+std::string ToText(const Resources& aResources) {
+  return std::to_string(aResources.processorsMilli) + "m/" +
+         std::to_string(aResources.memoryMb) + "MB/" +
+         std::to_string(aResources.accelerators);
+}
+
 }  // namespace bramleypath
--- a/src/bramleypath/base/Resources.h
+++ b/src/bramleypath/base/Resources.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 
 namespace bramleypath {
 
@@ -19,4 +20,7 @@
 // Whether aDemand is at most aAvailable in each resource.
 bool Fits(const Resources& aDemand, const Resources& aAvailable);
 
+// For the event log, such as "8000m/4096MB/0".
+std::string ToText(const Resources& aResources);
+
 }  // namespace bramleypath
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -338,6 +338,34 @@
                 });
 }
 
+namespace {
+
+// The capacity of the worker's incarnation; none if it is not registered.
+std::optional<Resources> CapacityOf(const workflow::State& aState,
+                                    const std::string& aWorker,
+                                    std::int64_t aStartedUnixMs) {
+  const workflow::Worker* const known = workflow::FindWorker(aState, aWorker);
+  return known && known->spec.startedUnixMs == aStartedUnixMs
+             ? std::optional(known->spec.capacity)
+             : std::nullopt;
+}
+
+void RecordCapacityChange(const workflow::Worker& aWorker,
+                          const std::optional<Resources>& aBefore,
+                          std::uint64_t aSequence) {
+  if (!aBefore || *aBefore == aWorker.spec.capacity) {
+    return;
+  }
+  eventlog::Write("worker_capacity_changed",
+                  {{"worker", aWorker.spec.id.value},
+                   {"before", ToText(*aBefore)},
+                   {"after", ToText(aWorker.spec.capacity)},
+                   {"reserved", ToText(aWorker.reserved)},
+                   {"sequence", NumberText(aSequence)}});
+}
+
+}  // namespace
+
 void Controller::Announce(const workflow::Announcement& aAnnouncement,
                           AnswerCallback aCallback) {
   if (!this->MayRead()) {
@@ -360,10 +388,11 @@
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
     return;
   }
+  const auto before =
+      CapacityOf(this->State(), announced.id.value, announced.startedUnixMs);
   this->Propose(
       workflow::RegisterWorker{*changed}, kCallerTimeout,
-      [this, isAlive = this->alive, spec = *changed,
-       clockMs = aAnnouncement.clockMs,
+      [this, isAlive = this->alive, spec = *changed, aAnnouncement, before,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
         if (!*isAlive || !this->scheduler) {
@@ -380,9 +409,12 @@
                          {"address", spec.address},
                          {"born", std::to_string(spec.startedUnixMs)},
                          {"draining", spec.draining ? "true" : "false"}});
+        RecordCapacityChange(*worker, before, aAnnouncement.sequence);
         const TimePoint now = net::Now();
         workflow::OnStateChanged(*this->scheduler, this->State(), now);
-        workflow::OnAnnounced(*this->scheduler, worker->number, clockMs, now);
+        workflow::OnRegistered(*this->scheduler, this->State(), aAnnouncement);
+        workflow::OnAnnounced(*this->scheduler, worker->number,
+                              aAnnouncement.clockMs, now);
         this->RequestCycle();
       });
 }
--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -1,8 +1,49 @@
 #include "bramleypath/workflow/Announcements.h"
 
+#include <algorithm>
+
 namespace bramleypath::workflow {
 
-std::optional<WorkerSpec> SpecToCommit(Scheduler& /*aScheduler*/,
+namespace {
+
+Resources LowerOf(const Resources& aLeft, const Resources& aRight) {
+  return Resources{std::min(aLeft.processorsMilli, aRight.processorsMilli),
+                   std::min(aLeft.memoryMb, aRight.memoryMb),
+                   std::min(aLeft.accelerators, aRight.accelerators)};
+}
+
+// Whether both specs of one incarnation are equal.
+bool IsSame(const WorkerSpec& aLeft, const WorkerSpec& aRight) {
+  return aLeft.address == aRight.address && aLeft.service == aRight.service &&
+         aLeft.dataCentre == aRight.dataCentre && aLeft.rack == aRight.rack &&
+         aLeft.labels == aRight.labels && aLeft.capacity == aRight.capacity &&
+         aLeft.draining == aRight.draining;
+}
+
+// The spec that follows from an announcement of the known incarnation.
+WorkerSpec Update(const Worker& aKnown, WorkerSession& aSession,
+                  const Announcement& aAnnouncement) {
+  WorkerSpec spec = aKnown.spec;
+  const std::uint64_t newest = aSession.newestAnnouncement;
+  if (aAnnouncement.sequence >= newest) {
+    spec = aAnnouncement.worker;
+    aSession.newestAnnouncement = aAnnouncement.sequence;
+  }
+  // The first announcement that a new leader receives may be a late one from
+  // before a shrink. A second, later one confirms a growth.
+  const bool isConfirmed =
+      newest > 0 ? aAnnouncement.sequence > newest : !aSession.isInherited;
+  if (!isConfirmed) {
+    spec.capacity = LowerOf(spec.capacity, aKnown.spec.capacity);
+  }
+  // An incarnation that drains never stops draining.
+  spec.draining = aAnnouncement.worker.draining || aKnown.spec.draining;
+  return spec;
+}
+
+}  // namespace
+
+std::optional<WorkerSpec> SpecToCommit(Scheduler& aScheduler,
                                        const State& aState,
                                        const Announcement& aAnnouncement) {
   const WorkerSpec& announced = aAnnouncement.worker;
@@ -10,21 +51,28 @@
   if (!known || announced.startedUnixMs > known->spec.startedUnixMs) {
     return announced;
   }
-  if (announced.startedUnixMs < known->spec.startedUnixMs) {
+  const auto session = aScheduler.sessions.find(known->number);
+  if (announced.startedUnixMs < known->spec.startedUnixMs ||
+      session == aScheduler.sessions.end()) {
     return std::nullopt;
   }
-  const WorkerSpec& spec = known->spec;
-  const bool isChanged = (announced.draining && !spec.draining) ||
-                         announced.address != spec.address ||
-                         announced.service != spec.service;
-  if (!isChanged) {
-    return std::nullopt;
+  WorkerSpec spec = Update(*known, session->second, aAnnouncement);
+  return IsSame(spec, known->spec) ? std::nullopt
+                                   : std::optional(std::move(spec));
+}
+
+void OnRegistered(Scheduler& aScheduler, const State& aState,
+                  const Announcement& aAnnouncement) {
+  const Worker* const known = FindWorker(aState, aAnnouncement.worker.id.value);
+  if (!known ||
+      known->spec.startedUnixMs != aAnnouncement.worker.startedUnixMs) {
+    return;
+  }
+  const auto session = aScheduler.sessions.find(known->number);
+  if (session != aScheduler.sessions.end()) {
+    session->second.newestAnnouncement =
+        std::max(session->second.newestAnnouncement, aAnnouncement.sequence);
   }
-  WorkerSpec changed = announced;
-  // An incarnation that drains never stops draining, so an announcement that
-  // says otherwise was sent earlier and delayed.
-  changed.draining = announced.draining || spec.draining;
-  return changed;
 }
 
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -79,6 +79,11 @@
 struct WorkerSession {
   WorkerNumber worker = 0;
   std::optional<TimePoint> lastMessageAt;
+  // Highest sequence of the incarnation's announcements; 0: none received.
+  std::uint64_t newestAnnouncement = 0;
+  // The incarnation was registered under an earlier leader, whose highest
+  // sequence is unknown.
+  bool isInherited = false;
   std::optional<ClockSample> clock;
   // Latest end of the leases granted, on the worker's clock.
   std::int64_t grantedUntilMs = 0;
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -267,6 +267,7 @@
     }
     if (aScheduler.leaderSince == aNow) {
       session.earlierLeaseEndsAt = aNow + longest;
+      session.isInherited = true;
     }
     aScheduler.sessions.emplace(number, std::move(session));
   }
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -140,6 +140,7 @@
   if (changed) {
     Apply(this->state, RegisterWorker{*changed});
     OnStateChanged(*this->scheduler, this->state, this->now);
+    OnRegistered(*this->scheduler, this->state, aAnnouncement);
   }
   const Worker* const known =
       FindWorker(this->state, aAnnouncement.worker.id.value);
