Check a queued start again against its worker's capacity

Cause: a placement was checked against the capacity once. While it waited for its commit and in the queue of starts, the worker could shrink, and the start was sent all the same (LIMIT).

Change: right before a start is sent, it has to fit into the capacity less all that may run there: running, unanswered, being stopped, in flight, or moved from an earlier incarnation. Starts still in the queue don't count. One that doesn't fit ends as never run, is logged as start_withdrawn, and its task is placed elsewhere; the other members of its gang are stopped, since they would wait for it until gangMs. No loop: the next placement reads the same capacity, so that each shrink withdraws a start at most once. Running tasks stay.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -38,6 +38,8 @@
   // Whether the start request is queued or in flight, was accepted or has no
   // answer.
   StartStatus startStatus = StartStatus::Unknown;
+  // The start request has been sent and has no answer yet.
+  bool isStartInFlight = false;
   // Placed by an earlier leader. A worker that has seen this leader's epoch
   // refuses its start.
   bool isFromEarlierEpoch = false;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -427,6 +427,9 @@
   WorkerSession& session = found->second;
   Attempt* const attempt =
       FindAttempt(aScheduler, aRequest.task, aRequest.request.attempt);
+  if (attempt) {
+    attempt->isStartInFlight = false;
+  }
   if (IsDelayedByLeader(aAnswer)) {
     actions.push_back(
         DecisionRecord{"start_delayed", detail::ToText(aRequest.request.task),
--- /dev/null
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -0,0 +1,68 @@
+#include "bramleypath/workflow/internal/StartChecks.h"
+
+#include "bramleypath/workflow/internal/SchedulerDetail.h"
+
+namespace bramleypath::workflow::detail {
+
+namespace {
+
+// Whether the attempt can't run on its worker before another start is sent.
+bool IsUnsent(const Attempt& aAttempt) {
+  return aAttempt.startStatus == Attempt::StartStatus::Sending &&
+         !aAttempt.isStartInFlight;
+}
+
+// Reserved by the attempts that may run on the worker, without aKey and those
+// whose starts have not been sent.
+Resources UsedByOthers(const Scheduler& aScheduler, const State& aState,
+                       const Worker& aWorker, const TaskKey& aKey) {
+  Resources used;
+  for (const TaskKey& key : aWorker.attempts) {
+    const auto found = aScheduler.attempts.find(key);
+    const bool isUnsent =
+        found != aScheduler.attempts.end() && IsUnsent(found->second);
+    if (!(key == aKey) && !isUnsent) {
+      used = used + Reservation(StageOf(aState, key));
+    }
+  }
+  return used;
+}
+
+bool FitsOn(const Scheduler& aScheduler, const State& aState,
+            const Worker& aWorker, const TaskKey& aKey) {
+  const Resources& capacity = aWorker.spec.capacity;
+  return Fits(aWorker.reserved, capacity) ||
+         Fits(Reservation(StageOf(aState, aKey)),
+              capacity - UsedByOthers(aScheduler, aState, aWorker, aKey));
+}
+
+}  // namespace
+
+std::string UnsuitableReason(const Scheduler& aScheduler, const State& aState,
+                             const TaskKey& aKey, const Attempt& aAttempt) {
+  const auto found = aState.workers.find(aAttempt.worker);
+  if (found == aState.workers.end()) {
+    return "";
+  }
+  const Worker& worker = found->second;
+  return FitsOn(aScheduler, aState, worker, aKey) ? "" : "capacity exceeded";
+}
+
+void StopOtherMembers(Scheduler& aScheduler, const State& aState,
+                      const TaskKey& aKey, AttemptNumber aAttempt,
+                      TimePoint aNow) {
+  const StageSpec& stage = StageOf(aState, aKey);
+  if (!stage.gang) {
+    return;
+  }
+  TaskKey key = aKey;
+  for (key.index = 0; key.index < stage.tasks; ++key.index) {
+    const auto found = aScheduler.attempts.find(key);
+    if (found != aScheduler.attempts.end() && key.index != aKey.index &&
+        found->second.number == aAttempt) {
+      RequestStop(found->second, "member of its gang withdrawn", aNow);
+    }
+  }
+}
+
+}  // namespace bramleypath::workflow::detail
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -1,6 +1,7 @@
 #include <utility>
 
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
+#include "bramleypath/workflow/internal/StartChecks.h"
 
 namespace bramleypath::workflow::detail {
 
@@ -46,6 +47,21 @@
          !FindTask(aState, aKey)->doneByEarlierAttempt;
 }
 
+DecisionRecord WithdrawnRecord(const State& aState, const TaskKey& aKey,
+                               const Attempt& aAttempt,
+                               const std::string& aReason) {
+  std::string detail = "attempt=" + std::to_string(aAttempt.number) +
+                       " worker=" + WorkerText(aState, aAttempt.worker) +
+                       " reason=" + aReason;
+  const auto worker = aState.workers.find(aAttempt.worker);
+  if (worker != aState.workers.end()) {
+    detail += " capacity=" + ToText(worker->second.spec.capacity) +
+              " reserved=" + ToText(worker->second.reserved);
+  }
+  return DecisionRecord{"start_withdrawn", ToText(NameOf(aState, aKey)),
+                        std::move(detail)};
+}
+
 void SendOne(Scheduler& aScheduler, const State& aState,
              const QueuedStart& aQueued, TimePoint aNow, EndTasks& aNeverRan,
              SchedulerActions& aActions) {
@@ -67,7 +83,17 @@
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
     return;
   }
+  const std::string unsuitable =
+      UnsuitableReason(aScheduler, aState, aQueued.task, attempt);
+  if (!unsuitable.empty()) {
+    aActions.push_back(
+        WithdrawnRecord(aState, aQueued.task, attempt, unsuitable));
+    StopOtherMembers(aScheduler, aState, aQueued.task, attempt.number, aNow);
+    ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
+    return;
+  }
   ++aScheduler.startsInFlight;
+  attempt.isStartInFlight = true;
   attempt.sentAt = aNow;
   attempt.progressAt = aNow;
   aActions.push_back(MakeStart(aScheduler, aState, aQueued.task, attempt,
