Withdraw a queued start whose worker drains or lost its label

A start that waited in the queue was sent to a worker that had announced meanwhile that it drains (DRAIN), that its labels or its service had changed (ROUTE), or after the queue's route had moved to another service. It now ends as never run, as one that no longer fits.

testQueuedStartIsNotSentToADrainingWorker and testQueuedStartIsNotSentWithoutTheLabel failed before (1 start instead of 0) and pass.

--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -1,5 +1,7 @@
 #include "bramleypath/workflow/internal/StartChecks.h"
 
+#include <algorithm>
+
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
@@ -36,6 +38,13 @@
               capacity - UsedByOthers(aScheduler, aState, aWorker, aKey));
 }
 
+bool HasRequiredLabel(const Worker& aWorker, const StageSpec& aStage) {
+  const std::vector<std::string>& labels = aWorker.spec.labels;
+  return aStage.requiredLabel.empty() ||
+         std::find(labels.begin(), labels.end(), aStage.requiredLabel) !=
+             labels.end();
+}
+
 }  // namespace
 
 std::string UnsuitableReason(const Scheduler& aScheduler, const State& aState,
@@ -45,6 +54,17 @@
     return "";
   }
   const Worker& worker = found->second;
+  const QueueSettings* const queue =
+      FindQueue(aState, aState.jobs.at(aKey.job).spec.queue);
+  if (worker.spec.draining) {
+    return "draining";
+  }
+  if (queue && queue->service != worker.spec.service) {
+    return "other service";
+  }
+  if (!HasRequiredLabel(worker, StageOf(aState, aKey))) {
+    return "no required label";
+  }
   return FitsOn(aScheduler, aState, worker, aKey) ? "" : "capacity exceeded";
 }
 
