Keep the reservations of a gang's members until each has ended

With the first done end of a gang, EndGang released the reservations of all members, also of those that still ran on their workers or were being stopped. Starts beside them brought the worker over its capacity (LIMIT), also with a capacity that never changes.

Change: the first done end marks the other placed members as done by another attempt, as a late end does. They keep their reservations, are stopped, and are done once their end is listed, their lease is over or their worker is gone. The next stage waits for that.

--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -106,34 +106,6 @@
   return queue && aTask.failures >= queue->maxAttempts;
 }
 
-// A gang is done as soon as one of its tasks is done: marks all tasks of the
-// attempt as done.
-void EndGang(State& aState, Job& aJob, const EndedTask& aEnd) {
-  StageState& stage = StageOf(aJob, aEnd.task);
-  const auto count = static_cast<std::uint32_t>(stage.tasks.size());
-  for (std::uint32_t index = 0; index < count; ++index) {
-    TaskKey key = aEnd.task;
-    key.index = index;
-    TaskState& task = stage.tasks[index];
-    if (task.attempt != aEnd.attempt) {
-      continue;
-    }
-    if (task.phase == TaskPhase::Placed) {
-      ReleaseReservation(aState, aJob, key, task);
-    }
-    if (task.phase != TaskPhase::Done) {
-      if (task.phase == TaskPhase::Waiting) {
-        --stage.waiting;
-      }
-      MarkDone(aJob, key, task);
-    }
-  }
-}
-
-bool IsLatestAttempt(const TaskState& aTask, const EndedTask& aEnd) {
-  return aTask.phase == TaskPhase::Placed && aTask.attempt == aEnd.attempt;
-}
-
 // Marks the task as done by an attempt that was ended before as not done.
 void MarkDoneLate(Job& aJob, const TaskKey& aKey, TaskState& aTask) {
   if (aTask.phase == TaskPhase::Placed) {
@@ -144,6 +116,27 @@
   }
 }
 
+// A gang is done with the first done end of a task: the others of the attempt
+// need no further attempt. Those that may still run keep their reservations
+// until they have ended.
+void EndGang(State& aState, Job& aJob, const EndedTask& aEnd) {
+  StageState& stage = StageOf(aJob, aEnd.task);
+  TaskState& ended = stage.tasks[aEnd.task.index];
+  ReleaseReservation(aState, aJob, aEnd.task, ended);
+  MarkDone(aJob, aEnd.task, ended);
+  TaskKey key = aEnd.task;
+  for (key.index = 0; key.index < stage.tasks.size(); ++key.index) {
+    TaskState& task = stage.tasks[key.index];
+    if (task.attempt == aEnd.attempt) {
+      MarkDoneLate(aJob, key, task);
+    }
+  }
+}
+
+bool IsLatestAttempt(const TaskState& aTask, const EndedTask& aEnd) {
+  return aTask.phase == TaskPhase::Placed && aTask.attempt == aEnd.attempt;
+}
+
 // Applies an end that became known after the attempt had been ended, for
 // example because its worker could not be reached until its lease was over.
 void ApplyLateEnd(State& aState, const EndedTask& aEnd) {
