Don't let a restarted worker inherit that its predecessor drained

What callers saw: nothing yet. An incarnation that answered a renewal before its first announcement was registered with the spec of its predecessor, also with its state of draining. That state never ends, so that the worker got no task until it restarted once more.

testWorkerRestartedAfterDrainingIsUsedAgain failed before (still draining 30 s after the restart) and passes.

--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -315,6 +315,7 @@
   // It may be of another kind. Nothing is placed there until it announces its
   // capacity.
   command.worker.capacity = Resources();
+  command.worker.draining = false;
   aChanges.others.emplace_back(std::move(command));
 }
 
--- a/tests/workflow/CapacityTest.cpp
+++ b/tests/workflow/CapacityTest.cpp
@@ -107,6 +107,7 @@
   CPPUNIT_TEST(testQueuedStartIsNotSentWithoutTheLabel);
   CPPUNIT_TEST(testGangMembersCountUntilTheirEnd);
   CPPUNIT_TEST(testWorkerRestartedAsASmallerKind);
+  CPPUNIT_TEST(testWorkerRestartedAfterDrainingIsUsedAgain);
   CPPUNIT_TEST(testWorkerThatShrinksWhileCutOff);
   CPPUNIT_TEST_SUITE_END();
 
@@ -221,6 +222,21 @@
     CPPUNIT_ASSERT(FindJob(cell.state, "before")->phase == JobPhase::Completed);
   }
 
+  // It copied the predecessor's state of draining, which never ends.
+  void testWorkerRestartedAfterDrainingIsUsedAgain() {
+    CellModel cell = MakeCell(1);
+    cell.workers.at("w0").runMs = 2000;
+    cell.Submit(MakeJob("before"));
+    cell.Run(Millis(100));
+    cell.workers.at("w0").spec.draining = true;
+    cell.Run(Millis(600));
+    cell.workers.at("w0").spec.draining = false;
+    cell.RestartWorkerAs("w0", kLarge);
+    cell.Run(Seconds(30));
+    CPPUNIT_ASSERT(!FindWorker(cell.state, "w0")->spec.draining);
+    CPPUNIT_ASSERT(FindJob(cell.state, "before")->phase == JobPhase::Completed);
+  }
+
   // The worker answers renewals again before it announces itself.
   void testWorkerThatShrinksWhileCutOff() {
     CellModel cell = MakeCell(1);
