Place and start tasks only where the capacity is known to be recent

What callers saw: nothing yet. A worker that was cut off, or whose reports were lost, may have shrunk meanwhile. After the cut it answers a renewal before it announces itself, and tasks were placed and started there by the capacity from before, later than the rule allows (LIMIT).

Change: a worker gets tasks only if its latest announcement is at most two and a half intervals old, which leaves at least half of an interval and a part of the contact window for the commit and the start. The age of a late announcement is read from the clock that it shows, limited to two intervals, so that a wrong estimate of the clock excludes no worker for good. A queued start is checked too. A new leader doesn't know the age, and waits for the first announcement of each worker.

The price: after a change of leader, a worker gets new tasks only with its next announcement, up to one interval later than before. What runs stays.

The model keeps past capacities over a restart, since a shrink just before it counts for the same time.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -81,6 +81,9 @@
 struct WorkerSession {
   WorkerNumber worker = 0;
   std::optional<TimePoint> lastMessageAt;
+  // When the worker last said what its capacity is; none until it announces
+  // itself to a new leader.
+  std::optional<TimePoint> announcedAt;
   // Highest sequence of the incarnation's announcements; 0: none received.
   std::uint64_t newestAnnouncement = 0;
   // The incarnation was registered under an earlier leader, whose highest
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -198,6 +198,7 @@
     }
     view.excluded = worker.spec.draining || !session->second.clock ||
                     !IsReachable(aScheduler, session->second, aNow) ||
+                    IsCapacityOutdated(aScheduler, session->second, aNow) ||
                     aNow < session->second.avoidUntil;
     view.recentFailures = session->second.recentFailures;
     view.speed = session->second.speed;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -59,6 +59,12 @@
 bool IsReachable(const Scheduler& aScheduler, const WorkerSession& aSession,
                  TimePoint aNow);
 
+// Whether the worker's capacity may have changed unnoticed, since its latest
+// announcement is too old. A capacity that has shrunk counts for a contact
+// window and an announcement interval.
+bool IsCapacityOutdated(const Scheduler& aScheduler,
+                        const WorkerSession& aSession, TimePoint aNow);
+
 // Schedules a stop of the attempt, unless one is scheduled already.
 void RequestStop(Attempt& aAttempt, const std::string& aReason, TimePoint aNow);
 // A worker may execute a request up to 12 s after it was sent.
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -48,9 +48,11 @@
 }  // namespace
 
 std::string UnsuitableReason(const Scheduler& aScheduler, const State& aState,
-                             const TaskKey& aKey, const Attempt& aAttempt) {
+                             const TaskKey& aKey, const Attempt& aAttempt,
+                             TimePoint aNow) {
   const auto found = aState.workers.find(aAttempt.worker);
-  if (found == aState.workers.end()) {
+  const auto session = aScheduler.sessions.find(aAttempt.worker);
+  if (found == aState.workers.end() || session == aScheduler.sessions.end()) {
     return "";
   }
   const Worker& worker = found->second;
@@ -65,6 +67,9 @@
   if (!HasRequiredLabel(worker, StageOf(aState, aKey))) {
     return "no required label";
   }
+  if (IsCapacityOutdated(aScheduler, session->second, aNow)) {
+    return "capacity outdated";
+  }
   return FitsOn(aScheduler, aState, worker, aKey) ? "" : "capacity exceeded";
 }
 
--- a/src/bramleypath/workflow/internal/StartChecks.h
+++ b/src/bramleypath/workflow/internal/StartChecks.h
@@ -10,7 +10,8 @@
 
 // Why the worker no longer suits the placed attempt; empty if it does.
 std::string UnsuitableReason(const Scheduler& aScheduler, const State& aState,
-                             const TaskKey& aKey, const Attempt& aAttempt);
+                             const TaskKey& aKey, const Attempt& aAttempt,
+                             TimePoint aNow);
 // Stops the other members of the attempt's gang. Without this one they would
 // wait for it until they time out.
 void StopOtherMembers(Scheduler& aScheduler, const State& aState,
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -84,7 +84,7 @@
     return;
   }
   const std::string unsuitable =
-      UnsuitableReason(aScheduler, aState, aQueued.task, attempt);
+      UnsuitableReason(aScheduler, aState, aQueued.task, attempt, aNow);
   if (!unsuitable.empty()) {
     aActions.push_back(
         WithdrawnRecord(aState, aQueued.task, attempt, unsuitable));
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -165,6 +165,15 @@
          aScheduler.settings.announceInterval * kMissedAnnouncements;
 }
 
+bool IsCapacityOutdated(const Scheduler& aScheduler,
+                        const WorkerSession& aSession, TimePoint aNow) {
+  // Two intervals and a half, so that one announcement may be late.
+  constexpr std::int64_t kHalfIntervals = 5;
+  return !aSession.announcedAt ||
+         aScheduler.settings.announceInterval * kHalfIntervals <
+             (aNow - *aSession.announcedAt) * 2;
+}
+
 void SendLeaseRenewals(Scheduler& aScheduler, const State& aState,
                        TimePoint aNow, SchedulerActions& aActions) {
   ++aScheduler.work.sessionSweeps;
@@ -256,6 +265,7 @@
     }
     WorkerSession session;
     session.worker = number;
+    session.announcedAt = aNow;
     // The first renewal tells a new incarnation the leader's epoch.
     session.nextRenewalAt = aNow;
     session.fencingStops =
@@ -268,6 +278,8 @@
     if (aScheduler.leaderSince == aNow) {
       session.earlierLeaseEndsAt = aNow + longest;
       session.isInherited = true;
+      // Its capacity is known again with its next announcement.
+      session.announcedAt.reset();
     }
     aScheduler.sessions.emplace(number, std::move(session));
   }
@@ -287,6 +299,23 @@
   }
 }
 
+namespace {
+
+// When an announcement that shows aClockMs was sent. Its age is limited, so
+// that a wrong estimate of the clock doesn't exclude a worker for good.
+TimePoint AnnouncedAt(const Scheduler& aScheduler,
+                      const WorkerSession& aSession, std::int64_t aClockMs,
+                      TimePoint aNow) {
+  const auto clock = detail::EstimateClock(aSession, aNow);
+  if (!clock || aClockMs <= 0 || aClockMs >= *clock) {
+    return aNow;
+  }
+  const Duration oldest = aScheduler.settings.announceInterval * 2;
+  return aNow - std::min(oldest, Millis(*clock - aClockMs));
+}
+
+}  // namespace
+
 void OnAnnounced(Scheduler& aScheduler, WorkerNumber aWorker,
                  std::int64_t aClockMs, TimePoint aNow) {
   const auto found = aScheduler.sessions.find(aWorker);
@@ -294,6 +323,11 @@
     return;
   }
   WorkerSession& session = found->second;
+  const TimePoint sentAt = AnnouncedAt(aScheduler, session, aClockMs, aNow);
+  if (detail::IsCapacityOutdated(aScheduler, session, aNow)) {
+    aScheduler.dispatchWanted = true;
+  }
+  session.announcedAt = std::max(session.announcedAt.value_or(sentAt), sentAt);
   detail::RecordClock(session, aClockMs, aNow);
   detail::RecordMessage(aScheduler, session, aNow);
   if (session.missedRenewals > 0 && !session.renewalInFlight) {
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -207,6 +207,7 @@
   next.clockStartedAt = aNow;
   next.runMs = aWorker.runMs;
   next.stopMs = aWorker.stopMs;
+  next.pastCapacities = aWorker.pastCapacities;
   next.failureShare = aWorker.failureShare;
   aWorker = next;
 }
