--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -125,6 +125,7 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{16000},
                          read->worker.capacity.processorsMilli);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{482113}, read->clockMs);
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, read->sequence);
     CPPUNIT_ASSERT(!read->worker.draining);
   }
 
--- a/tests/process/platform_path.py
+++ b/tests/process/platform_path.py
@@ -22,8 +22,8 @@
 
 from deployment import Failed, free_port, wait_for  # noqa: E402
 from link import MODES  # noqa: E402
-from platform_standin import (MAX_JOB_BYTES, Ledger, Node,  # noqa: E402
-                              Worker, call, call_control,
+from platform_standin import (MAX_JOB_BYTES, TASK_CPU, Ledger,  # noqa: E402
+                              Node, Worker, call, call_control,
                               platform_configuration)
 
 HOST = "a.example"
@@ -39,7 +39,7 @@
 
 
 def job(tasks):
-    stage = {"count": tasks, "cpu": 1000, "memoryRequestMb": 100,
+    stage = {"count": tasks, "cpu": TASK_CPU, "memoryRequestMb": 100,
              "estimatedMs": 400}
     return {"specification": "text", "steps": [stage, {**stage, "after": [0]}]}
 
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -14,6 +14,10 @@
 
 MAX_LEASE_MS = 6000
 HEARTBEAT_S = 0.5
+CONTACT_WINDOW_S = 3
+# Thousandths of a processor: each task's demand, and a worker's capacity.
+TASK_CPU = 1000
+WORKER_CPU = 8000
 MAX_JOB_BYTES = 20000
 
 
@@ -43,6 +47,10 @@
             if outcome == "done":
                 self.done[task] = self.done.get(task, 0) + 1
 
+    def violate(self, text):
+        with self.lock:
+            self.violations.append(text)
+
     def forget(self, tasks):
         """Removes tasks whose worker restarted before it reported their ends, so
         that they may run again."""
@@ -64,6 +72,7 @@
         self.epoch, self.lease_until_ms, self.last_end_sequence = 0, 0, 0
         self.running, self.highest_refused_run, self.ended = {}, {}, []
         self.stopped = False
+        self.cpu, self.past_cpus, self.most_running = WORKER_CPU, [], 0
         worker = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -107,6 +116,23 @@
             self.running, self.highest_refused_run, self.ended = {}, {}, []
             self.condition.notify_all()
 
+    def set_cpu(self, cpu):
+        """Changes the capacity; the next heartbeat shows it."""
+        with self.condition:
+            self.past_cpus.append((self.cpu, time.monotonic()))
+            self.cpu, self.most_running = cpu, 0
+
+    def check_capacity(self):
+        """Records a start over the capacity. One that has shrunk counts for a
+        contact window and a heartbeat."""
+        self.most_running = max(self.most_running, len(self.running))
+        since = time.monotonic() - CONTACT_WINDOW_S - HEARTBEAT_S
+        allowed = max([self.cpu] + [cpu for cpu, until in self.past_cpus
+                                    if until > since])
+        used = len(self.running) * TASK_CPU
+        if used > allowed:
+            self.ledger.violate(f"{self.name} runs {used} of {allowed}")
+
     def shut_down(self):
         """Stops answering requests and sending heartbeats."""
         self.stopped = True
@@ -143,7 +169,7 @@
             sequence += 1
             body = {"service": "ledger", "address": self.address, "zone": "a",
                     "version": "v1", "slots": 8, "state": "ready",
-                    "capacity": {"cpu": 8000, "memoryRequestMb": 8000,
+                    "capacity": {"cpu": self.cpu, "memoryRequestMb": 8000,
                                  "gpu": 0},
                     "labels": ["a", "r1"], "clockMs": self.clock_ms(),
                     "sequence": sequence, "born": self.started_ms}
@@ -181,6 +207,7 @@
             return 409, {"reason": "old"}
         self.running[task] = (run, self.clock_ms() + int(self.run_s * 1000))
         self.ledger.start(task, self.name)
+        self.check_capacity()
         return 200, {}
 
     def handle_hold(self, body):
