--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -347,34 +347,47 @@
 
 namespace {
 
-// Whether the announcement changes the replicated entry of the worker and must
-// therefore be committed; the others only show that the worker is alive.
-bool MustCommitAnnouncement(const workflow::Worker* aKnown,
-                            const workflow::WorkerSpec& aWorker) {
-  if (!aKnown) {
-    return true;
+// The capacity of the worker's incarnation; none if it is not registered.
+std::optional<Resources> CapacityOf(const workflow::State& aState,
+                                    const std::string& aWorker,
+                                    std::int64_t aStartedUnixMs) {
+  const workflow::Worker* const known = workflow::FindWorker(aState, aWorker);
+  return known && known->spec.startedUnixMs == aStartedUnixMs
+             ? std::optional(known->spec.capacity)
+             : std::nullopt;
+}
+
+void RecordCapacityChange(const workflow::Worker& aWorker,
+                          const std::optional<Resources>& aBefore,
+                          std::uint64_t aSequence) {
+  if (!aBefore || *aBefore == aWorker.spec.capacity) {
+    return;
   }
-  const workflow::WorkerSpec& spec = aKnown->spec;
-  return aWorker.startedUnixMs > spec.startedUnixMs ||
-         (aWorker.startedUnixMs == spec.startedUnixMs &&
-          ((aWorker.draining && !spec.draining) ||
-           aWorker.address != spec.address || aWorker.service != spec.service));
+  eventlog::Write("worker_capacity_changed",
+                  {{"worker", aWorker.spec.id.value},
+                   {"before", ToText(*aBefore)},
+                   {"after", ToText(aWorker.spec.capacity)},
+                   {"reserved", ToText(aWorker.reserved)},
+                   {"sequence", NumberText(aSequence)}});
 }
 
 }  // namespace
 
-void Controller::Announce(const workflow::WorkerSpec& aWorker,
-                          std::int64_t aClockMs, AnswerCallback aCallback) {
+void Controller::Announce(const workflow::Announcement& aAnnouncement,
+                          AnswerCallback aCallback) {
   if (!this->MayRead()) {
     aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
     return;
   }
-  const workflow::Worker* const known =
-      workflow::FindWorker(this->State(), aWorker.id.value);
-  if (!MustCommitAnnouncement(known, aWorker)) {
-    if (known->spec.startedUnixMs == aWorker.startedUnixMs) {
-      workflow::OnAnnounced(*this->scheduler, known->number, aClockMs,
-                            net::Now());
+  const workflow::WorkerSpec& announced = aAnnouncement.worker;
+  const auto changed =
+      workflow::SpecToCommit(*this->scheduler, this->State(), aAnnouncement);
+  if (!changed) {
+    const workflow::Worker* const known =
+        workflow::FindWorker(this->State(), announced.id.value);
+    if (known->spec.startedUnixMs == announced.startedUnixMs) {
+      workflow::OnAnnounced(*this->scheduler, known->number,
+                            aAnnouncement.clockMs, net::Now());
       if (this->scheduler->dispatchWanted) {
         this->RequestCycle();
       }
@@ -382,16 +395,11 @@
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
     return;
   }
-  workflow::WorkerSpec spec = aWorker;
-  if (known && known->spec.draining &&
-      known->spec.startedUnixMs == aWorker.startedUnixMs) {
-    // An incarnation that drains never stops draining, so an announcement that
-    // says otherwise was sent earlier and delayed.
-    spec.draining = true;
-  }
+  const auto before =
+      CapacityOf(this->State(), announced.id.value, announced.startedUnixMs);
   this->Propose(
-      workflow::RegisterWorker{spec}, kCallerTimeout,
-      [this, isAlive = this->alive, spec, aClockMs,
+      workflow::RegisterWorker{*changed}, kCallerTimeout,
+      [this, isAlive = this->alive, spec = *changed, aAnnouncement, before,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
         if (!*isAlive || !this->scheduler) {
@@ -408,9 +416,12 @@
                          {"address", spec.address},
                          {"born", std::to_string(spec.startedUnixMs)},
                          {"draining", spec.draining ? "true" : "false"}});
+        RecordCapacityChange(*worker, before, aAnnouncement.sequence);
         const TimePoint now = net::Now();
         workflow::OnStateChanged(*this->scheduler, this->State(), now);
-        workflow::OnAnnounced(*this->scheduler, worker->number, aClockMs, now);
+        workflow::OnRegistered(*this->scheduler, this->State(), aAnnouncement);
+        workflow::OnAnnounced(*this->scheduler, worker->number,
+                              aAnnouncement.clockMs, now);
         this->RequestCycle();
       });
 }
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -39,6 +39,7 @@
   // Whether the start request is queued or in flight, was accepted or has no
   // answer.
   StartStatus startStatus = StartStatus::Unknown;
+  // The start request has been sent and has no answer yet.
   bool isStartInFlight = false;
   // Placed by an earlier leader. A worker that has seen this leader's epoch
   // refuses its start.
@@ -88,6 +89,14 @@
 struct WorkerSession {
   WorkerNumber worker = 0;
   std::optional<TimePoint> lastMessageAt;
+  // When the worker last said what its capacity is; none until it announces
+  // itself to a new leader.
+  std::optional<TimePoint> announcedAt;
+  // Highest sequence of the incarnation's announcements; 0: none received.
+  std::uint64_t newestAnnouncement = 0;
+  // The incarnation was registered under an earlier leader, whose highest
+  // sequence is unknown.
+  bool isInherited = false;
   std::optional<ClockSample> clock;
   // Latest end of the leases granted, on the worker's clock.
   std::int64_t grantedUntilMs = 0;
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -263,6 +263,17 @@
          job.phase == JobPhase::Active && !detail::StageOf(aState, aKey).gang;
 }
 
+// Whether to wait until the worker has announced its capacity to this leader
+// before one of its attempts is started.
+bool MustAwaitAnnouncement(const Scheduler& aScheduler,
+                           const WorkerSession& aSession,
+                           const Attempt& aAttempt, TimePoint aNow) {
+  constexpr std::int64_t kAwaitedAnnouncements = 2;
+  return detail::IsCapacityOutdated(aScheduler, aSession, aNow) &&
+         aNow - aAttempt.sentAt <
+             aScheduler.settings.announceInterval * kAwaitedAnnouncements;
+}
+
 // Starts an attempt that an earlier leader placed. The worker has not begun it
 // and refuses the earlier leader's start, so that it can't run twice; ending it
 // would take two commits, and be lost again if this leader does not last.
@@ -308,6 +319,9 @@
     const bool stopped =
         attempt.stopAcknowledgedAt && *attempt.stopAcknowledgedAt < aSentAt;
     if (fenced && !stopped && MayTakeOver(aState, key, attempt)) {
+      if (MustAwaitAnnouncement(aScheduler, aSession, attempt, aNow)) {
+        continue;
+      }
       TakeOver(aScheduler, aState, key, attempt, aNow, aActions);
       continue;
     }
@@ -348,6 +362,10 @@
   RegisterWorker command;
   command.worker = worker->second.spec;
   command.worker.startedUnixMs = aAnswer.startedUnixMs;
+  // It may be of another kind. Nothing is placed there until it announces its
+  // capacity.
+  command.worker.capacity = Resources();
+  command.worker.draining = false;
   aChanges.others.emplace_back(std::move(command));
 }
 
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
+#include "bramleypath/workflow/internal/StartChecks.h"
 
 namespace bramleypath::workflow::detail {
 
@@ -50,34 +51,6 @@
          !FindTask(aState, aKey)->doneByEarlierAttempt;
 }
 
-// Whether the worker has room for the task beside the other attempts that are
-// placed on it.
-bool FitsOn(const Worker& aWorker, const StageSpec& aStage) {
-  const Resources own = Reservation(aStage);
-  return Fits(own, aWorker.spec.capacity - (aWorker.reserved - own));
-}
-
-bool HasRequiredLabel(const Worker& aWorker, const StageSpec& aStage) {
-  const std::vector<std::string>& labels = aWorker.spec.labels;
-  return aStage.requiredLabel.empty() ||
-         std::find(labels.begin(), labels.end(), aStage.requiredLabel) !=
-             labels.end();
-}
-
-// Whether the worker may still take the task. A queued start waits while the
-// leader is late, and a new leader starts what an earlier one placed, so that
-// the worker may have changed since the placement.
-bool MayStartOn(const State& aState, const TaskKey& aKey,
-                WorkerNumber aWorker) {
-  const auto worker = aState.workers.find(aWorker);
-  const QueueSettings* const queue =
-      FindQueue(aState, aState.jobs.at(aKey.job).spec.queue);
-  return worker != aState.workers.end() && !worker->second.spec.draining &&
-         queue && worker->second.spec.service == queue->service &&
-         HasRequiredLabel(worker->second, StageOf(aState, aKey)) &&
-         FitsOn(worker->second, StageOf(aState, aKey));
-}
-
 // Why a queued start must not be sent; empty if it may be.
 std::string WhyNotToStart(const Scheduler& aScheduler, const State& aState,
                           const TaskKey& aKey, const Attempt& aAttempt,
@@ -88,15 +61,27 @@
   if (!IsStillNeeded(aState, aKey)) {
     return "no longer needed";
   }
-  if (!MayStartOn(aState, aKey, aAttempt.worker)) {
-    return "worker no longer suitable";
-  }
   if (LacksTicket(aScheduler, aState, aKey, aAttempt.worker, aNow)) {
     return "no valid ticket";
   }
   return "";
 }
 
+DecisionRecord WithdrawnRecord(const State& aState, const TaskKey& aKey,
+                               const Attempt& aAttempt,
+                               const std::string& aReason) {
+  std::string detail = "attempt=" + std::to_string(aAttempt.number) +
+                       " worker=" + WorkerText(aState, aAttempt.worker) +
+                       " reason=" + aReason;
+  const auto worker = aState.workers.find(aAttempt.worker);
+  if (worker != aState.workers.end()) {
+    detail += " capacity=" + ToText(worker->second.spec.capacity) +
+              " reserved=" + ToText(worker->second.reserved);
+  }
+  return DecisionRecord{"start_withdrawn", ToText(NameOf(aState, aKey)),
+                        std::move(detail)};
+}
+
 void SendOne(Scheduler& aScheduler, const State& aState,
              const QueuedStart& aQueued, TimePoint aNow, EndTasks& aNeverRan,
              SchedulerActions& aActions) {
@@ -122,6 +107,15 @@
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
     return;
   }
+  const std::string unsuitable =
+      UnsuitableReason(aScheduler, aState, aQueued.task, attempt, aNow);
+  if (!unsuitable.empty()) {
+    aActions.push_back(
+        WithdrawnRecord(aState, aQueued.task, attempt, unsuitable));
+    StopOtherMembers(aScheduler, aState, aQueued.task, attempt.number, aNow);
+    ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
+    return;
+  }
   ++aScheduler.startsInFlight;
   attempt.isStartInFlight = true;
   attempt.sentAt = aNow;
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "bramleypath/workflow/Announcements.h"
 #include "bramleypath/workflow/Scheduler.h"
 #include "tests/workflow/WorkerModel.h"
 
@@ -23,6 +24,9 @@
   double sentTooLate = 0;   // not sent, since the leader was late
   double startLost = 0;     // as requestLost, but only for starts
   double startTooLate = 0;  // as sentTooLate, but only for starts
+  // The announcement is lost and repeated a second later.
+  double announcementLost = 0;
+  double announcementLate = 0;  // it arrives up to 4 s later
 };
 
 // A leader and its workers in virtual time, connected by a network that loses
@@ -46,6 +50,9 @@
   void RestartWorker(const std::string& aId);
   // The worker loses all of its tasks and is back after aLength.
   void CrashWorker(const std::string& aId, Duration aLength);
+  // As RestartWorker, with another capacity. The first announcement follows
+  // with those of the other workers.
+  void RestartWorkerAs(const std::string& aId, const Resources& aCapacity);
   // A partitioned worker receives no requests and announces itself to nobody.
   void SetPartitioned(const std::string& aId, bool aPartitioned);
   // A late leader sends no request in time.
@@ -91,6 +98,9 @@
   void ScheduleOnLeader(TimePoint aAt, std::function<void()> aAction);
   void RunDueEvents();
   void Announce();
+  void AnnounceWorker(const std::string& aId);
+  // The leader receives an announcement.
+  void Receive(const Announcement& aAnnouncement);
   void Perform(SchedulerActions aActions);
   void PerformOne(const Commit& aCommit);
   void PerformOne(const SendStart& aStart);
@@ -108,7 +118,9 @@
   void DeliverTooLate(
       const std::function<void(const RequestAnswer&)>& aOnAnswer);
   WorkerModel* FindModel(WorkerNumber aWorker);
-  RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest);
+  RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest,
+                        TimePoint aSentAt);
+  void CheckCapacity(const WorkerModel& aWorker, TimePoint aSentAt);
   void CheckStart(const WorkerModel& aWorker, const StartRequest& aRequest);
   void RecordEnds(const Commit& aCommit);
   // Checks that the done ends that the worker is about to discard are recorded.
@@ -123,6 +135,7 @@
   TimePoint leaderPausedUntil;
   bool isLeaderLate = false;
   std::set<std::string> partitioned;
+  std::map<std::string, std::vector<StageSpec>> stages;  // by job
   std::set<std::string> done;  // tasks whose end is committed
 };
 
--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -20,12 +20,19 @@
     std::int64_t startedAtMs = 0;
     bool fails = false;
     std::uint32_t pace = 100;  // percent
+    bool isStopping = false;   // ends as stopped at endsAtMs
+  };
+  // A capacity that the worker had.
+  struct PastCapacity {
+    Resources capacity;
+    TimePoint until;
   };
 
   WorkerSpec spec;
   double clockRate = 1;
   TimePoint clockStartedAt;
   bool up = true;
+  std::uint64_t announcements = 0;  // sent so far
   Epoch epoch = 0;
   std::int64_t untilMs = 0;
   std::map<std::string, Running> running;
@@ -36,6 +43,8 @@
   std::uint64_t lastEnd = 0;
   std::uint32_t runMs = 300;
   std::string endlessJob;  // its tasks run until they are stopped
+  std::uint32_t stopMs = 0;  // how long a stop takes
+  std::vector<PastCapacity> pastCapacities;
   double failureShare = 0;
   bool refusesStarts = false;
   // Jobs whose first task crashes the worker soon after its start.
@@ -66,6 +75,9 @@
                         Random& aRandom, TimePoint aNow);
 // Whether a running task crashes the worker by now.
 bool CrashesNow(const WorkerModel& aWorker, TimePoint aNow);
+// Changes the capacity of the running process. Its announcements show it.
+void SetCapacity(WorkerModel& aWorker, const Resources& aCapacity,
+                 TimePoint aNow);
 // Replaces the process by a new incarnation with the same id.
 void Restart(WorkerModel& aWorker, TimePoint aNow);
 
