Don't take over attempts whose worker has restarted

A start after a restart of the worker could repeat the number of an attempt that had run before, and a task that crashes its workers was started again on the worker that it had just crashed.

Cause: attempts move to the new incarnation of their worker. A new leader can't tell them from those that were never started, and started them under their old number. Before starts were taken over, each got a new number.

The replicated state now marks such attempts, and a new leader ends them as never run there, as before.

--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -229,6 +229,7 @@
   task.phase = TaskPhase::Placed;
   task.attempt = aPlaced.attempt;
   task.worker = aPlaced.worker;
+  task.hasWorkerRestarted = false;
   --stage.waiting;
   ++stage.placed;
   ++job.placed;
@@ -282,7 +283,9 @@
 void MoveAttempts(State& aState, WorkerNumber aEarlier, Worker& aWorker) {
   Worker& earlier = aState.workers.at(aEarlier);
   for (const TaskKey& key : earlier.attempts) {
-    MutableTask(aState, key)->worker = aWorker.number;
+    TaskState* const task = MutableTask(aState, key);
+    task->worker = aWorker.number;
+    task->hasWorkerRestarted = true;
   }
   aWorker.attempts = std::move(earlier.attempts);
   aWorker.reserved = earlier.reserved;
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -36,6 +36,9 @@
   // An earlier attempt was done after all, as its worker reported late. The
   // placed one is stopped, and the task is done once it has ended.
   bool doneByEarlierAttempt = false;
+  // The worker has restarted since the placement, so that the attempt may have
+  // run on an earlier incarnation.
+  bool hasWorkerRestarted = false;
   // The attempts that failures counts. A worker lists an end until it is
   // acknowledged, so that an end may be proposed more than once. Empty for
   // long-running tasks, whose failures have no limit.
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -255,11 +255,13 @@
 }
 
 // Whether an attempt of an earlier leader that the worker has never listed can
-// be started by this one. The members of a gang are only placed together.
+// be started by this one. It has then run nowhere, so that it keeps its number.
+// The members of a gang are only placed together.
 bool MayTakeOver(const State& aState, const TaskKey& aKey,
                  const Attempt& aAttempt) {
   const Job& job = aState.jobs.at(aKey.job);
   return !aAttempt.listed && !aAttempt.stopReason &&
+         !FindTask(aState, aKey)->hasWorkerRestarted &&
          job.phase == JobPhase::Active && !detail::StageOf(aState, aKey).gang;
 }
 
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -197,6 +197,7 @@
   aVisitor.Required("w", aTask.worker);
   aVisitor.Required("c", aTask.checkpoint);
   aVisitor.Optional("e", aTask.doneByEarlierAttempt);
+  aVisitor.Optional("r", aTask.hasWorkerRestarted);
   aVisitor.Optional("fa", aTask.failedAttempts);
   OptionalIf(aVisitor, "cr", aTask.crashes, !aTask.crashes.empty());
 }
--- a/tests/workflow/StateTest.cpp
+++ b/tests/workflow/StateTest.cpp
@@ -342,6 +342,15 @@
     CPPUNIT_ASSERT_EQUAL(WorkerNumber{2}, FindTask(state, kFirst)->worker);
     CPPUNIT_ASSERT_EQUAL(std::int64_t{1000}, worker.reserved.processorsMilli);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1}, state.workers.size());
+    State restored;
+    std::string reason;
+    CPPUNIT_ASSERT(DecodeState(EncodeState(state), restored, reason));
+    CPPUNIT_ASSERT(FindTask(restored, kFirst)->hasWorkerRestarted);
+    // The next placement is on an incarnation that has not run the task.
+    End(state, kFirst, EndKind::NeverRan, 1, "");
+    Apply(state, PlaceTasks{{PlacedTask{kFirst, 2, 2}}});
+    CPPUNIT_ASSERT(FindTask(state, kFirst)->phase == TaskPhase::Placed);
+    CPPUNIT_ASSERT(!FindTask(state, kFirst)->hasWorkerRestarted);
   }
 
   void testDelayedAnnouncementOfAnEarlierIncarnation() {
