Test that delayed first renewals don't hold back others

With 80 workers with long-running tasks, a late leader tries their first renewals again and again and sends none to the 20 others. The test fails with

equality assertion failed - Expected: 100 - Actual : 80

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -88,6 +89,7 @@
   CPPUNIT_TEST(testChangesOfLeaderUseUpNoAttempt);
   CPPUNIT_TEST(testFullStartQueueDoesNotDelayALongRunningTask);
   CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
+  CPPUNIT_TEST(testDelayedFirstRenewalsDoNotHoldBackOthers);
   CPPUNIT_TEST(testDelayedStartIsNotSentToADrainingWorker);
   CPPUNIT_TEST(testTakenOverStartIsNotSentToAChangedWorker);
   CPPUNIT_TEST(testAttemptOfAnEarlierIncarnationIsNotStartedAgain);
@@ -191,6 +193,30 @@
                          std::get<SendLeaseRenewal>(*renewal).worker);
   }
 
+  // First renewals that the leader was too late to send were tried again before
+  // all others, so that workers without long-running tasks got none.
+  void testDelayedFirstRenewalsDoNotHoldBackOthers() {
+    constexpr int kWorkers = 100;
+    CellModel cell = MakeCell(kWorkers);
+    JobSpec spec = MakeLongRunningJob("job");
+    spec.stages[0].tasks = 80;
+    spec.stages[0].maxPerWorker = 1;
+    cell.Submit(spec);
+    cell.Run(Seconds(1));
+    cell.SetLeaderLate(true);
+    cell.ChangeLeader();
+    std::set<WorkerNumber> renewed;
+    for (int step = 0; step < 1000; ++step) {
+      cell.Run(Millis(5));
+      for (const auto& [number, session] : cell.scheduler->sessions) {
+        if (cell.scheduler->sessionsWithoutRenewal.count(number) == 0) {
+          renewed.insert(number);
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{kWorkers}, renewed.size());
+  }
+
   // A start that waited for a late leader was sent to a worker that had begun
   // to drain meanwhile.
   void testDelayedStartIsNotSentToADrainingWorker() {
