Try each first renewal once before delayed ones are tried again

After a change of leader, workers without long-running tasks could get no renewal while the leader was late, so that leases of their tasks expired.

Cause: a renewal that the leader was too late to send kept its place before those of all workers without long-running tasks, and up to 64 go out at a time.

A delayed first renewal is now ordered by its time, as before.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -104,7 +104,8 @@
   TimePoint earlierLeaseEndsAt;
   // The worker has answered a lease renewal of this epoch.
   bool hasAnsweredRenewal = false;
-  // Set by the first sweep over the session.
+  // Set by the first sweep over the session; Other once the leader was too late
+  // to send the renewal.
   std::optional<RenewalClass> firstRenewal;
   TimePoint nextRenewalAt;
   std::uint32_t missedRenewals = 0;
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -439,6 +439,8 @@
   }
   if (IsDelayedByLeader(aAnswer.result)) {
     session.nextRenewalAt = aNow;
+    // Comes after the first renewals that have not been tried yet.
+    session.firstRenewal = RenewalClass::Other;
     return actions;
   }
   if (aAnswer.result.outcome != RequestOutcome::Done) {
