Test that a short task doesn't hide an avoided worker

A placement pass that finds no worker for a short task skips all tasks that need as much, also a long-running one that fits on an avoided worker. The test fails with

assertion failed - Expression: cell.workers.at("w0").running.count("job.0.1.0") > 0

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -86,6 +86,7 @@
   CPPUNIT_TEST_SUITE(LongRunningStartTest);
   CPPUNIT_TEST(testLostStartIsResolvedWhileRenewalsWait);
   CPPUNIT_TEST(testAvoidedWorkerTakesATaskThatFitsNowhereElse);
+  CPPUNIT_TEST(testAvoidedWorkerTakesATaskBesideAShortOne);
   CPPUNIT_TEST(testChangesOfLeaderUseUpNoAttempt);
   CPPUNIT_TEST(testFullStartQueueDoesNotDelayALongRunningTask);
   CPPUNIT_TEST(testNewLeaderFirstRenewsWorkersWithLongRunningTasks);
@@ -136,6 +137,20 @@
     CPPUNIT_ASSERT(cell.violations.empty());
   }
 
+  // A short task that fits on no worker that isn't avoided hid that a
+  // long-running one fits on an avoided worker.
+  void testAvoidedWorkerTakesATaskBesideAShortOne() {
+    CellModel cell = MakeCell(1);
+    cell.scheduler->sessions.begin()->second.avoidUntil =
+        cell.now + Seconds(12);
+    JobSpec spec = MakeJob("job");
+    spec.stages = {MakeStage(1, 1000, 500), MakeStage(1, 1000, 0)};
+    spec.stages[1].longRunning = true;
+    cell.Submit(spec);
+    cell.Run(kLongestWait);
+    CPPUNIT_ASSERT(cell.workers.at("w0").running.count("job.0.1.0") > 0);
+  }
+
   // Each new leader ended the placements of the one before whose starts had not
   // been sent, and lost the next placement with its own leadership.
   void testChangesOfLeaderUseUpNoAttempt() {
