Judge long-running tasks apart from others that fit on no worker

A task of a long-running job waits for up to 12 s although an avoided worker has room for it.

Cause: a placement pass notes the demand of a task that fits on no worker and skips later tasks that need as much. Only long-running tasks may use avoided workers, so that the note of another task of the same job says nothing about them.

The test failed before, now the task runs within 3 s.

--- a/src/bramleypath/workflow/internal/Dispatch.cpp
+++ b/src/bramleypath/workflow/internal/Dispatch.cpp
@@ -32,7 +32,8 @@
 struct UnplaceableDemand {
   ServiceId service;
   bool filler = false;
-  std::string image;  // of a filler
+  bool longRunning = false;  // tried on avoided workers too
+  std::string image;         // of a filler
   std::int64_t processorsMilli = 0;
   Resources reserved;
   bool relaxed = false;  // see HasIdled
@@ -403,7 +404,8 @@
 
 bool DemandsAtLeast(const StageSpec& aSpec, const QueueSettings& aQueue,
                     bool aRelaxed, const UnplaceableDemand& aUnplaceable) {
-  const bool isEasier = aRelaxed && !aUnplaceable.relaxed;
+  const bool isEasier = (aRelaxed && !aUnplaceable.relaxed) ||
+                        (aSpec.longRunning && !aUnplaceable.longRunning);
   return !isEasier && aUnplaceable.service == aQueue.service &&
          aUnplaceable.filler == aSpec.filler &&
          (!aSpec.filler || aUnplaceable.image == aSpec.image) &&
@@ -429,9 +431,9 @@
       !aSpec.requiredLabel.empty()) {
     return;
   }
-  aPass.unplaceable.push_back({aQueue.service, aSpec.filler, aSpec.image,
-                               aSpec.demand.processorsMilli, Reservation(aSpec),
-                               aRelaxed});
+  aPass.unplaceable.push_back({aQueue.service, aSpec.filler, aSpec.longRunning,
+                               aSpec.image, aSpec.demand.processorsMilli,
+                               Reservation(aSpec), aRelaxed});
 }
 
 // Keeps other suspects off the worker, and other tasks as well if the suspect
