Log what an admission estimate rests on

The log gave the expected time of a job at its acceptance or refusal, but neither the backlog and processors behind it nor the time the job then took, so that the estimate could not be checked.

job_accepted and job_refused now hold the class of tasks the job waits for (reserving, filling, long_running), its work, its longest chain, and the backlog and processors of the class. With job_completed they give the time that a job took.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -33,6 +33,18 @@
   return std::to_string(aNumber);
 }
 
+std::string WholeText(double aNumber) {
+  return std::to_string(static_cast<std::int64_t>(aNumber));
+}
+
+// The class of tasks whose backlog the job waits for.
+std::string_view ClassText(const workflow::AdmissionView& aView) {
+  if (aView.longRunning) {
+    return "long_running";
+  }
+  return aView.hasFillers ? "filling" : "reserving";
+}
+
 Answer ToAnswer(const group::ProposeOutcome& aOutcome) {
   Answer answer;
   if (!aOutcome.Ok()) {
@@ -264,15 +276,17 @@
       workflow::DecideAdmission(view, this->random);
   if (!decision.accepted) {
     ++this->counters.refused;
-    eventlog::Write(
-        "job_refused",
-        {{"job", aSpec.id.value},
-         {"queue", aSpec.queue.value},
-         {"expected_ms",
-          NumberText(static_cast<std::uint64_t>(decision.expectedMs))},
-         {"objective_ms",
-          NumberText(static_cast<std::uint64_t>(view.objectiveMs))},
-         {"retry_after_s", NumberText(decision.retryAfterSeconds)}});
+    eventlog::Write("job_refused",
+                    {{"job", aSpec.id.value},
+                     {"queue", aSpec.queue.value},
+                     {"expected_ms", WholeText(decision.expectedMs)},
+                     {"objective_ms", WholeText(view.objectiveMs)},
+                     {"retry_after_s", NumberText(decision.retryAfterSeconds)},
+                     {"chain_ms", WholeText(view.chainMs)},
+                     {"class", std::string(ClassText(view))},
+                     {"job_work", WholeText(view.jobWork)},
+                     {"backlog_work", WholeText(view.backlogWork)},
+                     {"processors_milli", WholeText(view.capacityMilli)}});
     aCallback(Answer{AnswerStatus::Refused, decision.retryAfterSeconds,
                      "the job could not end in time"});
     return;
@@ -282,27 +296,31 @@
   accept.acceptedUnixMs = this->group->AgreedUnixMs(now);
   const std::string job = aSpec.id.value;
   const std::string queue = aSpec.queue.value;
-  const auto expectedMs = static_cast<std::uint64_t>(decision.expectedMs);
-  const auto objectiveMs = static_cast<std::uint64_t>(view.objectiveMs);
-  this->Propose(
-      accept, kCallerTimeout,
-      [this, isAlive = this->alive, job, queue, expectedMs, objectiveMs,
-       callback = std::move(aCallback)](const Answer& aAnswer) {
-        callback(aAnswer);
-        if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
-          return;
-        }
-        ++this->counters.accepted;
-        eventlog::Write("job_accepted",
-                        {{"job", job},
-                         {"queue", queue},
-                         {"expected_ms", NumberText(expectedMs)},
-                         {"objective_ms", NumberText(objectiveMs)}});
-        if (this->scheduler) {
-          this->scheduler->dispatchWanted = true;
-          this->RequestCycle();
-        }
-      });
+  const double expectedMs = decision.expectedMs;
+  this->Propose(accept, kCallerTimeout,
+                [this, isAlive = this->alive, job, queue, expectedMs, view,
+                 callback = std::move(aCallback)](const Answer& aAnswer) {
+                  callback(aAnswer);
+                  if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
+                    return;
+                  }
+                  ++this->counters.accepted;
+                  eventlog::Write(
+                      "job_accepted",
+                      {{"job", job},
+                       {"queue", queue},
+                       {"expected_ms", WholeText(expectedMs)},
+                       {"objective_ms", WholeText(view.objectiveMs)},
+                       {"chain_ms", WholeText(view.chainMs)},
+                       {"class", std::string(ClassText(view))},
+                       {"job_work", WholeText(view.jobWork)},
+                       {"backlog_work", WholeText(view.backlogWork)},
+                       {"processors_milli", WholeText(view.capacityMilli)}});
+                  if (this->scheduler) {
+                    this->scheduler->dispatchWanted = true;
+                    this->RequestCycle();
+                  }
+                });
 }
 
 void Controller::Cancel(const JobId& aJob, AnswerCallback aCallback) {
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -17,6 +17,8 @@
   double objectiveMs = 0;    // latency objective
   // The job is long-running or recurring.
   bool longRunning = false;
+  // The job has fillers, so that it waits for the backlog of fillers.
+  bool hasFillers = false;
   // Processors reserved by the long-running tasks of the new job, by those of
   // accepted jobs, and processors of all workers.
   double jobLongRunningMilli = 0;
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -94,7 +94,6 @@
                                const JobSpec& aSpec,
                                const QueueSettings& aQueue) {
   AdmissionView view;
-  bool hasFillers = false;
   const std::vector<double> runMs = detail::StageRunMs(aScheduler, aSpec);
   for (std::size_t number = 0; number < runMs.size(); ++number) {
     const StageSpec& stage = aSpec.stages[number];
@@ -103,7 +102,7 @@
       view.jobLongRunningMilli +=
           stage.tasks * static_cast<double>(Reservation(stage).processorsMilli);
     }
-    hasFillers = hasFillers || stage.filler;
+    view.hasFillers = view.hasFillers || stage.filler;
     view.jobWork += stage.tasks *
                     static_cast<double>(stage.demand.processorsMilli) *
                     runMs[number];
@@ -113,8 +112,8 @@
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
   view.longRunningMilli = aScheduler.cellLoad.longRunningMilli;
   view.workersMilli = aScheduler.cellLoad.workersMilli;
-  const ClassLoad& load =
-      hasFillers ? aScheduler.cellLoad.filling : aScheduler.cellLoad.reserving;
+  const ClassLoad& load = view.hasFillers ? aScheduler.cellLoad.filling
+                                          : aScheduler.cellLoad.reserving;
   view.backlogWork = load.backlogWork;
   view.capacityMilli = load.processorsMilli;
   return view;
