--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -42,7 +42,7 @@
   std::vector<EndedAttempt> ended;
   std::uint64_t lastEnd = 0;
   std::uint32_t runMs = 300;
-  std::string endlessJob;  // its tasks run until they are stopped
+  std::string endlessJob;    // its tasks run until they are stopped
   std::uint32_t stopMs = 0;  // how long a stop takes
   std::vector<PastCapacity> pastCapacities;
   double failureShare = 0;
