--- a/src/bramleypath/workflow/Crashes.h
+++ b/src/bramleypath/workflow/Crashes.h
@@ -13,9 +13,8 @@
 namespace bramleypath::workflow {
 
 // A task is given up after crashes of this many workers at different addresses
-// if no other task of the last one had as many. With three, tasks that met
-// three crashes by chance were given up while a sixth of the workers crashed
-// every 4 s.
+// if no other task of the last one had as many. Three by chance are likely for
+// some task while a sixth of the workers crashes every few seconds.
 constexpr std::size_t kCrashesToGiveUp = 4;
 // A task is given up after this many crashes at two or more addresses, whatever
 // else ran on the workers.
