Test that a late placement on a worker never heard from is given up

Guards against a lease that never expires: a start sent before the worker's clock is known would count as granted on that clock. The test passes, since a start is withdrawn from a worker that has not announced itself to the leader.

--- a/tests/workflow/LongRunningStartTest.cpp
+++ b/tests/workflow/LongRunningStartTest.cpp
@@ -100,6 +100,7 @@
   CPPUNIT_TEST(testRefusedStartGoesToAnotherWorker);
   CPPUNIT_TEST(testTaskStartsOnceALateLeaderIsInTime);
   CPPUNIT_TEST(testWaitingTaskIsExplained);
+  CPPUNIT_TEST(testLatePlacementOnAWorkerNeverHeardFromIsGivenUp);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -389,6 +390,24 @@
     empty.Run(Seconds(3));
     CPPUNIT_ASSERT(IsExplained(empty, "reason=not placed suitable=0"));
   }
+
+  // Guards against a lease that never expires: a start that was sent before the
+  // leader knew the worker's clock counted as granted on that clock, so that
+  // the task waited for good for a worker that is lost.
+  void testLatePlacementOnAWorkerNeverHeardFromIsGivenUp() {
+    CellModel cell = MakeCell(2);
+    cell.workers.at("w0").up = false;
+    cell.ChangeLeader();
+    cell.Submit(MakeLongRunningJob("long"));
+    const JobNumber job = FindJob(cell.state, "long")->number;
+    const WorkerNumber lost = FindWorker(cell.state, "w0")->number;
+    // Proposed by the earlier leader, and applied only now.
+    Apply(cell.state, PlaceTasks{{PlacedTask{{job, 0, 0, 0}, 1, lost}}});
+    constexpr Duration kLongestLease = Millis(10200);
+    const Duration took = RunUntilRunning(cell, "long", Seconds(60));
+    CPPUNIT_ASSERT_MESSAGE("waited " + std::to_string(ToMillis(took)) + " ms",
+                           took < kLongestLease + kLongestWait);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LongRunningStartTest);
