Conclude from the log when the leases of workers have expired

Callers saw tasks of long-running jobs that didn't run for up to 19 s after their worker was lost, with room for them (LOST), and any task of a lost worker waited as long.

Cause: until when a worker may hold a lease was known to the leader alone. Each new leader waited for the longest lease again, whatever had been waited before, and for ever if the leader changed more often than every 11 s.

Ruled out: starts that were placed and dropped (the attempt's number stands until lease_over), and reservations that take the room (the task waits for the end of its attempt, not for a place).

Leases are now granted only under permits that the log holds, each for 1.65 s and only for workers that have just sent something. The leader also proposes, and repeats every 500 ms, how long the leases of silent workers still run. Each replica counts these durations on its own clock from when it applies the command. Grants use the lower bound of the worker's clock and are a tenth shorter than the longest lease, so that a leader that knows nothing waits for 9.5 s instead of 11.0 s. A queued start of a worker that misses a renewal ends as never run.

--- a/bench/workflow/BacklogBench.cpp
+++ b/bench/workflow/BacklogBench.cpp
@@ -99,8 +99,8 @@
 }
 
 Scheduler MakeLeader(const Cell& aCell) {
-  Scheduler scheduler =
-      MakeScheduler(SchedulerSettings(), 1, aCell.state, 1, aCell.now);
+  Scheduler scheduler = MakeScheduler(SchedulerSettings(), 1, aCell.state,
+                                      LeaseEnds(), 1, aCell.now);
   for (const auto& [number, worker] : aCell.state.workers) {
     OnAnnounced(scheduler, number, kSteadyClockMs, aCell.now);
   }
--- a/bench/workflow/DispatchBench.cpp
+++ b/bench/workflow/DispatchBench.cpp
@@ -56,8 +56,8 @@
 // With aAtTarget the tail of each serving task is at its target, so that no
 // filler may be placed.
 Scheduler MakeLeader(const Cell& aCell, bool aAtTarget) {
-  Scheduler scheduler =
-      MakeScheduler(SchedulerSettings(), 1, aCell.state, 1, aCell.now);
+  Scheduler scheduler = MakeScheduler(SchedulerSettings(), 1, aCell.state,
+                                      LeaseEnds(), 1, aCell.now);
   for (auto& [key, attempt] : scheduler.attempts) {
     attempt.listed = aAtTarget;
     attempt.level = 0;
--- a/src/bramleypath/base/TimePoint.h
+++ b/src/bramleypath/base/TimePoint.h
@@ -41,6 +41,9 @@
 constexpr Duration operator+(Duration aLeft, Duration aRight) {
   return Duration{aLeft.micros + aRight.micros};
 }
+constexpr Duration operator-(Duration aLeft, Duration aRight) {
+  return Duration{aLeft.micros - aRight.micros};
+}
 constexpr Duration operator*(Duration aLeft, std::int64_t aRight) {
   return Duration{aLeft.micros * aRight};
 }
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -97,6 +97,7 @@
       driver(std::move(aDriver)),
       timer(aContext) {
   this->random.state = aGroup.randomSeed;
+  this->machine.SetLongestLease(workflow::LongestLease(aScheduler));
   GroupCallbacks callbacks;
   callbacks.leadershipGained = [this](consensus::Term aTerm) {
     this->OnLeadershipGained(aTerm);
@@ -125,9 +126,9 @@
 
 void Controller::OnLeadershipGained(Epoch aEpoch) {
   ++this->counters.leaderships;
-  this->scheduler =
-      workflow::MakeScheduler(this->schedulerSettings, aEpoch, this->State(),
-                              NextRandom(this->random), net::Now());
+  this->scheduler = workflow::MakeScheduler(
+      this->schedulerSettings, aEpoch, this->State(), this->machine.LeaseEnds(),
+      NextRandom(this->random), net::Now());
   this->RequestCycle();
 }
 
--- a/src/bramleypath/controller/WorkflowMachine.cpp
+++ b/src/bramleypath/controller/WorkflowMachine.cpp
@@ -1,6 +1,7 @@
 #include "bramleypath/controller/WorkflowMachine.h"
 
 #include "bramleypath/eventlog/EventLog.h"
+#include "bramleypath/net/Clock.h"
 
 namespace bramleypath::controller {
 
@@ -11,6 +12,7 @@
   auto result = workflow::ApplyResult::Unknown;
   if (command) {
     result = workflow::Apply(this->state, *command);
+    workflow::OnApplied(this->leaseEnds, this->state, *command, net::Now());
   } else {
     // Every replica skips a command that can't be decoded, so their states stay
     // equal.
@@ -21,6 +23,10 @@
   return {static_cast<std::uint8_t>(result)};
 }
 
+void WorkflowMachine::OnTermBegan(consensus::Term /*aTerm*/) {
+  workflow::OnTermBegan(this->leaseEnds);
+}
+
 consensus::Bytes WorkflowMachine::TakeSnapshot() {
   return workflow::EncodeState(this->state);
 }
@@ -28,6 +34,7 @@
 bool WorkflowMachine::Restore(consensus::LogIndex /*aIndex*/,
                               gsl::span<const std::uint8_t> aState,
                               std::string& aReason) {
+  workflow::OnRestored(this->leaseEnds);
   const std::vector<std::uint8_t> bytes(aState.begin(), aState.end());
   return workflow::DecodeState(bytes, this->state, aReason);
 }
--- a/src/bramleypath/controller/WorkflowMachine.h
+++ b/src/bramleypath/controller/WorkflowMachine.h
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "bramleypath/group/StateMachine.h"
+#include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/State.h"
 
 namespace bramleypath::controller {
@@ -16,10 +17,19 @@
   bool Restore(consensus::LogIndex aIndex, gsl::span<const std::uint8_t> aState,
                std::string& aReason) override;
 
+  // See LeaseEnds::longestLease.
+  void SetLongestLease(Duration aLongest) {
+    this->leaseEnds.longestLease = aLongest;
+  }
+  void OnTermBegan(consensus::Term aTerm) override;
+
   const workflow::State& Current() const { return this->state; }
+  // What this replica knows of the workers' leases.
+  const workflow::LeaseEnds& LeaseEnds() const { return this->leaseEnds; }
 
  private:
   workflow::State state;
+  workflow::LeaseEnds leaseEnds;
 };
 
 }  // namespace bramleypath::controller
--- a/src/bramleypath/group/Replica.cpp
+++ b/src/bramleypath/group/Replica.cpp
@@ -272,6 +272,8 @@
       outcome.result = this->machine.Apply(
           CommittedCommand{entry.index, entry.term, entry.payload});
       this->bytesSinceSnapshot += entry.payload.size();
+    } else if (entry.kind == consensus::EntryKind::NoOp) {
+      this->machine.OnTermBegan(entry.term);
     }
     this->appliedIndex = entry.index;
     ++this->entriesSinceSnapshot;
--- a/src/bramleypath/group/StateMachine.h
+++ b/src/bramleypath/group/StateMachine.h
@@ -27,6 +27,9 @@
   // Applies a command. The returned bytes become the result in the
   // ProposeOutcome of its proposer.
   virtual consensus::Bytes Apply(const CommittedCommand& aCommand) = 0;
+  // The first entry of a leader was applied: no earlier leader acts any more.
+  // Called on each replica, also when it applies its log again after a restart.
+  virtual void OnTermBegan(consensus::Term /*aTerm*/) {}
   // Serialises the whole state, as it is after the last applied command.
   virtual consensus::Bytes TakeSnapshot() = 0;
   // Replaces the whole state. Returns false and sets aReason when the bytes
--- a/src/bramleypath/workflow/Codec.h
+++ b/src/bramleypath/workflow/Codec.h
@@ -12,9 +12,9 @@
 
 namespace bramleypath::workflow {
 
-using Command =
-    std::variant<SetLayout, AcceptJob, CancelJob, RegisterWorker, RemoveWorker,
-                 PlaceTasks, EndTasks, OpenOccurrence, ForgetJobs>;
+using Command = std::variant<SetLayout, AcceptJob, CancelJob, RegisterWorker,
+                             RemoveWorker, PlaceTasks, EndTasks, OpenOccurrence,
+                             ForgetJobs, PermitLeases, LimitLeases>;
 
 // Encodes a command as a CBOR array of the index of its type and its fields.
 std::vector<std::uint8_t> Encode(const Command& aCommand);
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/Suspects.h"
 
@@ -239,6 +240,7 @@
   if (StartIfDue(aScheduler.renewalSweep, kRenewalSweepInterval, aNow)) {
     detail::SendLeaseRenewals(aScheduler, aState, aNow, actions);
   }
+  detail::CommitLeaseChanges(aScheduler, aState, aNow, actions);
   // A start can wait, a lease expires.
   detail::SendQueuedStarts(aScheduler, aState, aNow, actions);
   if (aNow >= aScheduler.nextReconcileAt) {
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -15,6 +15,7 @@
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/workflow/Admission.h"
 #include "bramleypath/workflow/Driver.h"
+#include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/Neighbours.h"
 #include "bramleypath/workflow/State.h"
 #include "bramleypath/workflow/TailModel.h"
@@ -98,6 +99,8 @@
   // sequence is unknown.
   bool isInherited = false;
   std::optional<ClockSample> clock;
+  // Leases may be granted before then, since the log permits it.
+  TimePoint permittedUntil;
   // Latest end of the leases granted, on the worker's clock.
   std::int64_t grantedUntilMs = 0;
   // Leases that an earlier leader may have granted have expired by then.
@@ -286,6 +289,17 @@
   Random random;
   TimePoint leaderSince;
   std::map<WorkerNumber, WorkerSession> sessions;
+  // Sessions that may be silent: each of those that did not answer the latest
+  // renewal, or have sent nothing to this leader, is one.
+  std::set<WorkerNumber> silentSessions;
+  // Sessions for which a permit is to be proposed.
+  std::set<WorkerNumber> permitsRequested;
+  bool hasAnnouncedPermits = false;
+  // At most one commit of permits and limits is pending at a time.
+  bool isLeaseCommitPending = false;
+  TimePoint permitsEndAt;   // of the permits being committed
+  TimePoint nextPermitsAt;  // earliest time of the next commit
+  TimePoint nextLimitsAt;
   // Sessions without a renewal in flight; only their renewals can be due.
   std::set<WorkerNumber> sessionsWithoutRenewal;
   std::unordered_map<TaskKey, Attempt> attempts;
@@ -339,11 +353,15 @@
   std::uint64_t measuredPasses = 0;  // of work.passes; see OnCycleMeasured
 };
 
+// Upper limit of the time between a grant and the end of the lease, by the
+// leader's clock.
+Duration LongestLease(const SchedulerSettings& aSettings);
+
 // Creates the scheduler of a new leader. The status of the attempts in aState
 // is unknown at first.
 Scheduler MakeScheduler(const SchedulerSettings& aSettings, Epoch aEpoch,
-                        const State& aState, std::uint64_t aSeed,
-                        TimePoint aNow);
+                        const State& aState, const LeaseEnds& aLeaseEnds,
+                        std::uint64_t aSeed, TimePoint aNow);
 
 // A worker announced itself. aClockMs is its steady clock; 0 if not given.
 void OnAnnounced(Scheduler& aScheduler, WorkerNumber aWorker,
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -415,6 +415,15 @@
   return ApplyResult::Ok;
 }
 
+// Read by each replica for itself; see LeaseEnds.h.
+ApplyResult ApplyOne(State& /*aState*/, const PermitLeases& /*aCommand*/) {
+  return ApplyResult::Ok;
+}
+
+ApplyResult ApplyOne(State& /*aState*/, const LimitLeases& /*aCommand*/) {
+  return ApplyResult::Ok;
+}
+
 // Rebuilds the indexes and reservations that a snapshot does not store.
 void RebuildIndexes(State& aState) {
   for (auto& [number, job] : aState.jobs) {
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -204,6 +204,26 @@
   std::vector<JobNumber> jobs;
 };
 
+// Commands about leases. They leave the replicated state unchanged; each
+// replica draws its own conclusions from them, see LeaseEnds.h.
+
+// The leader may grant leases to these workers for a short time. They have
+// expired this many milliseconds after the proposal.
+struct PermitLeases {
+  std::vector<WorkerNumber> workers;
+  std::uint32_t remainingMs = 0;
+};
+struct WorkerLeaseEnd {
+  WorkerNumber worker = 0;
+  // All leases of the worker have expired this many milliseconds after the
+  // proposal.
+  std::uint32_t remainingMs = 0;
+};
+// The leader grants no more leases to these workers until another permit.
+struct LimitLeases {
+  std::vector<WorkerLeaseEnd> workers;
+};
+
 }  // namespace bramleypath::workflow
 
 namespace std {
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -3,6 +3,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
@@ -155,12 +156,23 @@
 
 namespace {
 
+// Whether the worker has not answered this leader, which has tried.
+bool IsPresumedLost(const Scheduler& aScheduler, const WorkerSession& aSession,
+                    TimePoint aNow) {
+  constexpr std::int64_t kAwaitedAnnouncements = 2;
+  const Duration awaited =
+      aScheduler.settings.announceInterval * kAwaitedAnnouncements;
+  return aSession.missedRenewals > 0 ||
+         (!aSession.lastMessageAt && aNow >= aScheduler.leaderSince + awaited);
+}
+
 // Workers whose attempts are to be ended.
 std::unordered_set<WorkerNumber> ExpiredWorkers(const Scheduler& aScheduler,
                                                 TimePoint aNow) {
   std::unordered_set<WorkerNumber> expired;
   for (const auto& [number, session] : aScheduler.sessions) {
-    if (session.missedRenewals > 0 && HasLeaseExpired(session, aNow)) {
+    if (IsPresumedLost(aScheduler, session, aNow) &&
+        HasLeaseExpired(session, aNow)) {
       expired.insert(number);
     }
   }
@@ -407,6 +419,11 @@
       OnClearedCommitted(aScheduler, *ends);
     } else if (const auto* opened = std::get_if<OpenOccurrence>(&command)) {
       aScheduler.jobsOpeningOccurrence.erase(opened->job);
+    } else if (const auto* permit = std::get_if<PermitLeases>(&command)) {
+      aScheduler.isLeaseCommitPending = false;
+      detail::OnPermitsCommitted(aScheduler, *permit, aOk);
+    } else if (std::holds_alternative<LimitLeases>(command)) {
+      aScheduler.isLeaseCommitPending = false;
     } else {
       workersChanged = true;
     }
--- /dev/null
+++ b/src/bramleypath/workflow/internal/LeaseGrants.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "bramleypath/workflow/internal/SchedulerDetail.h"
+
+// When the leader may grant leases to a worker, in agreement with the log; see
+// LeaseEnds.h.
+namespace bramleypath::workflow::detail {
+
+// How often the remaining leases of silent workers are proposed again. A
+// replica that restarts knows them at most this much later than the leader.
+constexpr Duration kLeaseReportInterval = Millis(500);
+
+// Whether a lease may be granted to the worker now.
+bool MayGrant(const WorkerSession& aSession, TimePoint aNow);
+// Upper limit of the time until all leases of the worker have expired.
+Duration RemainingLease(const WorkerSession& aSession, TimePoint aNow);
+// The worker has sent something: a permit for it is to be proposed, unless it
+// has a recent one.
+void RequestPermit(Scheduler& aScheduler, const WorkerSession& aSession,
+                   TimePoint aNow);
+// The worker has not answered: no leases are granted until it does.
+void WithdrawPermit(Scheduler& aScheduler, WorkerSession& aSession);
+// Proposes the permits that were requested, and how long the leases of silent
+// workers still run. The latter is repeated, so that replicas that joined or
+// restarted learn it.
+void CommitLeaseChanges(Scheduler& aScheduler, const State& aState,
+                        TimePoint aNow, SchedulerActions& aActions);
+// The commit of permits has finished; aOk if they were applied.
+void OnPermitsCommitted(Scheduler& aScheduler, const PermitLeases& aCommand,
+                        bool aOk);
+
+}  // namespace bramleypath::workflow::detail
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow {
@@ -397,15 +398,16 @@
   }
 }
 
-void OnRenewalMissed(const State& aState, WorkerSession& aSession,
-                     const RequestAnswer& aAnswer, TimePoint aNow,
-                     SchedulerActions& aActions) {
+void OnRenewalMissed(Scheduler& aScheduler, const State& aState,
+                     WorkerSession& aSession, const RequestAnswer& aAnswer,
+                     TimePoint aNow, SchedulerActions& aActions) {
   if (aSession.missedRenewals == 0) {
     aActions.push_back(DecisionRecord{
         "worker_unreachable", detail::WorkerText(aState, aSession.worker),
         aAnswer.reason});
   }
   ++aSession.missedRenewals;
+  detail::WithdrawPermit(aScheduler, aSession);
   constexpr std::int64_t kMaxRetrySteps = 4;
   aSession.nextRenewalAt =
       aNow + kRenewalRetry * std::min<std::int64_t>(kMaxRetrySteps,
@@ -444,7 +446,7 @@
     return actions;
   }
   if (aAnswer.result.outcome != RequestOutcome::Done) {
-    OnRenewalMissed(aState, session, aAnswer.result, aNow, actions);
+    OnRenewalMissed(aScheduler, aState, session, aAnswer.result, aNow, actions);
     return actions;
   }
   if (session.missedRenewals > 0) {
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -13,6 +13,8 @@
 
 // The slowest rate of a worker's clock, relative to the leader's clock.
 constexpr double kSlowestClock = 0.98;
+// Added to the end of a lease before it counts as expired by the slowest clock.
+constexpr Duration kLeaseExpiryMargin = Millis(300);
 
 double MillisBetween(TimePoint aFrom, TimePoint aTo);
 // Whether the attempt is no longer placed in the replicated state.
@@ -33,6 +35,12 @@
 std::optional<TaskKey> KeyOf(const State& aState, const TaskName& aName);
 const StageSpec& StageOf(const State& aState, const TaskKey& aKey);
 
+// Length of the leases that are granted. Shorter than the longest that a worker
+// accepts, so that a new leader has been elected and a lost worker's leases
+// have expired within about that time.
+Duration GrantedLease(const SchedulerSettings& aSettings);
+// Lower bound of the worker's clock at aNow.
+double LowestClock(const ClockSample& aSample, TimePoint aNow);
 // Estimate of the worker's clock at aNow; none before the first sample.
 std::optional<std::int64_t> EstimateClock(const WorkerSession& aSession,
                                           TimePoint aNow);
@@ -67,8 +75,6 @@
 
 // Schedules a stop of the attempt, unless one is scheduled already.
 void RequestStop(Attempt& aAttempt, const std::string& aReason, TimePoint aNow);
-// A worker may execute a request up to 12 s after it was sent.
-constexpr Duration kMaxRequestDelay = Seconds(12);
 // Adds the attempt's end to aEnds, unless it has been proposed already.
 void ProposeEnd(const TaskKey& aKey, Attempt& aAttempt, EndKind aKind,
                 const std::string& aCheckpoint, EndTasks& aEnds);
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -61,6 +61,9 @@
   if (worker.spec.draining) {
     return "draining";
   }
+  if (session->second.missedRenewals > 0) {
+    return "unreachable";
+  }
   if (queue && queue->service != worker.spec.service) {
     return "other service";
   }
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/StartChecks.h"
 
@@ -35,7 +36,9 @@
   start.request.task = NameOf(aState, aKey);
   start.request.attempt = aAttempt.number;
   start.request.specification = aState.jobs.at(aKey.job).spec.specification;
-  start.request.untilWorkerMs = GrantLease(aScheduler, aSession, aNow);
+  start.request.untilWorkerMs = MayGrant(aSession, aNow)
+                                    ? GrantLease(aScheduler, aSession, aNow)
+                                    : aSession.grantedUntilMs;
   start.request.epoch = aScheduler.epoch;
   start.request.checkpoint = FindTask(aState, aKey)->checkpoint;
   start.request.ticket =
@@ -44,6 +47,14 @@
   return start;
 }
 
+// Whether the worker has a lease for the task, or may be granted one.
+bool MayStart(const WorkerSession& aSession, TimePoint aNow) {
+  constexpr std::int64_t kShortestLeaseMs = 2000;
+  const auto clock = EstimateClock(aSession, aNow);
+  return MayGrant(aSession, aNow) ||
+         (clock && *clock + kShortestLeaseMs < aSession.grantedUntilMs);
+}
+
 // Whether the task has still to run: its job may have ended since the
 // placement, and an end of an earlier attempt may have been recorded.
 bool IsStillNeeded(const State& aState, const TaskKey& aKey) {
@@ -82,7 +93,9 @@
                         std::move(detail)};
 }
 
-void SendOne(Scheduler& aScheduler, const State& aState,
+// Sends the start, drops it or ends its attempt. False if it has to wait until
+// leases may be granted to its worker.
+bool SendOne(Scheduler& aScheduler, const State& aState,
              const QueuedStart& aQueued, TimePoint aNow, EndTasks& aNeverRan,
              SchedulerActions& aActions) {
   const auto found = aScheduler.attempts.find(aQueued.task);
@@ -91,12 +104,12 @@
       found->second.startStatus != Attempt::StartStatus::Sending ||
       found->second.proposedEnd ||
       HasEnded(aState, aQueued.task, found->second)) {
-    return;
+    return true;
   }
   Attempt& attempt = found->second;
   const auto session = aScheduler.sessions.find(attempt.worker);
   if (session == aScheduler.sessions.end()) {
-    return;
+    return true;
   }
   const std::string reason =
       WhyNotToStart(aScheduler, aState, aQueued.task, attempt, aNow);
@@ -105,7 +118,7 @@
         "start_dropped", ToText(NameOf(aState, aQueued.task)),
         "attempt=" + std::to_string(attempt.number) + " reason=" + reason});
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
-    return;
+    return true;
   }
   const std::string unsuitable =
       UnsuitableReason(aScheduler, aState, aQueued.task, attempt, aNow);
@@ -114,7 +127,11 @@
         WithdrawnRecord(aState, aQueued.task, attempt, unsuitable));
     StopOtherMembers(aScheduler, aState, aQueued.task, attempt.number, aNow);
     ProposeEnd(aQueued.task, attempt, EndKind::NeverRan, "", aNeverRan);
-    return;
+    return true;
+  }
+  if (!MayStart(session->second, aNow)) {
+    RequestPermit(aScheduler, session->second, aNow);
+    return false;
   }
   ++aScheduler.startsInFlight;
   attempt.isStartInFlight = true;
@@ -122,6 +139,7 @@
   attempt.progressAt = aNow;
   aActions.push_back(MakeStart(aScheduler, aState, aQueued.task, attempt,
                                session->second, aNow));
+  return true;
 }
 
 // Sends the starts of one queue while fewer than aMaxInFlight are in flight.
@@ -129,12 +147,16 @@
                std::deque<QueuedStart>& aQueue, std::uint32_t aMaxInFlight,
                TimePoint aNow, EndTasks& aNeverRan,
                SchedulerActions& aActions) {
+  std::vector<QueuedStart> waiting;
   while (!aQueue.empty() && aNow >= aScheduler.nextStartAt &&
          aScheduler.startsInFlight < aMaxInFlight) {
     const QueuedStart next = aQueue.front();
     aQueue.pop_front();
-    SendOne(aScheduler, aState, next, aNow, aNeverRan, aActions);
+    if (!SendOne(aScheduler, aState, next, aNow, aNeverRan, aActions)) {
+      waiting.push_back(next);
+    }
   }
+  aQueue.insert(aQueue.begin(), waiting.begin(), waiting.end());
 }
 
 }  // namespace
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <utility>
 
+#include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
@@ -10,15 +11,12 @@
 namespace {
 
 constexpr double kMicrosPerMs = 1000;
-// A lease is requested for this much less than the longest that a worker
-// accepts, so that an error in the clock estimate does not make the worker
-// shorten it.
-constexpr Duration kLeaseRequestMargin = Millis(500);
-// Added to the end of a lease before it counts as expired by the slowest clock.
-constexpr std::int64_t kLeaseExpiryMarginMs = 300;
 // A worker is unreachable after this many announcement intervals of silence.
 constexpr std::int64_t kMissedAnnouncements = 3;
-constexpr std::uint32_t kRenewalWaitMs = 2000;
+constexpr std::uint32_t kRenewalWaitMs = 1400;
+// A renewal that can't extend the lease is sent after this time all the same,
+// since the worker's list may be needed.
+constexpr Duration kLongestPermitWait = Millis(250);
 // Short, so that several reports arrive in the time for which a tail may be
 // over its target.
 constexpr std::uint32_t kTailWaitMs = 400;
@@ -60,12 +58,6 @@
   return false;
 }
 
-// Lower bound of the worker's clock at aNow.
-double LowestClock(const ClockSample& aSample, TimePoint aNow) {
-  return static_cast<double>(aSample.clockMs) +
-         MillisBetween(aSample.at, aNow) * kSlowestClock;
-}
-
 void SendFencingStops(WorkerSession& aSession, SchedulerActions& aActions) {
   for (const StopRequest& request : aSession.fencingStops) {
     SendStop stop;
@@ -134,6 +126,11 @@
   return static_cast<double>((aTo - aFrom).micros) / kMicrosPerMs;
 }
 
+double LowestClock(const ClockSample& aSample, TimePoint aNow) {
+  return static_cast<double>(aSample.clockMs) +
+         MillisBetween(aSample.at, aNow) * kSlowestClock;
+}
+
 std::optional<std::int64_t> EstimateClock(const WorkerSession& aSession,
                                           TimePoint aNow) {
   if (!aSession.clock) {
@@ -145,10 +142,12 @@
 
 std::int64_t GrantLease(Scheduler& aScheduler, WorkerSession& aSession,
                         TimePoint aNow) {
-  const std::int64_t now = EstimateClock(aSession, aNow).value_or(0);
-  const Duration lease = Duration{aScheduler.settings.maxLease.micros -
-                                  kLeaseRequestMargin.micros};
-  const std::int64_t until = now + ToMillis(lease);
+  // By the slowest clock, so that no lease lasts longer than LongestLease.
+  const std::int64_t now =
+      aSession.clock
+          ? static_cast<std::int64_t>(LowestClock(*aSession.clock, aNow))
+          : 0;
+  const std::int64_t until = now + ToMillis(GrantedLease(aScheduler.settings));
   aSession.grantedUntilMs = std::max(aSession.grantedUntilMs, until);
   return until;
 }
@@ -179,6 +178,7 @@
     aScheduler.dispatchWanted = true;
   }
   aSession.lastMessageAt = aNow;
+  RequestPermit(aScheduler, aSession, aNow);
 }
 
 bool HasLeaseExpired(const WorkerSession& aSession, TimePoint aNow) {
@@ -192,7 +192,8 @@
     return false;
   }
   return LowestClock(*aSession.clock, aNow) >
-         static_cast<double>(aSession.grantedUntilMs + kLeaseExpiryMarginMs);
+         static_cast<double>(aSession.grantedUntilMs +
+                             ToMillis(kLeaseExpiryMargin));
 }
 
 std::string LeaseEvidence(const State& aState, const WorkerSession& aSession,
@@ -200,7 +201,9 @@
   std::string text =
       "worker=" + WorkerText(aState, aSession.worker) +
       " granted_until_ms=" + std::to_string(aSession.grantedUntilMs) +
-      " missed_renewals=" + std::to_string(aSession.missedRenewals);
+      " missed_renewals=" + std::to_string(aSession.missedRenewals) +
+      " remaining_ms=" +
+      std::to_string(ToMillis(RemainingLease(aSession, aNow)));
   if (aSession.clock) {
     text += " worker_clock_at_least_ms=" +
             std::to_string(
@@ -269,6 +272,14 @@
       session.nextRenewalAt = kNever;
       continue;
     }
+    // Waits for the commit of a permit: a renewal that the worker holds would
+    // delay the next one, which can extend the lease.
+    if (session.hasAnsweredRenewal && session.missedRenewals == 0 &&
+        !MayGrant(session, aNow) &&
+        aNow < session.nextRenewalAt + kLongestPermitWait) {
+      RequestPermit(aScheduler, session, aNow);
+      continue;
+    }
     const bool isPromptFull =
         aScheduler.promptRenewalsInFlight >= kMaxPromptRenewals;
     // A lease must not expire because an attempt waits for a prompt answer.
@@ -286,7 +297,8 @@
                            : session.committedEnd;
     // The lease is not renewed while the worker does not answer, so that it
     // expires.
-    if (EstimateClock(session, aNow) && session.missedRenewals == 0) {
+    if (session.clock && session.missedRenewals == 0 &&
+        MayGrant(session, aNow)) {
       request.untilWorkerMs = GrantLease(aScheduler, session, aNow);
     }
     if (waits) {
@@ -304,9 +316,28 @@
 
 namespace bramleypath::workflow {
 
+namespace {
+
+// The session of a worker that an earlier leader registered.
+WorkerSession InheritSession(const Scheduler& aScheduler, const Worker& aWorker,
+                             const LeaseEnds& aLeaseEnds, TimePoint aNow) {
+  WorkerSession session;
+  session.worker = aWorker.number;
+  session.isInherited = true;
+  const Duration longest = LongestLease(aScheduler.settings);
+  session.earlierLeaseEndsAt =
+      std::min(FindLeaseEnd(aLeaseEnds, aWorker.number).value_or(kNever),
+               aNow + longest);
+  // The first renewal tells the worker the leader's epoch.
+  session.nextRenewalAt = aNow;
+  return session;
+}
+
+}  // namespace
+
 Scheduler MakeScheduler(const SchedulerSettings& aSettings, Epoch aEpoch,
-                        const State& aState, std::uint64_t aSeed,
-                        TimePoint aNow) {
+                        const State& aState, const LeaseEnds& aLeaseEnds,
+                        std::uint64_t aSeed, TimePoint aNow) {
   Scheduler scheduler;
   scheduler.settings = aSettings;
   scheduler.epoch = aEpoch;
@@ -317,8 +348,13 @@
   if (!aState.recentCrashes.empty()) {
     scheduler.lastLoggedCrash = aState.recentCrashes.back().number;
   }
-  OnStateChanged(scheduler, aState, aNow);
+  scheduler.dispatchWanted = true;
+  scheduler.nextLimitsAt = aNow + detail::kLeaseReportInterval;
   for (const auto& [number, worker] : aState.workers) {
+    scheduler.sessions.emplace(
+        number, InheritSession(scheduler, worker, aLeaseEnds, aNow));
+    scheduler.sessionsWithoutRenewal.insert(number);
+    scheduler.silentSessions.insert(number);
     for (const TaskKey& key : worker.attempts) {
       Attempt attempt;
       attempt.number = FindTask(aState, key)->attempt;
@@ -336,13 +372,6 @@
 void OnStateChanged(Scheduler& aScheduler, const State& aState,
                     TimePoint aNow) {
   aScheduler.dispatchWanted = true;
-  constexpr double kLeaseSlack = 1 / detail::kSlowestClock;
-  constexpr Duration kEarlierLeaseMargin = Millis(800);
-  const Duration longest =
-      Micros(static_cast<std::int64_t>(
-          static_cast<double>(aScheduler.settings.maxLease.micros) *
-          kLeaseSlack)) +
-      kEarlierLeaseMargin;
   for (const auto& [number, worker] : aState.workers) {
     if (aScheduler.sessions.count(number) > 0) {
       continue;
@@ -357,13 +386,8 @@
     if (!worker.attempts.empty()) {
       // The attempts were moved from an earlier incarnation. A request in
       // flight may still reach this one, and its lease starts only then.
-      session.earlierLeaseEndsAt = aNow + longest + detail::kMaxRequestDelay;
-    }
-    if (aScheduler.leaderSince == aNow) {
-      session.earlierLeaseEndsAt = aNow + longest;
-      session.isInherited = true;
-      // Its capacity is known again with its next announcement.
-      session.announcedAt.reset();
+      session.earlierLeaseEndsAt =
+          aNow + LongestLease(aScheduler.settings) + kMaxRequestDelay;
     }
     aScheduler.sessions.emplace(number, std::move(session));
     aScheduler.sessionsWithoutRenewal.insert(number);
@@ -375,6 +399,7 @@
       continue;
     }
     aScheduler.sessionsWithoutRenewal.erase(it->first);
+    aScheduler.silentSessions.erase(it->first);
     it = aScheduler.sessions.erase(it);
   }
   for (auto& [key, attempt] : aScheduler.attempts) {
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -180,6 +180,23 @@
   aVisitor.Required("j", aCommand.jobs);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, PermitLeases& aCommand) {
+  aVisitor.Required("w", aCommand.workers);
+  aVisitor.Required("ms", aCommand.remainingMs);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, WorkerLeaseEnd& aEnd) {
+  aVisitor.Required("w", aEnd.worker);
+  aVisitor.Required("ms", aEnd.remainingMs);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, LimitLeases& aCommand) {
+  aVisitor.Required("w", aCommand.workers);
+}
+
 // Types that appear only in snapshots.
 
 template <typename Visitor>
--- a/tests/workflow/CapacityTest.cpp
+++ b/tests/workflow/CapacityTest.cpp
@@ -79,8 +79,9 @@
 std::int64_t CapacityAfter(const OrderCase& aCase) {
   constexpr TimePoint kBegin{1000 * 1000};
   State state = MakeOrderState(aCase);
-  Scheduler scheduler = MakeScheduler(
-      SchedulerSettings(), 1, aCase.isNewLeader ? state : State(), 1, kBegin);
+  Scheduler scheduler =
+      MakeScheduler(SchedulerSettings(), 1, aCase.isNewLeader ? state : State(),
+                    LeaseEnds(), 1, kBegin);
   TimePoint now = kBegin;
   for (const Report& report : aCase.reports) {
     now = now + Millis(100);
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -24,7 +24,14 @@
 CellModel::CellModel(std::uint64_t aSeed) {
   this->random.state = aSeed;
   this->now = TimePoint{1000 * 1000};
-  Apply(this->state, SetLayout{MakeLayout(1)});
+  constexpr std::size_t kReplicas = 3;
+  constexpr std::uint64_t kReplicaSeed = 0x9e3779b97f4a7c15;
+  this->replicaRandom.state = aSeed ^ kReplicaSeed;
+  this->replicas.resize(kReplicas);
+  for (Replica& replica : this->replicas) {
+    this->Restart(replica, 0);
+  }
+  this->ApplyCommand(SetLayout{MakeLayout(1)});
   this->ChangeLeader();
 }
 
@@ -44,7 +51,7 @@
 }
 
 void CellModel::Submit(const JobSpec& aSpec) {
-  Apply(this->state, AcceptJob{aSpec, this->UnixMs()});
+  this->ApplyCommand(AcceptJob{aSpec, this->UnixMs()});
   this->stages[aSpec.id.value] = aSpec.stages;
   if (this->scheduler) {
     this->scheduler->dispatchWanted = true;
@@ -52,22 +59,85 @@
 }
 
 void CellModel::Cancel(const std::string& aJob) {
-  Apply(this->state, CancelJob{JobId(aJob)});
-}
-
-void CellModel::ChangeLeader() {
+  this->ApplyCommand(CancelJob{JobId(aJob)});
+}
+
+void CellModel::ChangeLeader(LeaderChange aChange) {
+  const std::size_t earlier = this->leader;
+  this->leader = (earlier + 1 +
+                  NextBelow(this->replicaRandom, this->replicas.size() - 1)) %
+                 this->replicas.size();
+  if (aChange == LeaderChange::Restart) {
+    this->Restart(this->replicas[earlier],
+                  NextBelow(this->replicaRandom, this->log.size() + 1));
+  } else if (aChange == LeaderChange::Replace) {
+    this->Restart(this->replicas[earlier], this->log.size());
+  }
   ++this->epoch;
+  this->Append(std::nullopt);
   SchedulerSettings settings;
   this->scheduler = MakeScheduler(settings, this->epoch, this->state,
+                                  this->replicas[this->leader].leaseEnds,
                                   NextRandom(this->random), this->now);
 }
 
+void CellModel::RestartFollower() {
+  const std::size_t follower =
+      (this->leader + 1 +
+       NextBelow(this->replicaRandom, this->replicas.size() - 1)) %
+      this->replicas.size();
+  this->Restart(this->replicas[follower],
+                NextBelow(this->replicaRandom, this->log.size() + 1));
+}
+
+void CellModel::Append(const std::optional<Command>& aCommand) {
+  this->log.push_back(LogEntry{aCommand, this->now});
+  this->CatchUp(this->replicas[this->leader], this->log.size());
+}
+
+ApplyResult CellModel::ApplyCommand(const Command& aCommand) {
+  const ApplyResult result = Apply(this->state, aCommand);
+  this->Append(aCommand);
+  return result;
+}
+
+void CellModel::CatchUp(Replica& aReplica, std::size_t aEnd) {
+  for (; aReplica.applied < aEnd; ++aReplica.applied) {
+    const std::optional<Command>& command = this->log[aReplica.applied].command;
+    if (command) {
+      OnApplied(aReplica.leaseEnds, this->state, *command, this->now);
+    } else {
+      OnTermBegan(aReplica.leaseEnds);
+    }
+  }
+}
+
+void CellModel::AdvanceFollowers() {
+  for (Replica& replica : this->replicas) {
+    std::size_t end = replica.applied;
+    while (end < this->log.size() &&
+           this->log[end].committedAt + replica.lag <= this->now) {
+      ++end;
+    }
+    this->CatchUp(replica, end);
+  }
+}
+
+void CellModel::Restart(Replica& aReplica, std::size_t aSnapshotAt) {
+  constexpr std::uint64_t kLongestLagMs = 120;
+  OnRestored(aReplica.leaseEnds);
+  aReplica.leaseEnds.longestLease = LongestLease(SchedulerSettings());
+  aReplica.applied = aSnapshotAt;
+  aReplica.lag = Millis(
+      static_cast<std::int64_t>(NextBelow(this->replicaRandom, kLongestLagMs)));
+}
+
 void CellModel::StallLog(Duration aLength) {
   this->logStalledUntil = this->now + aLength;
 }
 
 void CellModel::RestartWorker(const std::string& aId) {
-  Restart(this->workers.at(aId), this->now);
+  workflow::Restart(this->workers.at(aId), this->now);
   // A worker announces itself when it starts.
   this->Announce();
 }
@@ -83,7 +153,7 @@
   worker.up = false;
   worker.running.clear();
   this->Schedule(this->now + aLength, [this, aId] {
-    Restart(this->workers.at(aId), this->now);
+    workflow::Restart(this->workers.at(aId), this->now);
     this->Announce();
   });
 }
@@ -91,7 +161,7 @@
 void CellModel::RestartWorkerAs(const std::string& aId,
                                 const Resources& aCapacity) {
   WorkerModel& worker = this->workers.at(aId);
-  Restart(worker, this->now);
+  workflow::Restart(worker, this->now);
   // Requests name only the id, so that those in flight may be executed here.
   SetCapacity(worker, aCapacity, this->now);
 }
@@ -156,7 +226,7 @@
   const auto changed =
       SpecToCommit(*this->scheduler, this->state, aAnnouncement);
   if (changed) {
-    Apply(this->state, RegisterWorker{*changed});
+    this->ApplyCommand(RegisterWorker{*changed});
     OnStateChanged(*this->scheduler, this->state, this->now);
     OnRegistered(*this->scheduler, this->state, aAnnouncement);
   }
@@ -184,6 +254,7 @@
       }
     }
     this->RunDueEvents();
+    this->AdvanceFollowers();
     if (!isPaused) {
       this->Perform(
           OnTick(*this->scheduler, this->state, this->now, this->UnixMs()));
@@ -254,7 +325,7 @@
       if (proposedBy == this->epoch) {
         this->RecordEnds(aCommit);
         for (const Command& command : aCommit.commands) {
-          Apply(this->state, command);
+          this->ApplyCommand(command);
         }
       }
     });
@@ -271,7 +342,7 @@
         if (applied) {
           this->RecordEnds(aCommit);
           for (const Command& command : aCommit.commands) {
-            Apply(this->state, command);
+            this->ApplyCommand(command);
           }
         }
         if (lost) {
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -29,6 +29,13 @@
   double announcementLate = 0;  // it arrives up to 4 s later
 };
 
+// How the leader changes.
+enum class LeaderChange {
+  Restart,  // the leader's process ends, planned or not, and starts again
+  Freeze,   // the leader's process stands still and goes on later
+  Replace,  // the leader's host is lost, and an empty one takes its place
+};
+
 // A leader and its workers in virtual time, connected by a network that loses
 // and delays messages. Checks at each start that the task runs on no other
 // worker, was not done before, and fits, and at each acknowledgement that the
@@ -43,7 +50,9 @@
   void Submit(const JobSpec& aSpec);
   void Cancel(const std::string& aJob);
   // Starts a new leader. Commits that are still pending are lost.
-  void ChangeLeader();
+  void ChangeLeader(LeaderChange aChange = LeaderChange::Restart);
+  // A replica that doesn't lead is stopped and started again.
+  void RestartFollower();
   // Commits nothing for aLength. What is proposed meanwhile is applied
   // afterwards, in order, although its proposal timed out.
   void StallLog(Duration aLength);
@@ -86,6 +95,17 @@
   bool renewalsWait = false;
 
  private:
+  // One replica's conclusions from the log.
+  struct Replica {
+    LeaseEnds leaseEnds;
+    std::size_t applied = 0;  // of the log
+    Duration lag;             // until it applies what is committed
+  };
+  // A command, or none for the first entry of a leader.
+  struct LogEntry {
+    std::optional<Command> command;
+    TimePoint committedAt;
+  };
   struct Event {
     TimePoint at;
     std::uint64_t sequence = 0;
@@ -96,6 +116,14 @@
   // Schedules an event on a worker.
   void Schedule(TimePoint aAt, std::function<void()> aAction);
   void ScheduleOnLeader(TimePoint aAt, std::function<void()> aAction);
+  // Commits a command.
+  ApplyResult ApplyCommand(const Command& aCommand);
+  void Append(const std::optional<Command>& aCommand);
+  // The replica applies the log up to aEnd.
+  void CatchUp(Replica& aReplica, std::size_t aEnd);
+  void AdvanceFollowers();
+  // The replica's process starts again from a snapshot of up to aSnapshotAt.
+  void Restart(Replica& aReplica, std::size_t aSnapshotAt);
   void RunDueEvents();
   void Announce();
   void AnnounceWorker(const std::string& aId);
@@ -130,6 +158,11 @@
   std::vector<Event> events;
   std::uint64_t lastEvent = 0;
   Epoch epoch = 0;
+  // The draws of faults must not depend on the replicas.
+  Random replicaRandom;
+  std::vector<Replica> replicas;
+  std::size_t leader = 0;  // of replicas
+  std::vector<LogEntry> log;
   TimePoint announceAt;
   TimePoint logStalledUntil;
   TimePoint leaderPausedUntil;
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -56,8 +56,8 @@
 }
 
 void Lead(Cell& aCell) {
-  aCell.scheduler =
-      MakeScheduler(SchedulerSettings(), 1, aCell.state, 1, aCell.now);
+  aCell.scheduler = MakeScheduler(SchedulerSettings(), 1, aCell.state,
+                                  LeaseEnds(), 1, aCell.now);
   for (const auto& [number, worker] : aCell.state.workers) {
     OnAnnounced(aCell.scheduler, number, kSteadyClockMs, aCell.now);
   }
@@ -135,6 +135,10 @@
   constexpr int kMaxSweeps = 40;
   for (int sweep = 0; sweep < kMaxSweeps; ++sweep) {
     for (const SchedulerAction& action : aCell.Tick(Millis(5))) {
+      // The permits without which a renewal doesn't extend the lease.
+      if (const auto* const commit = std::get_if<Commit>(&action)) {
+        OnCommitted(aCell.scheduler, aCell.state, *commit, true, aCell.now);
+      }
       const auto* const renewal = std::get_if<SendLeaseRenewal>(&action);
       if (renewal && renewal->request.waitMs > 0) {
         ++waiting;
--- a/tests/workflow/FaultPropertyTest.cpp
+++ b/tests/workflow/FaultPropertyTest.cpp
@@ -1,6 +1,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <cstdlib>
+#include <iterator>
 #include <string>
 
 #include "tests/workflow/CellModel.h"
@@ -55,7 +56,10 @@
       "w" + std::to_string(NextBelow(aCell.random, kWorkers));
   constexpr std::uint64_t kOneIn = 4;
   if (aCase.changesLeader && NextBelow(aCell.random, kOneIn) == 0) {
-    aCell.ChangeLeader();
+    constexpr LeaderChange kChanges[] = {
+        LeaderChange::Restart, LeaderChange::Freeze, LeaderChange::Replace};
+    aCell.ChangeLeader(kChanges[NextBelow(aCell.random, std::size(kChanges))]);
+    aCell.RestartFollower();
   }
   if (aCase.partitionsWorkers) {
     aCell.SetPartitioned(worker, NextBelow(aCell.random, 2) == 0);
