Count requests for an earlier incarnation after a change of leader

A request in flight may still reach the worker incarnation that took an id over, up to 12 s after it was sent, and its lease starts only then. The leader that saw the restart waited for that. A new leader waited for the longest lease only, so that a task could have started again while it ran there (TWICE).

testNewLeaderCountsRequestsForAnEarlierIncarnation and testRequestForAnEarlierIncarnationCounts fail before.

--- a/src/bramleypath/workflow/LeaseEnds.cpp
+++ b/src/bramleypath/workflow/LeaseEnds.cpp
@@ -38,11 +38,17 @@
 }
 
 void Apply(LeaseEnds& aEnds, const State& aState,
-           const RegisterWorker& aCommand, TimePoint /*aNow*/) {
+           const RegisterWorker& aCommand, TimePoint aNow) {
   const Worker* const worker = FindWorker(aState, aCommand.worker.id.value);
   if (!worker || aEnds.endsAt.count(worker->number) > 0) {
     return;
   }
+  // A request for an earlier incarnation may still reach this one, and its
+  // lease starts only then.
+  if (HasMovedAttempt(aState, *worker)) {
+    aEnds.endsAt.emplace(worker->number,
+                         aNow + aEnds.longestLease + kMaxRequestDelay);
+  }
   // The incarnation that had the id before is gone.
   for (auto it = aEnds.endsAt.begin(); it != aEnds.endsAt.end();) {
     it = aState.workers.count(it->first) == 0 ? aEnds.endsAt.erase(it)
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -475,6 +475,14 @@
                                         : &aState.jobs.at(found->second);
 }
 
+bool HasMovedAttempt(const State& aState, const Worker& aWorker) {
+  return std::any_of(aWorker.attempts.begin(), aWorker.attempts.end(),
+                     [&](const TaskKey& aKey) {
+                       const TaskState* const task = FindTask(aState, aKey);
+                       return task && task->hasWorkerRestarted;
+                     });
+}
+
 const Worker* FindWorker(const State& aState, std::string_view aId) {
   const auto found = aState.workersById.find(std::string(aId));
   return found == aState.workersById.end() ? nullptr
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -143,6 +143,8 @@
 // Whether applying the end would change the state. True also for the end of an
 // attempt that was ended before without knowing that it was done or had failed.
 bool IsUnrecordedEnd(const State& aState, const EndedTask& aEnd);
+// Whether an attempt on the worker was placed on an earlier incarnation.
+bool HasMovedAttempt(const State& aState, const Worker& aWorker);
 // Whether all stages that must precede aStage are done.
 bool IsStageOpen(const Job& aJob, const Occurrence& aOccurrence,
                  std::uint32_t aStage);
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -319,12 +319,16 @@
 namespace {
 
 // The session of a worker that an earlier leader registered.
-WorkerSession InheritSession(const Scheduler& aScheduler, const Worker& aWorker,
-                             const LeaseEnds& aLeaseEnds, TimePoint aNow) {
+WorkerSession InheritSession(const Scheduler& aScheduler, const State& aState,
+                             const Worker& aWorker, const LeaseEnds& aLeaseEnds,
+                             TimePoint aNow) {
   WorkerSession session;
   session.worker = aWorker.number;
   session.isInherited = true;
-  const Duration longest = LongestLease(aScheduler.settings);
+  Duration longest = LongestLease(aScheduler.settings);
+  if (HasMovedAttempt(aState, aWorker)) {
+    longest = longest + kMaxRequestDelay;
+  }
   session.earlierLeaseEndsAt =
       std::min(FindLeaseEnd(aLeaseEnds, aWorker.number).value_or(kNever),
                aNow + longest);
@@ -352,7 +356,7 @@
   scheduler.nextLimitsAt = aNow + detail::kLeaseReportInterval;
   for (const auto& [number, worker] : aState.workers) {
     scheduler.sessions.emplace(
-        number, InheritSession(scheduler, worker, aLeaseEnds, aNow));
+        number, InheritSession(scheduler, aState, worker, aLeaseEnds, aNow));
     scheduler.sessionsWithoutRenewal.insert(number);
     scheduler.silentSessions.insert(number);
     for (const TaskKey& key : worker.attempts) {
--- a/tests/workflow/LeaseEndsTest.cpp
+++ b/tests/workflow/LeaseEndsTest.cpp
@@ -95,7 +95,9 @@
 class LeaseEndsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LeaseEndsTest);
   CPPUNIT_TEST(testEnds);
+  CPPUNIT_TEST(testRequestForAnEarlierIncarnationCounts);
   CPPUNIT_TEST(testEndOfAnEarlierIncarnationIsForgotten);
+  CPPUNIT_TEST(testNewLeaderCountsRequestsForAnEarlierIncarnation);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -117,6 +119,21 @@
     }
   }
 
+  // A start for an earlier incarnation may reach the one that took its id, so
+  // that its lease begins seconds later.
+  void testRequestForAnEarlierIncarnationCounts() {
+    State state = MakePlacedState();
+    LeaseEnds ends;
+    RestartWorker(state, ends, kBegin);
+    const TimePoint expected = kBegin + ends.longestLease + kMaxRequestDelay;
+    const auto end = FindLeaseEnd(ends, state.lastWorker);
+    CPPUNIT_ASSERT(end.has_value());
+    CPPUNIT_ASSERT(expected == *end);
+    // A permit doesn't bring the end forward.
+    OnApplied(ends, state, PermitLeases{{state.lastWorker}, 11000}, kBegin);
+    CPPUNIT_ASSERT(expected == *FindLeaseEnd(ends, state.lastWorker));
+  }
+
   void testEndOfAnEarlierIncarnationIsForgotten() {
     State state = MakePlacedState();
     LeaseEnds ends;
@@ -125,6 +142,20 @@
     CPPUNIT_ASSERT(!FindLeaseEnd(ends, kWorker));
   }
 
+  // Also where the replica restored a snapshot and knows nothing else.
+  void testNewLeaderCountsRequestsForAnEarlierIncarnation() {
+    State state = MakePlacedState();
+    LeaseEnds ends;
+    RestartWorker(state, ends, kBegin);
+    const SchedulerSettings settings;
+    const Scheduler scheduler =
+        MakeScheduler(settings, 1, state, LeaseEnds(), 1, kBegin);
+    const TimePoint earliest =
+        kBegin + LongestLease(settings) + kMaxRequestDelay;
+    CPPUNIT_ASSERT(earliest <=
+                   scheduler.sessions.at(state.lastWorker).earlierLeaseEndsAt);
+  }
+
  private:
   // A worker runs one task.
   static State MakePlacedState() {
