--- a/tests/cell/KnownRedTest.cpp
+++ b/tests/cell/KnownRedTest.cpp
@@ -25,7 +25,7 @@
 constexpr std::uint32_t kSmallJob = 10;
 const TaskId kTask{JobId("j0"), 0};
 
-// Changes of leader, with times from the loss of the worker.
+// Changes of leader, with times from the beginning of the wait.
 struct LeaderChanges {
   const char* name;
   std::int64_t first;
@@ -69,9 +69,31 @@
                       static_cast<std::uint32_t>(aModel.leader + 1)});
 }
 
-// The time from the loss of the worker of a task until the task runs on another
-// one; kMaxWait when it doesn't. The lost worker keeps running the task until
-// its lease ends, so that the model reports a start that is too early.
+// The time until an attempt of the task after aLast runs; kMaxWait when none
+// does.
+std::int64_t WaitForNextAttempt(CellModel& aModel, AttemptNumber aLast,
+                                const LeaderChanges& aChanges) {
+  const std::int64_t from = aModel.now;
+  std::int64_t nextChangeAt = from + aChanges.first;
+  int changes = 0;
+  std::optional<AttemptId> running = RunningAttempt(aModel);
+  while ((!running || running->number <= aLast) &&
+         aModel.now - from < kMaxWait) {
+    if (changes < aChanges.count && aModel.now >= nextChangeAt) {
+      ChangeLeader(aModel);
+      ++changes;
+      nextChangeAt += aChanges.interval;
+    }
+    aModel.Run(kStep);
+    running = RunningAttempt(aModel);
+  }
+  CPPUNIT_ASSERT(aModel.oracle.violations.empty());
+  return aModel.now - from;
+}
+
+// The wait of a task whose worker is lost. The lost worker keeps running the
+// task until its lease ends, so that the model reports a start that is too
+// early.
 std::int64_t WaitAfterLoss(std::uint64_t aSeed, const LeaderChanges& aChanges) {
   CellModel model(aSeed);
   model.networkBad = false;
@@ -85,33 +107,59 @@
   const std::uint32_t host = KeepRunning(model, *lost);
   model.Run(5 * kSecond);
   model.Inject(Fault{FaultKind::CutOffWorker, host});
+  return WaitForNextAttempt(model, lost->number, aChanges);
+}
 
-  const std::int64_t lostAt = model.now;
-  std::int64_t nextChangeAt = lostAt + aChanges.first;
-  int changes = 0;
-  std::optional<AttemptId> running = lost;
-  while ((!running || *running == *lost) && model.now - lostAt < kMaxWait) {
-    if (changes < aChanges.count && model.now >= nextChangeAt) {
-      ChangeLeader(model);
-      ++changes;
-      nextChangeAt += aChanges.interval;
-    }
+// The wait of a task that has failed on the only worker so often that its job
+// is backed off for several seconds.
+std::int64_t WaitAfterFailures(std::uint64_t aSeed,
+                               const LeaderChanges& aChanges) {
+  constexpr std::uint32_t kFailures = 4;
+  CellModel model(aSeed);
+  model.networkBad = false;
+  model.Run(5 * kSecond);
+  for (std::uint32_t host = 1; host < model.hosts.size(); ++host) {
+    model.Inject(Fault{FaultKind::CrashWorker, host});
+  }
+  model.Run(10 * kSecond);
+  model.Inject(Fault{FaultKind::SubmitFailingJob, kSmallJob});
+  const auto task = [&model] { return FindTask(model.committedState, kTask); };
+  while (task()->failures < kFailures && model.now < 600 * kSecond) {
     model.Run(kStep);
-    running = RunningAttempt(model);
   }
-  CPPUNIT_ASSERT(model.oracle.violations.empty());
-  return model.now - lostAt;
+  CPPUNIT_ASSERT_EQUAL(kFailures, task()->failures);
+  return WaitForNextAttempt(model, task()->attempts, aChanges);
 }
 
 std::string InMillis(std::int64_t aMicros) {
   return std::to_string(aMicros / 1000) + " ms";
 }
 
+// Runs the scenario with each seed and each row of kChanges, and compares its
+// wait with that of one and the same leader.
+void CheckWaits(std::int64_t (*aWait)(std::uint64_t, const LeaderChanges&)) {
+  std::string failures;
+  for (std::uint64_t seed = 1; seed <= kModelSeeds; ++seed) {
+    const std::int64_t wait = aWait(seed, kNoChange);
+    CPPUNIT_ASSERT(wait < kMaxWait);
+    for (const LeaderChanges& changes : kChanges) {
+      const std::int64_t longer = aWait(seed, changes);
+      if (longer > wait + kMaxExtraWait) {
+        failures += "\nseed " + std::to_string(seed) + ", leader changes " +
+                    changes.name + ": waited " + InMillis(longer) +
+                    ", without a change " + InMillis(wait);
+      }
+    }
+  }
+  CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+}
+
 }  // namespace
 
 class KnownRedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(KnownRedTest);
   CPPUNIT_TEST(testTaskOfALostWorkerRunsDespiteChangesOfLeader);
+  CPPUNIT_TEST(testBackOffOfAJobEndsDespiteChangesOfLeader);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -119,20 +167,14 @@
   // leadership, so that the task of a lost worker never runs again while the
   // leader changes every few seconds.
   void testTaskOfALostWorkerRunsDespiteChangesOfLeader() {
-    std::string failures;
-    for (std::uint64_t seed = 1; seed <= kModelSeeds; ++seed) {
-      const std::int64_t wait = WaitAfterLoss(seed, kNoChange);
-      CPPUNIT_ASSERT(wait < kMaxWait);
-      for (const LeaderChanges& changes : kChanges) {
-        const std::int64_t longer = WaitAfterLoss(seed, changes);
-        if (longer > wait + kMaxExtraWait) {
-          failures += "\nseed " + std::to_string(seed) + ", leader changes " +
-                      changes.name + ": waited " + InMillis(longer) +
-                      ", without a change " + InMillis(wait);
-        }
-      }
-    }
-    CPPUNIT_ASSERT_MESSAGE(failures, failures.empty());
+    CheckWaits(WaitAfterLoss);
+  }
+
+  // Each leader begins the back-off of a job anew from the replicated number of
+  // failures, so that the job's tasks are never tried again while the leader
+  // changes more often than the back-off ends.
+  void testBackOffOfAJobEndsDespiteChangesOfLeader() {
+    CheckWaits(WaitAfterFailures);
   }
 };
 
