--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -107,6 +107,8 @@
   TimePoint earlierLeaseEndsAt;
   // The worker has answered a lease renewal of this epoch.
   bool hasAnsweredRenewal = false;
+  // The worker has executed a start of this epoch.
+  bool hasExecutedStart = false;
   // Set by the first sweep over the session; Other once the leader was too late
   // to send the renewal.
   std::optional<RenewalClass> firstRenewal;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -394,13 +394,18 @@
              : &found->second;
 }
 
-SchedulerActions RemoveIncarnation(const State& aState, WorkerNumber aWorker) {
+SchedulerActions RemoveIncarnation(const Scheduler& aScheduler,
+                                   const State& aState, WorkerNumber aWorker) {
+  const auto session = aScheduler.sessions.find(aWorker);
+  const bool hasCrashed = session != aScheduler.sessions.end() &&
+                          detail::MayHaveRunAttempts(session->second);
   Commit commit;
-  commit.commands.emplace_back(RemoveWorker{aWorker, true});
+  commit.commands.emplace_back(RemoveWorker{aWorker, hasCrashed});
   SchedulerActions actions;
-  actions.push_back(DecisionRecord{"worker_replaced",
-                                   detail::WorkerText(aState, aWorker),
-                                   "another incarnation answered"});
+  actions.push_back(DecisionRecord{
+      "worker_replaced", detail::WorkerText(aState, aWorker),
+      hasCrashed ? "another incarnation answered"
+                 : "another incarnation answered, this one never did"});
   actions.push_back(std::move(commit));
   return actions;
 }
@@ -483,6 +488,7 @@
           session.isOtherBoot ||
           (attempt &&
            detail::IsFromOtherBoot(session, aAnswer.clockMs, attempt->sentAt));
+      session.hasExecutedStart = true;
       detail::RecordClock(session, aAnswer.clockMs, aNow);
       detail::RecordMessage(aScheduler, session, aNow);
       aScheduler.begunJobs.insert(aRequest.task.job);
@@ -503,7 +509,7 @@
       }
       break;
     case RequestOutcome::OtherIncarnation:
-      return RemoveIncarnation(aState, aRequest.worker);
+      return RemoveIncarnation(aScheduler, aState, aRequest.worker);
     case RequestOutcome::NoAnswer:
       session.isBootUnconfirmed = true;
       detail::AvoidWorker(session, aNow + kUnansweredAvoid, aNow);
@@ -547,7 +553,7 @@
   Attempt* const attempt =
       FindAttempt(aScheduler, aRequest.task, aRequest.request.attempt);
   if (aAnswer.outcome == RequestOutcome::OtherIncarnation) {
-    return RemoveIncarnation(aState, aRequest.worker);
+    return RemoveIncarnation(aScheduler, aState, aRequest.worker);
   }
   if (!attempt || attempt->worker != aRequest.worker) {
     return {};
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -359,7 +359,8 @@
     return;
   }
   if (aAnswer.outcome == RequestOutcome::OtherIncarnation) {
-    aChanges.others.emplace_back(RemoveWorker{aSession.worker, true});
+    aChanges.others.emplace_back(
+        RemoveWorker{aSession.worker, detail::MayHaveRunAttempts(aSession)});
     return;
   }
   RegisterWorker command;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -58,6 +58,9 @@
 // Records that the worker sent something.
 void RecordMessage(Scheduler& aScheduler, WorkerSession& aSession,
                    TimePoint aNow);
+// Whether the incarnation may have run attempts. A late announcement can
+// register one that is gone; it answers nothing and runs nothing.
+bool MayHaveRunAttempts(const WorkerSession& aSession);
 // Whether all leases granted to the worker have expired on its clock, even at
 // kSlowestClock.
 bool HasLeaseExpired(const WorkerSession& aSession, TimePoint aNow);
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -181,6 +181,11 @@
   RequestPermit(aScheduler, aSession, aNow);
 }
 
+bool MayHaveRunAttempts(const WorkerSession& aSession) {
+  return aSession.isInherited || aSession.hasAnsweredRenewal ||
+         aSession.hasExecutedStart;
+}
+
 bool HasLeaseExpired(const WorkerSession& aSession, TimePoint aNow) {
   if (aNow < aSession.earlierLeaseEndsAt) {
     return false;
--- a/tests/workflow/DeadlyTaskTest.cpp
+++ b/tests/workflow/DeadlyTaskTest.cpp
@@ -91,6 +91,29 @@
   Apply(aState, PlaceTasks{{{kTask, aAttempt, worker->number}}});
 }
 
+// Performs the actions while another incarnation answers each start, and
+// renewals aren't answered. Returns the number of starts.
+std::uint32_t Perform(Scheduler& aScheduler, State& aState,
+                      const SchedulerActions& aActions, TimePoint aNow) {
+  std::uint32_t starts = 0;
+  for (const SchedulerAction& action : aActions) {
+    SchedulerActions next;
+    if (const auto* const commit = std::get_if<Commit>(&action)) {
+      for (const Command& command : commit->commands) {
+        Apply(aState, command);
+      }
+      next = OnCommitted(aScheduler, aState, *commit, true, aNow);
+    } else if (const auto* const start = std::get_if<SendStart>(&action)) {
+      ++starts;
+      RequestAnswer answer;
+      answer.outcome = RequestOutcome::OtherIncarnation;
+      next = OnStartAnswer(aScheduler, aState, *start, answer, aNow);
+    }
+    starts += Perform(aScheduler, aState, next, aNow);
+  }
+  return starts;
+}
+
 // The first innocent job that is not completed, and its phase; empty: none.
 std::string FirstUnfinished(const CellModel& aCell) {
   for (const auto& [number, job] : aCell.state.jobs) {
@@ -122,6 +145,7 @@
   CPPUNIT_TEST(testSnapshotKeepsCrashes);
   CPPUNIT_TEST(testReplacedWorkerCountsAsCrashed);
   CPPUNIT_TEST(testWorkerThatLeavesOrDrainsHasNotCrashed);
+  CPPUNIT_TEST(testWorkerThatNeverAnsweredHasNotCrashed);
   CPPUNIT_TEST(testCrashAfterTheLeaseIsCounted);
   CPPUNIT_TEST(testTaskThatRanLongIsCleared);
   CPPUNIT_TEST(testAmbiguousTasksAreNotGivenUp);
@@ -239,6 +263,33 @@
     CPPUNIT_ASSERT(FindJob(state, "job")->phase == JobPhase::Failed);
   }
 
+  // A late announcement of an incarnation that is gone registers it once more.
+  // Tasks placed there never ran, and their job must not be given up.
+  void testWorkerThatNeverAnsweredHasNotCrashed() {
+    TimePoint now{1000 * 1000};
+    State state;
+    Apply(state, SetLayout{MakeLayout(1)});
+    Apply(state, AcceptJob{MakeJob("job"), 0});
+    Scheduler scheduler =
+        MakeScheduler(SchedulerSettings(), 1, state, LeaseEnds(), 1, now);
+    std::uint32_t refused = 0;
+    for (std::uint32_t index = 0; index < kWorkers; ++index) {
+      WorkerSpec gone = MakeWorker(WorkerName(index));
+      gone.address = gone.id.value;
+      Apply(state, RegisterWorker{gone});
+      OnStateChanged(scheduler, state, now);
+      OnAnnounced(scheduler, state.lastWorker, 1000, now);
+      constexpr int kTicks = 60;
+      for (int tick = 0; tick < kTicks; ++tick) {
+        now = now + Millis(10);
+        refused +=
+            Perform(scheduler, state, OnTick(scheduler, state, now, 0), now);
+      }
+    }
+    CPPUNIT_ASSERT(refused >= kGiveUpAt);
+    CPPUNIT_ASSERT(JobPhase::Active == state.jobs.at(1).phase);
+  }
+
   void testWorkerThatLeavesOrDrainsHasNotCrashed() {
     State state = MakeState();
     Place(state, 0, 1);
