Log what a waiting long-running task's worker is waited for

A line long_running_waits of a placed task has the evidence on its worker's lease, workers with outdated capacity are no longer counted as suitable, and renewals that were never sent are counted.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -112,6 +112,8 @@
   std::optional<RenewalClass> firstRenewal;
   TimePoint nextRenewalAt;
   std::uint32_t missedRenewals = 0;
+  // Renewals since the last answer that this leader was too late to send.
+  std::uint32_t unsentRenewals = 0;
   // Numbers of the worker's last end that is committed, and of the last one
   // that was acknowledged to the worker.
   std::uint64_t committedEnd = 0;
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -441,6 +441,7 @@
   }
   if (IsDelayedByLeader(aAnswer.result)) {
     session.nextRenewalAt = aNow;
+    ++session.unsentRenewals;
     // Comes after the first renewals that have not been tried yet.
     session.firstRenewal = RenewalClass::Other;
     return actions;
@@ -456,6 +457,7 @@
     aScheduler.dispatchWanted = true;
   }
   session.missedRenewals = 0;
+  session.unsentRenewals = 0;
   session.isBootUnconfirmed = false;
   detail::RecordClock(session, aAnswer.result.clockMs, aNow);
   detail::RecordMessage(aScheduler, session, aNow);
--- a/src/bramleypath/workflow/internal/LongRunningWaits.cpp
+++ b/src/bramleypath/workflow/internal/LongRunningWaits.cpp
@@ -72,6 +72,7 @@
   std::uint32_t otherService = 0;  // or without the required label
   std::uint32_t draining = 0;
   std::uint32_t unreachable = 0;
+  std::uint32_t outdated = 0;  // its capacity, see IsCapacityOutdated
   std::uint32_t avoided = 0;
   std::uint32_t full = 0;
   std::uint32_t suitable = 0;
@@ -95,6 +96,9 @@
       !IsReachable(aScheduler, session->second, aNow)) {
     return aCounts.unreachable;
   }
+  if (IsCapacityOutdated(aScheduler, session->second, aNow)) {
+    return aCounts.outdated;
+  }
   if (aNow < session->second.barredUntil) {
     return aCounts.avoided;
   }
@@ -119,6 +123,7 @@
          " full=" + std::to_string(counts.full) +
          " avoided=" + std::to_string(counts.avoided) +
          " unreachable=" + std::to_string(counts.unreachable) +
+         " outdated=" + std::to_string(counts.outdated) +
          " draining=" + std::to_string(counts.draining) +
          " other_service=" + std::to_string(counts.otherService) +
          " max_per_worker=" + std::to_string(stage.maxPerWorker);
@@ -165,7 +170,10 @@
                        " attempt=" + std::to_string(aTask.attempt) + " reason=";
   if (aTask.phase == TaskPhase::Placed) {
     detail += DescribePlaced(aScheduler, aKey, aTask);
-    detail += " worker=" + WorkerText(aState, aTask.worker);
+    const auto session = aScheduler.sessions.find(aTask.worker);
+    detail += " " + (session == aScheduler.sessions.end()
+                         ? "worker=" + WorkerText(aState, aTask.worker)
+                         : LeaseEvidence(aState, session->second, aNow));
   } else {
     detail += DescribeUnplaced(aScheduler, aState, aKey, aNow);
   }
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -202,6 +202,7 @@
       "worker=" + WorkerText(aState, aSession.worker) +
       " granted_until_ms=" + std::to_string(aSession.grantedUntilMs) +
       " missed_renewals=" + std::to_string(aSession.missedRenewals) +
+      " unsent_renewals=" + std::to_string(aSession.unsentRenewals) +
       " remaining_ms=" +
       std::to_string(ToMillis(RemainingLease(aSession, aNow)));
   if (aSession.clock) {
