Add failing tests of waits of lost workers' tasks

Renewals that a late leader never sent extend the lease of a lost worker, and a worker that is lost after a restart holds its tasks for the longest delay of a request.

--- /dev/null
+++ b/tests/workflow/LostWorkerWaitTest.cpp
@@ -0,0 +1,103 @@
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+
+#include "tests/workflow/CellModel.h"
+#include "tests/workflow/Samples.h"
+
+// Waits of a long-running task whose worker is lost, other than the wait for
+// leases of an earlier leader. All of them fail, see KNOWN-RED.txt.
+namespace bramleypath::workflow {
+
+namespace {
+
+// The longest lease of 10 s by a clock that is 2 % slow.
+constexpr Duration kLongestLease = Millis(10200);
+// A long-running task that can run has to run within this time.
+constexpr Duration kLongestWait = Seconds(3);
+
+struct LostTask {
+  CellModel cell{1};
+  std::string worker;  // on which the task runs at first
+};
+
+constexpr const char* kTask = "serving.0.0.0";
+
+std::string WorkerOf(const CellModel& aCell) {
+  for (const auto& [id, worker] : aCell.workers) {
+    if (worker.up && worker.running.count(kTask) > 0) {
+      return id;
+    }
+  }
+  return "";
+}
+
+// A cell of two workers, of which one runs a long-running task.
+LostTask MakeRunningTask() {
+  LostTask task;
+  CellModel& cell = task.cell;
+  cell.AddWorker("w0");
+  cell.AddWorker("w1");
+  cell.Run(Seconds(1));
+  JobSpec job = MakeJob("serving");
+  job.stages = {MakeStage(1, 1000, 0)};
+  job.stages[0].longRunning = true;
+  cell.Submit(job);
+  cell.Run(Millis(200));
+  task.worker = WorkerOf(cell);
+  CPPUNIT_ASSERT(!task.worker.empty());
+  return task;
+}
+
+void AssertRunsBy(CellModel& aCell, TimePoint aCanRunAt) {
+  while (WorkerOf(aCell).empty() && aCell.now < aCanRunAt + Seconds(30)) {
+    aCell.Run(Millis(50));
+  }
+  const std::string waited =
+      std::to_string(ToMillis(aCell.now - aCanRunAt)) + " ms";
+  CPPUNIT_ASSERT_MESSAGE("waited " + waited + " once it could run",
+                         aCell.now < aCanRunAt + kLongestWait);
+}
+
+}  // namespace
+
+class LostWorkerWaitTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LostWorkerWaitTest);
+  CPPUNIT_TEST(testRenewalsThatAreNotSentExtendNoLease);
+  CPPUNIT_TEST(testWorkerLostAfterARestartDelaysItsTaskByOneLease);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A renewal that a late leader never sent counted as a grant, so that the
+  // lease of a lost worker seemed to be renewed for as long as the leader was
+  // late, and its task waited for another whole lease after that.
+  void testRenewalsThatAreNotSentExtendNoLease() {
+    LostTask task = MakeRunningTask();
+    CellModel& cell = task.cell;
+    cell.workers.at(task.worker).up = false;
+    cell.SetLeaderLate(true);
+    const TimePoint lostAt = cell.now;
+    // No grant has left the leader since the loss, so that all leases of the
+    // worker are over by then.
+    cell.Run(kLongestLease + Seconds(2));
+    cell.SetLeaderLate(false);
+    CPPUNIT_ASSERT(lostAt + kLongestLease < cell.now);
+    AssertRunsBy(cell, cell.now);
+  }
+
+  // The attempts of a worker that restarted wait for a longest lease and the
+  // longest delay of a request if the worker is lost before it answers.
+  void testWorkerLostAfterARestartDelaysItsTaskByOneLease() {
+    LostTask task = MakeRunningTask();
+    CellModel& cell = task.cell;
+    const TimePoint lostAt = cell.now;
+    cell.RestartWorker(task.worker);
+    cell.workers.at(task.worker).up = false;
+    AssertRunsBy(cell, lostAt + kLongestLease);
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(LostWorkerWaitTest);
+
+}  // namespace bramleypath::workflow
