--- a/tests/workflow/LostWorkerWaitTest.cpp
+++ b/tests/workflow/LostWorkerWaitTest.cpp
@@ -65,6 +65,7 @@
 class LostWorkerWaitTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(LostWorkerWaitTest);
   CPPUNIT_TEST(testRenewalsThatAreNotSentExtendNoLease);
+  CPPUNIT_TEST(testRenewalsThatANewLeaderDoesNotSendExtendNoLease);
   CPPUNIT_TEST(testWorkerLostAfterARestartDelaysItsTaskByOneLease);
   CPPUNIT_TEST_SUITE_END();
 
@@ -86,6 +87,22 @@
     AssertRunsBy(cell, cell.now);
   }
 
+  // The same under a new leader that has heard from the worker but was too late
+  // for its first renewal. The attempt stayed as the earlier leader left it.
+  void testRenewalsThatANewLeaderDoesNotSendExtendNoLease() {
+    LostTask task = MakeRunningTask();
+    CellModel& cell = task.cell;
+    cell.SetLeaderLate(true);
+    cell.ChangeLeader();
+    cell.Run(Seconds(2));
+    cell.workers.at(task.worker).up = false;
+    const TimePoint lostAt = cell.now;
+    cell.Run(kLongestLease + Seconds(2));
+    cell.SetLeaderLate(false);
+    CPPUNIT_ASSERT(lostAt + kLongestLease < cell.now);
+    AssertRunsBy(cell, cell.now);
+  }
+
   // The attempts of a worker that restarted wait for a longest lease and the
   // longest delay of a request if the worker is lost before it answers.
   void testWorkerLostAfterARestartDelaysItsTaskByOneLease() {
