Count leases of unknown leaders and of delayed requests in full

A leader of a version without permits grants up to 9.7 s of the slowest clock, and a worker shortens a request for its earlier incarnation to the longest lease of 10 s. Since permits were introduced, both were counted as 9.5 s, so that a task could have started while the earlier attempt ran (TWICE).

Where it isn't known that the earlier leader kept to permits, the longest lease is counted: 10.5 s. testNewLeaderWaitsForALeaseOfALeaderWithoutPermits (waited 9,489 ms for a lease of 9,693 ms) and testLeaseOfARequestForAnEarlierIncarnationIsCountedInFull (21,489 ms for 22,204 ms) pass.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -97,7 +97,7 @@
       driver(std::move(aDriver)),
       timer(aContext) {
   this->random.state = aGroup.randomSeed;
-  this->machine.SetLongestLease(workflow::LongestLease(aScheduler));
+  this->machine.SetLongestLease(workflow::LongestUnknownLease(aScheduler));
   GroupCallbacks callbacks;
   callbacks.leadershipGained = [this](consensus::Term aTerm) {
     this->OnLeadershipGained(aTerm);
--- a/src/bramleypath/workflow/LeaseEnds.cpp
+++ b/src/bramleypath/workflow/LeaseEnds.cpp
@@ -66,6 +66,7 @@
   if (!aEnds.isTermAnnounced) {
     aEnds.endsAt.clear();
   }
+  aEnds.isEarlierTermAnnounced = aEnds.isTermAnnounced;
   aEnds.isTermAnnounced = false;
 }
 
@@ -78,6 +79,7 @@
 void OnRestored(LeaseEnds& aEnds) {
   aEnds.endsAt.clear();
   aEnds.isTermAnnounced = false;
+  aEnds.isEarlierTermAnnounced = false;
 }
 
 std::optional<TimePoint> FindLeaseEnd(const LeaseEnds& aEnds,
--- a/src/bramleypath/workflow/LeaseEnds.h
+++ b/src/bramleypath/workflow/LeaseEnds.h
@@ -22,13 +22,15 @@
 
 // Volatile state of one replica; never part of a snapshot.
 struct LeaseEnds {
-  // Upper limit of the time between a grant and the end of the lease.
+  // Upper limit of the time that a lease runs, whoever granted it.
   Duration longestLease = Seconds(11);
   // When all leases granted to the worker have expired.
   std::unordered_map<WorkerNumber, TimePoint> endsAt;
   // The current leader has proposed a command about leases. Leaders of versions
   // that have no such commands grant leases without permits.
   bool isTermAnnounced = false;
+  // The same of the leader before.
+  bool isEarlierTermAnnounced = false;
 };
 
 // A leader's first entry was applied.
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -360,6 +360,9 @@
 // Upper limit of the time between a grant and the end of the lease, by the
 // leader's clock.
 Duration LongestLease(const SchedulerSettings& aSettings);
+// The same if nothing is known about the leader that granted it, which may run
+// another version.
+Duration LongestUnknownLease(const SchedulerSettings& aSettings);
 
 // Creates the scheduler of a new leader. The status of the attempts in aState
 // is unknown at first.
--- a/src/bramleypath/workflow/internal/LeaseGrants.cpp
+++ b/src/bramleypath/workflow/internal/LeaseGrants.cpp
@@ -95,6 +95,7 @@
 
 Duration RemainingLease(const WorkerSession& aSession, TimePoint aNow) {
   Duration remaining = std::max(Duration(), aSession.earlierLeaseEndsAt - aNow);
+  // Leases are granted only where the clock is known.
   if (aSession.grantedUntilMs > 0 && aSession.clock) {
     const double untilMs = static_cast<double>(aSession.grantedUntilMs) +
                            static_cast<double>(ToMillis(kLeaseExpiryMargin)) -
@@ -167,11 +168,23 @@
 
 }  // namespace detail
 
-Duration LongestLease(const SchedulerSettings& aSettings) {
-  const Duration granted =
-      detail::GrantedLease(aSettings) + detail::kLeaseExpiryMargin;
+namespace {
+
+// Upper limit of the time that a lease takes on the slowest clock.
+Duration OnSlowestClock(Duration aLease) {
+  const Duration counted = aLease + detail::kLeaseExpiryMargin;
   return Micros(static_cast<std::int64_t>(
-      std::ceil(static_cast<double>(granted.micros) / detail::kSlowestClock)));
+      std::ceil(static_cast<double>(counted.micros) / detail::kSlowestClock)));
+}
+
+}  // namespace
+
+Duration LongestLease(const SchedulerSettings& aSettings) {
+  return OnSlowestClock(detail::GrantedLease(aSettings));
+}
+
+Duration LongestUnknownLease(const SchedulerSettings& aSettings) {
+  return OnSlowestClock(aSettings.maxLease);
 }
 
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -187,18 +187,7 @@
 }
 
 bool HasLeaseExpired(const WorkerSession& aSession, TimePoint aNow) {
-  if (aNow < aSession.earlierLeaseEndsAt) {
-    return false;
-  }
-  if (aSession.grantedUntilMs == 0) {
-    return true;
-  }
-  if (!aSession.clock) {
-    return false;
-  }
-  return LowestClock(*aSession.clock, aNow) >
-         static_cast<double>(aSession.grantedUntilMs +
-                             ToMillis(kLeaseExpiryMargin));
+  return RemainingLease(aSession, aNow) == Duration();
 }
 
 std::string LeaseEvidence(const State& aState, const WorkerSession& aSession,
@@ -324,6 +313,12 @@
 
 namespace {
 
+// Upper limit of the time until a lease is over that a request for an earlier
+// incarnation begins. The worker shortens it to the longest one.
+Duration LongestDelayedLease(const SchedulerSettings& aSettings) {
+  return LongestUnknownLease(aSettings) + kMaxRequestDelay;
+}
+
 // The session of a worker that an earlier leader registered.
 WorkerSession InheritSession(const Scheduler& aScheduler, const State& aState,
                              const Worker& aWorker, const LeaseEnds& aLeaseEnds,
@@ -331,9 +326,11 @@
   WorkerSession session;
   session.worker = aWorker.number;
   session.isInherited = true;
-  Duration longest = LongestLease(aScheduler.settings);
+  Duration longest = aLeaseEnds.isEarlierTermAnnounced
+                         ? LongestLease(aScheduler.settings)
+                         : LongestUnknownLease(aScheduler.settings);
   if (HasMovedAttempt(aState, aWorker)) {
-    longest = longest + kMaxRequestDelay;
+    longest = LongestDelayedLease(aScheduler.settings);
   }
   session.earlierLeaseEndsAt =
       std::min(FindLeaseEnd(aLeaseEnds, aWorker.number).value_or(kNever),
@@ -397,7 +394,7 @@
       // The attempts were moved from an earlier incarnation. A request in
       // flight may still reach this one, and its lease starts only then.
       session.earlierLeaseEndsAt =
-          aNow + LongestLease(aScheduler.settings) + kMaxRequestDelay;
+          aNow + LongestDelayedLease(aScheduler.settings);
     }
     aScheduler.sessions.emplace(number, std::move(session));
     aScheduler.sessionsWithoutRenewal.insert(number);
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -126,7 +126,7 @@
 void CellModel::Restart(Replica& aReplica, std::size_t aSnapshotAt) {
   constexpr std::uint64_t kLongestLagMs = 120;
   OnRestored(aReplica.leaseEnds);
-  aReplica.leaseEnds.longestLease = LongestLease(SchedulerSettings());
+  aReplica.leaseEnds.longestLease = LongestUnknownLease(SchedulerSettings());
   aReplica.applied = aSnapshotAt;
   aReplica.lag = Millis(
       static_cast<std::int64_t>(NextBelow(this->replicaRandom, kLongestLagMs)));
