Don't let a worker hold a renewal that doesn't extend its lease

Since permits were introduced, leases of healthy workers lapsed (AVAIL) if commits took over about 125 ms around changes of leader, or 1.5 s for long: a renewal without a permit was held by the worker for 1.4 s, and the permit that came meanwhile was over when the next one was sent.

Only a renewal that extends the lease is held now; others are answered at once.

--- a/src/bramleypath/workflow/internal/LeaseGrants.cpp
+++ b/src/bramleypath/workflow/internal/LeaseGrants.cpp
@@ -10,15 +10,8 @@
 
 namespace {
 
-// How long after its proposal a permit allows grants. Longer than a worker may
-// hold a renewal, so that the next renewal can extend the lease, and short,
-// since the tasks of a lost worker wait for it after a change of leader.
-constexpr Duration kPermitWindow = Millis(1650);
 // A permit is renewed if it is older than this.
 constexpr Duration kPermitAge = Millis(200);
-// Minimum time between two proposals, each for many workers.
-constexpr Duration kPermitInterval = Millis(50);
-
 std::uint32_t ToWholeMillis(Duration aDuration) {
   constexpr std::int64_t kMicrosPerMs = 1000;
   return static_cast<std::uint32_t>(
--- a/src/bramleypath/workflow/internal/LeaseGrants.h
+++ b/src/bramleypath/workflow/internal/LeaseGrants.h
@@ -10,6 +10,13 @@
 // replica that restarts knows them at most this much later than the leader.
 constexpr Duration kLeaseReportInterval = Millis(500);
 
+// How long after its proposal a permit allows grants. Longer than a worker may
+// hold a renewal, so that the next renewal can extend the lease, and short,
+// since the tasks of a lost worker wait for it after a change of leader.
+constexpr Duration kPermitWindow = Millis(1650);
+// Minimum time between two proposals, each for many workers.
+constexpr Duration kPermitInterval = Millis(50);
+
 // Whether a lease may be granted to the worker now.
 bool MayGrant(const WorkerSession& aSession, TimePoint aNow);
 // Upper limit of the time until all leases of the worker have expired.
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -17,6 +17,9 @@
 // A renewal that can't extend the lease is sent after this time all the same,
 // since the worker's list may be needed.
 constexpr Duration kLongestPermitWait = Millis(250);
+// The permit that the answer to a renewal asks for must still be in force when
+// the worker answers the next one.
+static_assert(Millis(kRenewalWaitMs) + kPermitInterval * 4 < kPermitWindow);
 // Short, so that several reports arrive in the time for which a tail may be
 // over its target.
 constexpr std::uint32_t kTailWaitMs = 400;
@@ -272,16 +275,17 @@
     if (session.hasAnsweredRenewal && session.missedRenewals == 0 &&
         !MayGrant(session, aNow) &&
         aNow < session.nextRenewalAt + kLongestPermitWait) {
-      RequestPermit(aScheduler, session, aNow);
       continue;
     }
     const bool isPromptFull =
         aScheduler.promptRenewalsInFlight >= kMaxPromptRenewals;
     // A lease must not expire because an attempt waits for a prompt answer.
-    const bool waits =
-        busy && session.hasAnsweredRenewal && session.missedRenewals == 0 &&
-        (isPromptFull ||
-         !HasUnresolvedAttempt(aScheduler, worker->second, aNow));
+    // Nor must it expire while the worker holds a renewal that doesn't extend
+    // it.
+    const bool waits = busy && session.hasAnsweredRenewal &&
+                       session.missedRenewals == 0 && MayGrant(session, aNow) &&
+                       (isPromptFull || !HasUnresolvedAttempt(
+                                            aScheduler, worker->second, aNow));
     if (!waits && isPromptFull) {
       continue;
     }
