Find lost workers without a request that this leader sent in time

A worker that was not heard for two announcement intervals, or one if the leader never heard it, counts as lost once its leases are over, and gets no permit. The first renewals of workers whose leases are over come last.

--- a/src/bramleypath/workflow/LeaseEnds.h
+++ b/src/bramleypath/workflow/LeaseEnds.h
@@ -11,8 +11,8 @@
 // from the log.
 //
 // A leader grants leases to a worker only for a short time after it proposed a
-// permit for it, and it proposes one only for a worker that has just sent
-// something. A replica counts from when it applies the command, which is later
+// permit for it, and it proposes one only for a worker that was heard
+// recently. A replica counts from when it applies the command, which is later
 // than the proposal, so that no clocks are compared. A change of leader doesn't
 // start the wait for a silent worker's leases again.
 namespace bramleypath::workflow {
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -156,16 +156,6 @@
 
 namespace {
 
-// Whether the worker has not answered this leader, which has tried.
-bool IsPresumedLost(const Scheduler& aScheduler, const WorkerSession& aSession,
-                    TimePoint aNow) {
-  constexpr std::int64_t kAwaitedAnnouncements = 2;
-  const Duration awaited =
-      aScheduler.settings.announceInterval * kAwaitedAnnouncements;
-  return aSession.missedRenewals > 0 ||
-         (!aSession.lastMessageAt && aNow >= aScheduler.leaderSince + awaited);
-}
-
 // Workers whose attempts are to be ended.
 std::unordered_set<WorkerNumber> ExpiredWorkers(const Scheduler& aScheduler,
                                                 TimePoint aNow) {
--- a/src/bramleypath/workflow/internal/LeaseGrants.cpp
+++ b/src/bramleypath/workflow/internal/LeaseGrants.cpp
@@ -23,15 +23,16 @@
   return aSession.missedRenewals > 0 || !aSession.lastMessageAt;
 }
 
-// The permits that were requested, of workers that still answer.
-PermitLeases TakePermits(Scheduler& aScheduler) {
+// The permits that were requested, for workers that were heard recently.
+PermitLeases TakePermits(Scheduler& aScheduler, TimePoint aNow) {
   PermitLeases permit;
   permit.remainingMs =
       ToWholeMillis(kPermitWindow + LongestLease(aScheduler.settings));
   for (const WorkerNumber number :
        std::exchange(aScheduler.permitsRequested, {})) {
     const auto found = aScheduler.sessions.find(number);
-    if (found != aScheduler.sessions.end() && !IsSilent(found->second)) {
+    if (found != aScheduler.sessions.end() && found->second.lastMessageAt &&
+        !IsPresumedLost(aScheduler, found->second, aNow)) {
       permit.workers.push_back(number);
     }
   }
@@ -122,7 +123,7 @@
     return;
   }
   Commit commit;
-  PermitLeases permit = TakePermits(aScheduler);
+  PermitLeases permit = TakePermits(aScheduler, aNow);
   // The first one of a leader announces that it keeps to permits.
   if (!permit.workers.empty() || !aScheduler.hasAnnouncedPermits) {
     if (!aScheduler.hasAnnouncedPermits) {
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -67,6 +67,11 @@
 // What HasLeaseExpired was decided on, for the event log.
 std::string LeaseEvidence(const State& aState, const WorkerSession& aSession,
                           TimePoint aNow);
+// Whether the worker missed a renewal or has sent nothing for some announcement
+// intervals. A leader that is too late to send renewals learns the loss of a
+// worker in no other way.
+bool IsPresumedLost(const Scheduler& aScheduler, const WorkerSession& aSession,
+                    TimePoint aNow);
 bool IsReachable(const Scheduler& aScheduler, const WorkerSession& aSession,
                  TimePoint aNow);
 
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -84,8 +84,12 @@
 RenewalClass RenewalClassOf(Scheduler& aScheduler, WorkerSession& aSession,
                             const State& aState) {
   const auto worker = aState.workers.find(aSession.worker);
+  // A worker whose leases are over is most likely lost. Its renewal would take
+  // a place until it times out.
+  const bool hasNoLease = aSession.isInherited &&
+                          aSession.earlierLeaseEndsAt <= aScheduler.leaderSince;
   if (aSession.hasAnsweredRenewal || aSession.missedRenewals > 0 ||
-      worker == aState.workers.end()) {
+      hasNoLease || worker == aState.workers.end()) {
     return RenewalClass::Other;
   }
   // The first renewals wait for many sweeps. The tasks that matter are those
@@ -224,6 +228,17 @@
          aScheduler.settings.announceInterval * kMissedAnnouncements;
 }
 
+bool IsPresumedLost(const Scheduler& aScheduler, const WorkerSession& aSession,
+                    TimePoint aNow) {
+  // A worker that the log shows to be without a lease has been silent under an
+  // earlier leader already.
+  const std::int64_t missed = aSession.lastMessageAt ? 2 : 1;
+  const TimePoint heardAt =
+      aSession.lastMessageAt.value_or(aScheduler.leaderSince);
+  return aSession.missedRenewals > 0 ||
+         aNow >= heardAt + aScheduler.settings.announceInterval * missed;
+}
+
 void AvoidWorker(WorkerSession& aSession, TimePoint aUntil, TimePoint aNow) {
   // Bounds how often a task is started on the only worker that has room.
   constexpr Duration kBarred = Millis(700);
