Send the leader's requests to workers through other core hosts

With 490 workers the leader's processor is the limit: about 37 % of its time goes to the HTTP client, at about 2,000 requests per second, while the other core hosts idle.

--- a/src/bramleypath/codec/CborWriter.h
+++ b/src/bramleypath/codec/CborWriter.h
@@ -19,6 +19,7 @@
 constexpr std::uint8_t kCborNegative = 0x20;
 constexpr std::uint8_t kCborBytes = 0x40;
 constexpr std::uint8_t kCborText = 0x60;
+constexpr std::uint8_t kCborArray = 0x80;
 constexpr std::uint8_t kCborOpenArray = 0x9f;
 constexpr std::uint8_t kCborOpenMap = 0xbf;
 constexpr std::uint8_t kCborFalse = 0xf4;
@@ -62,6 +63,9 @@
     }
   }
 
+  // Opens an array of aLength items, which is not closed.
+  void Array(std::uint64_t aLength) { this->Head(detail::kCborArray, aLength); }
+
   void Text(std::string_view aText) {
     this->Head(detail::kCborText, aText.size());
     this->out.insert(this->out.end(), aText.begin(), aText.end());
--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -222,7 +222,11 @@
 }
 
 void ControlGroup::OnFrame(const net::PeerFrame& aFrame) {
-  if (aFrame.kind != kRaftKind || !this->replica) {
+  if (!this->replica) {
+    return;
+  }
+  if (aFrame.kind != kRaftKind) {
+    this->callbacks.frameReceived(aFrame);
     return;
   }
   const auto message = consensus::DecodeMessage(aFrame.payload);
@@ -286,6 +290,30 @@
   return HintedLeader(this->leaderHint, net::Now());
 }
 
+std::vector<HostId> ControlGroup::Peers() const {
+  std::vector<HostId> hosts = this->Hosts();
+  hosts.erase(std::remove(hosts.begin(), hosts.end(), this->settings.self),
+              hosts.end());
+  return hosts;
+}
+
+bool ControlGroup::IsConnected(const HostId& aHost) const {
+  // With a longer queue, requests would wait and delay messages of the replica.
+  constexpr std::size_t kMaxQueuedBytes = 256 * 1024;
+  return this->links && this->links->IsConnected(aHost) &&
+         this->links->QueuedBytes(aHost) <= kMaxQueuedBytes;
+}
+
+void ControlGroup::SendFrame(const HostId& aHost, const std::string& aKind,
+                             net::Bytes aPayload) {
+  net::PeerFrame frame;
+  frame.group = kGroupName;
+  frame.kind = aKind;
+  frame.to = aHost;
+  frame.payload = std::move(aPayload);
+  this->links->Send(std::move(frame), net::FramePriority::Normal);
+}
+
 GroupView ControlGroup::View() const {
   return GroupView{this->Leader(), this->Hosts()};
 }
@@ -331,9 +359,7 @@
     this->SendAnnouncement(leader);
     return;
   }
-  std::vector<HostId> hosts = this->Hosts();
-  hosts.erase(std::remove(hosts.begin(), hosts.end(), this->settings.self),
-              hosts.end());
+  const std::vector<HostId> hosts = this->Peers();
   if (!hosts.empty()) {
     this->SendAnnouncement(hosts[this->nextHost++ % hosts.size()]);
   }
--- a/src/bramleypath/controller/ControlGroup.h
+++ b/src/bramleypath/controller/ControlGroup.h
@@ -40,6 +40,8 @@
   std::function<void(consensus::Term)> leadershipGained;
   std::function<void(consensus::Term)> leadershipLost;
   std::function<void(const std::string& aReason)> failed;
+  // A frame of another kind than those of the replica.
+  std::function<void(const net::PeerFrame&)> frameReceived;
 };
 
 // Sent by each host with a disk to the leader once a second, and to the known
@@ -84,6 +86,13 @@
   // The leader's host; empty when unknown.
   HostId Leader() const;
   GroupView View() const;
+  // The other hosts of the group.
+  std::vector<HostId> Peers() const;
+  // Whether a frame to the host leaves at once.
+  bool IsConnected(const HostId& aHost) const;
+  // Sends a frame to another host of the group; it may be lost.
+  void SendFrame(const HostId& aHost, const std::string& aKind,
+                 net::Bytes aPayload);
   void OnAnnouncement(const Announcement& aAnnouncement);
   // Call it at least every 100 ms.
   void Tick(TimePoint aNow);
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -94,7 +94,6 @@
                        std::function<void(const std::string&)> aFailed)
     : context(aContext),
       schedulerSettings(aScheduler),
-      driver(std::move(aDriver)),
       timer(aContext) {
   this->random.state = aGroup.randomSeed;
   this->machine.SetLongestLease(workflow::LongestLease(aScheduler));
@@ -106,12 +105,52 @@
     this->OnLeadershipLost();
   };
   callbacks.failed = std::move(aFailed);
+  callbacks.frameReceived = [this](const net::PeerFrame& aFrame) {
+    this->OnFrame(aFrame);
+  };
   this->group = std::make_unique<ControlGroup>(
       aContext, aGroup, aClient, this->machine, std::move(callbacks));
+  this->dispatcher = std::make_unique<gateway::Dispatcher>(
+      this->MakeGatewayEnvironment(), NextRandom(this->random),
+      [this] { return this->State().workers.size(); }, aDriver);
+  this->gateway = std::make_unique<gateway::Gateway>(
+      this->MakeGatewayEnvironment(), NextRandom(this->random),
+      std::move(aDriver));
+  this->driver = this->dispatcher->MakeDriver();
 }
 
 Controller::~Controller() { *this->alive = false; }
 
+gateway::Environment Controller::MakeGatewayEnvironment() {
+  gateway::Environment environment;
+  environment.now = net::Now;
+  environment.post = [this](std::function<void()> aFunction) {
+    asio::post(this->context, std::move(aFunction));
+  };
+  environment.peers = [this] { return this->group->Peers(); };
+  environment.isConnected = [this](const HostId& aHost) {
+    return this->group->IsConnected(aHost);
+  };
+  environment.send = [this](const HostId& aHost, const std::string& aKind,
+                            gateway::Bytes aPayload) {
+    this->group->SendFrame(aHost, aKind, std::move(aPayload));
+  };
+  environment.leader = [this] { return this->group->Leader(); };
+  return environment;
+}
+
+void Controller::OnFrame(const net::PeerFrame& aFrame) {
+  if (aFrame.kind == gateway::kProbeKind) {
+    this->gateway->OnProbe(aFrame.from);
+  } else if (aFrame.kind == gateway::kRequestsKind) {
+    this->gateway->OnRequests(aFrame.from, aFrame.payload);
+  } else if (aFrame.kind == gateway::kReadyKind) {
+    this->dispatcher->OnReady(aFrame.from, aFrame.payload);
+  } else if (aFrame.kind == gateway::kAnswersKind) {
+    this->dispatcher->OnAnswers(aFrame.from, aFrame.payload);
+  }
+}
+
 bool Controller::Open(std::string& aReason) {
   if (!this->group->Open(aReason)) {
     return false;
@@ -167,6 +206,7 @@
   this->cycleRequested = false;
   const TimePoint now = net::Now();
   this->group->Tick(now);
+  this->dispatcher->Tick(this->scheduler.has_value());
   if (this->MayRead()) {
     this->ExecuteAll(workflow::OnTick(*this->scheduler, this->State(), now,
                                       this->group->AgreedUnixMs(now)));
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -13,6 +13,8 @@
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/WorkflowMachine.h"
+#include "bramleypath/gateway/Dispatcher.h"
+#include "bramleypath/gateway/Gateway.h"
 #include "bramleypath/metrics/LatencyHistogram.h"
 #include "bramleypath/workflow/Announcements.h"
 #include "bramleypath/workflow/Driver.h"
@@ -109,11 +111,15 @@
   Epoch CurrentEpoch() const;
 
   const ControllerCounters& Counters() const { return this->counters; }
+  const gateway::Dispatcher& Dispatcher() const { return *this->dispatcher; }
+  const gateway::Gateway& Gateway() const { return *this->gateway; }
   // Refuses new proposals, transfers leadership if that succeeds within
   // aDeadline, syncs the log and calls aDone.
   void Stop(Duration aDeadline, std::function<void()> aDone);
 
  private:
+  gateway::Environment MakeGatewayEnvironment();
+  void OnFrame(const net::PeerFrame& aFrame);
   void Propose(const workflow::Command& aCommand, Duration aTimeout,
                AnswerCallback aCallback);
   void OnLeadershipGained(Epoch aEpoch);
@@ -149,6 +155,10 @@
   workflow::WorkerDriver driver;
   WorkflowMachine machine;
   std::unique_ptr<ControlGroup> group;
+  // As the leader, sends requests through other hosts.
+  std::unique_ptr<gateway::Dispatcher> dispatcher;
+  // Sends the requests of another host that leads.
+  std::unique_ptr<gateway::Gateway> gateway;
   std::optional<workflow::Scheduler> scheduler;
   Random random;
   asio::steady_timer timer;
