--- a/src/bramleypath/codec/CborCursor.h
+++ b/src/bramleypath/codec/CborCursor.h
@@ -49,9 +49,8 @@
   }
 
   bool Boolean() {
-    if (!this->HasByte() ||
-        (this->bytes[this->next] != detail::kCborFalse &&
-         this->bytes[this->next] != detail::kCborTrue)) {
+    if (!this->HasByte() || (this->bytes[this->next] != detail::kCborFalse &&
+                             this->bytes[this->next] != detail::kCborTrue)) {
       this->good = false;
       return false;
     }
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -92,9 +92,7 @@
                        const workflow::SchedulerSettings& aScheduler,
                        net::HttpClient& aClient, workflow::WorkerDriver aDriver,
                        std::function<void(const std::string&)> aFailed)
-    : context(aContext),
-      schedulerSettings(aScheduler),
-      timer(aContext) {
+    : context(aContext), schedulerSettings(aScheduler), timer(aContext) {
   this->random.state = aGroup.randomSeed;
   this->machine.SetLongestLease(workflow::LongestLease(aScheduler));
   GroupCallbacks callbacks;
--- a/src/bramleypath/gateway/Dispatcher.cpp
+++ b/src/bramleypath/gateway/Dispatcher.cpp
@@ -183,8 +183,8 @@
   Requests message;
   message.session = this->session;
   message.stamp = aGateway.stamp;
-  message.stampAgeMs = static_cast<std::uint32_t>(
-      ToMillis(now - aGateway.stampReceivedAt));
+  message.stampAgeMs =
+      static_cast<std::uint32_t>(ToMillis(now - aGateway.stampReceivedAt));
   const auto send = [&] {
     if (!message.requests.empty()) {
       this->environment.send(aHost, kRequestsKind, EncodeRequests(message));
@@ -193,8 +193,8 @@
   };
   for (QueuedRequest& queued : queue) {
     if (now >= queued.sendBy) {
-      End(queued.callback, MakeAnswer(RequestOutcome::NotSent, true,
-                                      "the leader was late"));
+      End(queued.callback,
+          MakeAnswer(RequestOutcome::NotSent, true, "the leader was late"));
       continue;
     }
     if (!isConnected) {
@@ -204,9 +204,9 @@
     ++this->counters.throughGateway;
     queued.request.sendWithinMs =
         static_cast<std::uint32_t>(ToMillis(queued.sendBy - now));
-    this->open.emplace(queued.request.id,
-                       OpenRequest{aHost, queued.answerBy,
-                                   std::move(queued.callback)});
+    this->open.emplace(
+        queued.request.id,
+        OpenRequest{aHost, queued.answerBy, std::move(queued.callback)});
     message.requests.push_back(std::move(queued.request));
     if (message.requests.size() == kMaxRequestsPerFrame) {
       send();
--- a/src/bramleypath/gateway/Dispatcher.h
+++ b/src/bramleypath/gateway/Dispatcher.h
@@ -49,8 +49,9 @@
   std::size_t GatewaysInUse() const;
 
  private:
-  using Callback = std::variant<std::function<void(workflow::RequestAnswer)>,
-                                std::function<void(workflow::RenewLeaseAnswer)>>;
+  using Callback =
+      std::variant<std::function<void(workflow::RequestAnswer)>,
+                   std::function<void(workflow::RenewLeaseAnswer)>>;
 
   struct QueuedRequest {
     Request request;
