--- a/tests/gateway/DispatcherTest.cpp
+++ b/tests/gateway/DispatcherTest.cpp
@@ -96,7 +96,7 @@
     environment.send = [this, aSelf](const HostId& aHost,
                                      const std::string& aKind, Bytes aPayload) {
       const Frame frame{aSelf, aHost, aKind, std::move(aPayload)};
-      if (this->isLost(frame)) {
+      if (this->disconnected.count(aHost) != 0 || this->isLost(frame)) {
         return;
       }
       if (this->isDuplicated(frame)) {
@@ -184,7 +184,9 @@
         one.second();
       }
     }
-    this->dispatcher->Tick(true);
+    if (this->suspended.count(kLeader) == 0) {
+      this->dispatcher->Tick(true);
+    }
   }
 
   void Run(Duration aTime) {
@@ -271,9 +273,11 @@
   CPPUNIT_TEST(testSilentGatewayIsNotUsedForSeconds);
   CPPUNIT_TEST(testSuspendedGatewayDoesNotSendLate);
   CPPUNIT_TEST(testSuspendedLeaderDoesNotSendLate);
+  CPPUNIT_TEST(testSuspendedLeaderReadsAnswersFirst);
   CPPUNIT_TEST(testFormerLeaderIsRejected);
   CPPUNIT_TEST(testRequestsForAnEarlierProcessAreRejected);
   CPPUNIT_TEST(testAnswersToAnEarlierProcessAreIgnored);
+  CPPUNIT_TEST(testAnswersOfAnotherHostAreIgnored);
   CPPUNIT_TEST(testAllGoDirectlyWithoutGateways);
   CPPUNIT_TEST_SUITE_END();
 
@@ -478,6 +482,29 @@
     }
   }
 
+  // Guards against a leader that stood still and takes the answers that wait to
+  // be read for missing ones. It has no recent news of a gateway, so that new
+  // requests go directly.
+  void testSuspendedLeaderReadsAnswersFirst() {
+    Group group;
+    const auto outcomes = SendAll(group, 30);
+    group.RunPosted();
+    group.suspended = {kLeader};
+    group.Run(Seconds(3));
+    group.suspended.clear();
+    group.received.clear();
+    SendAll(group, 30);
+    group.RunPosted();
+    for (const Received& one : group.received) {
+      CPPUNIT_ASSERT(one.sender == kLeader);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{30}, group.received.size());
+    group.dispatcher->Tick(true);
+    group.Run(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{30},
+                         outcomes->Count(RequestOutcome::Done));
+  }
+
   void testFormerLeaderIsRejected() {
     Group group;
     group.knownLeader = HostId("10.0.0.9");
@@ -524,6 +551,26 @@
                          group.dispatcher->Counters().throughGateway);
   }
 
+  // Guards against the answer of a host that did not get the request.
+  void testAnswersOfAnotherHostAreIgnored() {
+    Group group;
+    const auto outcomes = SendAll(group, 1);
+    group.RunPosted();
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, group.frames.size());
+    const auto sent = DecodeRequests(group.frames[0].payload);
+    CPPUNIT_ASSERT(sent);
+    Answers forged{sent->session, sent->stamp, {}};
+    forged.answers.push_back(Answer{sent->requests.at(0).id, {}});
+    for (const HostId& host : kHosts) {
+      if (host != group.frames[0].to) {
+        group.dispatcher->OnAnswers(host, EncodeAnswers(forged));
+      }
+    }
+    CPPUNIT_ASSERT(outcomes->answers[0].empty());
+    group.Run(Millis(100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, outcomes->Count(RequestOutcome::Done));
+  }
+
   // Guards against a small group that pays for the detour, and against requests
   // to hosts of a version that ignores them.
   void testAllGoDirectlyWithoutGateways() {
