Bound the frames of gateways and let a stopping gateway reject requests

A specification may take megabytes, and a frame above 2 MiB closes the connection between two hosts, so messages are sent once they have 256 KB and larger requests go directly. A host that stops answers that it did not send a request, instead of losing it with its process.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -728,6 +728,7 @@
 }
 
 void Controller::Stop(Duration aDeadline, std::function<void()> aDone) {
+  this->gateway->Close();
   this->group->Stop(aDeadline, std::move(aDone));
 }
 
--- a/src/bramleypath/gateway/Dispatcher.cpp
+++ b/src/bramleypath/gateway/Dispatcher.cpp
@@ -34,8 +34,6 @@
 // A gateway waits 1.2 s for the worker, see WorkerApi.cpp. The rest is for the
 // two links.
 constexpr Duration kAnswerWithin = kSendWithin + Millis(1200) + Millis(400);
-// Bounds the size of a frame. Specifications take up to a few KB.
-constexpr std::size_t kMaxRequestsPerFrame = 64;
 
 std::uint64_t Score(std::uint64_t aSeed, const WorkerId& aWorker) {
   return XXH3_64bits_withSeed(aWorker.value.data(), aWorker.value.size(),
@@ -185,10 +183,12 @@
   message.stamp = aGateway.stamp;
   message.stampAgeMs =
       static_cast<std::uint32_t>(ToMillis(now - aGateway.stampReceivedAt));
+  std::size_t size = 0;
   const auto send = [&] {
     if (!message.requests.empty()) {
       this->environment.send(aHost, kRequestsKind, EncodeRequests(message));
       message.requests.clear();
+      size = 0;
     }
   };
   for (QueuedRequest& queued : queue) {
@@ -197,7 +197,8 @@
           MakeAnswer(RequestOutcome::NotSent, true, "the leader was late"));
       continue;
     }
-    if (!isConnected) {
+    const std::size_t requestSize = MaxEncodedBytes(queued.request);
+    if (!isConnected || requestSize > kFullMessageBytes) {
       this->SendDirectly(std::move(queued));
       continue;
     }
@@ -208,7 +209,8 @@
         queued.request.id,
         OpenRequest{aHost, queued.answerBy, std::move(queued.callback)});
     message.requests.push_back(std::move(queued.request));
-    if (message.requests.size() == kMaxRequestsPerFrame) {
+    size += requestSize;
+    if (size >= kFullMessageBytes) {
       send();
     }
   }
--- a/src/bramleypath/gateway/Gateway.cpp
+++ b/src/bramleypath/gateway/Gateway.cpp
@@ -11,9 +11,6 @@
 using workflow::RenewLeaseAnswer;
 using workflow::RequestAnswer;
 
-// Bounds the size of a frame: the list of a worker takes up to about 50 KB.
-constexpr std::size_t kMaxAnswersPerFrame = 32;
-
 Answer MakeRejection(std::uint64_t aId, const char* aReason) {
   Answer answer;
   answer.id = aId;
@@ -38,7 +35,7 @@
 }
 
 void Gateway::OnProbe(const HostId& aFrom) {
-  if (this->environment.leader() == aFrom) {
+  if (!this->closed && this->environment.leader() == aFrom) {
     this->environment.send(aFrom, kReadyKind,
                            EncodeReady(Ready{this->MakeStamp()}));
   }
@@ -69,7 +66,11 @@
   const Receiver receiver(aFrom, requests->session);
   const bool fromLeader = this->environment.leader() == aFrom;
   for (const Request& request : requests->requests) {
-    if (!fromLeader) {
+    if (this->closed) {
+      ++this->counters.rejected;
+      this->AddAnswer(receiver,
+                      MakeRejection(request.id, "the gateway is stopping"));
+    } else if (!fromLeader) {
       ++this->counters.rejected;
       this->AddAnswer(receiver, MakeRejection(request.id,
                                               "the gateway knows another "
@@ -133,16 +134,18 @@
 }
 
 void Gateway::SendAnswers() {
-  const auto batches = std::exchange(this->answers, {});
-  for (const auto& [receiver, batch] : batches) {
+  auto batches = std::exchange(this->answers, {});
+  for (auto& [receiver, batch] : batches) {
     const auto& [host, session] = receiver;
     Answers message{session, this->MakeStamp(), {}};
-    for (const Answer& answer : batch) {
-      message.answers.push_back(answer);
-      if (message.answers.size() == kMaxAnswersPerFrame ||
-          &answer == &batch.back()) {
+    std::size_t size = 0;
+    for (Answer& answer : batch) {
+      size += MaxEncodedBytes(answer);
+      message.answers.push_back(std::move(answer));
+      if (size >= kFullMessageBytes || &answer == &batch.back()) {
         this->environment.send(host, kAnswersKind, EncodeAnswers(message));
         message.answers.clear();
+        size = 0;
       }
     }
   }
--- a/src/bramleypath/gateway/Gateway.h
+++ b/src/bramleypath/gateway/Gateway.h
@@ -31,6 +31,8 @@
 
   void OnProbe(const HostId& aFrom);
   void OnRequests(const HostId& aFrom, gsl::span<const std::uint8_t> aPayload);
+  // Rejects further requests, before the process ends.
+  void Close() { this->closed = true; }
   const GatewayCounters& Counters() const { return this->counters; }
 
  private:
@@ -47,6 +49,7 @@
   std::uint64_t process;
   workflow::WorkerDriver driver;
   std::map<Receiver, std::vector<Answer>> answers;
+  bool closed = false;
   GatewayCounters counters;
   // Set to false by the destructor, so that answers that come later are
   // dropped.
--- a/src/bramleypath/gateway/Messages.cpp
+++ b/src/bramleypath/gateway/Messages.cpp
@@ -245,8 +245,55 @@
   aAnswer.answer.endsTruncated = aCursor.Boolean();
 }
 
+// Numbers, array heads and the heads of texts take at most nine bytes each.
+constexpr std::size_t kMaxItemBytes = 9;
+constexpr std::size_t kMaxTaskBytes = (kTaskFields + 1) * kMaxItemBytes;
+
+std::size_t MaxTaskBytes(const TaskName& aTask) {
+  return kMaxTaskBytes + aTask.job.value.size();
+}
+
+std::size_t MaxTextBytes(const workflow::StartRequest& aStart) {
+  return aStart.specification.size() + aStart.checkpoint.size() +
+         aStart.ticket.size();
+}
+template <typename Body>
+std::size_t MaxTextBytes(const Body& /*aBody*/) {
+  return 0;
+}
+
+std::size_t MaxBodyBytes(const workflow::RenewLeaseRequest& /*aRenewal*/) {
+  return (kRenewLeaseFields + 1) * kMaxItemBytes;
+}
+template <typename Body>
+std::size_t MaxBodyBytes(const Body& aBody) {
+  return (kStartFields + 1) * kMaxItemBytes + MaxTaskBytes(aBody.task) +
+         MaxTextBytes(aBody);
+}
+
 }  // namespace
 
+std::size_t MaxEncodedBytes(const Request& aRequest) {
+  return (kRequestFields + 1) * kMaxItemBytes + aRequest.worker.value.size() +
+         aRequest.address.size() +
+         std::visit([](const auto& aBody) { return MaxBodyBytes(aBody); },
+                    aRequest.body);
+}
+
+std::size_t MaxEncodedBytes(const Answer& aAnswer) {
+  std::size_t size =
+      (kAnswerFields + 1) * kMaxItemBytes + aAnswer.answer.result.reason.size();
+  for (const workflow::RunningAttempt& running : aAnswer.answer.running) {
+    size += (kRunningFields + 1) * kMaxItemBytes + MaxTaskBytes(running.task) +
+            running.checkpoint.size();
+  }
+  for (const workflow::EndedAttempt& ended : aAnswer.answer.ended) {
+    size += (kEndedFields + 1) * kMaxItemBytes + MaxTaskBytes(ended.task) +
+            ended.checkpoint.size();
+  }
+  return size;
+}
+
 Bytes EncodeReady(const Ready& aReady) {
   Bytes bytes;
   CborWriter writer{bytes};
--- a/src/bramleypath/gateway/Messages.h
+++ b/src/bramleypath/gateway/Messages.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <gsl/span>
 #include <optional>
@@ -79,6 +80,13 @@
 Bytes EncodeRequests(const Requests& aRequests);
 Bytes EncodeAnswers(const Answers& aAnswers);
 
+// Upper bounds of the encoded size, from which senders bound their messages.
+std::size_t MaxEncodedBytes(const Request& aRequest);
+std::size_t MaxEncodedBytes(const Answer& aAnswer);
+// A message of requests or answers is sent once it has this size. Far below the
+// limit of a frame, so that messages of the replica don't wait long behind it.
+constexpr std::size_t kFullMessageBytes = 256 * 1024;
+
 // Nothing when aBytes are not such a message.
 std::optional<Ready> DecodeReady(gsl::span<const std::uint8_t> aBytes);
 std::optional<Requests> DecodeRequests(gsl::span<const std::uint8_t> aBytes);
--- a/tests/gateway/DispatcherTest.cpp
+++ b/tests/gateway/DispatcherTest.cpp
@@ -1,5 +1,6 @@
 #include "bramleypath/gateway/Dispatcher.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
@@ -269,12 +270,14 @@
   CPPUNIT_TEST_SUITE(DispatcherTest);
   CPPUNIT_TEST(testEachRequestIsAnsweredOnce);
   CPPUNIT_TEST(testRequestsAreSpreadInOneFrameEach);
+  CPPUNIT_TEST(testFramesAreBounded);
   CPPUNIT_TEST(testWorkerStaysAtItsGateway);
   CPPUNIT_TEST(testSilentGatewayIsNotUsedForSeconds);
   CPPUNIT_TEST(testSuspendedGatewayDoesNotSendLate);
   CPPUNIT_TEST(testSuspendedLeaderDoesNotSendLate);
   CPPUNIT_TEST(testSuspendedLeaderReadsAnswersFirst);
   CPPUNIT_TEST(testFormerLeaderIsRejected);
+  CPPUNIT_TEST(testStoppingGatewayRejects);
   CPPUNIT_TEST(testRequestsForAnEarlierProcessAreRejected);
   CPPUNIT_TEST(testAnswersToAnEarlierProcessAreIgnored);
   CPPUNIT_TEST(testAnswersOfAnotherHostAreIgnored);
@@ -388,6 +391,33 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, sentBy[kLeader]);
   }
 
+  // Guards against a frame above the limit of the links, 2 MiB, which closes
+  // the connection. A request that is too large for a frame goes directly.
+  void testFramesAreBounded() {
+    Group group;
+    std::size_t largest = 0;
+    group.isLost = [&largest](const Frame& aFrame) {
+      largest = std::max(largest, aFrame.payload.size());
+      return false;
+    };
+    std::size_t answered = 0;
+    const auto onAnswer = [&answered](const RequestAnswer& aAnswer) {
+      answered += aAnswer.outcome == RequestOutcome::Done ? 1 : 0;
+    };
+    constexpr std::size_t kRequests = 200;
+    workflow::StartRequest request;
+    request.specification = std::string(100 * 1000, 'x');
+    for (std::size_t i = 0; i < kRequests; ++i) {
+      group.driver.start(MakeWorker(i), request, onAnswer);
+    }
+    request.specification = std::string(3 * 1000 * 1000, 'x');
+    group.driver.start(MakeWorker(kRequests), request, onAnswer);
+    group.Run(Millis(200));
+    CPPUNIT_ASSERT_EQUAL(kRequests + 1, answered);
+    CPPUNIT_ASSERT(largest < 1024 * 1024);
+    CPPUNIT_ASSERT(group.LastSender(MakeWorker(kRequests).id) == kLeader);
+  }
+
   // Guards against hosts that take turns at one worker.
   void testWorkerStaysAtItsGateway() {
     Group group;
@@ -407,7 +437,7 @@
   // Only its own workers change to another host, and they return to it.
   void testSilentGatewayIsNotUsedForSeconds() {
     Group group;
-    const HostId silent = kHosts[0];
+    const HostId& silent = kHosts[0];
     SendAll(group, 40);
     group.Run(Millis(200));
     std::map<WorkerId, HostId> before;
@@ -516,6 +546,21 @@
     }
   }
 
+  // Guards against requests that are lost with a host that stops as planned.
+  void testStoppingGatewayRejects() {
+    Group group;
+    for (const HostId& host : kHosts) {
+      group.gateways.at(host)->Close();
+    }
+    const auto outcomes = SendAll(group, 30);
+    group.Run(Millis(200));
+    CPPUNIT_ASSERT(group.received.empty());
+    for (const auto& list : outcomes->answers) {
+      CPPUNIT_ASSERT(workflow::IsDelayedByLeader(list.at(0)));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.dispatcher->GatewaysInUse());
+  }
+
   // Guards against a stamp of the clock before a restart of the host, by which
   // late requests would look early.
   void testRequestsForAnEarlierProcessAreRejected() {
--- a/tests/gateway/MessagesTest.cpp
+++ b/tests/gateway/MessagesTest.cpp
@@ -59,6 +59,7 @@
   CPPUNIT_TEST_SUITE(MessagesTest);
   CPPUNIT_TEST(testRequestsAreReadAsWritten);
   CPPUNIT_TEST(testAnswersAreReadAsWritten);
+  CPPUNIT_TEST(testSizesAreBounds);
   CPPUNIT_TEST(testCutMessagesAreRefused);
   CPPUNIT_TEST(testChangedBytesAreHandled);
   CPPUNIT_TEST(testMalformedMessagesAreRefused);
@@ -109,6 +110,26 @@
     CPPUNIT_ASSERT(workflow::IsDelayedByLeader(read->answers[1].answer.result));
   }
 
+  // Guards against messages that are larger than their senders expect.
+  void testSizesAreBounds() {
+    Requests requests;
+    for (const Request& request : SampleRequests().requests) {
+      requests.requests = {};
+      const std::size_t empty = EncodeRequests(requests).size();
+      requests.requests = {request};
+      CPPUNIT_ASSERT(EncodeRequests(requests).size() - empty <=
+                     MaxEncodedBytes(request));
+    }
+    Answers answers;
+    for (const Answer& answer : SampleAnswers().answers) {
+      answers.answers = {};
+      const std::size_t empty = EncodeAnswers(answers).size();
+      answers.answers = {answer};
+      CPPUNIT_ASSERT(EncodeAnswers(answers).size() - empty <=
+                     MaxEncodedBytes(answer));
+    }
+  }
+
   // Guards against reading beyond the end of a message.
   void testCutMessagesAreRefused() {
     const Bytes requests = EncodeRequests(SampleRequests());
