--- a/src/bramleypath/gateway/Dispatcher.cpp
+++ b/src/bramleypath/gateway/Dispatcher.cpp
@@ -312,8 +312,8 @@
     }
     const OpenRequest request = std::move(found->second);
     this->open.erase(found);
-    if (workflow::IsDelayedByLeader(answer.answer.result)) {
-      this->TakeOut(aFrom, this->environment.now(), "it was late");
+    if (answer.rejected) {
+      this->TakeOut(aFrom, this->environment.now(), "it rejected a request");
     }
     End(request.callback, std::move(answer.answer));
   }
--- a/src/bramleypath/gateway/Gateway.cpp
+++ b/src/bramleypath/gateway/Gateway.cpp
@@ -14,6 +14,7 @@
 Answer MakeRejection(std::uint64_t aId, const char* aReason) {
   Answer answer;
   answer.id = aId;
+  answer.rejected = true;
   answer.answer.result.outcome = workflow::RequestOutcome::NotSent;
   answer.answer.result.delayedByLeader = true;
   answer.answer.result.reason = aReason;
@@ -93,7 +94,7 @@
   const auto onRenewed = [this, isAlive = this->alive, receiver = aReceiver,
                           id = aRequest.id](RenewLeaseAnswer aAnswer) {
     if (*isAlive) {
-      this->AddAnswer(receiver, Answer{id, std::move(aAnswer)});
+      this->AddAnswer(receiver, Answer{id, false, std::move(aAnswer)});
     }
   };
   const auto onAnswer = [onRenewed](RequestAnswer aAnswer) {
--- a/src/bramleypath/gateway/Messages.cpp
+++ b/src/bramleypath/gateway/Messages.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kRequestsFields = 5;
 constexpr std::size_t kRequestFields = 6;
 constexpr std::size_t kAnswersFields = 4;
-constexpr std::size_t kAnswerFields = 9;
+constexpr std::size_t kAnswerFields = 10;
 constexpr std::size_t kTaskFields = 4;
 constexpr std::size_t kStartFields = 7;
 constexpr std::size_t kStopFields = 3;
@@ -218,6 +218,7 @@
   const workflow::RequestAnswer& result = aAnswer.answer.result;
   aWriter.Array(kAnswerFields);
   aWriter.Value(aAnswer.id);
+  aWriter.Value(aAnswer.rejected);
   aWriter.Value(static_cast<std::uint8_t>(result.outcome));
   aWriter.Value(result.delayedByLeader);
   aWriter.Text(result.reason);
@@ -234,6 +235,7 @@
   workflow::RequestAnswer& result = aAnswer.answer.result;
   aCursor.ArrayOf(kAnswerFields);
   aAnswer.id = aCursor.Unsigned();
+  aAnswer.rejected = aCursor.Boolean();
   result.outcome =
       static_cast<workflow::RequestOutcome>(aCursor.Number(kLastOutcome));
   result.delayedByLeader = aCursor.Boolean();
--- a/src/bramleypath/gateway/Messages.h
+++ b/src/bramleypath/gateway/Messages.h
@@ -66,6 +66,10 @@
 
 struct Answer {
   std::uint64_t id = 0;
+  // The gateway did not hand the request to its driver. Other requests that
+  // were not sent say nothing about the gateway, because they may have waited
+  // for a worker's connections.
+  bool rejected = false;
   // Only the result is filled in but for answers to lease renewals.
   workflow::RenewLeaseAnswer answer;
 };
--- a/tests/gateway/DispatcherTest.cpp
+++ b/tests/gateway/DispatcherTest.cpp
@@ -41,6 +41,12 @@
   TimePoint at;
 };
 
+RequestAnswer MakeDone() {
+  RequestAnswer done;
+  done.outcome = RequestOutcome::Done;
+  return done;
+}
+
 // A leader and three gateways on one clock, joined by a network that takes one
 // step. Hosts that stand still keep their frames.
 struct Group {
@@ -59,6 +65,7 @@
   std::vector<Received> received;
   // Workers answer after this long.
   Duration workerDelay = Millis(20);
+  RequestAnswer workerAnswer = MakeDone();
   std::vector<std::pair<TimePoint, std::function<void()>>> pendingAnswers;
   std::map<HostId, std::unique_ptr<Gateway>> gateways;
   std::unique_ptr<Dispatcher> dispatcher;
@@ -115,11 +122,9 @@
                             const workflow::WorkerSpec& aWorker,
                             std::function<void(RequestAnswer)> aDone) {
       this->received.push_back({aHost, aWorker.id, this->now});
-      this->pendingAnswers.emplace_back(this->now + this->workerDelay, [aDone] {
-        RequestAnswer done;
-        done.outcome = RequestOutcome::Done;
-        aDone(done);
-      });
+      this->pendingAnswers.emplace_back(
+          this->now + this->workerDelay,
+          [this, aDone] { aDone(this->workerAnswer); });
     };
     workflow::WorkerDriver direct;
     direct.start = [answer](const auto& aWorker, const auto&, auto aDone) {
@@ -278,6 +283,7 @@
   CPPUNIT_TEST(testSuspendedLeaderReadsAnswersFirst);
   CPPUNIT_TEST(testFormerLeaderIsRejected);
   CPPUNIT_TEST(testStoppingGatewayRejects);
+  CPPUNIT_TEST(testUnsentRequestKeepsGatewayInUse);
   CPPUNIT_TEST(testRequestsForAnEarlierProcessAreRejected);
   CPPUNIT_TEST(testAnswersToAnEarlierProcessAreIgnored);
   CPPUNIT_TEST(testAnswersOfAnotherHostAreIgnored);
@@ -561,6 +567,20 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, group.dispatcher->GatewaysInUse());
   }
 
+  // Guards against taking out all gateways when workers are cut off: requests
+  // that wait for a worker's connections end as not sent by the sender's delay.
+  void testUnsentRequestKeepsGatewayInUse() {
+    Group group;
+    group.workerAnswer.outcome = RequestOutcome::NotSent;
+    group.workerAnswer.delayedByLeader = true;
+    const auto outcomes = SendAll(group, 30);
+    group.Run(Millis(200));
+    for (const auto& list : outcomes->answers) {
+      CPPUNIT_ASSERT(workflow::IsDelayedByLeader(list.at(0)));
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, group.dispatcher->GatewaysInUse());
+  }
+
   // Guards against a stamp of the clock before a restart of the host, by which
   // late requests would look early.
   void testRequestsForAnEarlierProcessAreRejected() {
@@ -605,7 +625,7 @@
     const auto sent = DecodeRequests(group.frames[0].payload);
     CPPUNIT_ASSERT(sent);
     Answers forged{sent->session, sent->stamp, {}};
-    forged.answers.push_back(Answer{sent->requests.at(0).id, {}});
+    forged.answers.push_back(Answer{sent->requests.at(0).id, false, {}});
     for (const HostId& host : kHosts) {
       if (host != group.frames[0].to) {
         group.dispatcher->OnAnswers(host, EncodeAnswers(forged));
--- a/tests/gateway/MessagesTest.cpp
+++ b/tests/gateway/MessagesTest.cpp
@@ -46,6 +46,7 @@
   answers.answers.push_back(done);
   Answer late;
   late.id = 2;
+  late.rejected = true;
   late.answer.result.outcome = workflow::RequestOutcome::NotSent;
   late.answer.result.delayedByLeader = true;
   late.answer.result.reason = "too late";
@@ -107,6 +108,8 @@
     CPPUNIT_ASSERT(done.ended.at(0).kind == workflow::EndKind::Broken);
     CPPUNIT_ASSERT_EQUAL(std::string("c2"), done.ended.at(0).checkpoint);
     CPPUNIT_ASSERT(done.endsTruncated);
+    CPPUNIT_ASSERT(!read->answers[0].rejected);
+    CPPUNIT_ASSERT(read->answers[1].rejected);
     CPPUNIT_ASSERT(workflow::IsDelayedByLeader(read->answers[1].answer.result));
   }
 
