Collect the answers of a gateway for 10 ms

Each gateway gets about 280 answers per second, nearly each in a turn of the event loop of its own, so that the leader read about 2,000 frames per second.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -125,6 +125,17 @@
   environment.post = [this](std::function<void()> aFunction) {
     asio::post(this->context, std::move(aFunction));
   };
+  environment.postAfter = [this](Duration aTime,
+                                 std::function<void()> aFunction) {
+    auto waiting = std::make_shared<asio::steady_timer>(this->context);
+    waiting->expires_after(std::chrono::microseconds(aTime.micros));
+    waiting->async_wait([waiting, function = std::move(aFunction)](
+                            const asio::error_code& aError) {
+      if (!aError) {
+        function();
+      }
+    });
+  };
   environment.peers = [this] { return this->group->Peers(); };
   environment.isConnected = [this](const HostId& aHost) {
     return this->group->IsConnected(aHost);
--- a/src/bramleypath/gateway/Environment.h
+++ b/src/bramleypath/gateway/Environment.h
@@ -16,6 +16,8 @@
   std::function<TimePoint()> now;
   // Runs a function on the same thread once the current one has returned.
   std::function<void(std::function<void()>)> post;
+  // Runs a function on the same thread after the given time.
+  std::function<void(Duration, std::function<void()>)> postAfter;
   // The other hosts of the group.
   std::function<std::vector<HostId>()> peers;
   // Whether frames to the host leave at once.
--- a/src/bramleypath/gateway/Gateway.cpp
+++ b/src/bramleypath/gateway/Gateway.cpp
@@ -11,6 +11,10 @@
 using workflow::RenewLeaseAnswer;
 using workflow::RequestAnswer;
 
+// Answers of this time share a frame, which costs the leader more than an
+// answer in it does.
+constexpr Duration kCollectTime = Millis(10);
+
 Answer MakeRejection(std::uint64_t aId, const char* aReason) {
   Answer answer;
   answer.id = aId;
@@ -125,7 +129,7 @@
 
 void Gateway::AddAnswer(const Receiver& aReceiver, Answer aAnswer) {
   if (this->answers.empty()) {
-    this->environment.post([this, isAlive = this->alive] {
+    this->environment.postAfter(kCollectTime, [this, isAlive = this->alive] {
       if (*isAlive) {
         this->SendAnswers();
       }
--- a/src/bramleypath/gateway/Gateway.h
+++ b/src/bramleypath/gateway/Gateway.h
@@ -19,7 +19,7 @@
 };
 
 // Sends the leader's requests to workers and returns their answers, those of
-// one turn of the event loop in one frame.
+// 10 ms in one frame.
 class Gateway {
  public:
   // aProcess is random. aDriver sends the requests from this host.
--- a/tests/gateway/DispatcherTest.cpp
+++ b/tests/gateway/DispatcherTest.cpp
@@ -66,7 +66,7 @@
   // Workers answer after this long.
   Duration workerDelay = Millis(20);
   RequestAnswer workerAnswer = MakeDone();
-  std::vector<std::pair<TimePoint, std::function<void()>>> pendingAnswers;
+  std::vector<std::pair<TimePoint, std::function<void()>>> timers;
   std::map<HostId, std::unique_ptr<Gateway>> gateways;
   std::unique_ptr<Dispatcher> dispatcher;
   workflow::WorkerDriver driver;
@@ -97,6 +97,10 @@
     environment.post = [this](std::function<void()> aFunction) {
       this->posted.push_back(std::move(aFunction));
     };
+    environment.postAfter = [this](Duration aTime,
+                                   std::function<void()> aFunction) {
+      this->timers.emplace_back(this->now + aTime, std::move(aFunction));
+    };
     environment.peers = [] { return kHosts; };
     environment.isConnected = [this](const HostId& aHost) {
       return this->disconnected.count(aHost) == 0;
@@ -122,9 +126,8 @@
                             const workflow::WorkerSpec& aWorker,
                             std::function<void(RequestAnswer)> aDone) {
       this->received.push_back({aHost, aWorker.id, this->now});
-      this->pendingAnswers.emplace_back(
-          this->now + this->workerDelay,
-          [this, aDone] { aDone(this->workerAnswer); });
+      this->timers.emplace_back(this->now + this->workerDelay,
+                                [this, aDone] { aDone(this->workerAnswer); });
     };
     workflow::WorkerDriver direct;
     direct.start = [answer](const auto& aWorker, const auto&, auto aDone) {
@@ -182,10 +185,10 @@
         this->Deliver(frame);
       }
     }
-    auto answers = std::exchange(this->pendingAnswers, {});
-    for (auto& one : answers) {
+    auto waiting = std::exchange(this->timers, {});
+    for (auto& one : waiting) {
       if (this->now < one.first) {
-        this->pendingAnswers.push_back(std::move(one));
+        this->timers.push_back(std::move(one));
       } else {
         one.second();
       }
@@ -375,13 +378,15 @@
     }
   }
 
-  // Guards against a frame for each request, which would cost the leader as
-  // much as the requests themselves.
+  // Guards against a frame for each request or answer, which would cost the
+  // leader as much as the requests themselves.
   void testRequestsAreSpreadInOneFrameEach() {
     Group group;
     std::map<HostId, std::size_t> framesTo;
-    group.isLost = [&framesTo](const Frame& aFrame) {
+    std::map<HostId, std::size_t> framesFrom;
+    group.isLost = [&](const Frame& aFrame) {
       framesTo[aFrame.to] += aFrame.kind == kRequestsKind ? 1 : 0;
+      framesFrom[aFrame.from] += aFrame.kind == kAnswersKind ? 1 : 0;
       return false;
     };
     SendAll(group, 90);
@@ -392,6 +397,7 @@
     }
     for (const HostId& host : kHosts) {
       CPPUNIT_ASSERT_EQUAL(std::size_t{1}, framesTo[host]);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{1}, framesFrom[host]);
       CPPUNIT_ASSERT(sentBy[host] >= 15);
     }
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, sentBy[kLeader]);
