--- a/src/bramleypath/gateway/Gateway.cpp
+++ b/src/bramleypath/gateway/Gateway.cpp
@@ -145,9 +145,10 @@
     Answers message{session, this->MakeStamp(), {}};
     std::size_t size = 0;
     for (Answer& answer : batch) {
+      const bool isLast = &answer == &batch.back();
       size += MaxEncodedBytes(answer);
       message.answers.push_back(std::move(answer));
-      if (size >= kFullMessageBytes || &answer == &batch.back()) {
+      if (size >= kFullMessageBytes || isLast) {
         this->environment.send(host, kAnswersKind, EncodeAnswers(message));
         message.answers.clear();
         size = 0;
