--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -1,7 +1,6 @@
 #include "bramleypath/controller/Controller.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 #include <variant>
 
@@ -92,7 +91,12 @@
                        const workflow::SchedulerSettings& aScheduler,
                        net::HttpClient& aClient, workflow::WorkerDriver aDriver,
                        std::function<void(const std::string&)> aFailed)
-    : context(aContext), schedulerSettings(aScheduler), timer(aContext) {
+    : context(aContext),
+      schedulerSettings(aScheduler),
+      timer(aContext, [this](TimePoint aDueAt) {
+        this->counters.timerDelay.Record(net::Now() - aDueAt);
+        this->RunCycle();
+      }) {
   this->random.state = aGroup.randomSeed;
   this->machine.SetLongestLease(workflow::LongestUnknownLease(aScheduler));
   GroupCallbacks callbacks;
@@ -190,14 +194,7 @@
         workflow::NextTickAt(*this->scheduler, now) - now;
     wait = std::max(kMinTimerWait, std::min(wait, untilTick));
   }
-  this->timer.expires_after(std::chrono::microseconds(wait.micros));
-  this->timer.async_wait([this, isAlive = this->alive,
-                          dueAt = now + wait](const asio::error_code& aError) {
-    if (*isAlive && !aError) {
-      this->counters.timerDelay.Record(net::Now() - dueAt);
-      this->RunCycle();
-    }
-  });
+  this->timer.Set(now + wait, now);
 }
 
 void Controller::RequestCycle() {
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include <asio/io_context.hpp>
-#include <asio/steady_timer.hpp>
 
 #include "bramleypath/controller/ControlGroup.h"
+#include "bramleypath/controller/CycleTimer.h"
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
@@ -161,7 +161,7 @@
   std::unique_ptr<gateway::Gateway> gateway;
   std::optional<workflow::Scheduler> scheduler;
   Random random;
-  asio::steady_timer timer;
+  CycleTimer timer;
   bool cycleRequested = false;
   TimePoint summaryAt;
   ControllerCounters counters;
