--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -179,8 +179,8 @@
 void Controller::OnLeadershipGained(Epoch aEpoch) {
   ++this->counters.leaderships;
   this->scheduler = workflow::MakeScheduler(
-      this->schedulerSettings, aEpoch, this->State(), this->machine.LeaseEnds(),
-      NextRandom(this->random), net::Now());
+      this->schedulerSettings, aEpoch, this->State(),
+      this->machine.KnownLeaseEnds(), NextRandom(this->random), net::Now());
   this->RequestCycle();
 }
 
--- a/src/bramleypath/controller/WorkflowMachine.h
+++ b/src/bramleypath/controller/WorkflowMachine.h
@@ -25,7 +25,7 @@
 
   const workflow::State& Current() const { return this->state; }
   // What this replica knows of the workers' leases.
-  const workflow::LeaseEnds& LeaseEnds() const { return this->leaseEnds; }
+  const workflow::LeaseEnds& KnownLeaseEnds() const { return this->leaseEnds; }
 
  private:
   workflow::State state;
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -293,8 +293,8 @@
   Random random;
   TimePoint leaderSince;
   std::map<WorkerNumber, WorkerSession> sessions;
-  // Sessions that may be silent: each of those that did not answer the latest
-  // renewal, or have sent nothing to this leader, is one.
+  // Sessions that missed a renewal, or that an earlier leader left. Those that
+  // turn out to answer are removed when limits are proposed.
   std::set<WorkerNumber> silentSessions;
   // Sessions for which a permit is to be proposed.
   std::set<WorkerNumber> permitsRequested;
--- a/src/bramleypath/workflow/internal/LeaseGrants.cpp
+++ b/src/bramleypath/workflow/internal/LeaseGrants.cpp
@@ -12,6 +12,7 @@
 
 // A permit is renewed if it is older than this.
 constexpr Duration kPermitAge = Millis(200);
+
 std::uint32_t ToWholeMillis(Duration aDuration) {
   constexpr std::int64_t kMicrosPerMs = 1000;
   return static_cast<std::uint32_t>(
@@ -54,9 +55,10 @@
           " longest_ms=" + std::to_string(ToMillis(longest))};
 }
 
-// The remaining leases of silent workers that run attempts.
-LimitLeases CollectLimits(Scheduler& aScheduler, const State& aState,
-                          TimePoint aNow) {
+// The remaining leases of silent workers that run attempts. Their permits end
+// here, since a replica may rely on the limit once it is proposed.
+LimitLeases LimitSilentSessions(Scheduler& aScheduler, const State& aState,
+                                TimePoint aNow) {
   LimitLeases limit;
   for (auto it = aScheduler.silentSessions.begin();
        it != aScheduler.silentSessions.end();) {
@@ -110,7 +112,7 @@
   }
 }
 
-void WithdrawPermit(Scheduler& aScheduler, WorkerSession& aSession) {
+void MarkSilent(Scheduler& aScheduler, WorkerSession& aSession) {
   aSession.permittedUntil = TimePoint();
   if (aScheduler.silentSessions.insert(aSession.worker).second) {
     aScheduler.nextLimitsAt = TimePoint();
@@ -134,7 +136,7 @@
   }
   if (aNow >= aScheduler.nextLimitsAt) {
     aScheduler.nextLimitsAt = aNow + kLeaseReportInterval;
-    LimitLeases limit = CollectLimits(aScheduler, aState, aNow);
+    LimitLeases limit = LimitSilentSessions(aScheduler, aState, aNow);
     if (!limit.workers.empty()) {
       commit.commands.emplace_back(std::move(limit));
     }
--- a/src/bramleypath/workflow/internal/LeaseGrants.h
+++ b/src/bramleypath/workflow/internal/LeaseGrants.h
@@ -25,8 +25,9 @@
 // has a recent one.
 void RequestPermit(Scheduler& aScheduler, const WorkerSession& aSession,
                    TimePoint aNow);
-// The worker has not answered: no leases are granted until it does.
-void WithdrawPermit(Scheduler& aScheduler, WorkerSession& aSession);
+// The worker has missed a renewal: no leases are granted until it answers, and
+// a limit of its leases is proposed soon.
+void MarkSilent(Scheduler& aScheduler, WorkerSession& aSession);
 // Proposes the permits that were requested, and how long the leases of silent
 // workers still run. The latter is repeated, so that replicas that joined or
 // restarted learn it.
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -408,7 +408,7 @@
         aAnswer.reason});
   }
   ++aSession.missedRenewals;
-  detail::WithdrawPermit(aScheduler, aSession);
+  detail::MarkSilent(aScheduler, aSession);
   constexpr std::int64_t kMaxRetrySteps = 4;
   aSession.nextRenewalAt =
       aNow + kRenewalRetry * std::min<std::int64_t>(kMaxRetrySteps,
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -35,9 +35,9 @@
 std::optional<TaskKey> KeyOf(const State& aState, const TaskName& aName);
 const StageSpec& StageOf(const State& aState, const TaskKey& aKey);
 
-// Length of the leases that are granted. Shorter than the longest that a worker
-// accepts, so that a new leader has been elected and a lost worker's leases
-// have expired within about that time.
+// Length of the leases that are granted: a tenth shorter than the longest that
+// a worker accepts, which is about the time that the election of a leader
+// takes.
 Duration GrantedLease(const SchedulerSettings& aSettings);
 // Lower bound of the worker's clock at aNow.
 double LowestClock(const ClockSample& aSample, TimePoint aNow);
