--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -21,6 +21,9 @@
 constexpr Duration kMinTimerWait = Micros(200);
 // A cycle that takes this long delays heartbeats and lease renewals.
 constexpr Duration kSlowCycle = Millis(100);
+// An operator's call passes several turns of the loop and waits one second for
+// its answer.
+constexpr Duration kLongLoopDelay = Millis(100);
 constexpr Duration kSummaryInterval = Seconds(2);
 // Callers wait no longer than this for the outcome of a proposal.
 constexpr Duration kCallerTimeout = Millis(2500);
@@ -93,10 +96,13 @@
                        std::function<void(const std::string&)> aFailed)
     : context(aContext),
       schedulerSettings(aScheduler),
-      timer(aContext, [this](TimePoint aDueAt) {
-        this->counters.timerDelay.Record(net::Now() - aDueAt);
-        this->RunCycle();
-      }) {
+      timer(aContext,
+            [this](TimePoint aDueAt) {
+              this->counters.timerDelay.Record(net::Now() - aDueAt);
+              this->RunCycle();
+            }),
+      loopProbe(aContext,
+                [this](Duration aDelay) { this->RecordLoopDelay(aDelay); }) {
   this->random.state = aGroup.randomSeed;
   this->machine.SetLongestLease(workflow::LongestUnknownLease(aScheduler));
   GroupCallbacks callbacks;
@@ -169,6 +175,7 @@
     return false;
   }
   this->ArmTimer();
+  this->loopProbe.Start();
   return true;
 }
 
@@ -240,6 +247,16 @@
                    {"jobs", NumberText(this->State().jobs.size())}});
 }
 
+void Controller::RecordLoopDelay(Duration aDelay) {
+  this->counters.loopDelay.Record(aDelay);
+  if (aDelay < kLongLoopDelay) {
+    return;
+  }
+  eventlog::Write("loop_delayed",
+                  {{"delay_ms", std::to_string(ToMillis(aDelay))},
+                   {"leading", this->scheduler ? "true" : "false"}});
+}
+
 std::optional<workflow::CellSummary> Controller::SummariseCell() const {
   if (!this->scheduler) {
     return std::nullopt;
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -16,6 +16,7 @@
 #include "bramleypath/gateway/Dispatcher.h"
 #include "bramleypath/gateway/Gateway.h"
 #include "bramleypath/metrics/LatencyHistogram.h"
+#include "bramleypath/net/LoopProbe.h"
 #include "bramleypath/workflow/Announcements.h"
 #include "bramleypath/workflow/Driver.h"
 #include "bramleypath/workflow/Scheduler.h"
@@ -68,6 +69,8 @@
   metrics::LatencyHistogram cycleDuration;
   // How much later than requested the cycle timer fired.
   metrics::LatencyHistogram timerDelay;
+  // Time until an event of the io_context is handled.
+  metrics::LatencyHistogram loopDelay;
 };
 
 // One host of the control plane. It holds a replica of the cell's state; while
@@ -129,6 +132,7 @@
   void RunCycle();
   void ArmTimer();
   void RecordCycle(TimePoint aBegin);
+  void RecordLoopDelay(Duration aDelay);
   void LogSummary(TimePoint aNow);
   void ExecuteAll(workflow::SchedulerActions aActions);
   void Execute(workflow::Commit& aCommit);
@@ -162,6 +166,7 @@
   std::optional<workflow::Scheduler> scheduler;
   Random random;
   CycleTimer timer;
+  net::LoopProbe loopProbe;
   bool cycleRequested = false;
   TimePoint summaryAt;
   ControllerCounters counters;
--- a/src/bramleypath/net/Http.h
+++ b/src/bramleypath/net/Http.h
@@ -8,6 +8,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
+#include "bramleypath/base/TimePoint.h"
+
 namespace bramleypath::net {
 
 struct Header {
@@ -21,6 +23,10 @@
   std::string query;   // without the "?"
   std::vector<Header> headers;
   std::string body;
+  // When the listener accepted the connection, and when the whole request was
+  // read.
+  TimePoint connectedAt;
+  TimePoint receivedAt;
 };
 
 struct HttpResponse {
--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 #include <exception>
+#include <unordered_map>
 #include <utility>
 
 #include <restinio/all.hpp>
@@ -49,8 +50,34 @@
   return std::chrono::microseconds(aLength.micros);
 }
 
+// When each open connection was accepted.
+class ConnectionTimes {
+ public:
+  void state_changed(  // NOLINT
+      const restinio::connection_state::notice_t& aNotice) noexcept {
+    using Accepted = restinio::connection_state::accepted_t;
+    if (restinio::holds_alternative<Accepted>(aNotice.cause())) {
+      ++this->accepted;
+      this->acceptedAt[aNotice.connection_id()] = Now();
+    } else {
+      this->acceptedAt.erase(aNotice.connection_id());
+    }
+  }
+
+  TimePoint AcceptedAt(restinio::connection_id_t aConnection) const {
+    const auto found = this->acceptedAt.find(aConnection);
+    return found == this->acceptedAt.end() ? TimePoint() : found->second;
+  }
+  std::uint64_t Accepted() const { return this->accepted; }
+
+ private:
+  std::uint64_t accepted = 0;
+  std::unordered_map<restinio::connection_id_t, TimePoint> acceptedAt;
+};
+
 struct ListenerTraits : restinio::default_single_thread_traits_t {
   static constexpr bool use_connection_count_limiter = true;  // NOLINT
+  using connection_state_listener_t = ConnectionTimes;        // NOLINT
 };
 using Server = restinio::http_server_t<ListenerTraits>;
 
@@ -101,6 +128,8 @@
   HttpHandler handler;
   std::shared_ptr<Server> server;
   HttpListenerCounters counters;
+  std::shared_ptr<ConnectionTimes> connections =
+      std::make_shared<ConnectionTimes>();
   std::size_t openRequests = 0;
   bool closeConnections = false;
   TimePoint lastRequestAt;
@@ -243,7 +272,11 @@
       ++state->counters.rateLimited;
       responder.Send(ErrorResponse(429, "", "too many requests per second"));
     } else {
-      state->handler(ToRequest(*aHandle), responder);
+      HttpRequest request = ToRequest(*aHandle);
+      request.connectedAt =
+          state->connections->AcceptedAt(aHandle->connection_id());
+      request.receivedAt = now;
+      state->handler(std::move(request), responder);
     }
     return restinio::request_accepted();
   };
@@ -255,6 +288,7 @@
       aSettings.address(parsed)
           .port(port)
           .request_handler(onRequest)
+          .connection_state_listener(this->state->connections)
           .max_parallel_connections(limits.maxConnections)
           .read_next_http_message_timelimit(ToChrono(limits.idleTimeout))
           .write_http_response_timelimit(ToChrono(limits.writeTimeout))
@@ -312,6 +346,7 @@
 }
 
 const HttpListenerCounters& HttpListener::Counters() const {
+  this->state->counters.connections = this->state->connections->Accepted();
   return this->state->counters;
 }
 
--- /dev/null
+++ b/src/bramleypath/net/LoopProbe.cpp
@@ -0,0 +1,34 @@
+#include "bramleypath/net/LoopProbe.h"
+
+#include <chrono>
+#include <utility>
+
+#include "bramleypath/net/Clock.h"
+
+namespace bramleypath::net {
+
+namespace {
+
+constexpr Duration kSampleInterval = Millis(100);
+
+}  // namespace
+
+LoopProbe::LoopProbe(asio::io_context& aContext,
+                     std::function<void(Duration)> aOnSample)
+    : timer(aContext), onSample(std::move(aOnSample)) {}
+
+LoopProbe::~LoopProbe() { *this->alive = false; }
+
+void LoopProbe::Start() {
+  const TimePoint dueAt = Now() + kSampleInterval;
+  this->timer.expires_after(std::chrono::microseconds(kSampleInterval.micros));
+  this->timer.async_wait(
+      [this, dueAt, isAlive = this->alive](const asio::error_code& aError) {
+        if (*isAlive && !aError) {
+          this->onSample(Now() - dueAt);
+          this->Start();
+        }
+      });
+}
+
+}  // namespace bramleypath::net
