Accept all waiting connections in one turn of the event loop

Callers saw: on a loaded leader, operators' changes and reads got no answer for 23 s and more (CONFIG), and 5,129 of 26,730 heartbeats failed, while clients, whose connections are kept, were served.

Cause: the listener had one accept in flight, so that each turn of the event loop took one new connection. 490 workers open 327 a second; when a turn takes more than 3 ms they come faster than they are taken, and all callers with new connections wait until they give up.

Ruled out: waits within the loop (no delay of 0.1 s was logged) and late commits.

Change: up to 64 connections are accepted in a turn.

--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -16,6 +16,10 @@
 
 using RequestHandle = restinio::request_handle_t;
 
+// Connections that are accepted in one turn of the event loop. With one, a turn
+// that takes 50 ms lets only 20 callers in per second, however many wait.
+constexpr std::size_t kAcceptsPerTurn = 64;
+
 // Reason phrases of the status codes that the daemon itself uses.
 const char* ReasonPhrase(std::uint32_t aStatus) {
   switch (aStatus) {
@@ -290,6 +294,7 @@
           .request_handler(onRequest)
           .connection_state_listener(this->state->connections)
           .max_parallel_connections(limits.maxConnections)
+          .concurrent_accepts_count(kAcceptsPerTurn)
           .read_next_http_message_timelimit(ToChrono(limits.idleTimeout))
           .write_http_response_timelimit(ToChrono(limits.writeTimeout))
           .handle_request_timeout(ToChrono(limits.handleTimeout))
