Change and read the configuration on any host of the group

Callers saw: with 0.35 of the core's processor share, an operator's change took 0.45 to 0.92 s from its redirect to the answer, and operators leave after 1 s.

Cause: only the leader served operators. A call there waits for turns of the loaded event loop to be accepted (one), read (one) and committed (four), and a repetition of a change that is stored was committed once more.

Change: a host that doesn't lead asks the leader over its peer link and answers itself; reads are confirmed by the leader, which sends the document only if the host holds another version. Calls are sent again after a change of leader or without an answer. The leader answers repetitions from its state.

Ruled out: a second thread or group for the configuration. The commit order of configurations and jobs would be lost, which keeps a new route in force at once.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -125,6 +125,8 @@
       this->MakeGatewayEnvironment(), NextRandom(this->random),
       std::move(aDriver));
   this->driver = this->dispatcher->MakeDriver();
+  this->layoutService = std::make_unique<LayoutService>(
+      this->MakeLayoutEnvironment(), NextRandom(this->random));
 }
 
 Controller::~Controller() { *this->alive = false; }
@@ -158,6 +160,21 @@
   return environment;
 }
 
+LayoutEnvironment Controller::MakeLayoutEnvironment() {
+  LayoutEnvironment environment;
+  environment.host = this->MakeGatewayEnvironment();
+  environment.mayRead = [this] { return this->MayRead(); };
+  environment.layout = [this]() -> const workflow::Layout* {
+    return this->State().layoutChanges > 0 ? &this->State().layout : nullptr;
+  };
+  environment.propose = [this](std::uint64_t aVersion,
+                               consensus::Bytes aCommand,
+                               AnswerCallback aCallback) {
+    this->ProposeLayout(aVersion, std::move(aCommand), std::move(aCallback));
+  };
+  return environment;
+}
+
 void Controller::OnFrame(const net::PeerFrame& aFrame) {
   if (aFrame.kind == gateway::kProbeKind) {
     this->gateway->OnProbe(aFrame.from);
@@ -167,6 +184,10 @@
     this->dispatcher->OnReady(aFrame.from, aFrame.payload);
   } else if (aFrame.kind == gateway::kAnswersKind) {
     this->dispatcher->OnAnswers(aFrame.from, aFrame.payload);
+  } else if (aFrame.kind == kLayoutCallKind) {
+    this->layoutService->OnCall(aFrame.from, aFrame.payload);
+  } else if (aFrame.kind == kLayoutAnswerKind) {
+    this->layoutService->OnAnswer(aFrame.payload);
   }
 }
 
@@ -311,8 +332,14 @@
 
 void Controller::Propose(const workflow::Command& aCommand, Duration aTimeout,
                          AnswerCallback aCallback) {
+  this->ProposeEncoded(workflow::Encode(aCommand), aTimeout,
+                       std::move(aCallback));
+}
+
+void Controller::ProposeEncoded(consensus::Bytes aCommand, Duration aTimeout,
+                                AnswerCallback aCallback) {
   this->group->Replica().Propose(
-      workflow::Encode(aCommand), aTimeout,
+      std::move(aCommand), aTimeout,
       [this, isAlive = this->alive, proposedAt = net::Now(),
        callback = std::move(aCallback)](const group::ProposeOutcome& aOutcome) {
         if (*isAlive && aOutcome.Ok()) {
@@ -409,22 +436,32 @@
 
 void Controller::SetLayout(const workflow::Layout& aLayout,
                            AnswerCallback aCallback) {
-  const std::uint64_t version = aLayout.version;
-  this->Propose(workflow::SetLayout{aLayout}, kCallerTimeout,
-                [this, isAlive = this->alive, version,
-                 callback = std::move(aCallback)](const Answer& aAnswer) {
-                  eventlog::Write(
-                      "layout_proposed",
-                      {{"version", NumberText(version)},
-                       {"verdict",
-                        NumberText(static_cast<std::uint64_t>(aAnswer.status))},
-                       {"reason", aAnswer.reason}});
-                  callback(aAnswer);
-                  if (*isAlive && this->scheduler) {
-                    this->scheduler->dispatchWanted = true;
-                    this->RequestCycle();
-                  }
-                });
+  this->layoutService->Set(aLayout, std::move(aCallback));
+}
+
+void Controller::ReadLayout(ReadLayoutCallback aCallback) {
+  this->layoutService->Read(std::move(aCallback));
+}
+
+void Controller::ProposeLayout(std::uint64_t aVersion,
+                               consensus::Bytes aCommand,
+                               AnswerCallback aCallback) {
+  this->ProposeEncoded(
+      std::move(aCommand), kCallerTimeout,
+      [this, isAlive = this->alive, aVersion,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
+        eventlog::Write(
+            "layout_proposed",
+            {{"version", NumberText(aVersion)},
+             {"verdict",
+              NumberText(static_cast<std::uint64_t>(aAnswer.status))},
+             {"reason", aAnswer.reason}});
+        callback(aAnswer);
+        if (*isAlive && this->scheduler) {
+          this->scheduler->dispatchWanted = true;
+          this->RequestCycle();
+        }
+      });
 }
 
 namespace {
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -9,9 +9,11 @@
 
 #include <asio/io_context.hpp>
 
+#include "bramleypath/controller/Answer.h"
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/controller/CycleTimer.h"
 #include "bramleypath/controller/FirstStarts.h"
+#include "bramleypath/controller/LayoutService.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
 #include "bramleypath/gateway/Gateway.h"
@@ -23,29 +25,6 @@
 
 namespace bramleypath::controller {
 
-// Outcome of a request to the controller.
-enum class AnswerStatus : std::uint8_t {
-  Done,
-  // An earlier request with the same effect was carried out.
-  Repeated,
-  // There is no such job, or the command does not apply to the current state.
-  Unknown,
-  // Not carried out, and this request never will be.
-  NotLeader,
-  // Rejected by admission control; see retryAfterSeconds.
-  Refused,
-  // The request may or may not have been carried out.
-  OutcomeUnknown
-};
-
-struct Answer {
-  AnswerStatus status = AnswerStatus::OutcomeUnknown;
-  std::uint32_t retryAfterSeconds = 0;
-  std::string reason;
-};
-
-using AnswerCallback = std::function<void(const Answer&)>;
-
 struct ControllerCounters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
@@ -98,7 +77,9 @@
   void Submit(const workflow::JobSpec& aSpec,
               const workflow::QueueSettings& aQueue, AnswerCallback aCallback);
   void Cancel(const JobId& aJob, AnswerCallback aCallback);
+  // On a host that does not lead, these two ask the leader over the peer link.
   void SetLayout(const workflow::Layout& aLayout, AnswerCallback aCallback);
+  void ReadLayout(ReadLayoutCallback aCallback);
   void Announce(const workflow::Announcement& aAnnouncement,
                 AnswerCallback aCallback);
   void Leave(const WorkerId& aWorker, AnswerCallback aCallback);
@@ -122,9 +103,14 @@
 
  private:
   gateway::Environment MakeGatewayEnvironment();
+  LayoutEnvironment MakeLayoutEnvironment();
+  void ProposeLayout(std::uint64_t aVersion, consensus::Bytes aCommand,
+                     AnswerCallback aCallback);
   void OnFrame(const net::PeerFrame& aFrame);
   void Propose(const workflow::Command& aCommand, Duration aTimeout,
                AnswerCallback aCallback);
+  void ProposeEncoded(consensus::Bytes aCommand, Duration aTimeout,
+                      AnswerCallback aCallback);
   void OnLeadershipGained(Epoch aEpoch);
   void OnLeadershipLost();
   // Runs a scheduling cycle soon, without waiting for the timer.
@@ -163,6 +149,7 @@
   std::unique_ptr<gateway::Dispatcher> dispatcher;
   // Sends the requests of another host that leads.
   std::unique_ptr<gateway::Gateway> gateway;
+  std::unique_ptr<LayoutService> layoutService;
   std::optional<workflow::Scheduler> scheduler;
   Random random;
   CycleTimer timer;
