Take unchanged announcements of workers on any host

Cause: every worker announced itself to the leader, so that 490 workers cost it 327 connections a second, each accepted, read, parsed and closed.

Change: a host whose replica has the announced entry acknowledges it and passes its clock and sequence number to the leader, those of 50 ms in one frame. The leader names the worker's gateway as the next address. Announcements that change the entry are left to the leader. Only a leader that confirms such frames is used, so that hosts of earlier versions keep all announcements.

--- a/src/bramleypath/controller/ControlGroup.h
+++ b/src/bramleypath/controller/ControlGroup.h
@@ -83,6 +83,7 @@
   // Replaces the seeds after the settings file has changed.
   void SetSeeds(std::vector<HostId> aSeeds);
   group::Replica& Replica() { return *this->replica; }
+  const HostId& Self() const { return this->settings.self; }
   // The leader's host; empty when unknown.
   HostId Leader() const;
   GroupView View() const;
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -127,6 +127,11 @@
   this->driver = this->dispatcher->MakeDriver();
   this->layoutService = std::make_unique<LayoutService>(
       this->MakeLayoutEnvironment(), NextRandom(this->random));
+  this->announcementForwarder = std::make_unique<AnnouncementForwarder>(
+      this->MakeGatewayEnvironment(),
+      [this](const ForwardedAnnouncement& aAnnouncement) {
+        this->OnForwarded(aAnnouncement);
+      });
 }
 
 Controller::~Controller() { *this->alive = false; }
@@ -188,6 +193,11 @@
     this->layoutService->OnCall(aFrame.from, aFrame.payload);
   } else if (aFrame.kind == kLayoutAnswerKind) {
     this->layoutService->OnAnswer(aFrame.payload);
+  } else if (aFrame.kind == kAnnouncementsKind) {
+    this->announcementForwarder->OnAnnouncements(aFrame.from, this->MayRead(),
+                                                 aFrame.payload);
+  } else if (aFrame.kind == kAnnouncementsTakenKind) {
+    this->announcementForwarder->OnTaken(aFrame.from);
   }
 }
 
@@ -241,6 +251,7 @@
   const TimePoint now = net::Now();
   this->group->Tick(now);
   this->dispatcher->Tick(this->scheduler.has_value());
+  this->announcementForwarder->Tick(this->scheduler.has_value());
   if (this->MayRead()) {
     this->ExecuteAll(workflow::OnTick(*this->scheduler, this->State(), now,
                                       this->group->AgreedUnixMs(now)));
@@ -495,7 +506,11 @@
 void Controller::Announce(const workflow::Announcement& aAnnouncement,
                           AnswerCallback aCallback) {
   if (!this->MayRead()) {
-    aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
+    const bool isForwarded =
+        this->announcementForwarder->Forward(this->State(), aAnnouncement);
+    aCallback(isForwarded
+                  ? Answer{AnswerStatus::Repeated, 0, ""}
+                  : Answer{AnswerStatus::NotLeader, 0, "not the leader"});
     return;
   }
   const workflow::WorkerSpec& announced = aAnnouncement.worker;
@@ -505,11 +520,7 @@
     const workflow::Worker* const known =
         workflow::FindWorker(this->State(), announced.id.value);
     if (known->spec.startedUnixMs == announced.startedUnixMs) {
-      workflow::OnAnnounced(*this->scheduler, known->number,
-                            aAnnouncement.clockMs, net::Now());
-      if (this->scheduler->dispatchWanted) {
-        this->RequestCycle();
-      }
+      this->OnUnchangedAnnouncement(known->number, aAnnouncement.clockMs);
     }
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
     return;
@@ -545,6 +556,31 @@
       });
 }
 
+void Controller::OnUnchangedAnnouncement(workflow::WorkerNumber aWorker,
+                                         std::int64_t aClockMs) {
+  workflow::OnAnnounced(*this->scheduler, aWorker, aClockMs, net::Now());
+  if (this->scheduler->dispatchWanted) {
+    this->RequestCycle();
+  }
+}
+
+void Controller::OnForwarded(const ForwardedAnnouncement& aAnnouncement) {
+  const auto known = this->State().workers.find(aAnnouncement.worker);
+  if (known == this->State().workers.end() ||
+      known->second.spec.startedUnixMs != aAnnouncement.startedUnixMs) {
+    return;
+  }
+  workflow::OnUnchanged(*this->scheduler, aAnnouncement.worker,
+                        aAnnouncement.sequence);
+  this->OnUnchangedAnnouncement(aAnnouncement.worker, aAnnouncement.clockMs);
+}
+
+HostId Controller::HostForAnnouncements(const WorkerId& aWorker) {
+  const auto gateway =
+      this->MayRead() ? this->dispatcher->GatewayOf(aWorker) : std::nullopt;
+  return gateway.value_or(this->group->Self());
+}
+
 void Controller::Leave(const WorkerId& aWorker, AnswerCallback aCallback) {
   if (!this->MayRead()) {
     aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -9,6 +9,7 @@
 
 #include <asio/io_context.hpp>
 
+#include "bramleypath/controller/AnnouncementForwarder.h"
 #include "bramleypath/controller/Answer.h"
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/controller/CycleTimer.h"
@@ -83,6 +84,8 @@
   void Announce(const workflow::Announcement& aAnnouncement,
                 AnswerCallback aCallback);
   void Leave(const WorkerId& aWorker, AnswerCallback aCallback);
+  // The host that the worker's next announcements should go to.
+  HostId HostForAnnouncements(const WorkerId& aWorker);
 
   // Number of the queue's jobs of which no task has run; see
   // workflow::CountWaitingJobs. May be called while MayRead().
@@ -107,6 +110,9 @@
   void ProposeLayout(std::uint64_t aVersion, consensus::Bytes aCommand,
                      AnswerCallback aCallback);
   void OnFrame(const net::PeerFrame& aFrame);
+  void OnForwarded(const ForwardedAnnouncement& aAnnouncement);
+  void OnUnchangedAnnouncement(workflow::WorkerNumber aWorker,
+                               std::int64_t aClockMs);
   void Propose(const workflow::Command& aCommand, Duration aTimeout,
                AnswerCallback aCallback);
   void ProposeEncoded(consensus::Bytes aCommand, Duration aTimeout,
@@ -150,6 +156,7 @@
   // Sends the requests of another host that leads.
   std::unique_ptr<gateway::Gateway> gateway;
   std::unique_ptr<LayoutService> layoutService;
+  std::unique_ptr<AnnouncementForwarder> announcementForwarder;
   std::optional<workflow::Scheduler> scheduler;
   Random random;
   CycleTimer timer;
--- a/src/bramleypath/gateway/Dispatcher.cpp
+++ b/src/bramleypath/gateway/Dispatcher.cpp
@@ -132,6 +132,12 @@
   return best;
 }
 
+std::optional<HostId> Dispatcher::GatewayOf(const WorkerId& aWorker) {
+  const auto gateway = this->FindGateway(aWorker, this->environment.now());
+  return gateway == this->gateways.end() ? std::nullopt
+                                         : std::optional(gateway->first);
+}
+
 bool Dispatcher::Enqueue(const WorkerSpec& aWorker, RequestBody aBody,
                          Duration aAnswerWait, Callback aCallback) {
   const TimePoint now = this->environment.now();
--- a/src/bramleypath/gateway/Dispatcher.h
+++ b/src/bramleypath/gateway/Dispatcher.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -47,6 +48,8 @@
   void OnAnswers(const HostId& aFrom, gsl::span<const std::uint8_t> aPayload);
   const DispatcherCounters& Counters() const { return this->counters; }
   std::size_t GatewaysInUse() const;
+  // The gateway that the worker's requests go through; none: sent directly.
+  std::optional<HostId> GatewayOf(const WorkerId& aWorker);
 
  private:
   using Callback =
--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -12,14 +12,6 @@
                    std::min(aLeft.accelerators, aRight.accelerators)};
 }
 
-// Whether both specs of one incarnation are equal.
-bool IsSame(const WorkerSpec& aLeft, const WorkerSpec& aRight) {
-  return aLeft.address == aRight.address && aLeft.service == aRight.service &&
-         aLeft.dataCentre == aRight.dataCentre && aLeft.rack == aRight.rack &&
-         aLeft.labels == aRight.labels && aLeft.capacity == aRight.capacity &&
-         aLeft.draining == aRight.draining;
-}
-
 // The spec that follows from an announcement of the known incarnation.
 WorkerSpec Update(const Worker& aKnown, WorkerSession& aSession,
                   const Announcement& aAnnouncement) {
@@ -43,6 +35,13 @@
 
 }  // namespace
 
+bool IsSameSpec(const WorkerSpec& aLeft, const WorkerSpec& aRight) {
+  return aLeft.address == aRight.address && aLeft.service == aRight.service &&
+         aLeft.dataCentre == aRight.dataCentre && aLeft.rack == aRight.rack &&
+         aLeft.labels == aRight.labels && aLeft.capacity == aRight.capacity &&
+         aLeft.draining == aRight.draining;
+}
+
 std::optional<WorkerSpec> SpecToCommit(Scheduler& aScheduler,
                                        const State& aState,
                                        const Announcement& aAnnouncement) {
@@ -57,21 +56,25 @@
     return std::nullopt;
   }
   WorkerSpec spec = Update(*known, session->second, aAnnouncement);
-  return IsSame(spec, known->spec) ? std::nullopt
-                                   : std::optional(std::move(spec));
+  return IsSameSpec(spec, known->spec) ? std::nullopt
+                                       : std::optional(std::move(spec));
+}
+
+void OnUnchanged(Scheduler& aScheduler, WorkerNumber aWorker,
+                 std::uint64_t aSequence) {
+  const auto session = aScheduler.sessions.find(aWorker);
+  if (session != aScheduler.sessions.end()) {
+    session->second.newestAnnouncement =
+        std::max(session->second.newestAnnouncement, aSequence);
+  }
 }
 
 void OnRegistered(Scheduler& aScheduler, const State& aState,
                   const Announcement& aAnnouncement) {
   const Worker* const known = FindWorker(aState, aAnnouncement.worker.id.value);
-  if (!known ||
-      known->spec.startedUnixMs != aAnnouncement.worker.startedUnixMs) {
-    return;
-  }
-  const auto session = aScheduler.sessions.find(known->number);
-  if (session != aScheduler.sessions.end()) {
-    session->second.newestAnnouncement =
-        std::max(session->second.newestAnnouncement, aAnnouncement.sequence);
+  if (known &&
+      known->spec.startedUnixMs == aAnnouncement.worker.startedUnixMs) {
+    OnUnchanged(aScheduler, known->number, aAnnouncement.sequence);
   }
 }
 
--- a/src/bramleypath/workflow/Announcements.h
+++ b/src/bramleypath/workflow/Announcements.h
@@ -16,6 +16,9 @@
   std::int64_t clockMs = 0;
 };
 
+// Whether both specs of one incarnation are equal.
+bool IsSameSpec(const WorkerSpec& aLeft, const WorkerSpec& aRight);
+
 // The entry of the worker to be committed because of the announcement; none if
 // the replicated entry stays as it is. An announcement that arrives after a
 // later one of the same incarnation changes nothing but the state of draining.
@@ -23,6 +26,11 @@
                                        const State& aState,
                                        const Announcement& aAnnouncement);
 
+// An announcement of the given sequence number shows the replicated entry of
+// the worker.
+void OnUnchanged(Scheduler& aScheduler, WorkerNumber aWorker,
+                 std::uint64_t aSequence);
+
 // The entry has been committed because of the announcement.
 void OnRegistered(Scheduler& aScheduler, const State& aState,
                   const Announcement& aAnnouncement);
