Reject configurations with fields of another type or names given twice

Callers saw (fault "an invalid one taken"): DecodeLayout skipped optional fields of another type, rounded fractions, and read a version of more digits than fit as an arbitrary number, so that such a configuration was acknowledged with other contents than its operator sent.

The new rows of testInvalidLayouts and testUnreadableLayouts failed before: a route or service given twice; timeoutMs 0.5; priority, maxAttempts, targetDurationMs, stretch, advice, limits and maxBodyBytes of another type or negative; version 7.5 and one of 23 digits. testValidLayouts guards against checks that are too strict; null counts as missing there, as before.

--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "bramleypath/codec/Fields.h"
+#include "platform/LayoutMessage.h"
 
 namespace bramleypath::platform {
 
@@ -70,6 +71,59 @@
     {"/routes/0/name", ""},
     {"/routes/1", Json::parse(R"({"name":"q","host":"h","pathPrefix":"/p/",
        "timeoutMs":1,"service":"s"})")},
+    {"/routes/1", Json::parse(R"({"name":"r","host":"h","pathPrefix":"/q/",
+       "timeoutMs":1,"service":"s"})")},
+    {"/services/1", Json::parse(R"({"name":"s"})")},
+    {"/services/0", "s"},
+    {"/services/0/name", 5},
+    {"/routes/0", "r"},
+    {"/routes/0/timeoutMs", -3000},
+    {"/routes/0/timeoutMs", 0.5},
+    {"/routes/0/timeoutMs", "3000"},
+    {"/routes/0/timeoutMs", nullptr},
+    {"/routes/0/host", 5},
+    {"/routes/0/pathPrefix", nullptr},
+    {"/routes/0/priority", "high"},
+    {"/routes/0/priority", 1.5},
+    {"/routes/0/maxAttempts", "4"},
+    {"/routes/0/maxAttempts", -1},
+    {"/routes/0/targetDurationMs", "250"},
+    {"/routes/0/targetDurationMs", -250},
+    {"/routes/0/stretch", "1.5"},
+    {"/routes/0/stretch", -1.5},
+    {"/routes/0/advice", "yes"},
+    {"/limits", 262144},
+    {"/limits/maxBodyBytes", "large"},
+    {"/limits/maxBodyBytes", -1},
+    {"/version", 7.5},
+    {"/version", -7},
+};
+
+// Bodies that hold more or less than one configuration.
+const char* const kUnreadableLayouts[] = {
+    "",
+    "null",
+    "[]",
+    R"({"version":7,"routes":[],"services":[]}{})",
+    R"({"version":7,"routes":[],"services":[]},)",
+    R"({"version":7,"routes":[],"services":[],})",
+    R"({"version":NaN,"routes":[],"services":[]})",
+    R"({"version":99999999999999999999999,"routes":[],"services":[]})",
+};
+
+// Changes after which the configuration is still valid.
+const ChangeCase kValidLayouts[] = {
+    {"/version", 0},
+    {"/version", 4294967296},
+    {"/routes", Json::array()},
+    {"/limits", kRemoved},
+    {"/routes/0/timeoutMs", 3000.0},
+    {"/routes/0/stretch", 2},
+    {"/routes/0/priority", nullptr},
+    {"/routes/0/advice", Json::parse(R"({"decisionMs":20})")},
+    {"/routes/0/weight", "a field of a later version"},
+    {"/routes/1", Json::parse(R"({"name":"q","host":"h",
+       "pathPrefix":"/p/deeper/","timeoutMs":1,"service":"s"})")},
 };
 
 const ChangeCase kInvalidJobs[] = {
@@ -104,6 +158,8 @@
   CPPUNIT_TEST(testInvalidHeartbeats);
   CPPUNIT_TEST(testLayout);
   CPPUNIT_TEST(testInvalidLayouts);
+  CPPUNIT_TEST(testUnreadableLayouts);
+  CPPUNIT_TEST(testValidLayouts);
   CPPUNIT_TEST(testTruncatedBodies);
   CPPUNIT_TEST(testJob);
   CPPUNIT_TEST(testInvalidJobs);
@@ -151,16 +207,39 @@
     CPPUNIT_ASSERT_EQUAL(body, read->document);
   }
 
+  // Guards against an invalid configuration that is acknowledged, and against
+  // fields that are skipped without a word.
   void testInvalidLayouts() {
+    std::string accepted;
     for (const ChangeCase& one : kInvalidLayouts) {
+      const std::string body = ApplyChange(LayoutBody(), one).dump();
       std::string reason;
-      CPPUNIT_ASSERT_MESSAGE(
-          one.pointer,
-          !DecodeLayout(ApplyChange(LayoutBody(), one).dump(), reason));
+      if (DecodeLayout(body, reason) || reason.empty()) {
+        accepted += "\n" + body;
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), accepted);
+  }
+
+  void testUnreadableLayouts() {
+    for (const char* body : kUnreadableLayouts) {
+      std::string reason;
+      CPPUNIT_ASSERT_MESSAGE(body, !DecodeLayout(body, reason));
       CPPUNIT_ASSERT(!reason.empty());
     }
   }
 
+  // Guards against a check that refuses what operators may send.
+  void testValidLayouts() {
+    for (const ChangeCase& one : kValidLayouts) {
+      const std::string body = ApplyChange(LayoutBody(), one).dump();
+      std::string reason;
+      const auto read = DecodeLayout(body, reason);
+      CPPUNIT_ASSERT_MESSAGE(body + ": " + reason, read);
+      CPPUNIT_ASSERT_EQUAL(body, read->document);
+    }
+  }
+
   void testTruncatedBodies() {
     const std::string layout = LayoutBody().dump();
     const std::string job = JobBody().dump();
