Split the controller's source by calls and actions

The calls of clients, operators and workers and the execution of the scheduler's actions move to files of their own, with no change of code.

--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -55,7 +55,9 @@
 
 // One host of the control plane. It holds a replica of the cell's state; while
 // it leads, it also runs the scheduler and sends its commands to the workers.
-// Everything runs on the thread of the io_context.
+// Everything runs on the thread of the io_context. ControllerCalls.cpp holds
+// the calls of clients, operators and workers, ControllerActions.cpp the
+// execution of the scheduler's actions.
 class Controller {
  public:
   Controller(asio::io_context& aContext, const GroupSettings& aGroup,
--- /dev/null
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -0,0 +1,275 @@
+#include "bramleypath/controller/Controller.h"
+
+#include <utility>
+
+#include "bramleypath/controller/LogText.h"
+#include "bramleypath/eventlog/EventLog.h"
+#include "bramleypath/net/Clock.h"
+
+namespace bramleypath::controller {
+
+namespace {
+
+using detail::NumberText;
+using detail::WholeText;
+
+// Callers wait no longer than this for the outcome of a proposal.
+constexpr Duration kCallerTimeout = Millis(2500);
+
+// The class of tasks whose backlog the job waits for.
+std::string_view ClassText(const workflow::AdmissionView& aView) {
+  if (aView.longRunning) {
+    return "long_running";
+  }
+  return aView.hasFillers ? "filling" : "reserving";
+}
+
+}  // namespace
+
+void Controller::Submit(const workflow::JobSpec& aSpec,
+                        const workflow::QueueSettings& aQueue,
+                        AnswerCallback aCallback) {
+  if (!this->MayRead()) {
+    aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
+    return;
+  }
+  if (workflow::FindJob(this->State(), aSpec.id.value)) {
+    aCallback(Answer{AnswerStatus::Repeated, 0, ""});
+    return;
+  }
+  const TimePoint now = net::Now();
+  const workflow::AdmissionView view =
+      workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue);
+  const workflow::AdmissionDecision decision =
+      workflow::DecideAdmission(view, this->random);
+  if (!decision.accepted) {
+    ++this->counters.refused;
+    eventlog::Write("job_refused",
+                    {{"job", aSpec.id.value},
+                     {"queue", aSpec.queue.value},
+                     {"expected_ms", WholeText(decision.expectedMs)},
+                     {"objective_ms", WholeText(view.objectiveMs)},
+                     {"retry_after_s", NumberText(decision.retryAfterSeconds)},
+                     {"chain_ms", WholeText(view.chainMs)},
+                     {"class", std::string(ClassText(view))},
+                     {"job_work", WholeText(view.jobWork)},
+                     {"backlog_work", WholeText(view.backlogWork)},
+                     {"processors_milli", WholeText(view.capacityMilli)}});
+    aCallback(Answer{AnswerStatus::Refused, decision.retryAfterSeconds,
+                     "the job could not end in time"});
+    return;
+  }
+  workflow::AcceptJob accept;
+  accept.spec = aSpec;
+  accept.acceptedUnixMs = this->group->AgreedUnixMs(now);
+  const std::string job = aSpec.id.value;
+  const std::string queue = aSpec.queue.value;
+  const double expectedMs = decision.expectedMs;
+  this->Propose(accept, kCallerTimeout,
+                [this, isAlive = this->alive, job, queue, expectedMs, view,
+                 callback = std::move(aCallback)](const Answer& aAnswer) {
+                  callback(aAnswer);
+                  if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
+                    return;
+                  }
+                  ++this->counters.accepted;
+                  eventlog::Write(
+                      "job_accepted",
+                      {{"job", job},
+                       {"queue", queue},
+                       {"expected_ms", WholeText(expectedMs)},
+                       {"objective_ms", WholeText(view.objectiveMs)},
+                       {"chain_ms", WholeText(view.chainMs)},
+                       {"class", std::string(ClassText(view))},
+                       {"job_work", WholeText(view.jobWork)},
+                       {"backlog_work", WholeText(view.backlogWork)},
+                       {"processors_milli", WholeText(view.capacityMilli)}});
+                  if (this->scheduler) {
+                    this->scheduler->dispatchWanted = true;
+                    this->RequestCycle();
+                  }
+                });
+}
+
+void Controller::Cancel(const JobId& aJob, AnswerCallback aCallback) {
+  if (!this->MayRead()) {
+    aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
+    return;
+  }
+  this->Propose(workflow::CancelJob{aJob}, kCallerTimeout,
+                [this, isAlive = this->alive, aJob,
+                 callback = std::move(aCallback)](const Answer& aAnswer) {
+                  callback(aAnswer);
+                  if (!*isAlive || !this->scheduler ||
+                      aAnswer.status != AnswerStatus::Done) {
+                    return;
+                  }
+                  ++this->counters.cancelled;
+                  eventlog::Write("job_cancelled", {{"job", aJob.value}});
+                  this->scheduler->dispatchWanted = true;
+                  this->RequestCycle();
+                });
+}
+
+void Controller::SetLayout(const workflow::Layout& aLayout,
+                           AnswerCallback aCallback) {
+  this->layoutService->Set(aLayout, std::move(aCallback));
+}
+
+void Controller::ReadLayout(ReadLayoutCallback aCallback) {
+  this->layoutService->Read(std::move(aCallback));
+}
+
+void Controller::ProposeLayout(std::uint64_t aVersion,
+                               consensus::Bytes aCommand,
+                               AnswerCallback aCallback) {
+  this->ProposeEncoded(
+      std::move(aCommand), kCallerTimeout,
+      [this, isAlive = this->alive, aVersion,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
+        eventlog::Write(
+            "layout_proposed",
+            {{"version", NumberText(aVersion)},
+             {"verdict",
+              NumberText(static_cast<std::uint64_t>(aAnswer.status))},
+             {"reason", aAnswer.reason}});
+        callback(aAnswer);
+        if (*isAlive && this->scheduler) {
+          this->scheduler->dispatchWanted = true;
+          this->RequestCycle();
+        }
+      });
+}
+
+namespace {
+
+// The capacity of the worker's incarnation; none if it is not registered.
+std::optional<Resources> CapacityOf(const workflow::State& aState,
+                                    const std::string& aWorker,
+                                    std::int64_t aStartedUnixMs) {
+  const workflow::Worker* const known = workflow::FindWorker(aState, aWorker);
+  return known && known->spec.startedUnixMs == aStartedUnixMs
+             ? std::optional(known->spec.capacity)
+             : std::nullopt;
+}
+
+void RecordCapacityChange(const workflow::Worker& aWorker,
+                          const std::optional<Resources>& aBefore,
+                          std::uint64_t aSequence) {
+  if (!aBefore || *aBefore == aWorker.spec.capacity) {
+    return;
+  }
+  eventlog::Write("worker_capacity_changed",
+                  {{"worker", aWorker.spec.id.value},
+                   {"before", ToText(*aBefore)},
+                   {"after", ToText(aWorker.spec.capacity)},
+                   {"reserved", ToText(aWorker.reserved)},
+                   {"sequence", NumberText(aSequence)}});
+}
+
+}  // namespace
+
+void Controller::Announce(const workflow::Announcement& aAnnouncement,
+                          AnswerCallback aCallback) {
+  if (!this->MayRead()) {
+    const bool isForwarded =
+        this->announcementForwarder->Forward(this->State(), aAnnouncement);
+    aCallback(isForwarded
+                  ? Answer{AnswerStatus::Repeated, 0, ""}
+                  : Answer{AnswerStatus::NotLeader, 0, "not the leader"});
+    return;
+  }
+  const workflow::WorkerSpec& announced = aAnnouncement.worker;
+  const auto changed =
+      workflow::SpecToCommit(*this->scheduler, this->State(), aAnnouncement);
+  if (!changed) {
+    const workflow::Worker* const known =
+        workflow::FindWorker(this->State(), announced.id.value);
+    if (known->spec.startedUnixMs == announced.startedUnixMs) {
+      this->OnUnchangedAnnouncement(known->number, aAnnouncement.clockMs);
+    }
+    aCallback(Answer{AnswerStatus::Repeated, 0, ""});
+    return;
+  }
+  const auto before =
+      CapacityOf(this->State(), announced.id.value, announced.startedUnixMs);
+  this->Propose(
+      workflow::RegisterWorker{*changed}, kCallerTimeout,
+      [this, isAlive = this->alive, spec = *changed, aAnnouncement, before,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
+        callback(aAnswer);
+        if (!*isAlive || !this->scheduler) {
+          return;
+        }
+        const workflow::Worker* const worker =
+            workflow::FindWorker(this->State(), spec.id.value);
+        if (!worker || worker->spec.startedUnixMs != spec.startedUnixMs) {
+          return;
+        }
+        eventlog::Write("worker_seen",
+                        {{"worker", spec.id.value},
+                         {"number", NumberText(worker->number)},
+                         {"address", spec.address},
+                         {"born", std::to_string(spec.startedUnixMs)},
+                         {"draining", spec.draining ? "true" : "false"}});
+        RecordCapacityChange(*worker, before, aAnnouncement.sequence);
+        const TimePoint now = net::Now();
+        workflow::OnStateChanged(*this->scheduler, this->State(), now);
+        workflow::OnRegistered(*this->scheduler, this->State(), aAnnouncement);
+        workflow::OnAnnounced(*this->scheduler, worker->number,
+                              aAnnouncement.clockMs, now);
+        this->RequestCycle();
+      });
+}
+
+void Controller::OnUnchangedAnnouncement(workflow::WorkerNumber aWorker,
+                                         std::int64_t aClockMs) {
+  workflow::OnAnnounced(*this->scheduler, aWorker, aClockMs, net::Now());
+  if (this->scheduler->dispatchWanted) {
+    this->RequestCycle();
+  }
+}
+
+void Controller::OnForwarded(const ForwardedAnnouncement& aAnnouncement) {
+  const auto known = this->State().workers.find(aAnnouncement.worker);
+  if (known == this->State().workers.end() ||
+      known->second.spec.startedUnixMs != aAnnouncement.startedUnixMs) {
+    return;
+  }
+  workflow::OnUnchanged(*this->scheduler, aAnnouncement.worker,
+                        aAnnouncement.sequence);
+  this->OnUnchangedAnnouncement(aAnnouncement.worker, aAnnouncement.clockMs);
+}
+
+HostId Controller::HostForAnnouncements(const WorkerId& aWorker) {
+  const auto gateway =
+      this->MayRead() ? this->dispatcher->GatewayOf(aWorker) : std::nullopt;
+  return gateway.value_or(this->group->Self());
+}
+
+void Controller::Leave(const WorkerId& aWorker, AnswerCallback aCallback) {
+  if (!this->MayRead()) {
+    aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
+    return;
+  }
+  const workflow::Worker* const known =
+      workflow::FindWorker(this->State(), aWorker.value);
+  if (!known) {
+    aCallback(Answer{AnswerStatus::Repeated, 0, ""});
+    return;
+  }
+  this->Propose(workflow::RemoveWorker{known->number}, kCallerTimeout,
+                [this, isAlive = this->alive, aWorker,
+                 callback = std::move(aCallback)](const Answer& aAnswer) {
+                  callback(aAnswer);
+                  if (!*isAlive || !this->scheduler) {
+                    return;
+                  }
+                  eventlog::Write("worker_left", {{"worker", aWorker.value}});
+                  workflow::OnStateChanged(*this->scheduler, this->State(),
+                                           net::Now());
+                  this->RequestCycle();
+                });
+}
+
+}  // namespace bramleypath::controller
