--- a/tests/platform/ControlCell.cpp
+++ b/tests/platform/ControlCell.cpp
@@ -71,10 +71,44 @@
   asio::post(*this->context, [this] { this->OccupyTurn(); });
 }
 
+Callers::Callers(std::string aAddress, int aCallsPerSecond)
+    : address(std::move(aAddress)), callsPerSecond(aCallsPerSecond) {
+  this->thread = std::thread([this] { this->Run(); });
+}
+
+Callers::~Callers() {
+  this->stopping = true;
+  this->thread.join();
+}
+
+void Callers::Run() {
+  constexpr int kStepsPerSecond = 50;
+  constexpr std::size_t kMaxConnections = 1000;
+  asio::io_context context;
+  const auto work = asio::make_work_guard(context);
+  net::HttpClientLimits limits;
+  limits.maxConnectionsPerHost = kMaxConnections;
+  net::HttpClient client(context, limits);
+  while (!this->stopping) {
+    for (int call = 0; call < this->callsPerSecond / kStepsPerSecond; ++call) {
+      net::ClientRequest request;
+      request.method = "GET";
+      request.address = this->address;
+      request.path = "/none";
+      request.deadline = net::Now() + kOperatorWait;
+      request.headers.push_back({"Connection", "close"});
+      client.Send(std::move(request), [](const net::ClientResult&) {});
+    }
+    context.restart();
+    context.run_for(std::chrono::milliseconds(1000 / kStepsPerSecond));
+  }
+}
+
 ControlCell::ControlCell()
     : folder(std::filesystem::temp_directory_path() /
              ("bramleypath-cell-" + std::to_string(getpid()))),
       hosts(kHosts),
+      work(asio::make_work_guard(this->context)),
       client(std::make_unique<net::HttpClient>(this->context,
                                                net::HttpClientLimits())) {
   // Each process has its own addresses, so that tests can run in parallel.
--- a/tests/platform/ControlCell.h
+++ b/tests/platform/ControlCell.h
@@ -9,6 +9,7 @@
 #include <thread>
 #include <vector>
 
+#include <asio/executor_work_guard.hpp>
 #include <asio/io_context.hpp>
 
 #include "bramleypath/net/HttpClient.h"
@@ -40,6 +41,24 @@
   std::thread thread;
 };
 
+// Callers that each open a connection to one host, as workers' announcements
+// do.
+class Callers {
+ public:
+  Callers(std::string aAddress, int aCallsPerSecond);
+  ~Callers();
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+ private:
+  void Run();
+
+  std::string address;
+  int callsPerSecond;
+  std::atomic<bool> stopping{false};
+  std::thread thread;
+};
+
 // Three control-plane hosts on loopback addresses, and an operator and a client
 // that call them.
 class ControlCell {
@@ -65,6 +84,9 @@
                                                  const std::string& aPath,
                                                  const std::string& aBody,
                                                  Duration aTimeout);
+  const std::string& AddressOf(std::size_t aHost) const {
+    return this->settings[aHost].control;
+  }
   std::size_t Size() const { return this->hosts.size(); }
   bool IsUp(std::size_t aHost) const { return this->hosts[aHost] != nullptr; }
 
@@ -78,6 +100,8 @@
   std::vector<platform::NodeSettings> settings;
   std::vector<std::unique_ptr<Host>> hosts;
   asio::io_context context;
+  // Results are posted from another thread; without it a run would not wait.
+  asio::executor_work_guard<asio::io_context::executor_type> work;
   std::unique_ptr<net::HttpClient> client;
   std::size_t nextHost = 0;
 };
--- a/tests/platform/OperatorCallsTest.cpp
+++ b/tests/platform/OperatorCallsTest.cpp
@@ -1,5 +1,6 @@
 #include <chrono>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <cppunit/extensions/HelperMacros.h>
@@ -14,6 +15,7 @@
 namespace {
 
 using codec::Json;
+using platform_test::Callers;
 using platform_test::ControlCell;
 
 constexpr const char* kPutPath = "/-/Configuration.Replace";
@@ -99,6 +101,7 @@
 class OperatorCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(OperatorCallsTest);
   CPPUNIT_TEST(testChangesOnLoadedHosts);
+  CPPUNIT_TEST(testChangesBesideManyNewConnections);
   CPPUNIT_TEST(testChangesSurviveLeadersAndDisks);
   CPPUNIT_TEST(testInvalidChangesAreNotInForce);
   CPPUNIT_TEST_SUITE_END();
@@ -124,6 +127,26 @@
     }
   }
 
+  // Guards against operators that no host answers while callers of another kind
+  // open connections to all of them.
+  void testChangesBesideManyNewConnections() {
+    // Announcements of 490 workers, each every 1.5 s.
+    constexpr int kCallsPerSecond = 327;
+    ControlCell cell;
+    cell.StartAll(true);
+    Acknowledge(cell, 1, kStartTime, "start");
+    cell.SetTurnTime(std::chrono::milliseconds(20));
+    const Callers first(cell.AddressOf(0), kCallsPerSecond);
+    const Callers second(cell.AddressOf(1), kCallsPerSecond);
+    const Callers third(cell.AddressOf(2), kCallsPerSecond);
+    // Without enough accepts, connections wait in a queue that fills up first.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    for (const std::uint64_t version : {3, 5, 7}) {
+      Acknowledge(cell, version, kAckTimeout, "beside many connections");
+      CheckInForce(cell, version, "beside many connections");
+    }
+  }
+
   // Guards against an acknowledged change that is lost with the leader, or with
   // a disk while all other hosts lose power at the same moment.
   void testChangesSurviveLeadersAndDisks() {
