--- a/src/bramleypath/group/Replica.cpp
+++ b/src/bramleypath/group/Replica.cpp
@@ -29,6 +29,8 @@
 constexpr Duration kFullDiskTransferInterval = Seconds(5);
 // Number of times per heartbeat interval that deadlines are checked.
 constexpr std::int64_t kTicksPerHeartbeat = 5;
+// The first snapshot is due up to this share of the interval earlier.
+constexpr double kSnapshotSpread = 0.5;
 // Callbacks are called for at most this long before others on the io_context
 // get their turn.
 constexpr std::chrono::milliseconds kMaxTurn(20);
@@ -141,6 +143,7 @@
   bool TransferTo(const ReplicaId& aTo);
   void SnapshotIfDue();
   void TakeSnapshot();
+  void StartSnapshotInterval();
 
   asio::io_context& context;
   storage::DiskThread* disk;
@@ -160,6 +163,7 @@
   LogIndex appliedIndex = 0;
   std::size_t entriesSinceSnapshot = 0;
   std::size_t bytesSinceSnapshot = 0;
+  Random snapshotRandom;
   Membership reportedMembership;
   // Term of the last leadershipGained, until leadershipLost is called.
   std::optional<Term> reportedTerm;
@@ -305,8 +309,7 @@
     return;
   }
   this->appliedIndex = aRestore.snapshot->index;
-  this->entriesSinceSnapshot = 0;
-  this->bytesSinceSnapshot = 0;
+  this->StartSnapshotInterval();
   if (this->callbacks.applied) {
     this->callbacks.applied(this->appliedIndex);
   }
@@ -637,6 +640,17 @@
   asio::post(this->context, std::exchange(this->stopDone, nullptr));
 }
 
+// Replicas apply the same entries. One that takes a snapshot handles nothing
+// else, so a random part of the first interval keeps them apart from then on;
+// together they would cost the leader its lease.
+void Replica::Impl::StartSnapshotInterval() {
+  const double share = kSnapshotSpread * NextUnit(this->snapshotRandom);
+  this->entriesSinceSnapshot = static_cast<std::size_t>(
+      share * static_cast<double>(this->settings.snapshotEntries));
+  this->bytesSinceSnapshot = static_cast<std::size_t>(
+      share * static_cast<double>(this->settings.snapshotBytes));
+}
+
 void Replica::Impl::SnapshotIfDue() {
   if (this->entriesSinceSnapshot >= this->settings.snapshotEntries ||
       this->bytesSinceSnapshot >= this->settings.snapshotBytes) {
@@ -668,6 +682,8 @@
                                          settings.initial, std::move(aRestored),
                                          settings.seed, this->impl->Now());
   this->impl->reportedMembership = this->impl->node.membership;
+  this->impl->snapshotRandom.state = settings.seed;
+  this->impl->StartSnapshotInterval();
 }
 
 Replica::~Replica() {
--- a/src/bramleypath/group/Replica.h
+++ b/src/bramleypath/group/Replica.h
@@ -28,7 +28,8 @@
   // which would otherwise become candidates at the same time again and again.
   std::uint64_t seed = 0;
   // A snapshot is taken after this many applied entries or bytes of applied
-  // commands, whichever comes first.
+  // commands, whichever comes first. The first one comes up to half an interval
+  // earlier, chosen at random from the seed.
   std::size_t snapshotEntries = 4096;
   std::size_t snapshotBytes = 8 * 1024 * 1024;
   // Larger commands are refused as TooLarge.
--- a/tests/group/ReplicaTest.cpp
+++ b/tests/group/ReplicaTest.cpp
@@ -32,7 +32,10 @@
     this->commands.push_back(*aCommand.payload.begin());
     return Bytes{static_cast<std::uint8_t>(this->commands.size())};
   }
-  Bytes TakeSnapshot() override { return this->commands; }
+  Bytes TakeSnapshot() override {
+    this->snapshotsAt.insert(this->commands.size());
+    return this->commands;
+  }
   bool Restore(consensus::LogIndex, gsl::span<const std::uint8_t> aState,
                std::string&) override {
     this->commands.assign(aState.begin(), aState.end());
@@ -40,6 +43,8 @@
   }
 
   Bytes commands;
+  // Numbers of commands applied before each snapshot.
+  std::set<std::size_t> snapshotsAt;
 };
 
 // One replica with its simulated disk, and the callbacks it received.
@@ -254,12 +259,37 @@
   CPPUNIT_TEST(testWitnessPassesLeadershipOn);
   CPPUNIT_TEST(testStopLosesNothing);
   CPPUNIT_TEST(testDisklessLearner);
+  CPPUNIT_TEST(testReplicasTakeSnapshotsAtDifferentEntries);
   CPPUNIT_TEST(testManyOutcomesDoNotDelayTimers);
   CPPUNIT_TEST(testProposalsWithinAnIntervalAreSentTogether);
   CPPUNIT_TEST(testSingleProposalDoesNotWaitForTheInterval);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  // Guards against a quorum that stands still together, so that the leader
+  // loses its lease: all replicas took their snapshots after the same entry.
+  void testReplicasTakeSnapshotsAtDifferentEntries() {
+    constexpr int kCommands = 200;
+    Group group(3, 3);
+    group.StartAll();
+    const std::size_t leader = group.WaitForLeader();
+    Bytes commands;
+    for (int command = 0; command < kCommands; ++command) {
+      commands.push_back(static_cast<std::uint8_t>(command));
+      CPPUNIT_ASSERT(group.Propose(leader, {commands.back()}).Ok());
+    }
+    CPPUNIT_ASSERT(group.AllApplied(commands));
+    std::set<std::size_t> entries;
+    std::size_t snapshots = 0;
+    for (const auto& member : group.members) {
+      const auto& taken = member->machine.snapshotsAt;
+      CPPUNIT_ASSERT(taken.size() >= 3);
+      snapshots += taken.size();
+      entries.insert(taken.begin(), taken.end());
+    }
+    CPPUNIT_ASSERT_EQUAL(snapshots, entries.size());
+  }
+
   // The outcomes of a large batch were reported in one handler. Heartbeats had
   // to wait for it, so that a busy leader lost its lease.
   void testManyOutcomesDoNotDelayTimers() {
