Refuse a share of the new jobs while the leader's event loop is delayed

Cause: admission counts processors of workers and not what the leader itself can do. A leader at its limit accepted more, and its starts and renewals fell behind.

Change: the delay of the loop, smoothed over a second, decides on a share of new jobs to refuse before their bodies are read: more above 60 ms, fewer below 40 ms.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -244,6 +244,7 @@
 
 void Controller::RecordLoopDelay(Duration aDelay) {
   this->counters.loopDelay.Record(aDelay);
+  OnLoopDelay(this->loadGate, aDelay, net::Now());
   if (aDelay < kLongLoopDelay) {
     return;
   }
@@ -283,6 +284,8 @@
   eventlog::Write(
       "cell_summary",
       {{"jobs", NumberText(cell.activeJobs)},
+       {"loop_delay_ms", std::to_string(this->loadGate.delayMs)},
+       {"refused_share", std::to_string(this->loadGate.refusedShare)},
        {"waiting", NumberText(cell.waitingTasks)},
        {"waiting_fillers", NumberText(cell.waitingFillers)},
        {"placed", NumberText(cell.placedTasks)},
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -15,6 +15,7 @@
 #include "bramleypath/controller/CycleTimer.h"
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/LayoutService.h"
+#include "bramleypath/controller/LoadGate.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
 #include "bramleypath/gateway/Gateway.h"
@@ -29,6 +30,7 @@
 struct ControllerCounters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
+  std::uint64_t refusedForLoad = 0;  // of them, see LoadGate
   std::uint64_t cancelled = 0;
   std::uint64_t starts = 0;
   std::uint64_t startsNotDone = 0;
@@ -76,6 +78,10 @@
   bool MayRead() const;
   const workflow::State& State() const { return this->machine.Current(); }
 
+  // The answer to a new job that is refused because this leader has more to do
+  // than it has time for; none if it may be submitted.
+  std::optional<Answer> RefuseForLoad(const JobId& aJob);
+
   // The requests below call aCallback once, possibly before they return.
   void Submit(const workflow::JobSpec& aSpec,
               const workflow::QueueSettings& aQueue, AnswerCallback aCallback);
@@ -163,6 +169,7 @@
   Random random;
   CycleTimer timer;
   net::LoopProbe loopProbe;
+  LoadGate loadGate;
   bool cycleRequested = false;
   TimePoint summaryAt;
   ControllerCounters counters;
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -26,6 +26,26 @@
 
 }  // namespace
 
+std::optional<Answer> Controller::RefuseForLoad(const JobId& aJob) {
+  if (IsAdmitted(this->loadGate, this->random) ||
+      workflow::FindJob(this->State(), aJob.value)) {
+    return std::nullopt;
+  }
+  ++this->counters.refused;
+  ++this->counters.refusedForLoad;
+  Answer answer;
+  answer.status = AnswerStatus::Refused;
+  answer.retryAfterSeconds = RetryAfterSeconds(this->loadGate, this->random);
+  answer.reason = "the leader has more to do than it has time for";
+  eventlog::Write(
+      "job_refused_for_load",
+      {{"job", aJob.value},
+       {"loop_delay_ms", WholeText(this->loadGate.delayMs)},
+       {"refused_share", std::to_string(this->loadGate.refusedShare)},
+       {"retry_after_s", NumberText(answer.retryAfterSeconds)}});
+  return answer;
+}
+
 void Controller::Submit(const workflow::JobSpec& aSpec,
                         const workflow::QueueSettings& aQueue,
                         AnswerCallback aCallback) {
--- /dev/null
+++ b/src/bramleypath/controller/LoadGate.cpp
@@ -0,0 +1,53 @@
+#include "bramleypath/controller/LoadGate.h"
+
+#include <algorithm>
+
+namespace bramleypath::controller {
+
+namespace {
+
+// Weight of a sample; with one each 100 ms, the delay follows within a second.
+constexpr double kSampleWeight = 0.15;
+constexpr Duration kAdjustInterval = Millis(200);
+// Renewals and commits pass several turns of the loop, which must be short
+// against the lease of the leader, 400 ms.
+constexpr double kHighDelayMs = 60;
+constexpr double kLowDelayMs = 40;
+// Load grows at once and accepted jobs leave after seconds, so the share rises
+// faster than it falls.
+constexpr double kRise = 0.1;
+constexpr double kFall = 0.03;
+constexpr double kMinRetrySeconds = 2;
+constexpr double kMaxRetrySeconds = 8;
+
+}  // namespace
+
+void OnLoopDelay(LoadGate& aGate, Duration aDelay, TimePoint aNow) {
+  constexpr double kMicrosPerMilli = 1000;
+  const double delayMs =
+      static_cast<double>(std::max<std::int64_t>(0, aDelay.micros)) /
+      kMicrosPerMilli;
+  aGate.delayMs += kSampleWeight * (delayMs - aGate.delayMs);
+  if (aNow < aGate.adjustAt) {
+    return;
+  }
+  aGate.adjustAt = aNow + kAdjustInterval;
+  if (aGate.delayMs > kHighDelayMs) {
+    aGate.refusedShare = std::min(1.0, aGate.refusedShare + kRise);
+  } else if (aGate.delayMs < kLowDelayMs) {
+    aGate.refusedShare = std::max(0.0, aGate.refusedShare - kFall);
+  }
+}
+
+bool IsAdmitted(const LoadGate& aGate, Random& aRandom) {
+  return aGate.refusedShare <= 0 || NextUnit(aRandom) >= aGate.refusedShare;
+}
+
+std::uint32_t RetryAfterSeconds(const LoadGate& aGate, Random& aRandom) {
+  const double longest =
+      std::max(kMinRetrySeconds, kMaxRetrySeconds * aGate.refusedShare);
+  return static_cast<std::uint32_t>(
+      kMinRetrySeconds + NextUnit(aRandom) * (longest - kMinRetrySeconds) + 1);
+}
+
+}  // namespace bramleypath::controller
--- /dev/null
+++ b/src/bramleypath/controller/LoadGate.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <cstdint>
+
+#include "bramleypath/base/Random.h"
+#include "bramleypath/base/TimePoint.h"
+
+namespace bramleypath::controller {
+
+// Refuses a share of the new jobs while the leader has more to do than it has
+// processor time, which the delay of its event loop shows. Jobs that it accepts
+// then would wait for their starts, and the renewals of all leases with them.
+struct LoadGate {
+  double delayMs = 0;  // smoothed delay of the event loop
+  double refusedShare = 0;
+  TimePoint adjustAt;
+};
+
+// Takes a sample of the loop's delay, as net::LoopProbe measures it.
+void OnLoopDelay(LoadGate& aGate, Duration aDelay, TimePoint aNow);
+// Whether to accept the next job as far as the leader's load is concerned.
+bool IsAdmitted(const LoadGate& aGate, Random& aRandom);
+// Seconds after which a caller that was refused should retry; random, so that
+// refused callers don't return all at once.
+std::uint32_t RetryAfterSeconds(const LoadGate& aGate, Random& aRandom);
+
+}  // namespace bramleypath::controller
--- a/src/bramleypath/explain/RequestTimeline.cpp
+++ b/src/bramleypath/explain/RequestTimeline.cpp
@@ -61,7 +61,8 @@
       FindEvent(aJobLines, "start_sent")) {
     return JobOutcome::Open;
   }
-  if (FindEvent(aJobLines, "job_refused")) {
+  if (FindEvent(aJobLines, "job_refused") ||
+      FindEvent(aJobLines, "job_refused_for_load")) {
     return JobOutcome::Refused;
   }
   return FindEvent(aJobLines, "request_given_up") ? JobOutcome::NotAccepted
@@ -153,7 +154,21 @@
 void ExplainRefusal(gsl::span<const LogLine> aLines,
                     gsl::span<const LogLine> aJobLines,
                     RequestTimeline& aTimeline) {
-  const LogLine& refusal = *FindEvent(aJobLines, "job_refused");
+  if (const LogLine* const load =
+          FindEvent(aJobLines, "job_refused_for_load")) {
+    aTimeline.causes.push_back(
+        "refused by " + load->host + ": events waited " +
+        Text(*load, "loop_delay_ms") +
+        " ms for the processor there, so that it refused a share of " +
+        Text(*load, "refused_share") +
+        " of all new jobs; the caller was asked to retry after " +
+        Text(*load, "retry_after_s") + " s");
+  }
+  const LogLine* const expected = FindEvent(aJobLines, "job_refused");
+  if (!expected) {
+    return;
+  }
+  const LogLine& refusal = *expected;
   aTimeline.causes.push_back(
       "refused by " + refusal.host + ": it was expected to end after " +
       Text(refusal, "expected_ms") + " ms, and its objective is " +
--- a/tests/explain/RequestTimelineTest.cpp
+++ b/tests/explain/RequestTimelineTest.cpp
@@ -47,6 +47,13 @@
      JobOutcome::Refused,
      {"expected to end after 2683 ms", "5 of 6 workers"},
      2},
+    {"refused by a leader without time",
+     {R"({"time_ms":1000,"host":"c1","event":"job_refused_for_load",)"
+      R"("job":"j1","loop_delay_ms":"92","refused_share":"0.700000",)"
+      R"("retry_after_s":"4"})"},
+     JobOutcome::Refused,
+     {"refused by c1: events waited 92 ms", "retry after 4 s"},
+     1},
     {"refused first, accepted later, completed",
      {R"({"time_ms":1000,"host":"c1","event":"job_refused","job":"j1"})",
       R"({"time_ms":3000,"host":"c1","event":"job_accepted","job":"j1"})",
