--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -179,6 +179,7 @@
 
 void Controller::OnLeadershipGained(Epoch aEpoch) {
   ++this->counters.leaderships;
+  this->loadGate = LoadGate();
   this->scheduler = workflow::MakeScheduler(
       this->schedulerSettings, aEpoch, this->State(),
       this->machine.KnownLeaseEnds(), NextRandom(this->random), net::Now());
@@ -281,6 +282,7 @@
   this->summaryAt = aNow + kSummaryInterval;
   const workflow::CellSummary cell =
       workflow::Summarise(*this->scheduler, this->State(), aNow);
+  this->loadGate.waitingTasks = cell.waitingTasks;
   eventlog::Write(
       "cell_summary",
       {{"jobs", NumberText(cell.activeJobs)},
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -24,6 +24,14 @@
   return aView.hasFillers ? "filling" : "reserving";
 }
 
+std::uint32_t CountTasks(const workflow::JobSpec& aSpec) {
+  std::uint32_t tasks = 0;
+  for (const workflow::StageSpec& stage : aSpec.stages) {
+    tasks += stage.tasks;
+  }
+  return tasks;
+}
+
 }  // namespace
 
 std::optional<Answer> Controller::RefuseForLoad(const JobId& aJob) {
@@ -85,30 +93,32 @@
   const std::string job = aSpec.id.value;
   const std::string queue = aSpec.queue.value;
   const double expectedMs = decision.expectedMs;
-  this->Propose(accept, kCallerTimeout,
-                [this, isAlive = this->alive, job, queue, expectedMs, view,
-                 callback = std::move(aCallback)](const Answer& aAnswer) {
-                  callback(aAnswer);
-                  if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
-                    return;
-                  }
-                  ++this->counters.accepted;
-                  eventlog::Write(
-                      "job_accepted",
-                      {{"job", job},
-                       {"queue", queue},
-                       {"expected_ms", WholeText(expectedMs)},
-                       {"objective_ms", WholeText(view.objectiveMs)},
-                       {"chain_ms", WholeText(view.chainMs)},
-                       {"class", std::string(ClassText(view))},
-                       {"job_work", WholeText(view.jobWork)},
-                       {"backlog_work", WholeText(view.backlogWork)},
-                       {"processors_milli", WholeText(view.capacityMilli)}});
-                  if (this->scheduler) {
-                    this->scheduler->dispatchWanted = true;
-                    this->RequestCycle();
-                  }
-                });
+  const std::uint32_t tasks = CountTasks(aSpec);
+  this->Propose(
+      accept, kCallerTimeout,
+      [this, isAlive = this->alive, job, queue, expectedMs, view, tasks,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
+        callback(aAnswer);
+        if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
+          return;
+        }
+        ++this->counters.accepted;
+        this->loadGate.waitingTasks += tasks;
+        eventlog::Write("job_accepted",
+                        {{"job", job},
+                         {"queue", queue},
+                         {"expected_ms", WholeText(expectedMs)},
+                         {"objective_ms", WholeText(view.objectiveMs)},
+                         {"chain_ms", WholeText(view.chainMs)},
+                         {"class", std::string(ClassText(view))},
+                         {"job_work", WholeText(view.jobWork)},
+                         {"backlog_work", WholeText(view.backlogWork)},
+                         {"processors_milli", WholeText(view.capacityMilli)}});
+        if (this->scheduler) {
+          this->scheduler->dispatchWanted = true;
+          this->RequestCycle();
+        }
+      });
 }
 
 void Controller::Cancel(const JobId& aJob, AnswerCallback aCallback) {
--- a/src/bramleypath/controller/LoadGate.cpp
+++ b/src/bramleypath/controller/LoadGate.cpp
@@ -17,6 +17,8 @@
 // faster than it falls.
 constexpr double kRise = 0.1;
 constexpr double kFall = 0.03;
+// With fewer, the delay has another cause than jobs, such as a recovery.
+constexpr std::uint32_t kFewWaitingTasks = 100;
 constexpr double kMinRetrySeconds = 2;
 constexpr double kMaxRetrySeconds = 8;
 
@@ -32,9 +34,10 @@
     return;
   }
   aGate.adjustAt = aNow + kAdjustInterval;
-  if (aGate.delayMs > kHighDelayMs) {
+  const bool isBehind = aGate.waitingTasks > kFewWaitingTasks;
+  if (isBehind && aGate.delayMs > kHighDelayMs) {
     aGate.refusedShare = std::min(1.0, aGate.refusedShare + kRise);
-  } else if (aGate.delayMs < kLowDelayMs) {
+  } else if (!isBehind || aGate.delayMs < kLowDelayMs) {
     aGate.refusedShare = std::max(0.0, aGate.refusedShare - kFall);
   }
 }
--- a/src/bramleypath/controller/LoadGate.h
+++ b/src/bramleypath/controller/LoadGate.h
@@ -12,6 +12,8 @@
 // then would wait for their starts, and the renewals of all leases with them.
 struct LoadGate {
   double delayMs = 0;  // smoothed delay of the event loop
+  // As of the last summary of the cell, and those of jobs accepted since.
+  std::uint32_t waitingTasks = 0;
   double refusedShare = 0;
   TimePoint adjustAt;
 };
--- a/tests/controller/LoadGateTest.cpp
+++ b/tests/controller/LoadGateTest.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration kSampleInterval = Millis(100);
 constexpr int kSamplesPerSecond = 10;
+constexpr int kSamplesPerSummary = 2 * kSamplesPerSecond;
+constexpr std::uint32_t kTasksOfAJob = 20;
 
 // A leader that works off jobs at a limited rate, as the gate sees it: its loop
 // is delayed by the work that waits.
@@ -41,11 +43,16 @@
         if (IsAdmitted(this->gate, this->random)) {
           ++this->accepted;
           this->waitingJobs += 1;
+          this->gate.waitingTasks += kTasksOfAJob;
         }
       }
       this->waitingJobs = std::max(
           0.0, this->waitingJobs - this->jobsPerSecond / kSamplesPerSecond);
       this->maxWaitingJobs = std::max(this->maxWaitingJobs, this->waitingJobs);
+      if (sample % kSamplesPerSummary == 0) {
+        this->gate.waitingTasks =
+            kTasksOfAJob * static_cast<std::uint32_t>(this->waitingJobs);
+      }
       OnLoopDelay(this->gate,
                   Micros(static_cast<std::int64_t>(this->DelayMs() * 1000)),
                   this->now);
@@ -60,6 +67,7 @@
   CPPUNIT_TEST(testLoadBelowTheLimitIsAccepted);
   CPPUNIT_TEST(testLoadAboveTheLimitIsRefused);
   CPPUNIT_TEST(testLoadThatFallsIsAcceptedAgain);
+  CPPUNIT_TEST(testDelayWithoutWaitingTasksRefusesNothing);
   CPPUNIT_TEST(testSinglePauseRefusesNothing);
   CPPUNIT_TEST(testRetryTimesGrowWithTheLoad);
   CPPUNIT_TEST_SUITE_END();
@@ -105,6 +113,21 @@
     CPPUNIT_ASSERT_EQUAL(0.0, leader.gate.refusedShare);
   }
 
+  // Guards against a leader that refuses all jobs although none waits, since
+  // its loop is delayed by other work.
+  void testDelayWithoutWaitingTasksRefusesNothing() {
+    LoadGate gate;
+    gate.refusedShare = 1;
+    Random random{1};
+    TimePoint now{Seconds(1).micros};
+    for (int sample = 0; sample < 10 * kSamplesPerSecond; ++sample) {
+      now = now + kSampleInterval;
+      OnLoopDelay(gate, Millis(90), now);
+    }
+    CPPUNIT_ASSERT_EQUAL(0.0, gate.refusedShare);
+    CPPUNIT_ASSERT(IsAdmitted(gate, random));
+  }
+
   // A snapshot or a slow cycle takes one turn of the loop.
   void testSinglePauseRefusesNothing() {
     LoadGate gate;
