--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -235,7 +235,8 @@
       const std::string body = ApplyChange(LayoutBody(), one).dump();
       std::string reason;
       const auto read = DecodeLayout(body, reason);
-      CPPUNIT_ASSERT_MESSAGE(body + ": " + reason, read);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(body, std::string(), reason);
+      CPPUNIT_ASSERT_MESSAGE(body, read);
       CPPUNIT_ASSERT_EQUAL(body, read->document);
     }
   }
