--- a/src/bramleypath/controller/AnnouncementForwarder.cpp
+++ b/src/bramleypath/controller/AnnouncementForwarder.cpp
@@ -18,7 +18,7 @@
 constexpr Duration kCollectTime = Millis(50);
 constexpr Duration kProbeInterval = Millis(500);
 // A loaded leader confirms late. Hosts of earlier versions never do.
-constexpr Duration kTakerLifetime = Seconds(3);
+constexpr Duration kConfirmationLifetime = Seconds(3);
 constexpr std::size_t kFields = 4;
 
 Bytes Encode(gsl::span<const ForwardedAnnouncement> aBatch) {
@@ -53,15 +53,16 @@
 
 AnnouncementForwarder::AnnouncementForwarder(
     gateway::Environment aEnvironment,
-    std::function<void(const ForwardedAnnouncement&)> aTake)
-    : environment(std::move(aEnvironment)), take(std::move(aTake)) {}
+    std::function<void(const ForwardedAnnouncement&)> aReceive)
+    : environment(std::move(aEnvironment)), receive(std::move(aReceive)) {}
 
 AnnouncementForwarder::~AnnouncementForwarder() { *this->alive = false; }
 
 bool AnnouncementForwarder::IsUsable() const {
-  return !this->taker.empty() && this->environment.leader() == this->taker &&
-         this->environment.now() < this->takenAt + kTakerLifetime &&
-         this->environment.isConnected(this->taker);
+  return !this->confirmedLeader.empty() &&
+         this->environment.leader() == this->confirmedLeader &&
+         this->environment.now() < this->confirmedAt + kConfirmationLifetime &&
+         this->environment.isConnected(this->confirmedLeader);
 }
 
 bool AnnouncementForwarder::Forward(
@@ -119,14 +120,14 @@
     return;
   }
   for (const ForwardedAnnouncement& one : *received) {
-    this->take(one);
+    this->receive(one);
   }
-  this->environment.send(aFrom, kAnnouncementsTakenKind, {});
+  this->environment.send(aFrom, kAnnouncementsConfirmedKind, {});
 }
 
-void AnnouncementForwarder::OnTaken(const HostId& aFrom) {
-  this->taker = aFrom;
-  this->takenAt = this->environment.now();
+void AnnouncementForwarder::OnConfirmed(const HostId& aFrom) {
+  this->confirmedLeader = aFrom;
+  this->confirmedAt = this->environment.now();
 }
 
 }  // namespace bramleypath::controller
--- a/src/bramleypath/controller/AnnouncementForwarder.h
+++ b/src/bramleypath/controller/AnnouncementForwarder.h
@@ -15,7 +15,8 @@
 
 // Kinds of the frames between the hosts of a group.
 constexpr const char* kAnnouncementsKind = "worker-announcements";
-constexpr const char* kAnnouncementsTakenKind = "worker-announcements-taken";
+constexpr const char* kAnnouncementsConfirmedKind =
+    "worker-announcements-confirmed";
 
 // What the leader learns from an announcement that changes nothing.
 struct ForwardedAnnouncement {
@@ -30,10 +31,10 @@
 // connection for each announcement of each worker.
 class AnnouncementForwarder {
  public:
-  // aTake is called on the leader for each forwarded announcement.
+  // aReceive is called on the leader for each forwarded announcement.
   AnnouncementForwarder(
       gateway::Environment aEnvironment,
-      std::function<void(const ForwardedAnnouncement&)> aTake);
+      std::function<void(const ForwardedAnnouncement&)> aReceive);
   ~AnnouncementForwarder();
   AnnouncementForwarder(const AnnouncementForwarder&) = delete;
   AnnouncementForwarder& operator=(const AnnouncementForwarder&) = delete;
@@ -47,17 +48,17 @@
   void Tick(bool aIsLeading);
   void OnAnnouncements(const HostId& aFrom, bool aIsLeading,
                        gsl::span<const std::uint8_t> aPayload);
-  void OnTaken(const HostId& aFrom);
+  void OnConfirmed(const HostId& aFrom);
 
  private:
   bool IsUsable() const;
   void Send();
 
   gateway::Environment environment;
-  std::function<void(const ForwardedAnnouncement&)> take;
+  std::function<void(const ForwardedAnnouncement&)> receive;
   // The host that last confirmed a frame as the leader, and when.
-  HostId taker;
-  TimePoint takenAt;
+  HostId confirmedLeader;
+  TimePoint confirmedAt;
   TimePoint probeAt;
   std::vector<ForwardedAnnouncement> batch;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -159,8 +159,8 @@
   } else if (aFrame.kind == kAnnouncementsKind) {
     this->announcementForwarder->OnAnnouncements(aFrame.from, this->MayRead(),
                                                  aFrame.payload);
-  } else if (aFrame.kind == kAnnouncementsTakenKind) {
-    this->announcementForwarder->OnTaken(aFrame.from);
+  } else if (aFrame.kind == kAnnouncementsConfirmedKind) {
+    this->announcementForwarder->OnConfirmed(aFrame.from);
   }
 }
 
@@ -179,7 +179,7 @@
 
 void Controller::OnLeadershipGained(Epoch aEpoch) {
   ++this->counters.leaderships;
-  this->loadGate = LoadGate();
+  this->loadShedder = LoadShedder();
   this->scheduler = workflow::MakeScheduler(
       this->schedulerSettings, aEpoch, this->State(),
       this->machine.KnownLeaseEnds(), NextRandom(this->random), net::Now());
@@ -245,7 +245,7 @@
 
 void Controller::RecordLoopDelay(Duration aDelay) {
   this->counters.loopDelay.Record(aDelay);
-  OnLoopDelay(this->loadGate, aDelay, net::Now());
+  OnLoopDelay(this->loadShedder, aDelay, net::Now());
   if (aDelay < kLongLoopDelay) {
     return;
   }
@@ -282,12 +282,12 @@
   this->summaryAt = aNow + kSummaryInterval;
   const workflow::CellSummary cell =
       workflow::Summarise(*this->scheduler, this->State(), aNow);
-  this->loadGate.waitingTasks = cell.waitingTasks;
+  this->loadShedder.waitingTasks = cell.waitingTasks;
   eventlog::Write(
       "cell_summary",
       {{"jobs", NumberText(cell.activeJobs)},
-       {"loop_delay_ms", std::to_string(this->loadGate.delayMs)},
-       {"refused_share", std::to_string(this->loadGate.refusedShare)},
+       {"loop_delay_ms", std::to_string(this->loadShedder.delayMs)},
+       {"refused_share", std::to_string(this->loadShedder.refusedShare)},
        {"waiting", NumberText(cell.waitingTasks)},
        {"waiting_fillers", NumberText(cell.waitingFillers)},
        {"placed", NumberText(cell.placedTasks)},
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -15,7 +15,7 @@
 #include "bramleypath/controller/CycleTimer.h"
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/LayoutService.h"
-#include "bramleypath/controller/LoadGate.h"
+#include "bramleypath/controller/LoadShedder.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
 #include "bramleypath/gateway/Gateway.h"
@@ -30,7 +30,7 @@
 struct ControllerCounters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
-  std::uint64_t refusedForLoad = 0;  // of them, see LoadGate
+  std::uint64_t refusedForLoad = 0;  // of them, see LoadShedder
   std::uint64_t cancelled = 0;
   std::uint64_t starts = 0;
   std::uint64_t startsNotDone = 0;
@@ -169,7 +169,7 @@
   Random random;
   CycleTimer timer;
   net::LoopProbe loopProbe;
-  LoadGate loadGate;
+  LoadShedder loadShedder;
   bool cycleRequested = false;
   TimePoint summaryAt;
   ControllerCounters counters;
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -35,7 +35,7 @@
 }  // namespace
 
 std::optional<Answer> Controller::RefuseForLoad(const JobId& aJob) {
-  if (IsAdmitted(this->loadGate, this->random) ||
+  if (IsAdmitted(this->loadShedder, this->random) ||
       workflow::FindJob(this->State(), aJob.value)) {
     return std::nullopt;
   }
@@ -43,13 +43,13 @@
   ++this->counters.refusedForLoad;
   Answer answer;
   answer.status = AnswerStatus::Refused;
-  answer.retryAfterSeconds = RetryAfterSeconds(this->loadGate, this->random);
+  answer.retryAfterSeconds = RetryAfterSeconds(this->loadShedder, this->random);
   answer.reason = "the leader has more to do than it has time for";
   eventlog::Write(
       "job_refused_for_load",
       {{"job", aJob.value},
-       {"loop_delay_ms", WholeText(this->loadGate.delayMs)},
-       {"refused_share", std::to_string(this->loadGate.refusedShare)},
+       {"loop_delay_ms", WholeText(this->loadShedder.delayMs)},
+       {"refused_share", std::to_string(this->loadShedder.refusedShare)},
        {"retry_after_s", NumberText(answer.retryAfterSeconds)}});
   return answer;
 }
@@ -103,7 +103,7 @@
           return;
         }
         ++this->counters.accepted;
-        this->loadGate.waitingTasks += tasks;
+        this->loadShedder.waitingTasks += tasks;
         eventlog::Write("job_accepted",
                         {{"job", job},
                          {"queue", queue},
--- a/src/bramleypath/controller/LoadGate.cpp
+++ b/src/bramleypath/controller/LoadShedder.cpp
@@ -1,4 +1,4 @@
-#include "bramleypath/controller/LoadGate.h"
+#include "bramleypath/controller/LoadShedder.h"
 
 #include <algorithm>
 
@@ -24,31 +24,32 @@
 
 }  // namespace
 
-void OnLoopDelay(LoadGate& aGate, Duration aDelay, TimePoint aNow) {
+void OnLoopDelay(LoadShedder& aShedder, Duration aDelay, TimePoint aNow) {
   constexpr double kMicrosPerMilli = 1000;
   const double delayMs =
       static_cast<double>(std::max<std::int64_t>(0, aDelay.micros)) /
       kMicrosPerMilli;
-  aGate.delayMs += kSampleWeight * (delayMs - aGate.delayMs);
-  if (aNow < aGate.adjustAt) {
+  aShedder.delayMs += kSampleWeight * (delayMs - aShedder.delayMs);
+  if (aNow < aShedder.adjustAt) {
     return;
   }
-  aGate.adjustAt = aNow + kAdjustInterval;
-  const bool isBehind = aGate.waitingTasks > kFewWaitingTasks;
-  if (isBehind && aGate.delayMs > kHighDelayMs) {
-    aGate.refusedShare = std::min(1.0, aGate.refusedShare + kRise);
-  } else if (!isBehind || aGate.delayMs < kLowDelayMs) {
-    aGate.refusedShare = std::max(0.0, aGate.refusedShare - kFall);
+  aShedder.adjustAt = aNow + kAdjustInterval;
+  const bool isBehind = aShedder.waitingTasks > kFewWaitingTasks;
+  if (isBehind && aShedder.delayMs > kHighDelayMs) {
+    aShedder.refusedShare = std::min(1.0, aShedder.refusedShare + kRise);
+  } else if (!isBehind || aShedder.delayMs < kLowDelayMs) {
+    aShedder.refusedShare = std::max(0.0, aShedder.refusedShare - kFall);
   }
 }
 
-bool IsAdmitted(const LoadGate& aGate, Random& aRandom) {
-  return aGate.refusedShare <= 0 || NextUnit(aRandom) >= aGate.refusedShare;
+bool IsAdmitted(const LoadShedder& aShedder, Random& aRandom) {
+  return aShedder.refusedShare <= 0 ||
+         NextUnit(aRandom) >= aShedder.refusedShare;
 }
 
-std::uint32_t RetryAfterSeconds(const LoadGate& aGate, Random& aRandom) {
+std::uint32_t RetryAfterSeconds(const LoadShedder& aShedder, Random& aRandom) {
   const double longest =
-      std::max(kMinRetrySeconds, kMaxRetrySeconds * aGate.refusedShare);
+      std::max(kMinRetrySeconds, kMaxRetrySeconds * aShedder.refusedShare);
   return static_cast<std::uint32_t>(
       kMinRetrySeconds + NextUnit(aRandom) * (longest - kMinRetrySeconds) + 1);
 }
--- a/tests/controller/AnnouncementForwarderTest.cpp
+++ b/tests/controller/AnnouncementForwarderTest.cpp
@@ -64,8 +64,8 @@
   }
 
   void Deliver(const VirtualHosts::Frame& aFrame) {
-    if (aFrame.kind == kAnnouncementsTakenKind) {
-      this->forwarder.OnTaken(aFrame.from);
+    if (aFrame.kind == kAnnouncementsConfirmedKind) {
+      this->forwarder.OnConfirmed(aFrame.from);
     } else if (this->doesLeaderConfirm) {
       AnnouncementForwarder& receiver =
           aFrame.to == kLeader ? this->atLeader : this->atNextLeader;
--- a/tests/controller/LoadGateTest.cpp
+++ b/tests/controller/LoadShedderTest.cpp
@@ -1,4 +1,4 @@
-#include "bramleypath/controller/LoadGate.h"
+#include "bramleypath/controller/LoadShedder.h"
 
 #include <algorithm>
 #include <string>
@@ -14,10 +14,10 @@
 constexpr int kSamplesPerSummary = 2 * kSamplesPerSecond;
 constexpr std::uint32_t kTasksOfAJob = 20;
 
-// A leader that works off jobs at a limited rate, as the gate sees it: its loop
-// is delayed by the work that waits.
+// A leader that works off jobs at a limited rate, as the shedder sees it: its
+// loop is delayed by the work that waits.
 struct LoadedLeader {
-  LoadGate gate;
+  LoadShedder shedder;
   Random random{7};
   TimePoint now{Seconds(100).micros};
   double jobsPerSecond = 0;  // that it has the time for
@@ -40,20 +40,20 @@
       this->now = this->now + kSampleInterval;
       arrived += aArrivalsPerSecond / kSamplesPerSecond;
       for (; arrived >= 1; arrived -= 1) {
-        if (IsAdmitted(this->gate, this->random)) {
+        if (IsAdmitted(this->shedder, this->random)) {
           ++this->accepted;
           this->waitingJobs += 1;
-          this->gate.waitingTasks += kTasksOfAJob;
+          this->shedder.waitingTasks += kTasksOfAJob;
         }
       }
       this->waitingJobs = std::max(
           0.0, this->waitingJobs - this->jobsPerSecond / kSamplesPerSecond);
       this->maxWaitingJobs = std::max(this->maxWaitingJobs, this->waitingJobs);
       if (sample % kSamplesPerSummary == 0) {
-        this->gate.waitingTasks =
+        this->shedder.waitingTasks =
             kTasksOfAJob * static_cast<std::uint32_t>(this->waitingJobs);
       }
-      OnLoopDelay(this->gate,
+      OnLoopDelay(this->shedder,
                   Micros(static_cast<std::int64_t>(this->DelayMs() * 1000)),
                   this->now);
     }
@@ -62,8 +62,8 @@
 
 }  // namespace
 
-class LoadGateTest : public CppUnit::TestFixture {
-  CPPUNIT_TEST_SUITE(LoadGateTest);
+class LoadShedderTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(LoadShedderTest);
   CPPUNIT_TEST(testLoadBelowTheLimitIsAccepted);
   CPPUNIT_TEST(testLoadAboveTheLimitIsRefused);
   CPPUNIT_TEST(testLoadThatFallsIsAcceptedAgain);
@@ -78,7 +78,7 @@
       LoadedLeader leader;
       leader.jobsPerSecond = 20;
       leader.Run(60, share * leader.jobsPerSecond);
-      CPPUNIT_ASSERT_EQUAL(0.0, leader.gate.refusedShare);
+      CPPUNIT_ASSERT_EQUAL(0.0, leader.shedder.refusedShare);
     }
   }
 
@@ -108,50 +108,50 @@
     LoadedLeader leader;
     leader.jobsPerSecond = 20;
     leader.Run(20, 100);
-    CPPUNIT_ASSERT(leader.gate.refusedShare > 0);
+    CPPUNIT_ASSERT(leader.shedder.refusedShare > 0);
     leader.Run(15, 2);
-    CPPUNIT_ASSERT_EQUAL(0.0, leader.gate.refusedShare);
+    CPPUNIT_ASSERT_EQUAL(0.0, leader.shedder.refusedShare);
   }
 
   // Guards against a leader that refuses all jobs although none waits, since
   // its loop is delayed by other work.
   void testDelayWithoutWaitingTasksRefusesNothing() {
-    LoadGate gate;
-    gate.refusedShare = 1;
+    LoadShedder shedder;
+    shedder.refusedShare = 1;
     Random random{1};
     TimePoint now{Seconds(1).micros};
     for (int sample = 0; sample < 10 * kSamplesPerSecond; ++sample) {
       now = now + kSampleInterval;
-      OnLoopDelay(gate, Millis(90), now);
+      OnLoopDelay(shedder, Millis(90), now);
     }
-    CPPUNIT_ASSERT_EQUAL(0.0, gate.refusedShare);
-    CPPUNIT_ASSERT(IsAdmitted(gate, random));
+    CPPUNIT_ASSERT_EQUAL(0.0, shedder.refusedShare);
+    CPPUNIT_ASSERT(IsAdmitted(shedder, random));
   }
 
   // A snapshot or a slow cycle takes one turn of the loop.
   void testSinglePauseRefusesNothing() {
-    LoadGate gate;
+    LoadShedder shedder;
     Random random{1};
     TimePoint now{Seconds(1).micros};
     for (int sample = 0; sample < 100; ++sample) {
       now = now + kSampleInterval;
-      OnLoopDelay(gate, sample % 50 == 10 ? Millis(350) : Millis(5), now);
-      CPPUNIT_ASSERT(IsAdmitted(gate, random));
+      OnLoopDelay(shedder, sample % 50 == 10 ? Millis(350) : Millis(5), now);
+      CPPUNIT_ASSERT(IsAdmitted(shedder, random));
     }
   }
 
   void testRetryTimesGrowWithTheLoad() {
     Random random{1};
-    LoadGate gate;
-    gate.refusedShare = 0.1;
+    LoadShedder shedder;
+    shedder.refusedShare = 0.1;
     std::uint32_t longestLow = 0;
     std::uint32_t longestHigh = 0;
     for (int call = 0; call < 100; ++call) {
-      longestLow = std::max(longestLow, RetryAfterSeconds(gate, random));
+      longestLow = std::max(longestLow, RetryAfterSeconds(shedder, random));
     }
-    gate.refusedShare = 1;
+    shedder.refusedShare = 1;
     for (int call = 0; call < 100; ++call) {
-      const std::uint32_t seconds = RetryAfterSeconds(gate, random);
+      const std::uint32_t seconds = RetryAfterSeconds(shedder, random);
       CPPUNIT_ASSERT(seconds >= 1);
       longestHigh = std::max(longestHigh, seconds);
     }
@@ -159,6 +159,6 @@
   }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(LoadGateTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(LoadShedderTest);
 
 }  // namespace bramleypath::controller
