Check numbers, addresses, lengths and nesting of what others send in one place

Cause: each decoder converted numbers itself. A body of 15 KB with 1,000 steps of 10,000 tasks was accepted, which takes more memory than a leader has. After a sequence, a start or a state of draining that another writer had claimed, the announcements of the true worker counted as late for ever. CBOR that nests two million deep ended each process that read it: the JSON library recurses once for each level.

Ruled out: JSON text that nests deeply ended no process, since its parser doesn't recurse and the values were neither copied nor written; it is refused now before a value is built.

Change: codec/Bounded.h and codec/CborNesting.h hold the checks, and each decoder uses them; membership's own check of CBOR is gone. A job has 20,000 tasks at most. A worker that goes on to announce itself over two intervals, three times at least, wins against an entry that contradicts it, unless anything that agrees with the entry arrives meanwhile; a start more than a minute ahead of the cell's time of day is refused.

--- a/src/bramleypath/base/Resources.cpp
+++ b/src/bramleypath/base/Resources.cpp
@@ -24,6 +24,12 @@
                    aLeft.accelerators - aRight.accelerators};
 }
 
+bool IsPlausible(const Resources& aResources) {
+  constexpr Resources kNone;
+  constexpr Resources kMost{kMaxAmount, kMaxAmount, kMaxAmount};
+  return Fits(kNone, aResources) && Fits(aResources, kMost);
+}
+
 bool Fits(const Resources& aDemand, const Resources& aAvailable) {
   return aDemand.processorsMilli <= aAvailable.processorsMilli &&
          aDemand.memoryMb <= aAvailable.memoryMb &&
--- a/src/bramleypath/base/Resources.h
+++ b/src/bramleypath/base/Resources.h
@@ -17,6 +17,13 @@
 Resources operator+(const Resources& aLeft, const Resources& aRight);
 Resources operator-(const Resources& aLeft, const Resources& aRight);
 
+// Far above any machine, and low enough that the amounts of all workers can be
+// added.
+constexpr std::int64_t kMaxAmount = 1000000000000;
+
+// Whether each amount is from 0 to kMaxAmount.
+bool IsPlausible(const Resources& aResources);
+
 // Whether aDemand is at most aAvailable in each resource.
 bool Fits(const Resources& aDemand, const Resources& aAvailable);
 
--- a/src/bramleypath/cli/internal/ConfigCommands.cpp
+++ b/src/bramleypath/cli/internal/ConfigCommands.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "bramleypath/cli/internal/Commands.h"
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/config/Codec.h"
 
 namespace bramleypath::cli::detail {
@@ -329,7 +330,7 @@
 }
 
 ExitCode ConfigChange(const Session& aSession) {
-  const Json change = Json::parse(Operand(aSession), nullptr, false);
+  const Json change = codec::ParseJson(Operand(aSession));
   if (!change.is_object()) {
     return Fail(aSession, ExitCode::Usage, "the change is not a JSON object");
   }
--- a/src/bramleypath/cli/internal/LogCommands.cpp
+++ b/src/bramleypath/cli/internal/LogCommands.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "bramleypath/cli/internal/Commands.h"
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/explain/RequestTimeline.h"
 
 namespace bramleypath::cli::detail {
@@ -37,7 +38,7 @@
   if (aSession.json) {
     Json lines = Json::array();
     for (const explain::LogLine& line : aTimeline.lines) {
-      lines.push_back(Json::parse(line.text, nullptr, false));
+      lines.push_back(codec::ParseJson(line.text));
     }
     PrintJson(aSession,
               Json{{"job", aJob},
--- a/src/bramleypath/cli/internal/Session.cpp
+++ b/src/bramleypath/cli/internal/Session.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/codec/Bounded.h"
+
 namespace bramleypath::cli::detail {
 
 namespace {
@@ -49,7 +51,7 @@
     aFailures.Add(aHost, aReply.detail);
     return std::nullopt;
   }
-  Json body = Json::parse(aReply.body, nullptr, false);
+  Json body = codec::ParseJson(aReply.body);
   if (aReply.status == kUnavailable) {
     aFailures.mayBeReceived = true;
     aFailures.Add(aHost, "unavailable: " + TextOf(body, "error") + " " +
--- a/src/bramleypath/codec/CborWriter.h
+++ b/src/bramleypath/codec/CborWriter.h
@@ -8,27 +8,11 @@
 #include <type_traits>
 #include <vector>
 
+#include "bramleypath/codec/CborKinds.h"
 #include "bramleypath/codec/Fields.h"
 
 namespace bramleypath::codec {
 
-namespace detail {
-
-// Initial bytes of CBOR items (RFC 8949); the lengths are in the low five bits.
-constexpr std::uint8_t kCborUnsigned = 0x00;
-constexpr std::uint8_t kCborNegative = 0x20;
-constexpr std::uint8_t kCborBytes = 0x40;
-constexpr std::uint8_t kCborText = 0x60;
-constexpr std::uint8_t kCborArray = 0x80;
-constexpr std::uint8_t kCborOpenArray = 0x9f;
-constexpr std::uint8_t kCborOpenMap = 0xbf;
-constexpr std::uint8_t kCborFalse = 0xf4;
-constexpr std::uint8_t kCborTrue = 0xf5;
-constexpr std::uint8_t kCborNull = 0xf6;
-constexpr std::uint8_t kCborEnd = 0xff;
-
-}  // namespace detail
-
 // Appends CBOR items to a list of bytes without building the JSON value that
 // Json::to_cbor needs, which takes most of the time of a large snapshot. The
 // items are read like those that Json::to_cbor writes for ToJson.
--- a/src/bramleypath/codec/Fields.h
+++ b/src/bramleypath/codec/Fields.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "bramleypath/base/StrongId.h"
+#include "bramleypath/codec/CborNesting.h"
 
 // Converts structs to and from JSON values, which nlohmann::json also encodes
 // as CBOR. A struct supports this by a function VisitFields in its own
@@ -307,8 +308,11 @@
 }
 
 // Decodes CBOR bytes; is_discarded() is true for the result when they are
-// malformed.
+// malformed or nest deeper than kMaxNesting.
 inline Json ParseCbor(const std::vector<std::uint8_t>& aBytes) {
+  if (!CborNestsWithin(aBytes)) {
+    return Json(Json::value_t::discarded);
+  }
   try {
     return Json::from_cbor(aBytes, true, false);
   } catch (const Json::exception&) {
--- a/src/bramleypath/config/Codec.cpp
+++ b/src/bramleypath/config/Codec.cpp
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/config/internal/ConfigFields.h"
 #include "bramleypath/config/internal/Validation.h"
@@ -103,7 +104,7 @@
 // otherwise.
 std::optional<codec::Json> ParseText(std::string_view aText, bool aComments,
                                      JsonReason& aReason) {
-  codec::Json json = codec::Json::parse(aText, nullptr, false, aComments);
+  codec::Json json = codec::ParseJson(aText, aComments);
   if (json.is_discarded()) {
     aReason = JsonReason{"", "is not valid JSON"};
     return std::nullopt;
--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -4,6 +4,7 @@
 #include <set>
 #include <utility>
 
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/consensus/Codec.h"
 #include "bramleypath/controller/InitialVoters.h"
@@ -41,7 +42,7 @@
 
 template <typename T>
 std::optional<T> DecodeJson(const std::string& aText) {
-  const codec::Json json = codec::Json::parse(aText, nullptr, false);
+  const codec::Json json = codec::ParseJson(aText);
   T value;
   codec::FieldError error;
   if (json.is_discarded() || !codec::FromJson(json, "", value, error)) {
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -210,12 +210,21 @@
     return;
   }
   const workflow::WorkerSpec& announced = aAnnouncement.worker;
-  const auto changed =
-      workflow::SpecToCommit(*this->scheduler, this->State(), aAnnouncement);
+  const TimePoint now = net::Now();
+  if (!workflow::IsPlausibleStart(announced, this->group->AgreedUnixMs(now))) {
+    eventlog::Write("announcement_implausible",
+                    {{"worker", announced.id.value},
+                     {"born", std::to_string(announced.startedUnixMs)}});
+    aCallback(Answer{AnswerStatus::Refused, 0,
+                     "it says that it starts in the future"});
+    return;
+  }
+  const auto changed = workflow::SpecToCommit(*this->scheduler, this->State(),
+                                              aAnnouncement, now);
   if (!changed) {
     const workflow::Worker* const known =
         workflow::FindWorker(this->State(), announced.id.value);
-    if (known->spec.startedUnixMs == announced.startedUnixMs) {
+    if (workflow::IsOfRegistered(*this->scheduler, *known, aAnnouncement)) {
       this->OnUnchangedAnnouncement(known->number, aAnnouncement.clockMs);
     }
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
--- a/src/bramleypath/explain/LogLine.cpp
+++ b/src/bramleypath/explain/LogLine.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/codec/Fields.h"
 
 namespace bramleypath::explain {
@@ -22,7 +23,7 @@
 }  // namespace
 
 std::optional<LogLine> ParseLine(std::string_view aText, std::string& aReason) {
-  const Json json = Json::parse(aText, nullptr, false);
+  const Json json = codec::ParseJson(aText);
   if (!json.is_object()) {
     aReason = "is not a JSON object";
     return std::nullopt;
--- a/src/bramleypath/membership/Codec.cpp
+++ b/src/bramleypath/membership/Codec.cpp
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "bramleypath/codec/CborNesting.h"
+
 namespace bramleypath::membership {
 
 namespace {
@@ -24,37 +26,6 @@
 constexpr std::size_t kMaxDepth = 8;
 constexpr std::int64_t kMaxAgeMillis = 1000LL * 3600 * 24 * 365;
 
-// Refuses deeply nested input before the recursive parser runs on it.
-struct DepthCheck : nlohmann::json_sax<Json> {
-  std::size_t depth = 0;
-
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t&) override { return true; }
-  bool string(string_t&) override { return true; }
-  bool binary(binary_t&) override { return true; }
-  bool start_object(std::size_t) override { return this->Enter(); }
-  bool key(string_t&) override { return true; }
-  bool end_object() override { return this->Leave(); }
-  bool start_array(std::size_t) override { return this->Enter(); }
-  bool end_array() override { return this->Leave(); }
-  bool parse_error(std::size_t, const std::string&,
-                   const nlohmann::detail::exception&) override {
-    return false;
-  }
-
-  bool Enter() {
-    ++this->depth;
-    return this->depth <= kMaxDepth;
-  }
-  bool Leave() {
-    --this->depth;
-    return true;
-  }
-};
-
 Json Millis(Duration aLength) { return ToMillis(aLength); }
 
 Json ToWire(const TargetRecord& aRecord) {
@@ -373,8 +344,7 @@
     aReason = CodecReason{CodecError::TooLarge, "message"};
     return std::nullopt;
   }
-  DepthCheck check;
-  if (!Json::sax_parse(aBytes, &check, Json::input_format_t::cbor)) {
+  if (!codec::CborNestsWithin(aBytes, kMaxDepth)) {
     aReason = CodecReason{CodecError::NotCbor, "message"};
     return std::nullopt;
   }
--- a/src/bramleypath/net/Http.cpp
+++ b/src/bramleypath/net/Http.cpp
@@ -1,5 +1,7 @@
 #include "bramleypath/net/Http.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
 #include <cctype>
 #include <charconv>
@@ -58,6 +60,14 @@
   return true;
 }
 
+bool IsCallableAddress(std::string_view aText) {
+  std::string ip;
+  std::uint16_t port = 0;
+  in_addr binary = {};
+  return SplitAddress(aText, ip, port) && port != 0 &&
+         inet_pton(AF_INET, ip.c_str(), &binary) == 1;
+}
+
 HttpResponse JsonResponse(std::uint32_t aStatus, const nlohmann::json& aBody) {
   HttpResponse response;
   response.status = aStatus;
--- a/src/bramleypath/net/Http.h
+++ b/src/bramleypath/net/Http.h
@@ -50,6 +50,10 @@
 bool SplitAddress(std::string_view aText, std::string& aIp,
                   std::uint16_t& aPort);
 
+// Whether aText is an IPv4 address and a port other than 0, to which requests
+// can be sent.
+bool IsCallableAddress(std::string_view aText);
+
 // A response with a JSON body. Bytes that are not UTF-8 are replaced.
 HttpResponse JsonResponse(std::uint32_t aStatus, const nlohmann::json& aBody);
 // A JSON response {"error": aDetail, "field": aField}; an empty field is left
--- a/src/bramleypath/wire/TargetMessages.cpp
+++ b/src/bramleypath/wire/TargetMessages.cpp
@@ -39,8 +39,6 @@
     return std::nullopt;
   }
   constexpr std::uint32_t kMaxSlots = 65536;
-  std::string ip;
-  std::uint16_t port = 0;
   if (record->target.empty() || record->service.empty()) {
     aReason = {record->target.empty() ? "target" : "service", "is empty"};
     return std::nullopt;
@@ -53,8 +51,8 @@
     aReason = {"connections", "must be from 1 to 65536"};
     return std::nullopt;
   }
-  if (!net::SplitAddress(record->address, ip, port) || port == 0) {
-    aReason = {"address", "must be an address ip:port"};
+  if (!net::IsCallableAddress(record->address)) {
+    aReason = {"address", "must be an IPv4 address ip:port"};
     return std::nullopt;
   }
   return record;
--- a/src/bramleypath/wire/WorkerMessages.cpp
+++ b/src/bramleypath/wire/WorkerMessages.cpp
@@ -310,10 +310,13 @@
   if (!parsed) {
     return std::nullopt;
   }
-  std::string ip;
-  std::uint16_t port = 0;
-  if (!net::SplitAddress(parsed->address, ip, port) || port == 0) {
-    aReason = {"address", "must be an address ip:port"};
+  if (!net::IsCallableAddress(parsed->address)) {
+    aReason = {"address", "must be an IPv4 address ip:port"};
+    return std::nullopt;
+  }
+  if (!IsPlausible(
+          {parsed->processorsMilli, parsed->memoryMb, parsed->accelerators})) {
+    aReason = {"processors_milli", "or another capacity is out of range"};
     return std::nullopt;
   }
   const auto message = FromDto(parsed->message, aReason);
--- a/src/bramleypath/wire/internal/JsonBody.h
+++ b/src/bramleypath/wire/internal/JsonBody.h
@@ -4,6 +4,7 @@
 #include <string_view>
 #include <utility>
 
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/wire/WireReason.h"
 
@@ -14,7 +15,7 @@
 // fields of the struct.
 template <typename T>
 std::optional<T> ParseBody(std::string_view aText, WireReason& aReason) {
-  const codec::Json json = codec::Json::parse(aText, nullptr, false);
+  const codec::Json json = codec::ParseJson(aText);
   if (json.is_discarded()) {
     aReason = {"", "the body is not JSON"};
     return std::nullopt;
--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -12,9 +12,54 @@
                    std::min(aLeft.accelerators, aRight.accelerators)};
 }
 
+// Late announcements arrive together once a link is back, while a worker
+// announces itself at intervals.
+constexpr std::uint32_t kPersistentCount = 3;
+constexpr std::int64_t kPersistentIntervals = 2;
+
+// Records an announcement that the entry contradicts. Returns whether the
+// worker has gone on to announce itself so.
+bool IsPersistent(Contradictions& aContradictions,
+                  const Announcement& aAnnouncement, Duration aInterval,
+                  TimePoint aNow) {
+  const std::int64_t startedUnixMs = aAnnouncement.worker.startedUnixMs;
+  if (aContradictions.count == 0 ||
+      aContradictions.startedUnixMs != startedUnixMs ||
+      aAnnouncement.sequence < aContradictions.latest) {
+    aContradictions =
+        Contradictions{startedUnixMs, aAnnouncement.sequence, 1, aNow};
+    return false;
+  }
+  if (aAnnouncement.sequence == aContradictions.latest) {
+    return false;
+  }
+  aContradictions.latest = aAnnouncement.sequence;
+  ++aContradictions.count;
+  return aContradictions.count >= kPersistentCount &&
+         !(aNow - aContradictions.since < aInterval * kPersistentIntervals);
+}
+
+// The worker has gone on to announce itself although the entry contradicts it,
+// so that the entry doesn't show an announcement of its own.
+WorkerSpec TakeContradicting(WorkerSession& aSession,
+                             const Announcement& aAnnouncement) {
+  aSession.newestAnnouncement = aAnnouncement.sequence;
+  aSession.contradictions = Contradictions();
+  return aAnnouncement.worker;
+}
+
 // The spec that follows from an announcement of the known incarnation.
 WorkerSpec Update(const Worker& aKnown, WorkerSession& aSession,
-                  const Announcement& aAnnouncement) {
+                  const Announcement& aAnnouncement, Duration aInterval,
+                  TimePoint aNow) {
+  // A worker that drains never stops draining.
+  const bool isLate = aAnnouncement.sequence < aSession.newestAnnouncement;
+  if (!isLate && aAnnouncement.worker.draining >= aKnown.spec.draining) {
+    aSession.contradictions = Contradictions();
+  } else if (IsPersistent(aSession.contradictions, aAnnouncement, aInterval,
+                          aNow)) {
+    return TakeContradicting(aSession, aAnnouncement);
+  }
   WorkerSpec spec = aKnown.spec;
   const std::uint64_t newest = aSession.newestAnnouncement;
   if (aAnnouncement.sequence >= newest) {
@@ -28,7 +73,6 @@
   if (!isConfirmed) {
     spec.capacity = LowerOf(spec.capacity, aKnown.spec.capacity);
   }
-  // An incarnation that drains never stops draining.
   spec.draining = aAnnouncement.worker.draining || aKnown.spec.draining;
   return spec;
 }
@@ -42,38 +86,68 @@
          aLeft.draining == aRight.draining;
 }
 
+bool IsPlausibleStart(const WorkerSpec& aWorker, std::int64_t aUnixMs) {
+  constexpr std::int64_t kMaxClockLeadMs = 60000;
+  return aWorker.startedUnixMs <= aUnixMs + kMaxClockLeadMs;
+}
+
+bool IsOfRegistered(const Scheduler& aScheduler, const Worker& aKnown,
+                    const Announcement& aAnnouncement) {
+  const auto session = aScheduler.sessions.find(aKnown.number);
+  const std::int64_t registered = aKnown.spec.startedUnixMs;
+  return aAnnouncement.worker.startedUnixMs ==
+         (session == aScheduler.sessions.end()
+              ? registered
+              : session->second.confirmedStartUnixMs.value_or(registered));
+}
+
 std::optional<WorkerSpec> SpecToCommit(Scheduler& aScheduler,
                                        const State& aState,
-                                       const Announcement& aAnnouncement) {
+                                       const Announcement& aAnnouncement,
+                                       TimePoint aNow) {
   const WorkerSpec& announced = aAnnouncement.worker;
   const Worker* const known = FindWorker(aState, announced.id.value);
   if (!known || announced.startedUnixMs > known->spec.startedUnixMs) {
     return announced;
   }
-  const auto session = aScheduler.sessions.find(known->number);
-  if (announced.startedUnixMs < known->spec.startedUnixMs ||
-      session == aScheduler.sessions.end()) {
+  const auto found = aScheduler.sessions.find(known->number);
+  if (found == aScheduler.sessions.end()) {
+    return std::nullopt;
+  }
+  WorkerSession& session = found->second;
+  const Duration interval = aScheduler.settings.announceInterval;
+  WorkerSpec spec;
+  if (IsOfRegistered(aScheduler, *known, aAnnouncement)) {
+    spec = Update(*known, session, aAnnouncement, interval, aNow);
+  } else if (IsPersistent(session.contradictions, aAnnouncement, interval,
+                          aNow)) {
+    session.confirmedStartUnixMs = announced.startedUnixMs;
+    spec = TakeContradicting(session, aAnnouncement);
+  } else {
     return std::nullopt;
   }
-  WorkerSpec spec = Update(*known, session->second, aAnnouncement);
+  spec.startedUnixMs = known->spec.startedUnixMs;
   return IsSameSpec(spec, known->spec) ? std::nullopt
                                        : std::optional(std::move(spec));
 }
 
 void OnUnchanged(Scheduler& aScheduler, WorkerNumber aWorker,
                  std::uint64_t aSequence) {
-  const auto session = aScheduler.sessions.find(aWorker);
-  if (session != aScheduler.sessions.end()) {
-    session->second.newestAnnouncement =
-        std::max(session->second.newestAnnouncement, aSequence);
+  const auto found = aScheduler.sessions.find(aWorker);
+  if (found == aScheduler.sessions.end()) {
+    return;
+  }
+  WorkerSession& session = found->second;
+  if (aSequence >= session.newestAnnouncement) {
+    session.newestAnnouncement = aSequence;
+    session.contradictions = Contradictions();
   }
 }
 
 void OnRegistered(Scheduler& aScheduler, const State& aState,
                   const Announcement& aAnnouncement) {
   const Worker* const known = FindWorker(aState, aAnnouncement.worker.id.value);
-  if (known &&
-      known->spec.startedUnixMs == aAnnouncement.worker.startedUnixMs) {
+  if (known && IsOfRegistered(aScheduler, *known, aAnnouncement)) {
     OnUnchanged(aScheduler, known->number, aAnnouncement.sequence);
   }
 }
--- a/src/bramleypath/workflow/Announcements.h
+++ b/src/bramleypath/workflow/Announcements.h
@@ -19,12 +19,29 @@
 // Whether both specs of one incarnation are equal.
 bool IsSameSpec(const WorkerSpec& aLeft, const WorkerSpec& aRight);
 
+// Whether the worker can have started when it says, by the replicated time of
+// day. Clocks of workers may be wrong by less than a minute.
+bool IsPlausibleStart(const WorkerSpec& aWorker, std::int64_t aUnixMs);
+
+// Whether the announcement is of the incarnation that is registered.
+bool IsOfRegistered(const Scheduler& aScheduler, const Worker& aKnown,
+                    const Announcement& aAnnouncement);
+
 // The entry of the worker to be committed because of the announcement; none if
 // the replicated entry stays as it is. An announcement that arrives after a
-// later one of the same incarnation changes nothing but the state of draining.
+// later one of the same incarnation changes nothing but the state of draining,
+// and a worker that drains goes on draining.
+//
+// What the entry shows may be false, since other programs write announcements
+// too. If a worker goes on to announce itself for longer than late
+// announcements can arrive, and nothing that agrees with the entry arrives
+// meanwhile, it is taken to be as it says. A registered start is kept in the
+// entry even if it is later than the true one, because replicas ignore entries
+// with an earlier start.
 std::optional<WorkerSpec> SpecToCommit(Scheduler& aScheduler,
                                        const State& aState,
-                                       const Announcement& aAnnouncement);
+                                       const Announcement& aAnnouncement,
+                                       TimePoint aNow);
 
 // An announcement of the given sequence number shows the replicated entry of
 // the worker.
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -86,6 +86,16 @@
 // follow in the order of their times.
 enum class RenewalClass : std::uint8_t { LongRunning, Busy, Other };
 
+// Announcements of a worker that its entry contradicts, each of them later than
+// the one before: they are older than the latest one received, or they say that
+// it doesn't drain.
+struct Contradictions {
+  std::int64_t startedUnixMs = 0;
+  std::uint64_t latest = 0;  // sequence
+  std::uint32_t count = 0;
+  TimePoint since;
+};
+
 // The leader's view of one worker incarnation.
 struct WorkerSession {
   WorkerNumber worker = 0;
@@ -98,6 +108,10 @@
   // The incarnation was registered under an earlier leader, whose highest
   // sequence is unknown.
   bool isInherited = false;
+  Contradictions contradictions;
+  // Start of the process that goes on announcing itself, if the registered
+  // start is a later one that another writer claimed; see SpecToCommit.
+  std::optional<std::int64_t> confirmedStartUnixMs;
   std::optional<ClockSample> clock;
   // Leases may be granted before then, since the log permits it.
   TimePoint permittedUntil;
--- a/tests/platform/MessagesTest.cpp
+++ b/tests/platform/MessagesTest.cpp
@@ -54,13 +54,46 @@
 // Each change makes one field of a heartbeat invalid, as a different program
 // might send it.
 const ChangeCase kInvalidHeartbeats[] = {
-    {"/service", kRemoved},  {"/service", 7},           {"/address", "nowhere"},
-    {"/address", kRemoved},  {"/state", "dancing"},     {"/state", kRemoved},
-    {"/capacity", kRemoved}, {"/capacity/cpu", "many"}, {"/capacity/cpu", -1},
-    {"/labels", "k"},        {"/labels/0", 5},          {"/sequence", "four"},
-    {"/sequence", kRemoved}, {"/born", "yesterday"},
+    {"/service", kRemoved},
+    {"/service", 7},
+    {"/address", "nowhere"},
+    {"/address", kRemoved},
+    {"/state", "dancing"},
+    {"/state", kRemoved},
+    {"/capacity", kRemoved},
+    {"/capacity/cpu", "many"},
+    {"/capacity/cpu", -1},
+    {"/labels", "k"},
+    {"/labels/0", 5},
+    {"/sequence", "four"},
+    {"/sequence", kRemoved},
+    {"/born", "yesterday"},
+    {"/capacity/cpu", 1e300},
+    {"/capacity/cpu", 9223372036854775807},
+    {"/capacity/memoryRequestMb", 18446744073709551615U},
+    {"/capacity/gpu", 1e18},
+    {"/capacity/gpu", -1},
+    {"/sequence", 9223372036854775807},
+    {"/sequence", 18446744073709551615U},
+    {"/sequence", 1e300},
+    {"/born", 9223372036854775807},
+    {"/born", 1e300},
+    {"/born", -1},
+    {"/address", "10.0.0.9:0"},
+    {"/address", "10.0.0.9:65536"},
+    {"/address", "10.0.0.9:99999999999"},
+    {"/address", "10.0.0.9:-1"},
+    {"/address", "10.0.0.9.1:80"},
+    {"/address", "10.0.0.256:80"},
+    {"/address", "worker:80"},
+    {"/service", std::string(100000, 's')},
+    {"/labels/0", std::string(100000, 'l')},
+    {"/labels", Json::array_t(1000, "l")},
 };
 
+// Each level of nesting costs readers that recurse a part of their stack.
+constexpr std::size_t kManyLevels = 2000000;
+
 const ChangeCase kInvalidLayouts[] = {
     {"/version", kRemoved},
     {"/version", "7"},
@@ -97,6 +130,11 @@
     {"/limits/maxBodyBytes", -1},
     {"/version", 7.5},
     {"/version", -7},
+    {"/version", 9223372036854775807},
+    {"/version", 18446744073709551615U},
+    {"/version", 1e300},
+    {"/routes/0/priority", 18446744073709551615U},
+    {"/routes/0/timeoutMs", 1e300},
 };
 
 // Bodies that hold more or less than one configuration.
@@ -135,6 +173,18 @@
     {"/steps/1/after", Json::array({1})},
     {"/steps/1/after", Json::array({"0"})},
     {"/specification", std::string(4001, 'x')},
+    {"/steps/0/cpu", 1e300},
+    {"/steps/0/cpu", 9223372036854775807},
+    {"/steps/0/memoryRequestMb", 18446744073709551615U},
+    {"/steps/0/gpu", 1e18},
+    {"/steps/0/count", 4294967297},
+    {"/steps/0/estimatedMs", 4294967296},
+    {"/steps/0/maxPerServer", 4294967297},
+    {"/steps/0/targetMs", 1e300},
+    {"/steps/0/missAllowance", 4294967296},
+    {"/repetitions", 4294967297},
+    {"/firstRunMs", 1e300},
+    {"/intervalMs", 9223372036854775807},
 };
 
 net::ClientResult MakeAnswer(std::uint32_t aStatus, const std::string& aBody) {
@@ -156,6 +206,7 @@
   CPPUNIT_TEST_SUITE(MessagesTest);
   CPPUNIT_TEST(testHeartbeat);
   CPPUNIT_TEST(testInvalidHeartbeats);
+  CPPUNIT_TEST(testNestedBodies);
   CPPUNIT_TEST(testLayout);
   CPPUNIT_TEST(testInvalidLayouts);
   CPPUNIT_TEST(testUnreadableLayouts);
@@ -163,6 +214,7 @@
   CPPUNIT_TEST(testTruncatedBodies);
   CPPUNIT_TEST(testJob);
   CPPUNIT_TEST(testInvalidJobs);
+  CPPUNIT_TEST(testShortBodyWithManyTasks);
   CPPUNIT_TEST(testTaskNames);
   CPPUNIT_TEST(testOutcomes);
   CPPUNIT_TEST(testRenewLeaseAnswer);
@@ -196,6 +248,22 @@
     }
   }
 
+  // Guards against an entry of another writer that ends the process that reads
+  // it, or that is read although no worker writes such a one.
+  void testNestedBodies() {
+    const std::string deep =
+        std::string(kManyLevels, '[') + "1" + std::string(kManyLevels, ']');
+    Json heartbeat = HeartbeatBody();
+    heartbeat["labels"] = Json::array();
+    std::string body = heartbeat.dump();
+    body.insert(body.find("\"labels\":[") + 10, deep + ",");
+    std::string reason;
+    CPPUNIT_ASSERT(!DecodeHeartbeat("i-1", body, reason));
+    CPPUNIT_ASSERT(!DecodeHeartbeat("i-1", deep, reason));
+    CPPUNIT_ASSERT(!DecodeLayout(deep, reason));
+    CPPUNIT_ASSERT(!DecodeJob("0a", workflow::QueueId("q"), deep, reason));
+  }
+
   void testLayout() {
     std::string reason;
     const std::string body = LayoutBody().dump();
@@ -278,6 +346,21 @@
     }
   }
 
+  // Guards against a short body that takes all memory of the leader.
+  void testShortBodyWithManyTasks() {
+    Json body = JobBody();
+    const Json step = {{"count", 10000}, {"cpu", 500}};
+    body["steps"] = Json::array({step, step});
+    std::string reason;
+    CPPUNIT_ASSERT(
+        DecodeJob("0a", workflow::QueueId("q"), body.dump(), reason));
+    body["steps"] = Json(Json::array_t(1000, step));
+    CPPUNIT_ASSERT(
+        !DecodeJob("0a", workflow::QueueId("q"), body.dump(), reason));
+    CPPUNIT_ASSERT_EQUAL(std::string("the steps have more than 20000 tasks"),
+                         reason);
+  }
+
   void testTaskNames() {
     const auto read = DecodeTaskName("5c0e.3.1.17");
     CPPUNIT_ASSERT(read.has_value());
--- a/tests/platform/WorkerListsTest.cpp
+++ b/tests/platform/WorkerListsTest.cpp
@@ -54,6 +54,7 @@
   CPPUNIT_TEST_SUITE(WorkerListsTest);
   CPPUNIT_TEST(testRowsOfAnyShape);
   CPPUNIT_TEST(testFieldsOfAnyType);
+  CPPUNIT_TEST(testNumbersOutOfRange);
   CPPUNIT_TEST(testRowCostsFewAllocations);
   CPPUNIT_TEST_SUITE_END();
 
@@ -79,6 +80,19 @@
         {R"({"running":[],"ended":[[1,"a.0.0.1",1,"odd",""],3]})", true, 0, 0,
          2},
         {R"({"running":[],"ended":[["a.0.0.1",1,"",5]]})", true, 0, 0, 1},
+        // A number that is cut could be that of another attempt or end.
+        {R"({"running":[["a.0.0.1",4294967297,"",5]],"ended":[]})", true, 0, 0,
+         1},
+        {R"({"running":[["a.0.0.1",1e300,"",5]],"ended":[]})", true, 0, 0, 1},
+        {R"({"running":[],"ended":[[1,"a.0.0.1",4294967297,"done",""]]})", true,
+         0, 0, 1},
+        {R"({"running":[],"ended":[[18446744073709551615,"a.0.0.1",1,"done",
+          ""]]})",
+         true, 0, 0, 1},
+        {R"({"running":[],"ended":[[1e300,"a.0.0.1",1,"done",""]]})", true, 0,
+         0, 1},
+        {R"({"running":[["a.0.0.1",1,"",1e300,-1e300]],"ended":[]})", true, 1,
+         0, 0},
         {R"({"running":[3],"running":[],"ended":[]})", true, 0, 0, 0},
         {R"({"running":[],"running":{},"ended":[]})", false, 0, 0, 0},
         {R"({"running":{"running":[]},"ended":[]})", false, 0, 0, 0},
@@ -118,6 +132,18 @@
     CPPUNIT_ASSERT(workflow::EndKind::Stopped == read.ended[0].kind);
   }
 
+  // Guards against numbers that are cut, which depends on the architecture.
+  void testNumbersOutOfRange() {
+    const WorkerLists read = ReadWorkerLists(
+        R"({"clockMs":1e300,"born":9223372036854775808,"running":
+          [["a.0.0.1",1,"",1e300,4294967299]],"ended":[]})");
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), read.clockMs);
+    CPPUNIT_ASSERT_EQUAL(std::int64_t(0), read.startedUnixMs);
+    CPPUNIT_ASSERT_EQUAL(std::size_t(1), read.running.size());
+    CPPUNIT_ASSERT_EQUAL(0U, read.running[0].percent);
+    CPPUNIT_ASSERT_EQUAL(4294967295U, read.running[0].load);
+  }
+
   // Guards against a leader that builds a JSON value for each list of a worker,
   // which took an eighth of its processor time with 490 workers.
   void testRowCostsFewAllocations() {
--- a/tests/workflow/CapacityTest.cpp
+++ b/tests/workflow/CapacityTest.cpp
@@ -88,7 +88,7 @@
     OnStateChanged(scheduler, state, now);
     Announcement announcement{MakeWorker("w"), report.sequence, 0};
     announcement.worker.capacity.processorsMilli = report.processorsMilli;
-    const auto changed = SpecToCommit(scheduler, state, announcement);
+    const auto changed = SpecToCommit(scheduler, state, announcement, now);
     if (changed) {
       Apply(state, RegisterWorker{*changed});
     }
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -224,7 +224,7 @@
 
 void CellModel::Receive(const Announcement& aAnnouncement) {
   const auto changed =
-      SpecToCommit(*this->scheduler, this->state, aAnnouncement);
+      SpecToCommit(*this->scheduler, this->state, aAnnouncement, this->now);
   if (changed) {
     this->ApplyCommand(RegisterWorker{*changed});
     OnStateChanged(*this->scheduler, this->state, this->now);
