Let fillers go on that can't be the cause of an excess

A serving task that is over its target slows all fillers of its worker to a standstill, whatever they add: the effect of each was estimated at 0.005 at least so that every filler is slowed in the end. Most pairs of images add nothing, and a fifth of the reports over the target came while no filler worked.

Change: a filler keeps its pace if it, with those that add less, can't explain more than half of the excess by twice the deviation of its estimate; an excess above 0.3 excuses no more. All fillers still stop after 2 s. If the task is over its target while all of them stand still, it is so by its own load, and the 2 s begin again.

Test: with a filler that adds nothing beside a task whose load swings, the filler worked for none of the time over the target before, and works for more than half of it now, for at most 3.5 s without a stop.

--- a/src/bramleypath/workflow/TailModel.cpp
+++ b/src/bramleypath/workflow/TailModel.cpp
@@ -87,4 +87,12 @@
                                             kBand, kDeviationMargin);
 }
 
+double PlausibleAddedLevel(const TailModel& aModel, ClassIndex aServing,
+                           ClassIndex aFiller, double aProcessors) {
+  constexpr double kDeviationMargin = 2;
+  return aProcessors *
+         placement::PredictAddedLogSlowdown(aModel.table, aServing, aFiller,
+                                            kBand, kDeviationMargin);
+}
+
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/TailModel.h
+++ b/src/bramleypath/workflow/TailModel.h
@@ -42,4 +42,10 @@
                          placement::ClassIndex aServing,
                          placement::ClassIndex aFiller, double aProcessors);
 
+// The most that the filler may plausibly add, by the uncertainty of the
+// estimate.
+double PlausibleAddedLevel(const TailModel& aModel,
+                           placement::ClassIndex aServing,
+                           placement::ClassIndex aFiller, double aProcessors);
+
 }  // namespace bramleypath::workflow
--- a/src/bramleypath/workflow/TailPacing.cpp
+++ b/src/bramleypath/workflow/TailPacing.cpp
@@ -26,12 +26,20 @@
 // Lower bound on the estimate of what a filler adds to a level, so that every
 // filler is slowed in the end.
 constexpr double kMinAdded = 0.005;
+// Fillers may go on if what they plausibly add is at most this share of the
+// excess of a serving task, so that it would be over its target without them.
+constexpr double kExcusedShare = 0.5;
+// A larger excess excuses no more fillers, since effects that add to so high a
+// level are hardly known.
+constexpr double kMaxExcusingExcess = 0.3;
 
 // Paces and the levels that are expected with them.
 struct PacingState {
   gsl::span<const PacedFiller> fillers;
   std::vector<double> levels;
   std::vector<double> percents;
+  // By serving task and filler: can't be the cause of the task's excess.
+  std::vector<std::vector<bool>> excused;
 };
 
 double AddedAt(const PacingState& aPacing, std::size_t aFiller,
@@ -48,6 +56,36 @@
   }
 }
 
+// The fillers that together can't be the cause of the excess of a serving task,
+// beginning with those that plausibly add least.
+std::vector<bool> ExcusedFillers(gsl::span<const PacedFiller> aFillers,
+                                 const ServingLevel& aServing,
+                                 std::size_t aIndex) {
+  std::vector<bool> excused(aFillers.size(), false);
+  std::vector<std::size_t> order;
+  for (std::size_t filler = 0; filler < aFillers.size(); ++filler) {
+    if (aIndex < aFillers[filler].plausible.size()) {
+      order.push_back(filler);
+    }
+  }
+  std::sort(order.begin(), order.end(),
+            [&](std::size_t aLeft, std::size_t aRight) {
+              return aFillers[aLeft].plausible[aIndex] <
+                     aFillers[aRight].plausible[aIndex];
+            });
+  const double excess =
+      std::min({aServing.level, aServing.newestLevel, kMaxExcusingExcess});
+  double left = kExcusedShare * excess;
+  for (const std::size_t filler : order) {
+    left -= aFillers[filler].plausible[aIndex];
+    if (left < 0) {
+      break;
+    }
+    excused[filler] = true;
+  }
+  return excused;
+}
+
 // Slows the fillers that add most to the level of one serving task.
 void SlowFillers(PacingState& aPacing, std::size_t aServing) {
   std::vector<std::size_t> order(aPacing.percents.size());
@@ -64,6 +102,9 @@
     if (excess <= 0) {
       return;
     }
+    if (aPacing.excused[aServing][filler]) {
+      continue;
+    }
     const double percent =
         aPacing.percents[filler] - excess / AddedAt(aPacing, filler, aServing);
     SetPercent(aPacing, filler, percent < kMinPercent ? 0 : percent);
@@ -92,6 +133,9 @@
 void SpeedUp(PacingState& aPacing, std::size_t aFiller) {
   double step = std::min(kSpeedUpStep, kFullPace - aPacing.percents[aFiller]);
   for (std::size_t serving = 0; serving < aPacing.levels.size(); ++serving) {
+    if (aPacing.excused[serving][aFiller]) {
+      continue;
+    }
     const double headroom = kSpeedUpToLevel - aPacing.levels[serving];
     step = std::min(step, headroom / AddedAt(aPacing, aFiller, serving));
   }
@@ -112,17 +156,19 @@
 
 std::vector<std::uint32_t> PaceFillers(gsl::span<const PacedFiller> aFillers,
                                        gsl::span<const ServingLevel> aServing) {
+  if (MustStopFillers(aServing)) {
+    return std::vector<std::uint32_t>(aFillers.size(), 0);
+  }
   PacingState pacing;
   pacing.fillers = aFillers;
-  for (const ServingLevel& serving : aServing) {
-    pacing.levels.push_back(serving.level);
+  for (std::size_t serving = 0; serving < aServing.size(); ++serving) {
+    pacing.levels.push_back(aServing[serving].level);
+    pacing.excused.push_back(
+        ExcusedFillers(aFillers, aServing[serving], serving));
   }
   for (const PacedFiller& filler : aFillers) {
     pacing.percents.push_back(filler.percent);
   }
-  if (MustStopFillers(aServing)) {
-    return std::vector<std::uint32_t>(aFillers.size(), 0);
-  }
   for (std::size_t serving = 0; serving < pacing.levels.size(); ++serving) {
     if (pacing.levels[serving] > kSlowDownAboveLevel ||
         kSmallExcessLimit < aServing[serving].overTargetFor) {
--- a/src/bramleypath/workflow/TailPacing.h
+++ b/src/bramleypath/workflow/TailPacing.h
@@ -15,6 +15,9 @@
   // What it adds at full pace to the tail level of each serving task on the
   // worker, in the order of aServing below.
   std::vector<double> added;
+  // The most that it may plausibly add, in the same order; empty if nothing is
+  // known about it.
+  std::vector<double> plausible = {};
 };
 
 // A serving task, as input to PaceFillers.
@@ -23,6 +26,8 @@
   // How long the tail has been at or over the target. Reports are rounded to
   // whole milliseconds, so that a tail equal to the target may be over it.
   Duration overTargetFor;
+  // Of the newest report, which the level smooths.
+  double newestLevel = 0;
 };
 
 // Whether a serving task has been over its target for so long that all fillers
@@ -36,6 +41,10 @@
 // are slowed at once. If the task stays over its target nevertheless, all
 // fillers are stopped. A filler returns to full pace in steps, as far as the
 // levels of all serving tasks allow.
+//
+// A serving task may be over its target by its own load alone. Fillers that
+// together can't plausibly explain its excess keep their pace until all fillers
+// are stopped.
 std::vector<std::uint32_t> PaceFillers(gsl::span<const PacedFiller> aFillers,
                                        gsl::span<const ServingLevel> aServing);
 
--- a/src/bramleypath/workflow/internal/Pacing.cpp
+++ b/src/bramleypath/workflow/internal/Pacing.cpp
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <utility>
 
 #include "bramleypath/workflow/TailPacing.h"
@@ -13,6 +14,7 @@
   std::vector<std::pair<TaskKey, Attempt*>> fillerAttempts;
   // Image and smoothed level of each serving task.
   std::vector<placement::ClassIndex> serving;
+  std::vector<Attempt*> servingAttempts;
   std::vector<ServingLevel> levels;
 };
 
@@ -35,10 +37,12 @@
     }
     if (stage.tailTargetMs > 0) {
       load.serving.push_back(ClassOf(aScheduler.tailModel, stage.image));
-      load.levels.push_back(
-          {attempt.level, attempt.overTargetSince
-                              ? aNow - *attempt.overTargetSince
-                              : Duration()});
+      load.servingAttempts.push_back(&attempt);
+      load.levels.push_back({attempt.level,
+                             attempt.overTargetSince
+                                 ? aNow - *attempt.overTargetSince
+                                 : Duration(),
+                             attempt.newestLevel});
     }
   }
   return load;
@@ -70,16 +74,43 @@
         aScheduler.tailModel.classes.at(stage.image);
     PacedFiller filler;
     filler.percent = attempt->pace;
+    const double processors =
+        static_cast<double>(stage.demand.processorsMilli) / kThousandths;
     for (const placement::ClassIndex serving : aLoad.serving) {
-      filler.added.push_back(PredictAddedLevel(
-          aScheduler.tailModel, serving, image,
-          static_cast<double>(stage.demand.processorsMilli) / kThousandths));
+      filler.added.push_back(
+          PredictAddedLevel(aScheduler.tailModel, serving, image, processors));
+      filler.plausible.push_back(PlausibleAddedLevel(
+          aScheduler.tailModel, serving, image, processors));
     }
     fillers.push_back(std::move(filler));
   }
   return fillers;
 }
 
+// Whether all fillers stand still, so that the tails show the load of the
+// serving tasks alone.
+bool HaveFillersStopped(const MixedLoad& aLoad) {
+  constexpr std::uint32_t kIdleMilli = 50;
+  return std::all_of(aLoad.fillerAttempts.begin(), aLoad.fillerAttempts.end(),
+                     [](const auto& aFiller) {
+                       const Attempt& attempt = *aFiller.second;
+                       return attempt.pace == 0 && attempt.isPaceConfirmed &&
+                              attempt.usedMilli <= kIdleMilli;
+                     });
+}
+
+// A serving task that is over its target while all fillers stand still is so by
+// its own load. The time for which fillers may be the cause begins again.
+void RestartExcess(MixedLoad& aLoad, TimePoint aNow) {
+  for (std::size_t serving = 0; serving < aLoad.levels.size(); ++serving) {
+    if (aLoad.levels[serving].level > 0 &&
+        aLoad.levels[serving].newestLevel > 0) {
+      aLoad.servingAttempts[serving]->overTargetSince = aNow;
+      aLoad.levels[serving].overTargetFor = Duration();
+    }
+  }
+}
+
 // Stops a filler that has been slowed too much for too long, so that it resumes
 // from its checkpoint on another worker. The stops are spaced, so that a load
 // shift on many workers does not stop all of their fillers at once.
@@ -116,11 +147,14 @@
   if (worker == aState.workers.end()) {
     return;
   }
-  const MixedLoad load = CollectLoad(aScheduler, aState, worker->second, aNow);
+  MixedLoad load = CollectLoad(aScheduler, aState, worker->second, aNow);
   LearnTails(aScheduler, aState, worker->second, load);
   if (aNow < aSession.paceEffectiveAt) {
     return;
   }
+  if (HaveFillersStopped(load)) {
+    RestartExcess(load, aNow);
+  }
   const std::vector<std::uint32_t> percents =
       PaceFillers(ViewFillers(aScheduler, aState, load), load.levels);
   // An older pace request that is executed late overrides a confirmed one, so
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -131,6 +131,7 @@
   CPPUNIT_TEST(testOverwrittenPaceIsSentAgain);
   CPPUNIT_TEST(testPacesOfAnEarlierLeaderAreReplaced);
   CPPUNIT_TEST(testFillerResumesWhenTheServingTaskIsGone);
+  CPPUNIT_TEST(testFillerGoesOnBesideATaskThatIsOverItsTargetAlone);
   CPPUNIT_TEST(testNoFillerIsPlacedBesideATaskOverItsTarget);
   CPPUNIT_TEST(testSmallerTaskIsPlacedBehindUnplaceableOnes);
   CPPUNIT_TEST(testDispatchPassOverALargeCell);
@@ -740,6 +741,40 @@
     CPPUNIT_ASSERT_EQUAL(100U, FillerPace(cell));
   }
 
+  // Guards against fillers that stand still whenever a serving task is over its
+  // target by its own load, and against ones that don't stand still often
+  // enough to show that it is.
+  void testFillerGoesOnBesideATaskThatIsOverItsTargetAlone() {
+    constexpr int kSwings = 20;
+    constexpr int kStepsPerHalfSwing = 80;
+    constexpr int kMostStepsAtWork = 70;
+    constexpr Duration kStep = Millis(50);
+    CellModel cell = MakeSharedWorker();
+    WorkerModel& worker = cell.workers.at("w0");
+    worker.running.at("filler.0.0.0").endsAtMs += 400 * 1000;
+    // The leader learns that the filler adds nothing.
+    worker.tailAloneMs = worker.tailBesideMs = 7;
+    cell.Run(Seconds(60));
+    int atWork = 0;
+    int longest = 0;
+    for (int swing = 0; swing < kSwings; ++swing) {
+      worker.tailAloneMs = worker.tailBesideMs = 24;
+      int current = 0;
+      for (int step = 0; step < kStepsPerHalfSwing; ++step) {
+        cell.Run(kStep);
+        current = FillerPace(cell) > 0 ? current + 1 : 0;
+        atWork += current > 0 ? 1 : 0;
+        longest = std::max(longest, current);
+      }
+      worker.tailAloneMs = worker.tailBesideMs = 7;
+      cell.Run(kStep * kStepsPerHalfSwing);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(atWork),
+                           atWork * 2 > kSwings * kStepsPerHalfSwing);
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(longest),
+                           longest <= kMostStepsAtWork);
+  }
+
   // Guards against a sequence of new fillers, each of which works until its
   // first report, that keeps a serving task over its target. A job that has
   // waited for long may use workers that are closed to others.
--- a/tests/workflow/TailPacingTest.cpp
+++ b/tests/workflow/TailPacingTest.cpp
@@ -76,6 +76,26 @@
     {"a filler with a low estimate adds much", -0.15, 1, 0.4, 0.005},
 };
 
+// One filler at full pace beside one serving task.
+struct ExcuseCase {
+  const char* name;
+  double level;
+  double newestLevel;
+  std::vector<double> plausible;
+  Duration overTargetFor;
+  bool keepsPace;
+};
+
+const ExcuseCase kExcuses[] = {
+    {"can't explain the excess", 0.3, 0.3, {0.1}, {}, true},
+    {"can't explain a long excess", 0.3, 0.3, {0.1}, Millis(1500), true},
+    {"may explain the excess", 0.3, 0.3, {0.2}, {}, false},
+    {"may explain what is left of the excess", 0.3, 0.1, {0.1}, {}, false},
+    {"may explain an excess of any size", 2.5, 2.5, {0.2}, {}, false},
+    {"nothing is known of it", 0.3, 0.3, {}, {}, false},
+    {"the excess is too long", 0.3, 0.3, {0.01}, Millis(2100), false},
+};
+
 constexpr double kExcessTargetMs = 18;
 
 // The longest uninterrupted time, in ms, for which the task is over its target
@@ -132,6 +152,8 @@
   CPPUNIT_TEST(testOnlyTheInterferingFillerIsSlowed);
   CPPUNIT_TEST(testFillerThatAddsLittleSpeedsUp);
   CPPUNIT_TEST(testFillerWithoutEstimateIsSlowed);
+  CPPUNIT_TEST(testFillerThatIsNotTheCauseKeepsItsPace);
+  CPPUNIT_TEST(testFillersAreExcusedTogether);
   CPPUNIT_TEST(testSwingingLoad);
   CPPUNIT_TEST(testTimeOverTargetIsBounded);
   CPPUNIT_TEST_SUITE_END();
@@ -167,6 +189,28 @@
     CPPUNIT_ASSERT_EQUAL(0U, PaceFillers(fillers, levels)[0]);
   }
 
+  // Guards against fillers that stand still because of the serving task's own
+  // load, and against one that is excused although it may be the cause.
+  void testFillerThatIsNotTheCauseKeepsItsPace() {
+    for (const ExcuseCase& one : kExcuses) {
+      const std::vector<PacedFiller> fillers = {{100, {0.05}, one.plausible}};
+      const std::vector<ServingLevel> levels = {
+          {one.level, one.overTargetFor, one.newestLevel}};
+      const std::uint32_t percent = PaceFillers(fillers, levels)[0];
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, one.keepsPace, percent == 100);
+    }
+  }
+
+  // Each of the fillers adds little, and all of them together too much.
+  void testFillersAreExcusedTogether() {
+    const std::vector<PacedFiller> fillers(4, PacedFiller{100, {0.05}, {0.06}});
+    const std::vector<ServingLevel> levels = {{0.3, {}, 0.3}};
+    const auto percents = PaceFillers(fillers, levels);
+    CPPUNIT_ASSERT_EQUAL(
+        std::ptrdiff_t{2},
+        std::count(percents.begin(), percents.end(), std::uint32_t{100}));
+  }
+
   // Without pacing the task is over its target for more than half of the time.
   void testSwingingLoad() {
     const SwingResult withoutPacing = ReplaySwing(false);
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -184,6 +184,8 @@
         kPercent * (clock - run.startedAtMs) /
         std::max<std::int64_t>(1, run.endsAtMs - run.startedAtMs));
     if (row.task.job.value == aWorker.servingJob) {
+      // A long-running task that is at work.
+      row.percent = kPercent;
       row.load = TailOf(aWorker);
     } else if (row.task.job.value == aWorker.fillerJob) {
       row.load = aWorker.fillerMilli * run.pace / kPercent;
