--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,5 +1,5 @@
-"""Minions that run a task that lasts crash, one after the other, within two
-seconds of its start. The submission is given up."""
+"""A client gets 504 for a submission, cancels it by way of another front and
+gets 410. The submission then arrives late, is accepted and runs."""
 
 import sys
 import time
@@ -7,47 +7,47 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
 
-from standins import run_case  # noqa: E402
+from standins import (HOST, PREFIX, NotRun, call, run_case,  # noqa: E402
+                      wait_for)
 
 JOB = "5c0e7a21d94b36f8"
-TASK = f"{JOB}.0.0.0"
-STEPS = [{"count": 6, "cpu": 6400, "memoryRequestMb": 13000,
-          "estimatedMs": 500, "longRunning": True}]
-# One of eight minions at a time; the site's largest crash is a share of 0.14
-# for 4.5 s.
-MINIONS = 8
-DOWN_S = 3.7
-RUNS_S = 1.0
-MAX_CRASHES = 5
-WATCHED_S = 60
+STEP = {"count": 2, "cpu": 4000, "memoryRequestMb": 1000, "estimatedMs": 2000}
+STEPS = [STEP, {**STEP, "after": [0]}, {**STEP, "after": [1]}]
+# One of six fronts; the site's largest cut of single machines is a share of
+# 0.17 for 5.5 s.
+FRONTS = 6
+CUT_S = 1.2
+CLIENT_LIMIT_S = 0.3
+CANCEL_S = 3.0
 
 
 def main(cell, record, trouble):
+    front, other = cell.fronts[0], cell.fronts[1]
+    links = cell.put_links(front)
     cell.start()
     cell.configure(1)
-    minions = cell.add_minions(MINIONS)
-    cell.submit(JOB, STEPS)
-    crashes = 0
-    end = time.monotonic() + WATCHED_S
-    state = None
-    while time.monotonic() < end and state != "failed":
-        at = next((one for one in minions if TASK in one.running), None)
-        if trouble and at and crashes < MAX_CRASHES:
-            time.sleep(RUNS_S)
-            at.crash()
-            crashes += 1
-            time.sleep(DOWN_S)
-            at.boot()
-        time.sleep(0.2)
-        state = cell.state(JOB)
-        record.write("state", job=JOB, state=state)
-    # What is still running then is stopped by the system.
-    time.sleep(2)
-    running = sum(1 for one in minions for task in one.running
-                  if task.startswith(JOB))
-    record.write("verdict", state=state, crashes=crashes, running=running,
-                 ended_failed=sum(cell.failed_ends.values()))
-    return state == "failed"
-
-
-run_case(main)
+    cell.add_minions(4)
+    if trouble:
+        for link in links:
+            link.cut(CUT_S)
+        record.write("front_cut", name=front.name, seconds=CUT_S)
+    cell.jobs[JOB] = {"specification": "text", "steps": STEPS}
+    cell.work_s[JOB] = 2.0
+    status, _ = call(front.frontend, "POST", PREFIX + JOB, cell.jobs[JOB],
+                     HOST, timeout_s=1.0, deadline_s=CLIENT_LIMIT_S)
+    record.write("submitted", job=JOB, front=front.name, status=status)
+    cancelled = wait_for("the cancel is answered", lambda: call(
+        other.frontend, "DELETE", PREFIX + JOB, host=HOST)[0])
+    cancelled_at = record.now()
+    record.write("cancelled", job=JOB, front=other.name, status=cancelled)
+    if cancelled not in (200, 410):
+        raise NotRun("the cancel was not acknowledged")
+    time.sleep(9)
+    late = [at for at in cell.began_at.values()
+            if at - cancelled_at > CANCEL_S]
+    record.write("verdict", started=cell.started,
+                 started_later_than_cancel_ms=len(late), state=cell.state(JOB))
+    return bool(late)
+
+
+run_case(main, fronts=FRONTS)
