--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -231,7 +231,6 @@
 
     def __init__(self, record, fronts=2):
         self.record = record
-        self.folder = Path(tempfile.mkdtemp(prefix="bramleypath-review-"))
         self.lock = threading.RLock()
         self.minions, self.jobs, self.work_s, self.gangs = [], {}, {}, {}
         with open(ROOT / "deploy/system.toml", "rb") as file:
@@ -242,6 +241,7 @@
             if not (ROOT / command[0]).exists():
                 raise NotRun(f"{command[0]} is missing; build as the deploy "
                              "file says")
+        self.folder = Path(tempfile.mkdtemp(prefix="bramleypath-review-"))
         pid = os.getpid()
         net = f"127.{20 + pid % 200}.{pid // 200 % 250}"
         ips = [f"{net}.{n + 1}" for n in range(CONTROLLERS + fronts)]
