End the tasks of a leaving worker one by one, on evidence

What callers saw (TWICE): a worker said that it leaves, and the acknowledgement was lost. Its tasks were started on other workers 10 ms after the leave, while they ran on it for 3 s more.

Cause: Controller::Leave proposed RemoveWorker, and applying it ended all attempts of the worker in one step. A leave says that the worker is going to end, not that it has ended; its leases of 9 s were dropped with its entry.

Change: the new command LeaveWorker marks the worker. It gets no tasks, permits or leases, its attempts are stopped, and each ends once the worker lists its end, has acknowledged the stop and lists it no more, refuses connections, or has no lease left on the slowest clock. The leave is acknowledged once the worker has no attempts, or after 0.7 s, so that a worker that waits for the acknowledgement still answers the stops. A leave that names an earlier start of the worker is ignored.

Why it works: no attempt ends on the worker's word alone any more, and the stop gives a proof while the worker still answers.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -224,6 +224,7 @@
     const TimePoint end = net::Now();
     workflow::OnCycleMeasured(*this->scheduler, end - now, end);
   }
+  this->AnswerLeaves(now);
   this->RecordCycle(now);
   this->LogSummary(now);
   this->ArmTimer();
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -55,6 +55,11 @@
   metrics::LatencyHistogram loopDelay;
 };
 
+// A worker ends once its leave is answered, so that the answer waits until its
+// attempts are stopped. Shorter than the second after which a worker takes an
+// acknowledgement for lost.
+constexpr Duration kLeaveAnswerTimeout = Millis(700);
+
 // One host of the control plane. It holds a replica of the cell's state; while
 // it leads, it also runs the scheduler and sends its commands to the workers.
 // Everything runs on the thread of the io_context. ControllerCalls.cpp holds
@@ -91,7 +96,11 @@
   void ReadLayout(ReadLayoutCallback aCallback);
   void Announce(const workflow::Announcement& aAnnouncement,
                 AnswerCallback aCallback);
-  void Leave(const WorkerId& aWorker, AnswerCallback aCallback);
+  // A worker says that it will end. The answer comes once it has no attempts,
+  // or after kLeaveAnswerTimeout. aStartedUnixMs is the start of the
+  // incarnation that says so; 0: not given.
+  void Leave(const WorkerId& aWorker, std::int64_t aStartedUnixMs,
+             AnswerCallback aCallback);
   // The host that the worker's next announcements should go to.
   HostId HostForAnnouncements(const WorkerId& aWorker);
 
@@ -113,6 +122,13 @@
   void Stop(Duration aDeadline, std::function<void()> aDone);
 
  private:
+  // A leave that is committed and not answered yet.
+  struct PendingLeave {
+    workflow::WorkerNumber worker = 0;
+    TimePoint answerBy;
+    AnswerCallback callback;
+  };
+
   gateway::Environment MakeGatewayEnvironment();
   LayoutEnvironment MakeLayoutEnvironment();
   void ProposeLayout(std::uint64_t aVersion, consensus::Bytes aCommand,
@@ -121,6 +137,8 @@
   void OnForwarded(const ForwardedAnnouncement& aAnnouncement);
   void OnUnchangedAnnouncement(workflow::WorkerNumber aWorker,
                                std::int64_t aClockMs);
+  // Answers the leaves of workers that are gone or have waited long enough.
+  void AnswerLeaves(TimePoint aNow);
   void Propose(const workflow::Command& aCommand, Duration aTimeout,
                AnswerCallback aCallback);
   void ProposeEncoded(consensus::Bytes aCommand, Duration aTimeout,
@@ -171,6 +189,7 @@
   net::LoopProbe loopProbe;
   LoadShedder loadShedder;
   bool cycleRequested = false;
+  std::vector<PendingLeave> pendingLeaves;
   TimePoint summaryAt;
   ControllerCounters counters;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -1,5 +1,6 @@
 #include "bramleypath/controller/Controller.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "bramleypath/controller/LogText.h"
@@ -286,29 +287,66 @@
   return gateway.value_or(this->group->Self());
 }
 
-void Controller::Leave(const WorkerId& aWorker, AnswerCallback aCallback) {
+void Controller::Leave(const WorkerId& aWorker, std::int64_t aStartedUnixMs,
+                       AnswerCallback aCallback) {
   if (!this->MayRead()) {
     aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
     return;
   }
   const workflow::Worker* const known =
       workflow::FindWorker(this->State(), aWorker.value);
-  if (!known) {
+  if (!known || workflow::IsOfEarlierIncarnation(*this->scheduler, *known,
+                                                 aStartedUnixMs)) {
+    eventlog::Write("leave_ignored", {{"worker", aWorker.value},
+                                      {"reason", known ? "of an earlier start"
+                                                       : "unknown worker"}});
     aCallback(Answer{AnswerStatus::Repeated, 0, ""});
     return;
   }
-  this->Propose(workflow::RemoveWorker{known->number}, kCallerTimeout,
-                [this, isAlive = this->alive, aWorker,
-                 callback = std::move(aCallback)](const Answer& aAnswer) {
-                  callback(aAnswer);
-                  if (!*isAlive || !this->scheduler) {
-                    return;
-                  }
-                  eventlog::Write("worker_left", {{"worker", aWorker.value}});
-                  workflow::OnStateChanged(*this->scheduler, this->State(),
-                                           net::Now());
-                  this->RequestCycle();
-                });
+  const workflow::WorkerNumber number = known->number;
+  this->Propose(
+      workflow::LeaveWorker{number}, kCallerTimeout,
+      [this, isAlive = this->alive, aWorker, number,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
+        if (aAnswer.status != AnswerStatus::Done || !*isAlive ||
+            !this->scheduler) {
+          callback(aAnswer);
+          return;
+        }
+        const auto worker = this->State().workers.find(number);
+        const std::size_t attempts = worker == this->State().workers.end()
+                                         ? 0
+                                         : worker->second.attempts.size();
+        eventlog::Write("worker_left", {{"worker", aWorker.value},
+                                        {"attempts", NumberText(attempts)}});
+        const TimePoint now = net::Now();
+        this->pendingLeaves.push_back(
+            PendingLeave{number, now + kLeaveAnswerTimeout, callback});
+        this->AnswerLeaves(now);
+        workflow::OnStateChanged(*this->scheduler, this->State(), now);
+        workflow::OnLeft(*this->scheduler, number, now);
+        this->RequestCycle();
+      });
+}
+
+void Controller::AnswerLeaves(TimePoint aNow) {
+  std::vector<PendingLeave> answered;
+  const auto isDue = [&](const PendingLeave& aLeave) {
+    return !this->scheduler || aNow >= aLeave.answerBy ||
+           this->State().workers.count(aLeave.worker) == 0;
+  };
+  for (PendingLeave& leave : this->pendingLeaves) {
+    if (isDue(leave)) {
+      answered.push_back(leave);
+    }
+  }
+  this->pendingLeaves.erase(std::remove_if(this->pendingLeaves.begin(),
+                                           this->pendingLeaves.end(), isDue),
+                            this->pendingLeaves.end());
+  // The leave is committed, so that it is acknowledged whoever leads now.
+  for (const PendingLeave& leave : answered) {
+    leave.callback(Answer{AnswerStatus::Done, 0, ""});
+  }
 }
 
 }  // namespace bramleypath::controller
--- a/src/bramleypath/gateway/Messages.cpp
+++ b/src/bramleypath/gateway/Messages.cpp
@@ -214,6 +214,10 @@
   }
 }
 
+// Stands for the reason of an answer with isConnectionRefused. Earlier versions
+// read it as any other reason; a field of its own would be unreadable to them.
+constexpr std::string_view kConnectionRefused = "connection refused";
+
 void Write(CborWriter& aWriter, const Answer& aAnswer) {
   const workflow::RequestAnswer& result = aAnswer.answer.result;
   aWriter.Array(kAnswerFields);
@@ -221,7 +225,8 @@
   aWriter.Value(aAnswer.rejected);
   aWriter.Value(static_cast<std::uint8_t>(result.outcome));
   aWriter.Value(result.delayedByLeader);
-  aWriter.Text(result.reason);
+  aWriter.Text(result.isConnectionRefused ? kConnectionRefused
+                                          : std::string_view(result.reason));
   aWriter.Signed(result.clockMs);
   aWriter.Signed(result.startedUnixMs);
   WriteList(aWriter, aAnswer.answer.running);
@@ -240,6 +245,9 @@
       static_cast<workflow::RequestOutcome>(aCursor.Number(kLastOutcome));
   result.delayedByLeader = aCursor.Boolean();
   result.reason = aCursor.Text();
+  result.isConnectionRefused =
+      result.outcome == workflow::RequestOutcome::NotSent &&
+      result.reason == kConnectionRefused;
   result.clockMs = aCursor.Signed();
   result.startedUnixMs = aCursor.Signed();
   ReadList(aCursor, aAnswer.answer.running);
@@ -283,8 +291,9 @@
 }
 
 std::size_t MaxEncodedBytes(const Answer& aAnswer) {
-  std::size_t size =
-      (kAnswerFields + 1) * kMaxItemBytes + aAnswer.answer.result.reason.size();
+  std::size_t size = (kAnswerFields + 1) * kMaxItemBytes +
+                     kConnectionRefused.size() +
+                     aAnswer.answer.result.reason.size();
   for (const workflow::RunningAttempt& running : aAnswer.answer.running) {
     size += (kRunningFields + 1) * kMaxItemBytes + MaxTaskBytes(running.task) +
             running.checkpoint.size();
--- a/src/bramleypath/net/HttpClient.cpp
+++ b/src/bramleypath/net/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <atomic>
+#include <cerrno>
 #include <deque>
 #include <mutex>
 #include <optional>
@@ -188,6 +189,10 @@
   if (!aTransfer.sent) {
     result.delivery = Delivery::NothingSent;
     result.delayedLocally = aTransfer.connectedLate;
+    long error = 0;
+    curl_easy_getinfo(aTransfer.easy, CURLINFO_OS_ERRNO, &error);
+    result.isConnectionRefused =
+        aCode == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
     result.detail =
         aTransfer.connectedLate ? kTooLate : curl_easy_strerror(aCode);
     return result;
--- a/src/bramleypath/net/HttpClient.h
+++ b/src/bramleypath/net/HttpClient.h
@@ -58,6 +58,9 @@
   // This host was too late to send the request, so that the missing answer says
   // nothing about the peer. Only with NothingSent.
   bool delayedLocally = false;
+  // The peer's machine answered that no process listens at the address. Only
+  // with NothingSent.
+  bool isConnectionRefused = false;
   std::string detail;  // why there is no answer
   HttpResponse response;
 };
--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -77,6 +77,15 @@
   return spec;
 }
 
+// When the process of the registered incarnation started.
+std::int64_t ConfirmedStart(const Scheduler& aScheduler, const Worker& aKnown) {
+  const auto session = aScheduler.sessions.find(aKnown.number);
+  const std::int64_t registered = aKnown.spec.startedUnixMs;
+  return session == aScheduler.sessions.end()
+             ? registered
+             : session->second.confirmedStartUnixMs.value_or(registered);
+}
+
 }  // namespace
 
 bool IsSameSpec(const WorkerSpec& aLeft, const WorkerSpec& aRight) {
@@ -91,14 +100,16 @@
   return aWorker.startedUnixMs <= aUnixMs + kMaxClockLeadMs;
 }
 
+bool IsOfEarlierIncarnation(const Scheduler& aScheduler, const Worker& aKnown,
+                            std::int64_t aStartedUnixMs) {
+  return aStartedUnixMs > 0 &&
+         aStartedUnixMs < ConfirmedStart(aScheduler, aKnown);
+}
+
 bool IsOfRegistered(const Scheduler& aScheduler, const Worker& aKnown,
                     const Announcement& aAnnouncement) {
-  const auto session = aScheduler.sessions.find(aKnown.number);
-  const std::int64_t registered = aKnown.spec.startedUnixMs;
   return aAnnouncement.worker.startedUnixMs ==
-         (session == aScheduler.sessions.end()
-              ? registered
-              : session->second.confirmedStartUnixMs.value_or(registered));
+         ConfirmedStart(aScheduler, aKnown);
 }
 
 std::optional<WorkerSpec> SpecToCommit(Scheduler& aScheduler,
--- a/src/bramleypath/workflow/Announcements.h
+++ b/src/bramleypath/workflow/Announcements.h
@@ -23,6 +23,11 @@
 // day. Clocks of workers may be wrong by less than a minute.
 bool IsPlausibleStart(const WorkerSpec& aWorker, std::int64_t aUnixMs);
 
+// Whether a worker that started then is an earlier incarnation than the
+// registered one; false for 0, an unknown start.
+bool IsOfEarlierIncarnation(const Scheduler& aScheduler, const Worker& aKnown,
+                            std::int64_t aStartedUnixMs);
+
 // Whether the announcement is of the incarnation that is registered.
 bool IsOfRegistered(const Scheduler& aScheduler, const Worker& aKnown,
                     const Announcement& aAnnouncement);
--- a/src/bramleypath/workflow/Codec.h
+++ b/src/bramleypath/workflow/Codec.h
@@ -12,9 +12,10 @@
 
 namespace bramleypath::workflow {
 
-using Command = std::variant<SetLayout, AcceptJob, CancelJob, RegisterWorker,
-                             RemoveWorker, PlaceTasks, EndTasks, OpenOccurrence,
-                             ForgetJobs, PermitLeases, LimitLeases>;
+using Command =
+    std::variant<SetLayout, AcceptJob, CancelJob, RegisterWorker, RemoveWorker,
+                 PlaceTasks, EndTasks, OpenOccurrence, ForgetJobs, PermitLeases,
+                 LimitLeases, LeaveWorker>;
 
 // Encodes a command as a CBOR array of the index of its type and its fields.
 std::vector<std::uint8_t> Encode(const Command& aCommand);
--- a/src/bramleypath/workflow/Driver.h
+++ b/src/bramleypath/workflow/Driver.h
@@ -98,6 +98,8 @@
   // The leader was too late or did not hold its own lease, so that the outcome
   // says nothing about the worker. Only with NotSent.
   bool delayedByLeader = false;
+  // No process listens at the worker's address. Only with NotSent.
+  bool isConnectionRefused = false;
   std::string reason;  // of a refusal, or why there is no answer
   // The worker's steady clock; 0: not given.
   std::int64_t clockMs = 0;
--- a/src/bramleypath/workflow/LeaseEnds.cpp
+++ b/src/bramleypath/workflow/LeaseEnds.cpp
@@ -37,6 +37,13 @@
   aEnds.endsAt.erase(aCommand.worker);
 }
 
+void Apply(LeaseEnds& aEnds, const State& aState, const LeaveWorker& aCommand,
+           TimePoint /*aNow*/) {
+  if (aState.workers.count(aCommand.worker) == 0) {
+    aEnds.endsAt.erase(aCommand.worker);
+  }
+}
+
 void Apply(LeaseEnds& aEnds, const State& aState,
            const RegisterWorker& aCommand, TimePoint aNow) {
   const Worker* const worker = FindWorker(aState, aCommand.worker.id.value);
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -391,6 +391,10 @@
 // propose.
 void OnStateChanged(Scheduler& aScheduler, const State& aState, TimePoint aNow);
 
+// A worker's leave was applied: its lists are requested soon, since it may end
+// at any time.
+void OnLeft(Scheduler& aScheduler, WorkerNumber aWorker, TimePoint aNow);
+
 // The commit of a batch has finished; aOk if the batch was applied.
 SchedulerActions OnCommitted(Scheduler& aScheduler, const State& aState,
                              const Commit& aCommit, bool aOk, TimePoint aNow);
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -342,6 +342,7 @@
     Worker& worker = aState.workers.at(byId->second);
     if (worker.spec.startedUnixMs == spec.startedUnixMs) {
       worker.spec = spec;
+      worker.isLeaving = worker.isLeaving && spec.draining;
       return ApplyResult::Repeated;
     }
     if (worker.spec.startedUnixMs > spec.startedUnixMs) {
@@ -373,6 +374,20 @@
   return ApplyResult::Ok;
 }
 
+ApplyResult ApplyOne(State& aState, const LeaveWorker& aCommand) {
+  const auto worker = aState.workers.find(aCommand.worker);
+  if (worker == aState.workers.end()) {
+    return ApplyResult::Repeated;
+  }
+  if (worker->second.attempts.empty()) {
+    EraseWorker(aState, aCommand.worker);
+    return ApplyResult::Ok;
+  }
+  worker->second.spec.draining = true;
+  worker->second.isLeaving = true;
+  return ApplyResult::Ok;
+}
+
 ApplyResult ApplyOne(State& aState, const PlaceTasks& aCommand) {
   for (const PlacedTask& placed : aCommand.tasks) {
     PlaceOne(aState, placed);
@@ -593,7 +608,8 @@
   writer.Text("workers");
   writer.OpenArray();
   for (const auto& [number, worker] : aState.workers) {
-    AppendItem(writer, NumberedWorker{number, worker.spec, worker.expired});
+    AppendItem(writer, NumberedWorker{number, worker.spec, worker.expired,
+                                      worker.isLeaving});
   }
   writer.Close();
   writer.Text("queues");
@@ -623,6 +639,7 @@
     worker.number = one.number;
     worker.spec = std::move(one.spec);
     worker.expired = std::move(one.expired);
+    worker.isLeaving = one.isLeaving;
     state.workersById[worker.spec.id.value] = worker.number;
     state.workers.emplace(one.number, std::move(worker));
   }
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -85,6 +85,9 @@
   // The latest attempts that ended with their lease. They are counted as
   // crashed if another incarnation turns out to have replaced this one.
   std::vector<ClearedTask> expired;
+  // It said that it will end. It gets no tasks and no leases, its attempts are
+  // stopped, and it is removed once it has none.
+  bool isLeaving = false;
 };
 
 // A task under which too many workers crashed. Its job has failed.
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -170,6 +170,11 @@
   // Another incarnation answers at its address, and it did not leave.
   bool hasCrashed = false;
 };
+// The incarnation says that it will end. Its attempts may still run, so that
+// they end one by one as is known of each; see Worker::isLeaving.
+struct LeaveWorker {
+  WorkerNumber worker = 0;
+};
 struct PlacedTask {
   TaskKey task;
   AttemptNumber attempt = 0;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -104,6 +104,20 @@
                                 aNow + kMaxRequestDelay});
 }
 
+void RecordAbandonedStarts(Scheduler& aScheduler, const State& aState,
+                           const Worker& aWorker, TimePoint aNow) {
+  for (const TaskKey& key : aWorker.attempts) {
+    const auto found = aScheduler.attempts.find(key);
+    if (found == aScheduler.attempts.end()) {
+      continue;
+    }
+    if (found->second.isStartInFlight) {
+      found->second.startStatus = Attempt::StartStatus::Unknown;
+    }
+    RecordAbandonedStart(aScheduler, aState, key, found->second, aNow);
+  }
+}
+
 std::vector<StopRequest> FencingStopsFor(const Scheduler& aScheduler,
                                          const WorkerId& aWorker,
                                          TimePoint aNow) {
@@ -169,6 +183,18 @@
   return expired;
 }
 
+// Workers that said that they will end and still have attempts.
+std::unordered_set<WorkerNumber> LeavingWorkers(const Scheduler& aScheduler,
+                                                const State& aState) {
+  std::unordered_set<WorkerNumber> leaving;
+  for (const auto& [number, worker] : aState.workers) {
+    if (worker.isLeaving && aScheduler.sessions.count(number) > 0) {
+      leaving.insert(number);
+    }
+  }
+  return leaving;
+}
+
 // Looks up jobs of the replicated state in constant time while it is unchanged.
 class JobLookup {
  public:
@@ -206,6 +232,8 @@
   ++aScheduler.work.attemptSweeps;
   const std::unordered_set<WorkerNumber> expiredWorkers =
       ExpiredWorkers(aScheduler, aNow);
+  const std::unordered_set<WorkerNumber> leavingWorkers =
+      LeavingWorkers(aScheduler, aState);
   JobLookup jobs(aState);
   EndTasks expired;
   for (auto& [key, attempt] : aScheduler.attempts) {
@@ -215,6 +243,9 @@
       continue;
     }
     StopIfUnneeded(*job, *task, attempt, aNow);
+    if (leavingWorkers.count(attempt.worker) > 0) {
+      RequestStop(attempt, "worker leaves", aNow);
+    }
     SendDueStop(aScheduler, aState, key, attempt, aNow, aActions);
     if (expiredWorkers.count(attempt.worker) > 0) {
       const WorkerSession& session = aScheduler.sessions.at(attempt.worker);
--- a/src/bramleypath/workflow/internal/LeaseGrants.cpp
+++ b/src/bramleypath/workflow/internal/LeaseGrants.cpp
@@ -25,7 +25,8 @@
 }
 
 // The permits that were requested, for workers that were heard recently.
-PermitLeases TakePermits(Scheduler& aScheduler, TimePoint aNow) {
+PermitLeases TakePermits(Scheduler& aScheduler, const State& aState,
+                         TimePoint aNow) {
   PermitLeases permit;
   permit.remainingMs =
       ToWholeMillis(kPermitWindow + LongestLease(aScheduler.settings));
@@ -33,6 +34,7 @@
        std::exchange(aScheduler.permitsRequested, {})) {
     const auto found = aScheduler.sessions.find(number);
     if (found != aScheduler.sessions.end() && found->second.lastMessageAt &&
+        !IsLeaving(aState, number) &&
         !IsPresumedLost(aScheduler, found->second, aNow)) {
       permit.workers.push_back(number);
     }
@@ -125,7 +127,7 @@
     return;
   }
   Commit commit;
-  PermitLeases permit = TakePermits(aScheduler, aNow);
+  PermitLeases permit = TakePermits(aScheduler, aState, aNow);
   // The first one of a leader announces that it keeps to permits.
   if (!permit.workers.empty() || !aScheduler.hasAnnouncedPermits) {
     if (!aScheduler.hasAnnouncedPermits) {
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -12,6 +12,9 @@
 // its ends, after this delay or with its next start.
 constexpr Duration kIdleAcknowledgeDelay = Millis(400);
 constexpr Duration kRenewalRetry = Millis(250);
+// A leaving worker is asked for its lists again after this time, while its
+// attempts are being stopped. It waits for the acknowledgement of its leave.
+constexpr Duration kLeavingRenewalInterval = Millis(60);
 
 // Commands that follow from the answer to a lease renewal.
 struct RenewalChanges {
@@ -409,12 +412,35 @@
   }
   ++aSession.missedRenewals;
   detail::MarkSilent(aScheduler, aSession);
+  // Most likely it has ended and closed the connection: a new connection is
+  // then refused, which proves it.
+  if (aSession.missedRenewals == 1 &&
+      detail::IsLeaving(aState, aSession.worker)) {
+    aSession.nextRenewalAt = aNow;
+    return;
+  }
   constexpr std::int64_t kMaxRetrySteps = 4;
   aSession.nextRenewalAt =
       aNow + kRenewalRetry * std::min<std::int64_t>(kMaxRetrySteps,
                                                     aSession.missedRenewals);
 }
 
+// A worker that said that it will end has ended: no process listens at its
+// address any more.
+void RemoveEndedWorker(Scheduler& aScheduler, const State& aState,
+                       WorkerSession& aSession, TimePoint aNow,
+                       RenewalChanges& aChanges, SchedulerActions& aActions) {
+  const Worker& worker = aState.workers.at(aSession.worker);
+  aActions.push_back(
+      DecisionRecord{"worker_ended", worker.spec.id.value,
+                     "connection refused, attempts=" +
+                         std::to_string(worker.attempts.size())});
+  detail::RecordAbandonedStarts(aScheduler, aState, worker, aNow);
+  aSession.nextRenewalAt = aNow + kRenewalRetry;
+  aChanges.others.emplace_back(RemoveWorker{aSession.worker, false});
+  AddCommit(aChanges, Commit(), aActions);
+}
+
 }  // namespace
 
 SchedulerActions OnLeaseRenewalAnswer(Scheduler& aScheduler,
@@ -447,6 +473,11 @@
     session.firstRenewal = RenewalClass::Other;
     return actions;
   }
+  if (aAnswer.result.isConnectionRefused &&
+      detail::IsLeaving(aState, session.worker)) {
+    RemoveEndedWorker(aScheduler, aState, session, aNow, changes, actions);
+    return actions;
+  }
   if (aAnswer.result.outcome != RequestOutcome::Done) {
     OnRenewalMissed(aScheduler, aState, session, aAnswer.result, aNow, actions);
     return actions;
@@ -479,7 +510,10 @@
   const bool busy =
       worker != aState.workers.end() && !worker->second.attempts.empty();
   session.nextRenewalAt = busy ? aNow : aNow + kIdleAcknowledgeDelay;
-  if (busy && detail::HasUnresolvedAttempt(aScheduler, worker->second, aNow)) {
+  if (detail::IsLeaving(aState, session.worker)) {
+    session.nextRenewalAt = aNow + kLeavingRenewalInterval;
+  } else if (busy &&
+             detail::HasUnresolvedAttempt(aScheduler, worker->second, aNow)) {
     session.nextRenewalAt = aNow + kRenewalRetry;
   }
   Commit commit;
--- a/src/bramleypath/workflow/internal/SchedulerDetail.h
+++ b/src/bramleypath/workflow/internal/SchedulerDetail.h
@@ -74,6 +74,12 @@
                     TimePoint aNow);
 bool IsReachable(const Scheduler& aScheduler, const WorkerSession& aSession,
                  TimePoint aNow);
+// See Worker::isLeaving.
+bool IsLeaving(const State& aState, WorkerNumber aWorker);
+// Records that the attempts of a worker, which are about to end together, may
+// still be started by a request that is on its way.
+void RecordAbandonedStarts(Scheduler& aScheduler, const State& aState,
+                           const Worker& aWorker, TimePoint aNow);
 
 // Whether the worker's capacity may have changed unnoticed, since its latest
 // announcement is too old. A capacity that has shrunk counts for a contact
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -29,6 +29,9 @@
 // together, the last ones would time out in this process.
 constexpr std::uint32_t kMaxPromptRenewals = 64;
 
+// The removal of a worker that left is proposed again after this time.
+constexpr Duration kRemovalRetry = Millis(500);
+
 // Whether the worker runs both a task with a tail target and a filler.
 bool HasMixedLoad(const State& aState, const Worker& aWorker) {
   bool serving = false;
@@ -228,6 +231,11 @@
          aScheduler.settings.announceInterval * kMissedAnnouncements;
 }
 
+bool IsLeaving(const State& aState, WorkerNumber aWorker) {
+  const auto worker = aState.workers.find(aWorker);
+  return worker != aState.workers.end() && worker->second.isLeaving;
+}
+
 bool IsPresumedLost(const Scheduler& aScheduler, const WorkerSession& aSession,
                     TimePoint aNow) {
   // A worker that the log shows to be without a lease has been silent under an
@@ -279,6 +287,15 @@
     const bool busy = !worker->second.attempts.empty();
     const bool owesAcknowledgement =
         session.acknowledgedEnd < session.committedEnd;
+    const bool isLeaving = worker->second.isLeaving;
+    if (isLeaving && !busy &&
+        (!owesAcknowledgement || session.missedRenewals > 0)) {
+      session.nextRenewalAt = aNow + kRemovalRetry;
+      Commit commit;
+      commit.commands.emplace_back(RemoveWorker{session.worker, false});
+      aActions.push_back(std::move(commit));
+      continue;
+    }
     // A worker that missed a renewal is not idle until it has answered one.
     if (!busy && !owesAcknowledgement && session.hasAnsweredRenewal &&
         session.missedRenewals == 0) {
@@ -288,7 +305,7 @@
     // Waits for the commit of a permit: a renewal that the worker holds would
     // delay the next one, which can extend the lease.
     if (session.hasAnsweredRenewal && session.missedRenewals == 0 &&
-        !MayGrant(session, aNow) &&
+        !isLeaving && !MayGrant(session, aNow) &&
         aNow < session.nextRenewalAt + kLongestPermitWait) {
       continue;
     }
@@ -297,7 +314,7 @@
     // A lease must not expire because an attempt waits for a prompt answer.
     // Nor must it expire while the worker holds a renewal that doesn't extend
     // it.
-    const bool waits = busy && session.hasAnsweredRenewal &&
+    const bool waits = busy && !isLeaving && session.hasAnsweredRenewal &&
                        session.missedRenewals == 0 && MayGrant(session, aNow) &&
                        (isPromptFull || !HasUnresolvedAttempt(
                                             aScheduler, worker->second, aNow));
@@ -311,7 +328,7 @@
                            : session.committedEnd;
     // The lease is not renewed while the worker does not answer, so that it
     // expires.
-    if (session.clock && session.missedRenewals == 0 &&
+    if (session.clock && session.missedRenewals == 0 && !isLeaving &&
         MayGrant(session, aNow)) {
       request.untilWorkerMs = GrantLease(aScheduler, session, aNow);
     }
@@ -439,6 +456,13 @@
   }
 }
 
+void OnLeft(Scheduler& aScheduler, WorkerNumber aWorker, TimePoint aNow) {
+  const auto found = aScheduler.sessions.find(aWorker);
+  if (found != aScheduler.sessions.end()) {
+    found->second.nextRenewalAt = std::min(found->second.nextRenewalAt, aNow);
+  }
+}
+
 namespace {
 
 // When an announcement that shows aClockMs was sent. Its age is limited, so
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -152,6 +152,11 @@
   OptionalIf(aVisitor, "x", aCommand.hasCrashed, aCommand.hasCrashed);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, LeaveWorker& aCommand) {
+  aVisitor.Required("w", aCommand.worker);
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, PlaceTasks& aCommand) {
   aVisitor.Required("t", aCommand.tasks);
@@ -270,6 +275,7 @@
   WorkerNumber number = 0;
   WorkerSpec spec;
   std::vector<ClearedTask> expired;
+  bool isLeaving = false;
 };
 
 template <typename Visitor>
@@ -277,6 +283,7 @@
   aVisitor.Required("n", aWorker.number);
   aVisitor.Required("spec", aWorker.spec);
   OptionalIf(aVisitor, "x", aWorker.expired, !aWorker.expired.empty());
+  OptionalIf(aVisitor, "l", aWorker.isLeaving, aWorker.isLeaving);
 }
 
 // The parts of State that a snapshot stores; DecodeState derives the rest.
--- a/tests/gateway/MessagesTest.cpp
+++ b/tests/gateway/MessagesTest.cpp
@@ -51,6 +51,11 @@
   late.answer.result.delayedByLeader = true;
   late.answer.result.reason = "too late";
   answers.answers.push_back(late);
+  Answer refused;
+  refused.id = 3;
+  refused.answer.result.outcome = workflow::RequestOutcome::NotSent;
+  refused.answer.result.isConnectionRefused = true;
+  answers.answers.push_back(refused);
   return answers;
 }
 
@@ -100,7 +105,7 @@
     const auto read = DecodeAnswers(bytes);
     CPPUNIT_ASSERT(read);
     CPPUNIT_ASSERT(bytes == EncodeAnswers(*read));
-    CPPUNIT_ASSERT_EQUAL(std::size_t{2}, read->answers.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{3}, read->answers.size());
     const workflow::RenewLeaseAnswer& done = read->answers[0].answer;
     CPPUNIT_ASSERT(done.result.outcome == workflow::RequestOutcome::Done);
     CPPUNIT_ASSERT_EQUAL(kLargeMs, done.result.clockMs);
@@ -111,6 +116,8 @@
     CPPUNIT_ASSERT(!read->answers[0].rejected);
     CPPUNIT_ASSERT(read->answers[1].rejected);
     CPPUNIT_ASSERT(workflow::IsDelayedByLeader(read->answers[1].answer.result));
+    CPPUNIT_ASSERT(!read->answers[1].answer.result.isConnectionRefused);
+    CPPUNIT_ASSERT(read->answers[2].answer.result.isConnectionRefused);
   }
 
   // Guards against messages that are larger than their senders expect.
--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -157,6 +157,9 @@
                              result->delivery == Delivery::NothingSent);
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.delayedLocally,
                                    result->delayedLocally);
+      // Silence must not be taken for the end of the peer's process.
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.what, row.peer == Peer::Refuses,
+                                   result->isConnectionRefused);
     }
   }
 
--- a/tests/process/platform_path.py
+++ b/tests/process/platform_path.py
@@ -36,6 +36,9 @@
 DISK_LOSS_INTERVAL_S = 3
 # A worker may carry out a request up to this long after it was sent.
 MAX_REQUEST_DELAY_S = 12
+# How long a worker waits for an acknowledgement, and how long a task runs.
+LEAVE_ANSWER_S = 1
+RUN_S = 0.4
 
 
 def job(tasks):
@@ -177,6 +180,30 @@
     cell.check()
 
 
+def check_leave(cell):
+    """A worker leaves and runs on, as if its acknowledgement were lost. A task
+    of it that starts elsewhere meanwhile runs twice."""
+    for worker in cell.workers:
+        worker.run_s = 6
+    cell.submit("e1", tasks=WORKERS)
+    leaving = wait_for("a worker runs a task", lambda: next(
+        (worker for worker in cell.workers if worker.running), None))
+    starts = cell.ledger.starts
+    began = time.monotonic()
+    if call_control(cell.controls, "POST",
+                    f"/-/Instances.Leave/{leaving.name}")[0] != 200:
+        raise Failed("the leave is not acknowledged")
+    if time.monotonic() - began > LEAVE_ANSWER_S:
+        raise Failed("the leave is acknowledged too late")
+    wait_for("its tasks start elsewhere",
+             lambda: cell.ledger.starts > starts or not leaving.running)
+    cell.check()
+    for worker in cell.workers:
+        worker.run_s = RUN_S
+    wait_for("the job completes", lambda: cell.state("e1") == "completed")
+    cell.check()
+
+
 def check_planned_stop(cell):
     """A front that is stopped answers its open requests, then exits."""
     front = cell.fronts[0]
@@ -292,7 +319,8 @@
         cell = Cell(Path(folder))
         try:
             for check in (check_path, check_failover, check_paused_leader,
-                          check_lost_disks, check_planned_stop):
+                          check_lost_disks, check_leave,
+                          check_planned_stop):
                 check(cell)
                 print(f"{check.__name__}: ok", flush=True)
             soak(cell, options.seed, options.seconds)
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -137,6 +137,7 @@
 }
 
 void CellModel::RestartWorker(const std::string& aId) {
+  this->endedWorkers.erase(aId);
   workflow::Restart(this->workers.at(aId), this->now);
   // A worker announces itself when it starts.
   this->Announce();
@@ -166,6 +167,24 @@
   SetCapacity(worker, aCapacity, this->now);
 }
 
+void CellModel::Leave(const std::string& aId) {
+  const Worker* const known = FindWorker(this->state, aId);
+  if (!known) {
+    return;
+  }
+  const WorkerNumber number = known->number;
+  this->ApplyCommand(LeaveWorker{number});
+  OnStateChanged(*this->scheduler, this->state, this->now);
+  OnLeft(*this->scheduler, number, this->now);
+}
+
+void CellModel::EndWorker(const std::string& aId) {
+  WorkerModel& worker = this->workers.at(aId);
+  worker.up = false;
+  worker.running.clear();
+  this->endedWorkers.insert(aId);
+}
+
 void CellModel::SetPartitioned(const std::string& aId, bool aPartitioned) {
   if (aPartitioned) {
     this->partitioned.insert(aId);
@@ -396,6 +415,15 @@
   }
   WorkerModel* const model = this->FindModel(aWorker);
   const std::string id = model ? model->spec.id.value : std::string();
+  if (this->endedWorkers.count(id) > 0 && this->partitioned.count(id) == 0) {
+    this->ScheduleOnLeader(this->now + kNetworkDelay * 2, [answer] {
+      RequestAnswer refused;
+      refused.outcome = RequestOutcome::NotSent;
+      refused.isConnectionRefused = true;
+      answer(refused);
+    });
+    return;
+  }
   const bool lost = !model || this->partitioned.count(id) > 0 || !model->up ||
                     NextUnit(this->random) < this->faults.requestLost;
   const bool late = !lost && NextUnit(this->random) < this->faults.executedLate;
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -62,6 +62,10 @@
   // As RestartWorker, with another capacity. The first announcement follows
   // with those of the other workers.
   void RestartWorkerAs(const std::string& aId, const Resources& aCapacity);
+  // The leader receives the worker's word that it will end. It runs on.
+  void Leave(const std::string& aId);
+  // The worker's process ends, and its address refuses connections.
+  void EndWorker(const std::string& aId);
   // A partitioned worker receives no requests and announces itself to nobody.
   void SetPartitioned(const std::string& aId, bool aPartitioned);
   // A late leader sends no request in time.
@@ -168,6 +172,7 @@
   TimePoint leaderPausedUntil;
   bool isLeaderLate = false;
   std::set<std::string> partitioned;
+  std::set<std::string> endedWorkers;
   std::map<std::string, std::vector<StageSpec>> stages;  // by job
   std::set<std::string> done;  // tasks whose end is committed
 };
