Remember cancels of unknown jobs and refuse submissions that come too late

What callers saw (UNASKED): a submission was answered 504, its cancel was acknowledged with 410, and a second later it was accepted and ran to its end.

Cause: the cancel of an unknown id changed nothing in the replicated state, although the submission could still be on its way. And the leader did not know until when a submission was wanted: an attempt that a front had given up stayed valid for ever.

A submission that arrives meanwhile is stored as cancelled, as if it had come first. Answers of the leader hold the time of day that the control plane agrees on, fronts send the time limit of a submission by that clock, and the leader refuses a submission that arrives later.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -47,6 +47,15 @@
     case ApplyResult::Unknown:
       answer.status = AnswerStatus::Unknown;
       break;
+    case ApplyResult::CancelledBefore:
+      answer.status = AnswerStatus::Repeated;
+      answer.reason = "the job was cancelled before it arrived";
+      break;
+    case ApplyResult::Full:
+      answer.status = AnswerStatus::Refused;
+      answer.retryAfterSeconds = 1;
+      answer.reason = "too many cancels of unknown jobs";
+      break;
   }
   return answer;
 }
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -32,6 +32,10 @@
   std::uint64_t refused = 0;
   std::uint64_t refusedForLoad = 0;  // of them, see LoadShedder
   std::uint64_t cancelled = 0;
+  // Refused, since they arrived after their callers' time limit.
+  std::uint64_t expired = 0;
+  // Stored as cancelled, since the cancel came before the submission.
+  std::uint64_t cancelledEarly = 0;
   std::uint64_t starts = 0;
   std::uint64_t startsNotDone = 0;
   std::uint64_t stops = 0;
@@ -87,6 +91,11 @@
   // than it has time for; none if it may be submitted.
   std::optional<Answer> RefuseForLoad(const JobId& aJob);
 
+  // The time of day that the hosts agree on, in Unix milliseconds.
+  std::int64_t AgreedUnixMs() const;
+  // Whether a submission whose caller waits until aExpiresUnixMs has come too
+  // late to be accepted.
+  bool RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs);
   // Whether the job of the path was accepted within that time, by the clocks of
   // the leaders. May be called while MayRead().
   bool HasAcceptedWithin(const std::string& aHost, const std::string& aPath,
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -58,12 +58,27 @@
   return answer;
 }
 
+std::int64_t Controller::AgreedUnixMs() const {
+  return this->group->AgreedUnixMs(net::Now());
+}
+
+bool Controller::RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs) {
+  const std::int64_t lateMs = this->AgreedUnixMs() - aExpiresUnixMs;
+  if (lateMs <= 0) {
+    return false;
+  }
+  ++this->counters.expired;
+  eventlog::Write("submission_expired",
+                  {{"job", aJob.value}, {"late_ms", std::to_string(lateMs)}});
+  return true;
+}
+
 bool Controller::HasAcceptedWithin(const std::string& aHost,
                                    const std::string& aPath,
                                    Duration aTime) const {
   const workflow::Job* const job =
       workflow::FindJobOfPath(this->State(), aHost, aPath);
-  return job && this->group->AgreedUnixMs(net::Now()) - job->acceptedUnixMs <=
+  return job && this->AgreedUnixMs() - job->acceptedUnixMs <=
                     ToMillis(aTime + kMaxClockDifference);
 }
 
@@ -112,6 +127,11 @@
       [this, isAlive = this->alive, job, queue, expectedMs, view, tasks,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
+        if (*isAlive && aAnswer.status == AnswerStatus::Repeated &&
+            !aAnswer.reason.empty()) {
+          ++this->counters.cancelledEarly;
+          eventlog::Write("job_cancelled_on_arrival", {{"job", job}});
+        }
         if (!*isAlive || aAnswer.status != AnswerStatus::Done) {
           return;
         }
@@ -139,19 +159,32 @@
     aCallback(Answer{AnswerStatus::NotLeader, 0, "not the leader"});
     return;
   }
-  this->Propose(workflow::CancelJob{aJob}, kCallerTimeout,
-                [this, isAlive = this->alive, aJob,
-                 callback = std::move(aCallback)](const Answer& aAnswer) {
-                  callback(aAnswer);
-                  if (!*isAlive || !this->scheduler ||
-                      aAnswer.status != AnswerStatus::Done) {
-                    return;
-                  }
-                  ++this->counters.cancelled;
-                  eventlog::Write("job_cancelled", {{"job", aJob.value}});
-                  this->scheduler->dispatchWanted = true;
-                  this->RequestCycle();
-                });
+  if (aJob.value.size() > workflow::kMaxJobIdBytes) {
+    aCallback(Answer{AnswerStatus::Unknown, 0, "no job has so long an id"});
+    return;
+  }
+  workflow::CancelJob cancel;
+  cancel.job = aJob;
+  if (!workflow::FindJob(this->State(), aJob.value)) {
+    cancel.proposedUnixMs = this->AgreedUnixMs();
+  }
+  this->Propose(
+      cancel, kCallerTimeout,
+      [this, isAlive = this->alive, aJob,
+       callback = std::move(aCallback)](const Answer& aAnswer) {
+        callback(aAnswer);
+        if (*isAlive && aAnswer.status == AnswerStatus::Unknown) {
+          eventlog::Write("cancel_of_unknown_job", {{"job", aJob.value}});
+        }
+        if (!*isAlive || !this->scheduler ||
+            aAnswer.status != AnswerStatus::Done) {
+          return;
+        }
+        ++this->counters.cancelled;
+        eventlog::Write("job_cancelled", {{"job", aJob.value}});
+        this->scheduler->dispatchWanted = true;
+        this->RequestCycle();
+      });
 }
 
 void Controller::SetLayout(const workflow::Layout& aLayout,
--- a/src/bramleypath/relay/AttemptMeaning.cpp
+++ b/src/bramleypath/relay/AttemptMeaning.cpp
@@ -12,6 +12,10 @@
       net::FindHeader(aAnswer.headers, kNotLeaderHeader)) {
     return AttemptMeaning::NotHandled;
   }
+  if (status == kExpiredStatus &&
+      net::FindHeader(aAnswer.headers, kExpiredHeader)) {
+    return AttemptMeaning::Expired;
+  }
   if (status == kGatewayTimeout) {
     return AttemptMeaning::OutcomeUnknown;
   }
--- a/src/bramleypath/relay/AttemptMeaning.h
+++ b/src/bramleypath/relay/AttemptMeaning.h
@@ -9,6 +9,11 @@
 constexpr const char* kNotLeaderHeader = "Bramleypath-Not-Leader";
 constexpr std::uint32_t kNotLeaderStatus = 421;
 
+// Set in the answer to an attempt that arrived after the time in
+// kExpiresHeader. Nothing was done.
+constexpr const char* kExpiredHeader = "Bramleypath-Expired";
+constexpr std::uint32_t kExpiredStatus = 408;
+
 // What the answer to one attempt says about the request. Other attempts at the
 // same request may still be on their way, or may have been carried out.
 enum class AttemptMeaning : std::uint8_t {
@@ -19,6 +24,9 @@
   AttemptRefused,
   // The host does not lead and did nothing.
   NotHandled,
+  // The attempt arrived after its time limit, by the leader's clock, and did
+  // nothing.
+  Expired,
   // This attempt may have been carried out.
   OutcomeUnknown
 };
--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -1,6 +1,7 @@
 #include "bramleypath/relay/Relay.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <cstdlib>
 #include <optional>
@@ -73,6 +74,21 @@
 
 }  // namespace
 
+std::optional<std::int64_t> FindMillis(const std::vector<net::Header>& aHeaders,
+                                       const char* aName) {
+  constexpr std::int64_t kLatestUnixMs = 32503680000000;
+  const std::string* const text = net::FindHeader(aHeaders, aName);
+  if (!text) {
+    return std::nullopt;
+  }
+  std::int64_t millis = 0;
+  const char* const end = text->data() + text->size();
+  const auto parsed = std::from_chars(text->data(), end, millis);
+  const bool isRead = parsed.ec == std::errc() && parsed.ptr == end &&
+                      millis >= 0 && millis <= kLatestUnixMs;
+  return isRead ? std::optional(millis) : std::nullopt;
+}
+
 Relay::Relay(asio::io_context& aContext, RelaySettings aSettings,
              net::HttpClient& aClient)
     : context(aContext), settings(std::move(aSettings)), client(aClient) {
@@ -112,6 +128,14 @@
   this->leader = aLeader;
 }
 
+void Relay::LearnGroupTime(const net::HttpResponse& aAnswer,
+                           TimePoint aSentAt) {
+  const auto unixMs = FindMillis(aAnswer.headers, kGroupTimeHeader);
+  if (unixMs) {
+    this->groupTimeOffsetMs = *unixMs - ToMillis(Duration{aSentAt.micros});
+  }
+}
+
 void Relay::ForgetLeader(const HostId& aHost) {
   if (this->leader == aHost) {
     eventlog::Write("leader_lost", {{"leader", aHost.value}});
@@ -165,6 +189,13 @@
         {kRepeatHeader,
          std::to_string(ToMillis(now - *aPending->mayHaveRunSince))});
   }
+  if (this->groupTimeOffsetMs && aPending->request.method == "POST") {
+    const std::int64_t deadlineMs =
+        ToMillis(Duration{aPending->deadline.micros});
+    request.headers.push_back(
+        {kExpiresHeader,
+         std::to_string(deadlineMs + *this->groupTimeOffsetMs)});
+  }
   request.connectBy = std::min(now + kConnectTimeout, aPending->deadline);
   request.deadline = std::min(now + kAttemptTimeout, aPending->deadline);
   this->client.Send(std::move(request), [this, isAlive = this->alive, aPending,
@@ -219,8 +250,15 @@
     return;
   }
   this->LearnLeader(aHost);
+  this->LearnGroupTime(aResult.response, aSentAt);
   this->leaderContactAt = net::Now();
   this->hadLeaderContact = true;
+  if (meaning == AttemptMeaning::Expired) {
+    // If there is time left, the clock that was known before was wrong, as
+    // after a pause of this process.
+    this->RetryLater(aPending);
+    return;
+  }
   if (meaning == AttemptMeaning::OutcomeUnknown) {
     aPending->mayHaveRunSince = aPending->mayHaveRunSince.value_or(aSentAt);
     this->RetryLater(aPending);
@@ -313,35 +351,37 @@
   request.address = this->AddressOf(host);
   request.path = controller::kGroupPath;
   request.deadline = aNow + kLeaderQueryTimeout;
-  this->client.Send(std::move(request), [this, isAlive = this->alive, host](
-                                            const net::ClientResult& aResult) {
-    if (!*isAlive) {
-      return;
-    }
-    this->queryPending = false;
-    const TimePoint now = net::Now();
-    this->nextQueryAt = now + kSearchInterval;
-    const auto view = aResult.delivery == net::Delivery::Answered
-                          ? controller::DecodeView(aResult.response.body)
-                          : std::nullopt;
-    if (!view) {
-      this->ForgetLeader(host);
-      return;
-    }
-    this->hosts = view->hosts;
-    this->SetSeeds(this->settings.seeds);
-    if (view->leader == host) {
-      this->LearnLeader(host);
-      this->leaderContactAt = now;
-      this->hadLeaderContact = true;
-      this->nextQueryAt = now + kLeaderCheckInterval;
-    } else if (!view->leader.empty()) {
-      this->LearnLeader(view->leader);
-      this->nextQueryAt = now;
-    } else {
-      this->ForgetLeader(host);
-    }
-  });
+  this->client.Send(
+      std::move(request), [this, isAlive = this->alive, host,
+                           aNow](const net::ClientResult& aResult) {
+        if (!*isAlive) {
+          return;
+        }
+        this->queryPending = false;
+        const TimePoint now = net::Now();
+        this->nextQueryAt = now + kSearchInterval;
+        const auto view = aResult.delivery == net::Delivery::Answered
+                              ? controller::DecodeView(aResult.response.body)
+                              : std::nullopt;
+        if (!view) {
+          this->ForgetLeader(host);
+          return;
+        }
+        this->hosts = view->hosts;
+        this->SetSeeds(this->settings.seeds);
+        if (view->leader == host) {
+          this->LearnLeader(host);
+          this->LearnGroupTime(aResult.response, aNow);
+          this->leaderContactAt = now;
+          this->hadLeaderContact = true;
+          this->nextQueryAt = now + kLeaderCheckInterval;
+        } else if (!view->leader.empty()) {
+          this->LearnLeader(view->leader);
+          this->nextQueryAt = now;
+        } else {
+          this->ForgetLeader(host);
+        }
+      });
 }
 
 }  // namespace bramleypath::relay
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -27,6 +28,18 @@
 // time as accepted, also if it would refuse it now.
 constexpr const char* kRepeatHeader = "Bramleypath-Repeat-Ms";
 
+// The leader's answers hold the time of day that the hosts of the control plane
+// agree on, in Unix milliseconds. A submission holds the time of that clock at
+// which its caller is no longer answered, so that the leader refuses one that
+// was held up on its way. Absent while the relay doesn't know the clock.
+constexpr const char* kGroupTimeHeader = "Bramleypath-Time-Ms";
+constexpr const char* kExpiresHeader = "Bramleypath-Expires-Ms";
+
+// A whole number of milliseconds in the header, up to the year 3000; none if it
+// is missing or is no such number.
+std::optional<std::int64_t> FindMillis(const std::vector<net::Header>& aHeaders,
+                                       const char* aName);
+
 struct RelaySettings {
   std::vector<HostId> seeds;
   std::uint16_t controlPort = 0;
@@ -81,6 +94,8 @@
   // Whether the leader has been silent for seconds in which this process ran.
   bool HasLostLeader(TimePoint aNow);
   void NoticePause(TimePoint aNow);
+  // Learns the clock of the control plane from an answer of the leader.
+  void LearnGroupTime(const net::HttpResponse& aAnswer, TimePoint aSentAt);
   HostId NextHost();
   void LearnLeader(const HostId& aLeader);
   void ForgetLeader(const HostId& aHost);
@@ -92,6 +107,10 @@
   net::HttpClient& client;
   HostId leader;
   std::vector<HostId> hosts;
+  // The latest that the control plane's time of day may be, in Unix ms, less
+  // this process's steady clock in ms. Too high by the time that an answer
+  // takes, which is bounded by the time-outs of attempts and queries.
+  std::optional<std::int64_t> groupTimeOffsetMs;
   std::size_t nextHost = 0;
   TimePoint leaderContactAt;
   bool hadLeaderContact = false;
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -314,18 +314,25 @@
   job.id = aCommand.spec.id;
   job.spec = aCommand.spec;
   job.acceptedUnixMs = aCommand.acceptedUnixMs;
-  if (job.spec.repetitions == 0) {
+  const bool isCancelled =
+      Take(aState.earlyCancels, job.id, job.acceptedUnixMs);
+  if (isCancelled) {
+    Finish(job, JobPhase::Cancelled);
+  } else if (job.spec.repetitions == 0) {
     AddOccurrence(job);
   }
   aState.jobsById[job.id.value] = job.number;
   aState.jobs.emplace(job.number, std::move(job));
-  return ApplyResult::Ok;
+  return isCancelled ? ApplyResult::CancelledBefore : ApplyResult::Ok;
 }
 
 ApplyResult ApplyOne(State& aState, const CancelJob& aCommand) {
   const auto found = aState.jobsById.find(aCommand.job.value);
   if (found == aState.jobsById.end()) {
-    return ApplyResult::Unknown;
+    const bool isKept =
+        aCommand.proposedUnixMs == 0 ||
+        Remember(aState.earlyCancels, aCommand.job, aCommand.proposedUnixMs);
+    return isKept ? ApplyResult::Unknown : ApplyResult::Full;
   }
   Job& job = aState.jobs.at(found->second);
   if (job.phase != JobPhase::Active) {
@@ -630,6 +637,14 @@
     AppendItem(writer, queue);
   }
   writer.Close();
+  if (!aState.earlyCancels.entries.empty()) {
+    writer.Text("early");
+    writer.OpenArray();
+    for (const auto& [order, cancel] : aState.earlyCancels.entries) {
+      AppendItem(writer, cancel);
+    }
+    writer.Close();
+  }
   writer.Close();
   return bytes;
 }
@@ -662,6 +677,9 @@
   for (QueueSettings& queue : stored->queues) {
     state.knownQueues[queue.id.value] = std::move(queue);
   }
+  for (EarlyCancel& cancel : stored->earlyCancels) {
+    Restore(state.earlyCancels, std::move(cancel));
+  }
   RebuildIndexes(state);
   IndexSuspects(state);
   aState = std::move(state);
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bramleypath/workflow/Codec.h"
+#include "bramleypath/workflow/EarlyCancels.h"
 #include "bramleypath/workflow/Types.h"
 
 namespace bramleypath::workflow {
@@ -119,6 +120,7 @@
   std::unordered_map<std::string, WorkerNumber> workersById;
   // Queues of earlier layouts are kept for the jobs that they accepted.
   std::unordered_map<std::string, QueueSettings> knownQueues;
+  EarlyCancels earlyCancels;
   // Index of the tasks with crashes; may hold tasks that have none any more.
   std::set<TaskKey> suspects;
   // The latest crashes, oldest first.
@@ -130,6 +132,9 @@
   Ok,
   Repeated,  // applied before; nothing changed
   Unknown,   // no such job, or the command is stale
+  // The job was cancelled before it arrived, and is stored as cancelled.
+  CancelledBefore,
+  Full  // nothing changed, since a table has no room
 };
 
 ApplyResult Apply(State& aState, const Command& aCommand);
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -159,6 +159,9 @@
 };
 struct CancelJob {
   JobId job;
+  // When the leader proposed it; 0 if it knew the job then. The cancel of a job
+  // that isn't known is remembered from then on, see EarlyCancels.h.
+  std::int64_t proposedUnixMs = 0;
 };
 // A new worker incarnation, or changed properties of a known one.
 struct RegisterWorker {
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -139,6 +139,14 @@
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, CancelJob& aCommand) {
   aVisitor.Required("id", aCommand.job);
+  OptionalIf(aVisitor, "at", aCommand.proposedUnixMs,
+             aCommand.proposedUnixMs != 0);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, EarlyCancel& aCancel) {
+  aVisitor.Required("id", aCancel.job);
+  aVisitor.Required("until", aCancel.untilUnixMs);
 }
 
 template <typename Visitor>
@@ -295,6 +303,7 @@
   std::vector<Job> jobs;
   std::vector<NumberedWorker> workers;
   std::vector<QueueSettings> queues;
+  std::vector<EarlyCancel> earlyCancels;
 };
 
 template <typename Visitor>
@@ -306,6 +315,8 @@
   aVisitor.Required("jobs", aStored.jobs);
   aVisitor.Required("workers", aStored.workers);
   aVisitor.Required("queues", aStored.queues);
+  OptionalIf(aVisitor, "early", aStored.earlyCancels,
+             !aStored.earlyCancels.empty());
 }
 
 }  // namespace bramleypath::workflow
--- a/tests/platform/ClientCallsTest.cpp
+++ b/tests/platform/ClientCallsTest.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -27,6 +28,7 @@
 constexpr std::chrono::milliseconds kLongerThanClocksDiffer(600);
 constexpr std::uint32_t kOk = 200;
 constexpr std::uint32_t kNotFound = 404;
+constexpr std::uint32_t kGone = 410;
 constexpr std::uint32_t kTooLarge = 413;
 
 struct Limits {
@@ -86,6 +88,8 @@
 class ClientCallsTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ClientCallsTest);
   CPPUNIT_TEST(testAcceptedSubmissionIsRecognisedAfterAChange);
+  CPPUNIT_TEST(testCancelThatOvertakesItsSubmission);
+  CPPUNIT_TEST(testExpiredSubmissionIsNotAccepted);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -126,6 +130,57 @@
           CallLeader(cell, "POST", kOtherPath, UnderWayFor(30000)).status);
     }
   }
+
+  // Guards against a submission that runs although its cancel was acknowledged
+  // before it arrived (UNASKED), also if the leader is lost or all hosts start
+  // again between the two.
+  void testCancelThatOvertakesItsSubmission() {
+    ControlCell cell;
+    cell.StartAll(true);
+    Configure(cell, 1, Limits());
+    const std::vector<std::function<void()>> betweens = {
+        [] {},
+        [&cell] { cell.Kill(*cell.FindLeader()); },
+        [&cell] {
+          cell.KillAll();
+          cell.StartAll(false);
+        },
+    };
+    for (std::size_t i = 0; i < betweens.size(); ++i) {
+      const std::string path = kPath + std::to_string(i);
+      CPPUNIT_ASSERT_EQUAL(kGone, CallLeader(cell, "DELETE", path).status);
+      CPPUNIT_ASSERT_EQUAL(kGone, CallLeader(cell, "GET", path).status);
+      betweens[i]();
+      CPPUNIT_ASSERT_EQUAL(kOk, CallLeader(cell, "POST", path).status);
+      CPPUNIT_ASSERT_EQUAL(std::string(R"({"state":"cancelled"})"),
+                           CallLeader(cell, "GET", path).body);
+      CPPUNIT_ASSERT_EQUAL(kOk, CallLeader(cell, "DELETE", path).status);
+      cell.StartAll(false);
+    }
+  }
+
+  // Guards against a submission that runs although it was held up until after
+  // its caller's time limit.
+  void testExpiredSubmissionIsNotAccepted() {
+    ControlCell cell;
+    cell.StartAll(true);
+    Configure(cell, 1, Limits());
+    const auto timeOfDay = relay::FindMillis(
+        CallLeader(cell, "GET", kPath).headers, relay::kGroupTimeHeader);
+    CPPUNIT_ASSERT(timeOfDay);
+    const auto expiresAt = [&](std::int64_t aMs) {
+      return std::vector<net::Header>{
+          {relay::kExpiresHeader, std::to_string(aMs)}};
+    };
+    const net::HttpResponse late =
+        CallLeader(cell, "POST", kPath, expiresAt(*timeOfDay - 1));
+    CPPUNIT_ASSERT(relay::MeaningOf(late) == relay::AttemptMeaning::Expired);
+    CPPUNIT_ASSERT(relay::FindMillis(late.headers, relay::kGroupTimeHeader));
+    CPPUNIT_ASSERT_EQUAL(kGone, CallLeader(cell, "GET", kPath).status);
+    CPPUNIT_ASSERT_EQUAL(
+        kOk,
+        CallLeader(cell, "POST", kPath, expiresAt(*timeOfDay + 60000)).status);
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientCallsTest);
--- a/tests/relay/RelayTest.cpp
+++ b/tests/relay/RelayTest.cpp
@@ -157,6 +157,7 @@
   CPPUNIT_TEST(testRequestGoesToNamedLeader);
   CPPUNIT_TEST(testRefusalAfterALostAnswer);
   CPPUNIT_TEST(testRepetitionsSayForHowLongTheyAreUnderWay);
+  CPPUNIT_TEST(testSubmissionsExpireByTheClockOfTheLeader);
   CPPUNIT_TEST(testRefusedReadIsPassedOnAfterALostAnswer);
   CPPUNIT_TEST(testNoHostIsReachable);
   CPPUNIT_TEST(testOwnPauseIsNoLossOfTheLeader);
@@ -235,6 +236,43 @@
         !net::FindHeader(host.requests.at(2).headers, kRepeatHeader));
   }
 
+  // Guards against submissions that are accepted after their callers have gone,
+  // and against fresh ones that are refused as too late by a clock that this
+  // process doesn't know well.
+  void testSubmissionsExpireByTheClockOfTheLeader() {
+    constexpr std::int64_t kFirstUnixMs = 1700000000000;
+    constexpr std::int64_t kJumpMs = 60000;
+    // The clock jumps ahead before the third request arrives.
+    ControlHost host(
+        this->context, kFirst.value + ":0",
+        [](std::size_t aNumber) -> std::optional<net::HttpResponse> {
+          net::HttpResponse response = MakeResponse(200, "{}");
+          const std::int64_t unixMs =
+              kFirstUnixMs + (aNumber < 2 ? 0 : kJumpMs);
+          if (aNumber == 2) {
+            response = MakeResponse(kExpiredStatus, "{}");
+            response.headers.push_back({kExpiredHeader, "1"});
+          }
+          response.headers.push_back(
+              {kGroupTimeHeader, std::to_string(unixMs)});
+          return response;
+        });
+    Front front(this->context, {kFirst}, host.Port());
+    for (const char* const path : {"/jobs/1", "/jobs/2", "/jobs/3"}) {
+      CPPUNIT_ASSERT_EQUAL(200U, front.Call(path).response.status);
+    }
+    CPPUNIT_ASSERT_EQUAL(200U, front.Call("/jobs/4", "GET").response.status);
+    const auto expires = [&](std::size_t aNumber) {
+      return FindMillis(host.requests.at(aNumber).headers, kExpiresHeader);
+    };
+    CPPUNIT_ASSERT(!expires(0));  // the clock isn't known yet
+    // A request is retried for 2 s, and an answer takes less than one.
+    CPPUNIT_ASSERT(expires(1) && *expires(1) >= kFirstUnixMs + 2000 &&
+                   *expires(1) < kFirstUnixMs + 3000);
+    CPPUNIT_ASSERT(expires(3) && *expires(3) > kFirstUnixMs + kJumpMs);
+    CPPUNIT_ASSERT(!expires(4));  // a read does no harm later
+  }
+
   // Guards against reads whose outcome is called unknown although they change
   // nothing.
   void testRefusedReadIsPassedOnAfterALostAnswer() {
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -59,7 +59,8 @@
 }
 
 void CellModel::Cancel(const std::string& aJob) {
-  this->ApplyCommand(CancelJob{JobId(aJob)});
+  const bool isKnown = FindJob(this->state, aJob) != nullptr;
+  this->ApplyCommand(CancelJob{JobId(aJob), isKnown ? 0 : this->UnixMs()});
 }
 
 void CellModel::ChangeLeader(LeaderChange aChange) {
