Refuse bodies of operators that nest too deeply before they are read

What callers saw: one POST to the operators' listener of bramleypathd, with a body of 200,000 nested lists, ended the process without an answer.

Cause: ConfigService, OperatorService and CellService read bodies with the JSON library directly, without the bound on the depth that all other readers have, and ConfigService writes the tree again with a recursive writer, which overflows the stack.

The five paths answer 4xx now, and the host goes on. bramleypath-node isn't linked with this code.

--- a/src/bramleypath/daemon/CellService.cpp
+++ b/src/bramleypath/daemon/CellService.cpp
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bramleypath/base/Text.h"
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/codec/Fields.h"
 #include "bramleypath/daemon/EventLog.h"
 #include "bramleypath/daemon/JobReports.h"
@@ -559,7 +560,7 @@
                              TimePoint aDeadline, PeerRpc::Respond aRespond) {
   DataCentreId cell = this->dataCentre;
   if (aRequest.method == "POST") {
-    const json body = json::parse(aRequest.body, nullptr, false);
+    const json body = codec::ParseJson(aRequest.body);
     if (body.is_object() && body.contains("data_centre") &&
         body["data_centre"].is_string()) {
       cell = DataCentreId(body["data_centre"].get<std::string>());
--- a/src/bramleypath/daemon/ConfigService.cpp
+++ b/src/bramleypath/daemon/ConfigService.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/config/Codec.h"
 #include "bramleypath/daemon/EventLog.h"
 #include "bramleypath/net/Clock.h"
@@ -222,7 +223,7 @@
 void ConfigService::HandleChange(const std::string& aBody, bool aForwarded,
                                  TimePoint aDeadline,
                                  PeerRpc::Respond aRespond) {
-  nlohmann::json body = nlohmann::json::parse(aBody, nullptr, false);
+  nlohmann::json body = codec::ParseJson(aBody);
   bool dryRun = false;
   if (body.is_object() && body.contains("dry_run")) {
     if (!body["dry_run"].is_boolean()) {
--- a/src/bramleypath/daemon/OperatorService.cpp
+++ b/src/bramleypath/daemon/OperatorService.cpp
@@ -5,6 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include "bramleypath/base/Text.h"
+#include "bramleypath/codec/Bounded.h"
 #include "bramleypath/config/Codec.h"
 #include "bramleypath/daemon/EventLog.h"
 #include "bramleypath/daemon/StatusPage.h"
@@ -218,7 +219,7 @@
   const std::string suffix = kDrainSuffix;
   const std::string target = aRequest.path.substr(
       prefix.size(), aRequest.path.size() - prefix.size() - suffix.size());
-  json body = json::parse(aRequest.body, nullptr, false);
+  json body = codec::ParseJson(aRequest.body);
   if (!body.is_object() || !body.contains("draining")) {
     aRespond(OperatorError(400, "malformed", "draining",
                            "the body must be an object with draining"));
@@ -234,7 +235,7 @@
 
 net::HttpResponse OperatorService::ChangeLogLevel(
     const net::HttpRequest& aRequest) const {
-  const json body = json::parse(aRequest.body, nullptr, false);
+  const json body = codec::ParseJson(aRequest.body);
   const bool valid =
       body.is_object() && body.contains("level") && body["level"].is_string();
   if (!valid || !SetLogLevel(body["level"].get<std::string>())) {
--- a/tests/process/config_failures.py
+++ b/tests/process/config_failures.py
@@ -1,8 +1,8 @@
 """Changes the configuration while operators race or resend and hosts are lost.
 
 Guards against: two changes with the same expected version that both succeed, a
-resend that is applied twice or gets another answer, a host whose configuration
-returns to an older version, a host that returns after 1,000 changes with a
+resend that is applied twice or gets another answer, a process that a malformed
+body ends, a host whose configuration returns to an older version, a host that returns after 1,000 changes with a
 different configuration, and a host with an emptied data folder that votes under
 its old identity.
 """
@@ -14,10 +14,12 @@
 
 sys.path.insert(0, str(Path(__file__).parents[1] / "standins"))
 
-from deployment import Deployment, Failed, wait_for  # noqa: E402
+from deployment import Deployment, Failed, request, wait_for  # noqa: E402
 
 MISSED_CHANGES = 1000
 CHANGERS = 8
+# Deep enough that a recursive reader or writer overflows its stack.
+NESTING = 200000
 
 
 def racing_operators(deployment):
@@ -153,13 +155,31 @@
     deployment.wait_in_force(version)
 
 
+def nested_bodies(deployment):
+    """A body that nests too deeply is refused and ends no process."""
+    nested = "[" * NESTING + "]" * NESTING
+    host = deployment.any_host()
+    for path in ("/v1/ops/config", "/v1/ops/targets/t1/drain", "/v1/ops/jobs",
+                 "/v1/ops/jobs/cancel", "/v1/ops/log-level"):
+        for body in (nested, '{"draining": %s, "dry_run": true}' % nested):
+            try:
+                status, _, _ = request(host.operators, "POST", path,
+                                       body.encode())
+            except OSError as error:
+                raise Failed(f"{path}: no answer: {error}") from error
+            if not 400 <= status < 500:
+                raise Failed(f"{path}: answered {status}")
+    if not host.running():
+        raise Failed("the host has ended")
+
+
 def main():
     with Deployment({"leith": 3, "paisley": 2, "dundee": 2}) as deployment:
         deployment.start_hosts()
         deployment.wait_ready()
         deployment.configure_default()
         for step in (racing_operators, resending_operator, leader_killed,
-                     missed_changes, emptied_data_folder):
+                     nested_bodies, missed_changes, emptied_data_folder):
             step(deployment)
             print(f"{step.__name__} done", flush=True)
 
