--- a/tests/process/config_failures.py
+++ b/tests/process/config_failures.py
@@ -2,9 +2,9 @@
 
 Guards against: two changes with the same expected version that both succeed, a
 resend that is applied twice or gets another answer, a process that a malformed
-body ends, a host whose configuration returns to an older version, a host that returns after 1,000 changes with a
-different configuration, and a host with an emptied data folder that votes under
-its old identity.
+body ends, a host whose configuration returns to an older version, a host that
+returns after 1,000 changes with a different configuration, and a host with an
+emptied data folder that votes under its old identity.
 """
 
 import shutil
