--- a/tests/workflow/EarlyCancelsTest.cpp
+++ b/tests/workflow/EarlyCancelsTest.cpp
@@ -68,6 +68,8 @@
     }
   }
 
+  // Guards against a job that a new leader starts although it was cancelled
+  // before it arrived, also if it recurs.
   void testCancelledSubmissionStartsNothing() {
     CellModel cell(1);
     cell.AddWorker("w0");
