--- a/src/bramleypath/workflow/Crashes.cpp
+++ b/src/bramleypath/workflow/Crashes.cpp
@@ -31,7 +31,7 @@
 }
 
 // Returns whether the crash was counted.
-bool CountCrash(State& aState, const Worker& aWorker, const ClearedTask& aOne) {
+bool CountCrash(State& aState, const Worker& aWorker, const TaskAttempt& aOne) {
   TaskState* const task = MutableTask(aState, aOne.task);
   if (!task || task->phase == TaskPhase::Done || task->doneByEarlierAttempt ||
       aState.jobs.at(aOne.task.job).phase != JobPhase::Active ||
@@ -46,14 +46,14 @@
 
 // The worker's attempts that may have run at its crash, in an order that is the
 // same on all replicas.
-std::vector<ClearedTask> AttemptsOf(const State& aState,
+std::vector<TaskAttempt> AttemptsOf(const State& aState,
                                     const Worker& aWorker) {
-  std::vector<ClearedTask> attempts = aWorker.expired;
+  std::vector<TaskAttempt> attempts = aWorker.expired;
   for (const TaskKey& key : aWorker.attempts) {
-    attempts.push_back(ClearedTask{key, FindTask(aState, key)->attempt});
+    attempts.push_back(TaskAttempt{key, FindTask(aState, key)->attempt});
   }
   std::sort(attempts.begin(), attempts.end(),
-            [](const ClearedTask& aLeft, const ClearedTask& aRight) {
+            [](const TaskAttempt& aLeft, const TaskAttempt& aRight) {
               return aLeft.task < aRight.task;
             });
   return attempts;
@@ -103,7 +103,7 @@
 std::vector<TaskKey> RecordCrash(State& aState, const Worker& aWorker) {
   DropClearedSuspects(aState);
   std::vector<TaskKey> counted;
-  for (const ClearedTask& one : AttemptsOf(aState, aWorker)) {
+  for (const TaskAttempt& one : AttemptsOf(aState, aWorker)) {
     if (CountCrash(aState, aWorker, one)) {
       counted.push_back(one.task);
     }
@@ -134,8 +134,8 @@
   aState.suspects.erase(aKey);
 }
 
-void ClearTasks(State& aState, gsl::span<const ClearedTask> aTasks) {
-  for (const ClearedTask& one : aTasks) {
+void ClearTasks(State& aState, gsl::span<const TaskAttempt> aTasks) {
+  for (const TaskAttempt& one : aTasks) {
     const TaskState* const task = FindTask(aState, one.task);
     if (task && task->phase == TaskPhase::Placed &&
         task->attempt == one.attempt) {
@@ -149,7 +149,7 @@
   if (aWorker.expired.size() >= kMaxExpired) {
     aWorker.expired.erase(aWorker.expired.begin());
   }
-  aWorker.expired.push_back(ClearedTask{aKey, aAttempt});
+  aWorker.expired.push_back(TaskAttempt{aKey, aAttempt});
 }
 
 void IndexSuspects(State& aState) {
--- a/src/bramleypath/workflow/Crashes.h
+++ b/src/bramleypath/workflow/Crashes.h
@@ -26,7 +26,7 @@
 
 // The task ended by itself or ran for so long that it is no longer a suspect.
 void ClearCrashes(State& aState, const TaskKey& aKey);
-void ClearTasks(State& aState, gsl::span<const ClearedTask> aTasks);
+void ClearTasks(State& aState, gsl::span<const TaskAttempt> aTasks);
 
 // Remembers an attempt whose lease expired on the worker.
 void RememberExpired(Worker& aWorker, const TaskKey& aKey,
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -85,7 +85,7 @@
   std::unordered_set<TaskKey> attempts;
   // The latest attempts that ended with their lease. They are counted as
   // crashed if another incarnation turns out to have replaced this one.
-  std::vector<ClearedTask> expired;
+  std::vector<TaskAttempt> expired;
   // It said that it will end. It gets no tasks and no leases, its attempts are
   // stopped, and it is removed once it has none.
   bool isLeaving = false;
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -192,15 +192,15 @@
   EndKind kind = EndKind::NeverRan;
   std::string checkpoint;
 };
-// A task that ran for so long that it isn't suspected of crashing its worker.
-struct ClearedTask {
+struct TaskAttempt {
   TaskKey task;
   AttemptNumber attempt = 0;
 };
-
 struct EndTasks {
   std::vector<EndedTask> tasks;
-  std::vector<ClearedTask> cleared = {};
+  // Attempts that ran for so long that their tasks aren't suspected of crashing
+  // their workers.
+  std::vector<TaskAttempt> cleared = {};
 };
 // This occurrence, the next one of its job, is due.
 struct OpenOccurrence {
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -387,7 +387,7 @@
 }
 
 void OnClearedCommitted(Scheduler& aScheduler, const EndTasks& aEnds) {
-  for (const ClearedTask& one : aEnds.cleared) {
+  for (const TaskAttempt& one : aEnds.cleared) {
     const auto found = aScheduler.attempts.find(one.task);
     if (found != aScheduler.attempts.end() &&
         found->second.number == one.attempt) {
--- a/src/bramleypath/workflow/internal/Suspects.cpp
+++ b/src/bramleypath/workflow/internal/Suspects.cpp
@@ -191,7 +191,7 @@
       continue;
     }
     found->second.isClearancePending = true;
-    cleared.cleared.push_back(ClearedTask{key, found->second.number});
+    cleared.cleared.push_back(TaskAttempt{key, found->second.number});
   }
   if (cleared.cleared.empty()) {
     return;
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -171,7 +171,7 @@
 }
 
 template <typename Visitor>
-void VisitFields(Visitor& aVisitor, ClearedTask& aCleared) {
+void VisitFields(Visitor& aVisitor, TaskAttempt& aCleared) {
   VisitFields(aVisitor, aCleared.task);
   aVisitor.Required("a", aCleared.attempt);
 }
@@ -282,7 +282,7 @@
 struct NumberedWorker {
   WorkerNumber number = 0;
   WorkerSpec spec;
-  std::vector<ClearedTask> expired;
+  std::vector<TaskAttempt> expired;
   bool isLeaving = false;
 };
 
--- a/tests/workflow/DeadlyTaskTest.cpp
+++ b/tests/workflow/DeadlyTaskTest.cpp
@@ -324,11 +324,11 @@
     Apply(state, RemoveWorker{FindWorker(state, "w0")->number, true});
     Place(state, 1, 2);
     EndTasks ends;
-    ends.cleared = {ClearedTask{kTask, 1}};
+    ends.cleared = {TaskAttempt{kTask, 1}};
     Apply(state, ends);
     CPPUNIT_ASSERT_EQUAL(std::size_t{1},
                          FindTask(state, kTask)->crashes.size());
-    ends.cleared = {ClearedTask{kTask, 2}};
+    ends.cleared = {TaskAttempt{kTask, 2}};
     std::string reason;
     Apply(state, *Decode(Encode(ends), reason));
     CPPUNIT_ASSERT(FindTask(state, kTask)->crashes.empty());
