--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -279,7 +279,8 @@
   const auto before =
       CapacityOf(this->State(), announced.id.value, announced.startedUnixMs);
   this->Propose(
-      workflow::RegisterWorker{*changed}, kCallerTimeout,
+      workflow::RegistrationOf(*this->scheduler, this->State(), *changed),
+      kCallerTimeout,
       [this, isAlive = this->alive, spec = *changed, aAnnouncement, before,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "bramleypath/workflow/internal/Incarnations.h"
+
 namespace bramleypath::workflow {
 
 namespace {
@@ -142,6 +144,16 @@
                                        : std::optional(std::move(spec));
 }
 
+RegisterWorker RegistrationOf(const Scheduler& aScheduler, const State& aState,
+                              const WorkerSpec& aSpec) {
+  RegisterWorker registration{aSpec};
+  const Worker* const known = FindWorker(aState, aSpec.id.value);
+  if (known && known->spec.startedUnixMs < aSpec.startedUnixMs) {
+    registration.evidence = detail::EvidenceOf(aScheduler, aState, *known);
+  }
+  return registration;
+}
+
 void OnUnchanged(Scheduler& aScheduler, WorkerNumber aWorker,
                  std::uint64_t aSequence) {
   const auto found = aScheduler.sessions.find(aWorker);
--- a/src/bramleypath/workflow/Announcements.h
+++ b/src/bramleypath/workflow/Announcements.h
@@ -48,6 +48,11 @@
                                        const Announcement& aAnnouncement,
                                        TimePoint aNow);
 
+// The command that registers a worker, with what is known about the attempts on
+// the incarnation that it replaces, if any.
+RegisterWorker RegistrationOf(const Scheduler& aScheduler, const State& aState,
+                              const WorkerSpec& aSpec);
+
 // An announcement of the given sequence number shows the replicated entry of
 // the worker.
 void OnUnchanged(Scheduler& aScheduler, WorkerNumber aWorker,
--- a/src/bramleypath/workflow/Crashes.cpp
+++ b/src/bramleypath/workflow/Crashes.cpp
@@ -30,16 +30,24 @@
       [&](const TaskCrash& aCrash) { return aCrash.attempt == aAttempt; });
 }
 
+bool Contains(gsl::span<const TaskAttempt> aAttempts, const TaskAttempt& aOne) {
+  return std::any_of(
+      aAttempts.begin(), aAttempts.end(), [&](const TaskAttempt& aOther) {
+        return aOther.task == aOne.task && aOther.attempt == aOne.attempt;
+      });
+}
+
 // Returns whether the crash was counted.
-bool CountCrash(State& aState, const Worker& aWorker, const TaskAttempt& aOne) {
+bool CountCrash(State& aState, const Worker& aWorker, const TaskAttempt& aOne,
+                bool aIsUnproven) {
   TaskState* const task = MutableTask(aState, aOne.task);
   if (!task || task->phase == TaskPhase::Done || task->doneByEarlierAttempt ||
       aState.jobs.at(aOne.task.job).phase != JobPhase::Active ||
       IsCounted(*task, aOne.attempt)) {
     return false;
   }
-  task->crashes.push_back(
-      TaskCrash{aOne.attempt, aWorker.spec.id, aWorker.spec.address});
+  task->crashes.push_back(TaskCrash{aOne.attempt, aWorker.spec.id,
+                                    aWorker.spec.address, aIsUnproven});
   aState.suspects.insert(aOne.task);
   return true;
 }
@@ -59,6 +67,15 @@
   return attempts;
 }
 
+// Whether the latest crash and enough others happened while the task ran.
+bool IsProven(gsl::span<const TaskCrash> aCrashes) {
+  const auto proven =
+      std::count_if(aCrashes.begin(), aCrashes.end(),
+                    [](const TaskCrash& aCrash) { return !aCrash.isUnproven; });
+  return !aCrashes[aCrashes.size() - 1].isUnproven &&
+         static_cast<std::size_t>(proven) >= kProvenCrashesToGiveUp;
+}
+
 std::vector<TaskKey> SelectGivenUp(const State& aState,
                                    gsl::span<const TaskKey> aCounted) {
   std::size_t most = 0;
@@ -74,7 +91,8 @@
     const std::size_t addresses = CountAddresses(crashes);
     const bool isOnlyOne = crashes.size() == most && withMost == 1 &&
                            addresses >= kCrashesToGiveUp;
-    if (isOnlyOne || (crashes.size() >= kMaxCrashes && addresses > 1)) {
+    const bool isOver = crashes.size() >= kMaxCrashes && addresses > 1;
+    if ((isOnlyOne || isOver) && IsProven(crashes)) {
       givenUp.push_back(key);
     }
   }
@@ -100,18 +118,27 @@
 
 }  // namespace
 
-std::vector<TaskKey> RecordCrash(State& aState, const Worker& aWorker) {
+std::vector<TaskKey> RecordCrash(
+    State& aState, const Worker& aWorker,
+    const std::optional<CrashEvidence>& aEvidence) {
   DropClearedSuspects(aState);
   std::vector<TaskKey> counted;
+  std::uint32_t ran = 0;
   for (const TaskAttempt& one : AttemptsOf(aState, aWorker)) {
-    if (CountCrash(aState, aWorker, one)) {
+    if (aEvidence && Contains(aEvidence->unsent, one)) {
+      continue;
+    }
+    const bool hasRun = !aEvidence || Contains(aEvidence->ran, one);
+    if (CountCrash(aState, aWorker, one, !hasRun)) {
       counted.push_back(one.task);
+      ran += hasRun ? 1 : 0;
     }
   }
   WorkerCrash crash;
   crash.worker = aWorker.spec.id;
   crash.address = aWorker.spec.address;
   crash.attempts = static_cast<std::uint32_t>(counted.size());
+  crash.ran = ran;
   for (const TaskKey& key : counted) {
     if (FindTask(aState, key)->crashes.size() > 1 &&
         crash.suspects.size() < kMaxLoggedSuspects) {
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -46,6 +46,10 @@
   // refuses its start.
   bool isFromEarlierEpoch = false;
   bool listed = false;  // the worker has listed it as running
+  // The worker has accepted its start, or has listed it as running.
+  bool hasRun = false;
+  // The worker had answered another request right before the start was sent.
+  bool isSentAfterAnswer = false;
   TimePoint sentAt;
   TimePoint answeredAt;       // of the start
   std::uint32_t percent = 0;  // progress
@@ -141,6 +145,17 @@
   // A start was not answered, so that another boot may have executed it. Ends
   // are acknowledged again once this boot has answered a renewal.
   bool isBootUnconfirmed = false;
+  // Another incarnation has answered at its address. It is removed once the
+  // starts that are on their way to it are answered.
+  bool isReplaced = false;
+  // When the worker last answered a request.
+  std::optional<TimePoint> lastAnswerAt;
+  // A start waits until the worker answers the next renewal; see
+  // AwaitsConfirmation.
+  bool isConfirmationWanted = false;
+  // Attempts that ran until their lease expired, since when the worker has not
+  // answered.
+  std::vector<TaskAttempt> expiredRuns;
   // Stops for attempts of an earlier incarnation whose starts may still arrive.
   // They are sent before any other request, so that the worker refuses the
   // starts.
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -247,10 +247,11 @@
 }
 
 // A worker that drains may end without an acknowledged leave.
-std::vector<TaskKey> RecordCrashUnlessDraining(State& aState,
-                                               const Worker& aWorker) {
+std::vector<TaskKey> RecordCrashUnlessDraining(
+    State& aState, const Worker& aWorker,
+    const std::optional<CrashEvidence>& aEvidence) {
   return aWorker.spec.draining ? std::vector<TaskKey>()
-                               : RecordCrash(aState, aWorker);
+                               : RecordCrash(aState, aWorker, aEvidence);
 }
 
 void EraseWorker(State& aState, WorkerNumber aNumber) {
@@ -360,8 +361,9 @@
   worker.number = ++aState.lastWorker;
   worker.spec = spec;
   if (byId != aState.workersById.end()) {
-    GiveUpJobs(aState, RecordCrashUnlessDraining(
-                           aState, aState.workers.at(byId->second)));
+    GiveUpJobs(aState,
+               RecordCrashUnlessDraining(
+                   aState, aState.workers.at(byId->second), aCommand.evidence));
     MoveAttempts(aState, byId->second, worker);
   }
   aState.workersById[spec.id.value] = worker.number;
@@ -375,7 +377,8 @@
     return ApplyResult::Repeated;
   }
   if (aCommand.hasCrashed) {
-    GiveUpJobs(aState, RecordCrashUnlessDraining(aState, worker->second));
+    GiveUpJobs(aState, RecordCrashUnlessDraining(aState, worker->second,
+                                                 aCommand.evidence));
   }
   EraseWorker(aState, aCommand.worker);
   return ApplyResult::Ok;
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -24,6 +24,8 @@
   AttemptNumber attempt = 0;
   WorkerId worker;
   std::string address;  // the successor has it too, maybe under another id
+  // The attempt may never have run there.
+  bool isUnproven = false;
 };
 
 struct TaskState {
@@ -102,7 +104,8 @@
   std::uint64_t number = 0;  // ascending
   WorkerId worker;
   std::string address;
-  std::uint32_t attempts = 0;
+  std::uint32_t attempts = 0;  // counted
+  std::uint32_t ran = 0;       // those of them that are known to have run
   // Tasks under which a worker had crashed before, at most kMaxLoggedSuspects.
   std::vector<TaskKey> suspects;
   std::vector<GivenUpTask> givenUp;
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -135,6 +135,11 @@
   return aLeft.index < aRight.index;
 }
 
+struct TaskAttempt {
+  TaskKey task;
+  AttemptNumber attempt = 0;
+};
+
 // How an attempt ended.
 enum class EndKind : std::uint8_t {
   Done,
@@ -163,15 +168,28 @@
   // that isn't known is remembered from then on, see EarlyCancels.h.
   std::int64_t proposedUnixMs = 0;
 };
+// What the leader knows about the attempts on a worker that has crashed. Those
+// that are in neither list may have run there.
+struct CrashEvidence {
+  // The worker accepted or listed them, or stopped answering with their start.
+  std::vector<TaskAttempt> ran;
+  // Their start was never sent.
+  std::vector<TaskAttempt> unsent;
+};
 // A new worker incarnation, or changed properties of a known one.
 struct RegisterWorker {
   WorkerSpec worker;
+  // About the incarnation that it replaces; none if that has no attempts, and
+  // in logs of earlier versions, by which all of its attempts ran.
+  std::optional<CrashEvidence> evidence = std::nullopt;
 };
 // The incarnation has ended, and with it all of its attempts.
 struct RemoveWorker {
   WorkerNumber worker = 0;
   // Another incarnation answers at its address, and it did not leave.
   bool hasCrashed = false;
+  // As in RegisterWorker, if it has crashed.
+  std::optional<CrashEvidence> evidence = std::nullopt;
 };
 // The incarnation says that it will end. Its attempts may still run, so that
 // they end one by one as is known of each; see Worker::isLeaving.
@@ -192,10 +210,6 @@
   EndKind kind = EndKind::NeverRan;
   std::string checkpoint;
 };
-struct TaskAttempt {
-  TaskKey task;
-  AttemptNumber attempt = 0;
-};
 struct EndTasks {
   std::vector<EndedTask> tasks;
   // Attempts that ran for so long that their tasks aren't suspected of crashing
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -1,8 +1,10 @@
 #include <algorithm>
+#include <iterator>
 #include <unordered_map>
 #include <unordered_set>
 #include <utility>
 
+#include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
@@ -36,6 +38,8 @@
   aAttempt.worker = task->worker;
   aAttempt.startStatus = Attempt::StartStatus::Unknown;
   aAttempt.listed = false;
+  aAttempt.hasRun = false;
+  aAttempt.isSentAfterAnswer = false;
   aAttempt.stopInFlight = false;
   aAttempt.stopAcknowledgedAt.reset();
   aAttempt.stopReason.reset();
@@ -248,11 +252,18 @@
     }
     SendDueStop(aScheduler, aState, key, attempt, aNow, aActions);
     if (expiredWorkers.count(attempt.worker) > 0) {
-      const WorkerSession& session = aScheduler.sessions.at(attempt.worker);
+      WorkerSession& session = aScheduler.sessions.at(attempt.worker);
       aActions.push_back(
           DecisionRecord{"lease_over", ToText(NameOf(aState, key)),
                          "attempt=" + std::to_string(attempt.number) + " " +
                              LeaseEvidence(aState, session, aNow)});
+      if (IsUnsent(attempt)) {
+        ProposeEnd(key, attempt, EndKind::NeverRan, "", expired);
+        continue;
+      }
+      if (HasRun(attempt) && !attempt.proposedEnd) {
+        RememberExpiredRun(session, key, attempt.number);
+      }
       RecordAbandonedStart(aScheduler, aState, key, attempt, aNow);
       ProposeEnd(key, attempt, EndKind::LeaseExpired, "", expired);
     }
@@ -415,22 +426,6 @@
              : &found->second;
 }
 
-SchedulerActions RemoveIncarnation(const Scheduler& aScheduler,
-                                   const State& aState, WorkerNumber aWorker) {
-  const auto session = aScheduler.sessions.find(aWorker);
-  const bool hasCrashed = session != aScheduler.sessions.end() &&
-                          detail::MayHaveRunAttempts(session->second);
-  Commit commit;
-  commit.commands.emplace_back(RemoveWorker{aWorker, hasCrashed});
-  SchedulerActions actions;
-  actions.push_back(DecisionRecord{
-      "worker_replaced", detail::WorkerText(aState, aWorker),
-      hasCrashed ? "another incarnation answered"
-                 : "another incarnation answered, this one never did"});
-  actions.push_back(std::move(commit));
-  return actions;
-}
-
 }  // namespace
 
 SchedulerActions OnCommitted(Scheduler& aScheduler, const State& aState,
@@ -513,7 +508,9 @@
       detail::RecordClock(session, aAnswer.clockMs, aNow);
       detail::RecordMessage(aScheduler, session, aNow);
       aScheduler.begunJobs.insert(aRequest.task.job);
+      detail::RecordAnswer(session, aNow);
       if (attempt) {
+        attempt->hasRun = !session.isOtherBoot;
         attempt->startStatus = Attempt::StartStatus::Accepted;
         attempt->answeredAt = aNow;
         attempt->progressAt = aNow;
@@ -529,8 +526,12 @@
         CommitEnd(aRequest.task, *attempt, EndKind::NeverRan, actions);
       }
       break;
-    case RequestOutcome::OtherIncarnation:
-      return RemoveIncarnation(aScheduler, aState, aRequest.worker);
+    case RequestOutcome::OtherIncarnation: {
+      SchedulerActions removal =
+          detail::RemoveIncarnation(aScheduler, aState, aRequest.worker, aNow);
+      std::move(removal.begin(), removal.end(), std::back_inserter(actions));
+      break;
+    }
     case RequestOutcome::NoAnswer:
       session.isBootUnconfirmed = true;
       detail::AvoidWorker(session, aNow + kUnansweredAvoid, aNow);
@@ -574,7 +575,7 @@
   Attempt* const attempt =
       FindAttempt(aScheduler, aRequest.task, aRequest.request.attempt);
   if (aAnswer.outcome == RequestOutcome::OtherIncarnation) {
-    return RemoveIncarnation(aScheduler, aState, aRequest.worker);
+    return detail::RemoveIncarnation(aScheduler, aState, aRequest.worker, aNow);
   }
   if (!attempt || attempt->worker != aRequest.worker) {
     return {};
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -206,7 +206,8 @@
     if (pending != aScheduler.pendingReservations.end()) {
       view.available = view.available - pending->second;
     }
-    view.excluded = worker.spec.draining || !session->second.clock ||
+    view.excluded = worker.spec.draining || session->second.isReplaced ||
+                    !session->second.clock ||
                     !IsReachable(aScheduler, session->second, aNow) ||
                     IsCapacityOutdated(aScheduler, session->second, aNow) ||
                     aNow < session->second.barredUntil;
--- /dev/null
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -0,0 +1,171 @@
+#include "bramleypath/workflow/internal/Incarnations.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "bramleypath/workflow/internal/SchedulerDetail.h"
+#include "bramleypath/workflow/internal/StartChecks.h"
+
+namespace bramleypath::workflow::detail {
+
+namespace {
+
+// A worker that answered within this time is taken to live when a start is
+// sent.
+constexpr Duration kJustAnswered = Millis(100);
+// How long the removal of a worker waits for the answers to its starts. The
+// other incarnation refuses them at once.
+constexpr Duration kStartAnswerWait = Millis(250);
+constexpr Duration kRemovalRetry = Millis(250);
+constexpr std::size_t kMaxExpiredRuns = 64;
+
+const Attempt* FindAttemptOn(const Scheduler& aScheduler, const TaskKey& aKey,
+                             const Worker& aWorker) {
+  const auto found = aScheduler.attempts.find(aKey);
+  return found == aScheduler.attempts.end() ||
+                 found->second.worker != aWorker.number
+             ? nullptr
+             : &found->second;
+}
+
+// Ends the attempts on the worker whose start has not been sent.
+EndTasks EndUnsent(Scheduler& aScheduler, const State& aState,
+                   const Worker& aWorker, TimePoint aNow) {
+  EndTasks ends;
+  for (const TaskKey& key : aWorker.attempts) {
+    const auto found = aScheduler.attempts.find(key);
+    if (found == aScheduler.attempts.end() ||
+        found->second.worker != aWorker.number || !IsUnsent(found->second) ||
+        HasEnded(aState, key, found->second)) {
+      continue;
+    }
+    StopOtherMembers(aScheduler, aState, key, found->second.number, aNow);
+    ProposeEnd(key, found->second, EndKind::NeverRan, "", ends);
+  }
+  for (const auto& [key, placed] : aScheduler.pendingPlacements) {
+    if (placed.worker == aWorker.number) {
+      ends.tasks.push_back(
+          EndedTask{key, placed.attempt, EndKind::NeverRan, ""});
+    }
+  }
+  return ends;
+}
+
+bool AwaitsStartAnswer(const Scheduler& aScheduler, const Worker& aWorker,
+                       TimePoint aNow) {
+  return std::any_of(aWorker.attempts.begin(), aWorker.attempts.end(),
+                     [&](const TaskKey& aKey) {
+                       const Attempt* const attempt =
+                           FindAttemptOn(aScheduler, aKey, aWorker);
+                       return attempt && attempt->isStartInFlight &&
+                              aNow - attempt->sentAt < kStartAnswerWait;
+                     });
+}
+
+DecisionRecord ReplacedRecord(const Worker& aWorker, bool aHasCrashed,
+                              const EndTasks& aUnsent, bool aIsWaiting) {
+  return DecisionRecord{
+      "worker_replaced", aWorker.spec.id.value,
+      std::string(aHasCrashed
+                      ? "another incarnation answered"
+                      : "another incarnation answered, this one never did") +
+          " attempts=" + std::to_string(aWorker.attempts.size()) +
+          " unsent=" + std::to_string(aUnsent.tasks.size()) +
+          (aIsWaiting ? " starts are on their way" : "")};
+}
+
+}  // namespace
+
+bool IsUnsent(const Attempt& aAttempt) {
+  return aAttempt.startStatus == Attempt::StartStatus::Sending &&
+         !aAttempt.isStartInFlight;
+}
+
+bool HasRun(const Attempt& aAttempt) {
+  return aAttempt.hasRun || (aAttempt.isSentAfterAnswer && !IsUnsent(aAttempt));
+}
+
+void RecordAnswer(WorkerSession& aSession, TimePoint aNow) {
+  aSession.lastAnswerAt = aNow;
+}
+
+bool HasJustAnswered(const WorkerSession& aSession, TimePoint aNow) {
+  return aSession.lastAnswerAt && aNow - *aSession.lastAnswerAt < kJustAnswered;
+}
+
+void RememberExpiredRun(WorkerSession& aSession, const TaskKey& aKey,
+                        AttemptNumber aAttempt) {
+  if (aSession.expiredRuns.size() >= kMaxExpiredRuns) {
+    aSession.expiredRuns.erase(aSession.expiredRuns.begin());
+  }
+  aSession.expiredRuns.push_back(TaskAttempt{aKey, aAttempt});
+}
+
+std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
+                                        const State& aState,
+                                        const Worker& aWorker) {
+  CrashEvidence evidence;
+  for (const auto& [key, placed] : aScheduler.pendingPlacements) {
+    if (placed.worker == aWorker.number) {
+      evidence.unsent.push_back(TaskAttempt{key, placed.attempt});
+    }
+  }
+  if (aWorker.attempts.empty() && aWorker.expired.empty() &&
+      evidence.unsent.empty()) {
+    return std::nullopt;
+  }
+  for (const TaskKey& key : aWorker.attempts) {
+    const AttemptNumber number = FindTask(aState, key)->attempt;
+    const auto found = aScheduler.attempts.find(key);
+    // This leader has not started a placement that it doesn't hold.
+    const bool isHeld =
+        found != aScheduler.attempts.end() && found->second.number == number;
+    if (!isHeld || IsUnsent(found->second)) {
+      evidence.unsent.push_back(TaskAttempt{key, number});
+    } else if (HasRun(found->second)) {
+      evidence.ran.push_back(TaskAttempt{key, number});
+    }
+  }
+  const auto session = aScheduler.sessions.find(aWorker.number);
+  if (session != aScheduler.sessions.end()) {
+    const std::vector<TaskAttempt>& expired = session->second.expiredRuns;
+    evidence.ran.insert(evidence.ran.end(), expired.begin(), expired.end());
+  }
+  return evidence;
+}
+
+SchedulerActions RemoveIncarnation(Scheduler& aScheduler, const State& aState,
+                                   WorkerNumber aWorker, TimePoint aNow) {
+  const auto worker = aState.workers.find(aWorker);
+  const auto session = aScheduler.sessions.find(aWorker);
+  if (worker == aState.workers.end() || session == aScheduler.sessions.end()) {
+    return {};
+  }
+  const bool hasCrashed = MayHaveRunAttempts(session->second);
+  const bool isWaiting = AwaitsStartAnswer(aScheduler, worker->second, aNow);
+  EndTasks unsent = EndUnsent(aScheduler, aState, worker->second, aNow);
+  SchedulerActions actions;
+  if (!isWaiting || !session->second.isReplaced) {
+    actions.push_back(
+        ReplacedRecord(worker->second, hasCrashed, unsent, isWaiting));
+  }
+  session->second.isReplaced = true;
+  session->second.nextRenewalAt = aNow + kRemovalRetry;
+  Commit commit;
+  if (!unsent.tasks.empty()) {
+    commit.commands.emplace_back(std::move(unsent));
+  }
+  if (!isWaiting) {
+    RemoveWorker removal{aWorker, hasCrashed};
+    if (hasCrashed) {
+      removal.evidence = EvidenceOf(aScheduler, aState, worker->second);
+    }
+    commit.commands.emplace_back(std::move(removal));
+  }
+  if (!commit.commands.empty()) {
+    actions.push_back(std::move(commit));
+  }
+  return actions;
+}
+
+}  // namespace bramleypath::workflow::detail
--- /dev/null
+++ b/src/bramleypath/workflow/internal/Incarnations.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "bramleypath/workflow/Scheduler.h"
+
+// The end of a worker incarnation, and what is known then about its attempts.
+namespace bramleypath::workflow::detail {
+
+// Whether the attempt can't run on its worker before another start is sent.
+bool IsUnsent(const Attempt& aAttempt);
+
+// Whether the attempt ran on its worker, as that has shown. A start without an
+// answer counts if the worker had answered another request right before it was
+// sent: most likely it ended the worker.
+bool HasRun(const Attempt& aAttempt);
+
+// Records that the worker answered a request.
+void RecordAnswer(WorkerSession& aSession, TimePoint aNow);
+// Whether the worker answered a request a moment ago.
+bool HasJustAnswered(const WorkerSession& aSession, TimePoint aNow);
+
+// Remembers an attempt that ran until its lease expired. The worker may have
+// crashed under it.
+void RememberExpiredRun(WorkerSession& aSession, const TaskKey& aKey,
+                        AttemptNumber aAttempt);
+
+// What is known about the attempts on the worker, should it have crashed; none
+// if it has no attempts.
+std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
+                                        const State& aState,
+                                        const Worker& aWorker);
+
+// Another incarnation answers at the worker's address. Ends the attempts that
+// were not sent, and removes the worker once the starts that are on their way
+// to it are answered or late.
+SchedulerActions RemoveIncarnation(Scheduler& aScheduler, const State& aState,
+                                   WorkerNumber aWorker, TimePoint aNow);
+
+}  // namespace bramleypath::workflow::detail
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -1,6 +1,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/Announcements.h"
+#include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
@@ -208,6 +210,7 @@
     aAttempt.progressAt = aNow;
   }
   aAttempt.listed = true;
+  aAttempt.hasRun = true;
   const StageSpec& stage = detail::StageOf(aState, aKey);
   if (stage.tailTargetMs > 0) {
     RecordTail(aAttempt, aRow.load, stage.tailTargetMs, aNow);
@@ -354,26 +357,22 @@
   }
 }
 
-void OnOtherIncarnation(const State& aState, WorkerSession& aSession,
-                        const RequestAnswer& aAnswer,
-                        RenewalChanges& aChanges) {
-  const auto worker = aState.workers.find(aSession.worker);
-  if (worker == aState.workers.end()) {
-    return;
-  }
+SchedulerActions OnOtherIncarnation(Scheduler& aScheduler, const State& aState,
+                                    const WorkerSession& aSession,
+                                    const RequestAnswer& aAnswer,
+                                    TimePoint aNow) {
   if (aAnswer.outcome == RequestOutcome::OtherIncarnation) {
-    aChanges.others.emplace_back(
-        RemoveWorker{aSession.worker, detail::MayHaveRunAttempts(aSession)});
-    return;
+    return detail::RemoveIncarnation(aScheduler, aState, aSession.worker, aNow);
   }
-  RegisterWorker command;
-  command.worker = worker->second.spec;
-  command.worker.startedUnixMs = aAnswer.startedUnixMs;
+  WorkerSpec spec = aState.workers.at(aSession.worker).spec;
+  spec.startedUnixMs = aAnswer.startedUnixMs;
   // It may be of another kind. Nothing is placed there until it announces its
   // capacity.
-  command.worker.capacity = Resources();
-  command.worker.draining = false;
-  aChanges.others.emplace_back(std::move(command));
+  spec.capacity = Resources();
+  spec.draining = false;
+  Commit commit;
+  commit.commands.emplace_back(RegistrationOf(aScheduler, aState, spec));
+  return {std::move(commit)};
 }
 
 bool IsOtherIncarnation(const State& aState, const WorkerSession& aSession,
@@ -462,9 +461,8 @@
   RenewalChanges changes;
   if (IsOtherIncarnation(aState, session, aAnswer.result)) {
     session.nextRenewalAt = aNow + kRenewalRetry;
-    OnOtherIncarnation(aState, session, aAnswer.result, changes);
-    AddCommit(changes, Commit(), actions);
-    return actions;
+    return OnOtherIncarnation(aScheduler, aState, session, aAnswer.result,
+                              aNow);
   }
   if (IsDelayedByLeader(aAnswer.result)) {
     session.nextRenewalAt = aNow;
@@ -491,6 +489,9 @@
   session.missedRenewals = 0;
   session.unsentRenewals = 0;
   session.isBootUnconfirmed = false;
+  session.isConfirmationWanted = false;
+  session.expiredRuns.clear();
+  detail::RecordAnswer(session, aNow);
   detail::RecordClock(session, aAnswer.result.clockMs, aNow);
   detail::RecordMessage(aScheduler, session, aNow);
   session.hasAnsweredRenewal = true;
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -2,18 +2,13 @@
 
 #include <algorithm>
 
+#include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
 
 namespace {
 
-// Whether the attempt can't run on its worker before another start is sent.
-bool IsUnsent(const Attempt& aAttempt) {
-  return aAttempt.startStatus == Attempt::StartStatus::Sending &&
-         !aAttempt.isStartInFlight;
-}
-
 // Reserved by the attempts that may run on the worker, without aKey and those
 // whose starts have not been sent.
 Resources UsedByOthers(const Scheduler& aScheduler, const State& aState,
@@ -64,6 +59,9 @@
   if (session->second.missedRenewals > 0) {
     return "unreachable";
   }
+  if (session->second.isReplaced) {
+    return "replaced";
+  }
   if (queue && queue->service != worker.spec.service) {
     return "other service";
   }
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/StartChecks.h"
+#include "bramleypath/workflow/internal/Suspects.h"
 
 namespace bramleypath::workflow::detail {
 
@@ -133,8 +135,12 @@
     RequestPermit(aScheduler, session->second, aNow);
     return false;
   }
+  if (AwaitsConfirmation(aState, aQueued.task, session->second, aNow)) {
+    return false;
+  }
   ++aScheduler.startsInFlight;
   attempt.isStartInFlight = true;
+  attempt.isSentAfterAnswer = HasJustAnswered(session->second, aNow);
   attempt.sentAt = aNow;
   attempt.progressAt = aNow;
   aActions.push_back(MakeStart(aScheduler, aState, aQueued.task, attempt,
--- a/src/bramleypath/workflow/internal/Suspects.cpp
+++ b/src/bramleypath/workflow/internal/Suspects.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
@@ -89,11 +90,17 @@
   return kClearedAfter < *session->second.lastMessageAt - startedAt;
 }
 
+// Whether there are few enough suspects to place them apart from each other.
+bool MayPlaceApart(const State& aState, std::size_t aHosts) {
+  return aState.suspects.size() <= kMaxSuspectsPerHost * aHosts;
+}
+
 std::string CrashText(gsl::span<const TaskCrash> aCrashes) {
   std::string text = "crashes=" + std::to_string(aCrashes.size());
   text += " workers=";
   for (const TaskCrash& crash : aCrashes) {
-    text += crash.worker.value + "@" + crash.address + ",";
+    text += crash.worker.value + "@" + crash.address +
+            (crash.isUnproven ? " may have run," : ",");
   }
   return text;
 }
@@ -104,6 +111,7 @@
       "worker_crashed", aCrash.worker.value,
       "address=" + aCrash.address +
           " attempts=" + std::to_string(aCrash.attempts) +
+          " ran=" + std::to_string(aCrash.ran) +
           " suspects=" + std::to_string(aCrash.suspects.size())});
   for (const TaskKey& key : aCrash.suspects) {
     const TaskState* const task = FindTask(aState, key);
@@ -127,8 +135,7 @@
 SuspectHosts CollectSuspectHosts(const Scheduler& aScheduler,
                                  const State& aState, CandidateHosts& aHosts) {
   SuspectHosts suspects;
-  suspects.placesApart =
-      aState.suspects.size() <= kMaxSuspectsPerHost * aHosts.numbers.size();
+  suspects.placesApart = MayPlaceApart(aState, aHosts.numbers.size());
   if (!suspects.placesApart) {
     return suspects;
   }
@@ -149,6 +156,18 @@
   return suspects;
 }
 
+bool AwaitsConfirmation(const State& aState, const TaskKey& aKey,
+                        WorkerSession& aSession, TimePoint aNow) {
+  if (FindTask(aState, aKey)->crashes.empty() ||
+      HasJustAnswered(aSession, aNow) ||
+      !MayPlaceApart(aState, aState.workers.size())) {
+    return false;
+  }
+  aSession.isConfirmationWanted = true;
+  aSession.nextRenewalAt = std::min(aSession.nextRenewalAt, aNow);
+  return true;
+}
+
 bool NeedsOwnHost(const TaskState& aTask) {
   return aTask.crashes.size() >= kCrashesForOwnHost;
 }
--- a/src/bramleypath/workflow/internal/Suspects.h
+++ b/src/bramleypath/workflow/internal/Suspects.h
@@ -36,6 +36,12 @@
     const TaskView& aTask, const TaskKey& aKey, const TaskState& aState,
     TimePoint aNow);
 
+// Whether the start of a suspect has to wait until its worker answers a
+// renewal, which is requested. Should the worker not answer the start, it is
+// known then that it had not crashed before.
+bool AwaitsConfirmation(const State& aState, const TaskKey& aKey,
+                        WorkerSession& aSession, TimePoint aNow);
+
 // Whether nothing else may be placed beside the task.
 bool NeedsOwnHost(const TaskState& aTask);
 
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -305,7 +305,8 @@
     // Waits for the commit of a permit: a renewal that the worker holds would
     // delay the next one, which can extend the lease.
     if (session.hasAnsweredRenewal && session.missedRenewals == 0 &&
-        !isLeaving && !MayGrant(session, aNow) &&
+        !isLeaving && !session.isConfirmationWanted &&
+        !MayGrant(session, aNow) &&
         aNow < session.nextRenewalAt + kLongestPermitWait) {
       continue;
     }
@@ -314,7 +315,8 @@
     // A lease must not expire because an attempt waits for a prompt answer.
     // Nor must it expire while the worker holds a renewal that doesn't extend
     // it.
-    const bool waits = busy && !isLeaving && session.hasAnsweredRenewal &&
+    const bool waits = busy && !isLeaving && !session.isConfirmationWanted &&
+                       session.hasAnsweredRenewal &&
                        session.missedRenewals == 0 && MayGrant(session, aNow) &&
                        (isPromptFull || !HasUnresolvedAttempt(
                                             aScheduler, worker->second, aNow));
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -149,15 +149,31 @@
   aVisitor.Required("until", aCancel.untilUnixMs);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, TaskAttempt& aAttempt) {
+  VisitFields(aVisitor, aAttempt.task);
+  aVisitor.Required("a", aAttempt.attempt);
+}
+
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, CrashEvidence& aEvidence) {
+  OptionalIf(aVisitor, "ran", aEvidence.ran, !aEvidence.ran.empty());
+  OptionalIf(aVisitor, "unsent", aEvidence.unsent, !aEvidence.unsent.empty());
+}
+
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, RegisterWorker& aCommand) {
   VisitFields(aVisitor, aCommand.worker);
+  OptionalIf(aVisitor, "crash", aCommand.evidence,
+             aCommand.evidence.has_value());
 }
 
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, RemoveWorker& aCommand) {
   aVisitor.Required("w", aCommand.worker);
   OptionalIf(aVisitor, "x", aCommand.hasCrashed, aCommand.hasCrashed);
+  OptionalIf(aVisitor, "crash", aCommand.evidence,
+             aCommand.evidence.has_value());
 }
 
 template <typename Visitor>
@@ -170,12 +186,6 @@
   aVisitor.Required("t", aCommand.tasks);
 }
 
-template <typename Visitor>
-void VisitFields(Visitor& aVisitor, TaskAttempt& aCleared) {
-  VisitFields(aVisitor, aCleared.task);
-  aVisitor.Required("a", aCleared.attempt);
-}
-
 template <typename Visitor>
 void VisitFields(Visitor& aVisitor, EndTasks& aCommand) {
   aVisitor.Required("t", aCommand.tasks);
@@ -217,6 +227,7 @@
   aVisitor.Required("a", aCrash.attempt);
   aVisitor.Required("w", aCrash.worker);
   aVisitor.Required("addr", aCrash.address);
+  OptionalIf(aVisitor, "maybe", aCrash.isUnproven, aCrash.isUnproven);
 }
 
 template <typename Visitor>
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -160,6 +160,24 @@
   });
 }
 
+void CellModel::ReplaceWorker(const std::string& aId, const std::string& aNewId,
+                              Duration aLength, StaleConnection aConnection) {
+  WorkerModel& worker = this->workers.at(aId);
+  for (const auto& [task, run] : worker.running) {
+    ++this->crashesUnder[task];
+  }
+  worker.up = false;
+  worker.running.clear();
+  this->Schedule(this->now + aLength, [this, aId, aNewId, aConnection] {
+    this->replacedWorkers[aId] = aConnection;
+    WorkerModel successor = this->workers.at(aId);
+    workflow::Restart(successor, this->now);
+    successor.spec.id = WorkerId(aNewId);
+    this->workers[aNewId] = successor;
+    this->AnnounceWorker(aNewId);
+  });
+}
+
 void CellModel::RestartWorkerAs(const std::string& aId,
                                 const Resources& aCapacity) {
   WorkerModel& worker = this->workers.at(aId);
@@ -246,7 +264,7 @@
   const auto changed =
       SpecToCommit(*this->scheduler, this->state, aAnnouncement, this->now);
   if (changed) {
-    this->ApplyCommand(RegisterWorker{*changed});
+    this->ApplyCommand(RegistrationOf(*this->scheduler, this->state, *changed));
     OnStateChanged(*this->scheduler, this->state, this->now);
     OnRegistered(*this->scheduler, this->state, aAnnouncement);
   }
@@ -397,11 +415,24 @@
                          });
 }
 
+std::optional<RequestAnswer> CellModel::AnswerOfSuccessor(
+    const std::string& aId, bool aIsStart) const {
+  const auto found = this->replacedWorkers.find(aId);
+  if (found == this->replacedWorkers.end()) {
+    return std::nullopt;
+  }
+  RequestAnswer answer;
+  if (!aIsStart || found->second == StaleConnection::Closed) {
+    answer.outcome = RequestOutcome::OtherIncarnation;
+  }
+  return answer;
+}
+
 void CellModel::Deliver(
     WorkerNumber aWorker,
     const std::function<RequestAnswer(WorkerModel&)>& aExecute,
     const std::function<void(const RequestAnswer&)>& aOnAnswer,
-    Duration aExecutionDelay, Duration aAnswerDelay) {
+    Duration aExecutionDelay, Duration aAnswerDelay, bool aIsStart) {
   const Epoch sentBy = this->epoch;
   const auto answer = [this, sentBy, aOnAnswer](const RequestAnswer& aAnswer) {
     if (sentBy == this->epoch) {
@@ -425,6 +456,15 @@
     });
     return;
   }
+  const auto successor = this->AnswerOfSuccessor(id, aIsStart);
+  if (successor && this->partitioned.count(id) == 0) {
+    const bool isSilent =
+        aIsStart && this->replacedWorkers.at(id) == StaleConnection::Silent;
+    this->ScheduleOnLeader(
+        this->now + (isSilent ? kRequestTimeout : kNetworkDelay * 2),
+        [answer, given = *successor] { answer(given); });
+    return;
+  }
   const bool lost = !model || this->partitioned.count(id) > 0 || !model->up ||
                     NextUnit(this->random) < this->faults.requestLost;
   const bool late = !lost && NextUnit(this->random) < this->faults.executedLate;
@@ -452,9 +492,13 @@
         return;
       }
       const RequestAnswer given = aExecute(worker);
+      const bool isSilent =
+          this->crashesSilently && given.outcome == RequestOutcome::NoAnswer;
       if (!unanswered) {
-        this->ScheduleOnLeader(this->now + kNetworkDelay + aAnswerDelay,
-                               [answer, given] { answer(given); });
+        this->ScheduleOnLeader(
+            this->now +
+                (isSilent ? kRequestTimeout : kNetworkDelay + aAnswerDelay),
+            [answer, given] { answer(given); });
       }
     });
   }
@@ -525,6 +569,10 @@
   ++this->startsOf[task];
   this->CheckStart(aWorker, aRequest);
   this->CheckCapacity(aWorker, aSentAt);
+  if (aWorker.crashesBeforeAnswer && RunsDeadlyTask(aWorker)) {
+    this->CrashWorker(aWorker.spec.id.value, kCrashedFor);
+    return RequestAnswer();
+  }
   return answer;
 }
 
@@ -545,7 +593,7 @@
       [this, aStart, sentAt = this->now](WorkerModel& aWorker) {
         return this->StartOn(aWorker, aStart.request, sentAt);
       },
-      onAnswer, this->startDelay);
+      onAnswer, this->startDelay, Duration(), true);
 }
 
 void CellModel::PerformOne(const SendStop& aStop) {
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -36,6 +36,14 @@
   Replace,  // the leader's host is lost, and an empty one takes its place
 };
 
+// How a start ends that is sent over a connection to a process that is gone,
+// while another one listens at its address.
+enum class StaleConnection {
+  Closed,  // known to be closed: a new connection reaches the successor
+  Reset,   // the start is lost, which the leader learns at once
+  Silent   // the start is lost, which the leader learns by its timeout
+};
+
 // A leader and its workers in virtual time, connected by a network that loses
 // and delays messages. Checks at each start that the task runs on no other
 // worker, was not done before, and fits, and at each acknowledgement that the
@@ -59,6 +67,12 @@
   void RestartWorker(const std::string& aId);
   // The worker loses all of its tasks and is back after aLength.
   void CrashWorker(const std::string& aId, Duration aLength);
+  // The worker crashes, and after aLength a process with another id listens at
+  // its address. It answers each request that names the earlier id with the
+  // word that it is another incarnation, but for starts over stale connections.
+  void ReplaceWorker(const std::string& aId, const std::string& aNewId,
+                     Duration aLength,
+                     StaleConnection aConnection = StaleConnection::Closed);
   // As RestartWorker, with another capacity. The first announcement follows
   // with those of the other workers.
   void RestartWorkerAs(const std::string& aId, const Resources& aCapacity);
@@ -97,6 +111,9 @@
   // Workers answer a lease renewal only after the time that it allows them,
   // also if an attempt ends before.
   bool renewalsWait = false;
+  // A worker that crashes before it has answered a start leaves its connection
+  // open, so that the leader learns of it by its timeout.
+  bool crashesSilently = false;
 
  private:
   // One replica's conclusions from the log.
@@ -145,7 +162,8 @@
   void Deliver(WorkerNumber aWorker,
                const std::function<RequestAnswer(WorkerModel&)>& aExecute,
                const std::function<void(const RequestAnswer&)>& aOnAnswer,
-               Duration aExecutionDelay = {}, Duration aAnswerDelay = {});
+               Duration aExecutionDelay = {}, Duration aAnswerDelay = {},
+               bool aIsStart = false);
   // Delivers as if the leader had been too late to send the request.
   void DeliverTooLate(
       const std::function<void(const RequestAnswer&)>& aOnAnswer);
@@ -153,6 +171,10 @@
   RequestAnswer StartOn(WorkerModel& aWorker, const StartRequest& aRequest,
                         TimePoint aSentAt);
   void CheckCapacity(const WorkerModel& aWorker, TimePoint aSentAt);
+  // How another process answers at the address of a worker that is gone; none
+  // if the address isn't taken.
+  std::optional<RequestAnswer> AnswerOfSuccessor(const std::string& aId,
+                                                 bool aIsStart) const;
   void CheckStart(const WorkerModel& aWorker, const StartRequest& aRequest);
   void RecordEnds(const Commit& aCommit);
   // Checks that the done ends that the worker is about to discard are recorded.
@@ -173,6 +195,7 @@
   bool isLeaderLate = false;
   std::set<std::string> partitioned;
   std::set<std::string> endedWorkers;
+  std::map<std::string, StaleConnection> replacedWorkers;
   std::map<std::string, std::vector<StageSpec>> stages;  // by job
   std::set<std::string> done;  // tasks whose end is committed
 };
--- /dev/null
+++ b/tests/workflow/CrashEvidenceTest.cpp
@@ -0,0 +1,458 @@
+#include <algorithm>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include "tests/workflow/CellModel.h"
+#include "tests/workflow/Samples.h"
+
+namespace bramleypath::workflow {
+
+namespace {
+
+constexpr std::uint32_t kRacks = 3;
+constexpr std::uint32_t kPerRack = 6;
+constexpr std::uint64_t kSeeds = 10;
+// A job may be given up once this many workers have crashed under one task.
+constexpr std::uint32_t kCrashesToGiveUp = 2;
+// The users' rule allows no further start of a task that was started twice
+// after three workers had crashed under it.
+constexpr std::uint32_t kMaxStarts = 5;
+
+enum class Shape { Plain, Lasting, Gang, LaterStage, ManyTasks };
+
+struct RackCase {
+  const char* name = "";
+  Shape shape = Shape::Plain;
+  StaleConnection connection = StaleConnection::Closed;
+  // Restarts of the rack while the job waits, and the time between two.
+  std::uint32_t restarts = 1;
+  std::int64_t intervalMs = 0;
+  bool changesLeader = false;
+};
+
+// Each row guards against a job that is given up although no worker crashed
+// while one of its tasks ran there.
+constexpr RackCase kRackCases[] = {
+    {"one task", Shape::Plain, StaleConnection::Closed},
+    {"lasting task", Shape::Lasting, StaleConnection::Closed},
+    {"gang", Shape::Gang, StaleConnection::Closed},
+    {"task of a later stage", Shape::LaterStage, StaleConnection::Closed},
+    {"many tasks", Shape::ManyTasks, StaleConnection::Closed},
+    {"starts lost at once", Shape::Plain, StaleConnection::Reset},
+    {"starts lost without a word", Shape::Plain, StaleConnection::Silent},
+    {"many starts lost at once", Shape::ManyTasks, StaleConnection::Reset},
+    {"gang, starts lost at once", Shape::Gang, StaleConnection::Reset},
+    {"leader changes", Shape::ManyTasks, StaleConnection::Closed, 1, 0, true},
+    {"leader changes, starts lost", Shape::ManyTasks, StaleConnection::Reset, 1,
+     0, true},
+    {"restarts in quick succession", Shape::Plain, StaleConnection::Closed, 12,
+     500},
+    {"restarts, many tasks", Shape::ManyTasks, StaleConnection::Closed, 12,
+     500},
+    {"restarts, starts lost at once", Shape::Plain, StaleConnection::Reset, 12,
+     500},
+    {"restarts, many starts lost", Shape::ManyTasks, StaleConnection::Reset, 12,
+     700},
+    {"restarts, starts lost without a word", Shape::ManyTasks,
+     StaleConnection::Silent, 12, 900},
+    {"restarts beside changes of leader", Shape::ManyTasks,
+     StaleConnection::Reset, 12, 700, true},
+};
+
+std::string RackName(std::uint32_t aRack) {
+  return "r" + std::to_string(aRack + 1);
+}
+
+std::string JobName(std::uint32_t aRack) {
+  return "job" + std::to_string(aRack);
+}
+
+std::string WorkerName(std::uint32_t aIndex, std::uint32_t aLife) {
+  return "w" + std::to_string(aIndex) + "-" + std::to_string(aLife);
+}
+
+CellModel MakeCell(std::uint64_t aSeed, Shape aShape = Shape::Plain) {
+  CellModel cell(aSeed);
+  for (std::uint32_t index = 0; index < kRacks * kPerRack; ++index) {
+    const std::string name = WorkerName(index, 0);
+    cell.AddWorker(name);
+    WorkerSpec& spec = cell.workers.at(name).spec;
+    spec.rack = RackId(RackName(index / kPerRack));
+    spec.labels = {"a", spec.rack.value};
+    if (aShape == Shape::Lasting) {
+      cell.workers.at(name).endlessJob = JobName(index / kPerRack);
+    }
+  }
+  // Longer than the announcements take to show the racks.
+  cell.Run(Seconds(4));
+  return cell;
+}
+
+JobSpec MakeRackJob(const std::string& aId, Shape aShape, std::uint32_t aRack) {
+  JobSpec job = MakeJob(aId);
+  StageSpec stage = MakeStage(1, 2000, 500);
+  stage.requiredLabel = RackName(aRack);
+  stage.longRunning = aShape == Shape::Lasting;
+  if (aShape == Shape::Gang) {
+    stage.gang = true;
+    stage.tasks = kPerRack;
+  } else if (aShape == Shape::ManyTasks) {
+    stage.tasks = kPerRack * 4;
+  }
+  job.stages = {stage};
+  if (aShape == Shape::LaterStage) {
+    StageSpec first = MakeStage(1, 1000, 500);
+    first.requiredLabel = RackName((aRack + 1) % kRacks);
+    job.stages = {first, stage};
+    job.stages[1].after = {0};
+  }
+  return job;
+}
+
+// Moves on to a moment at which the leader takes the worker for alive: shortly
+// after one of its announcements.
+void RunUntilAnnounced(CellModel& aCell, const std::string& aWorker) {
+  constexpr Duration kShortly = Millis(50);
+  const WorkerNumber number = FindWorker(aCell.state, aWorker)->number;
+  const auto announcedAt = [&] {
+    return aCell.scheduler->sessions.at(number).announcedAt;
+  };
+  const auto before = announcedAt();
+  while (announcedAt() == before) {
+    aCell.Run(Millis(5));
+  }
+  aCell.Run(kShortly);
+}
+
+// All workers of the rack crash and are replaced by new ones after 200 ms.
+void RestartRack(CellModel& aCell, std::uint32_t aRack, std::uint32_t aLife,
+                 StaleConnection aConnection) {
+  constexpr Duration kDown = Millis(200);
+  for (std::uint32_t index = aRack * kPerRack; index < (aRack + 1) * kPerRack;
+       ++index) {
+    aCell.ReplaceWorker(WorkerName(index, aLife), WorkerName(index, aLife + 1),
+                        kDown, aConnection);
+  }
+}
+
+std::uint32_t MostCrashesUnder(const CellModel& aCell,
+                               const std::string& aJob) {
+  std::uint32_t most = 0;
+  for (const auto& [task, crashes] : aCell.crashesUnder) {
+    if (task.rfind(aJob + ".", 0) == 0) {
+      most = std::max(most, crashes);
+    }
+  }
+  return most;
+}
+
+// The first job that was given up without cause; empty: none.
+std::string FirstGivenUp(const CellModel& aCell) {
+  for (const auto& [number, job] : aCell.state.jobs) {
+    if (job.phase == JobPhase::Failed &&
+        MostCrashesUnder(aCell, job.id.value) < kCrashesToGiveUp) {
+      return job.id.value;
+    }
+  }
+  return "";
+}
+
+// The first job without cause to wait that is neither completed nor, if it
+// lasts, at work; empty: none.
+std::string FirstIdle(const CellModel& aCell, Shape aShape) {
+  for (const auto& [number, job] : aCell.state.jobs) {
+    const bool isAtWork =
+        aShape == Shape::Lasting &&
+        std::any_of(aCell.workers.begin(), aCell.workers.end(),
+                    [&id = job.id.value](const auto& aOne) {
+                      return aOne.second.running.count(id + ".0.0.0") > 0;
+                    });
+    if (job.phase == JobPhase::Active && !isAtWork) {
+      return job.id.value;
+    }
+  }
+  return "";
+}
+
+// Attempts that were counted as crashed with their workers.
+std::uint32_t CountSuspected(const CellModel& aCell) {
+  std::uint32_t counted = 0;
+  for (const WorkerCrash& crash : aCell.state.recentCrashes) {
+    counted += crash.attempts;
+  }
+  return counted;
+}
+
+// Those of them that count as having run.
+std::uint32_t CountProven(const CellModel& aCell) {
+  std::uint32_t proven = 0;
+  for (const WorkerCrash& crash : aCell.state.recentCrashes) {
+    proven += crash.ran;
+  }
+  return proven;
+}
+
+// Restarts each rack in turn, right before a job comes that needs it.
+CellModel PlayRacks(const RackCase& aCase, std::uint64_t aSeed) {
+  CellModel cell = MakeCell(aSeed, aCase.shape);
+  for (std::uint32_t rack = 0; rack < kRacks; ++rack) {
+    if (aSeed % 2 == 0) {
+      RunUntilAnnounced(cell, WorkerName(rack * kPerRack, 0));
+    } else {
+      cell.Run(Millis(static_cast<std::int64_t>(NextBelow(cell.random, 1500))));
+    }
+    for (std::uint32_t life = 0; life < aCase.restarts; ++life) {
+      RestartRack(cell, rack, life, aCase.connection);
+      cell.Run(Millis(205));
+      if (life == 0) {
+        cell.Submit(MakeRackJob(JobName(rack), aCase.shape, rack));
+      }
+      if (aCase.changesLeader) {
+        cell.Run(Millis(static_cast<std::int64_t>(NextBelow(cell.random, 60))));
+        cell.ChangeLeader();
+      }
+      cell.Run(Millis(aCase.intervalMs));
+    }
+    cell.Run(Seconds(5));
+  }
+  cell.Run(Seconds(20));
+  return cell;
+}
+
+struct DeadlyCase {
+  const char* name = "";
+  bool crashesSilently = false;
+  // Innocent jobs that keep the workers busy.
+  std::uint32_t innocentsPerSecond = 0;
+};
+
+// Each row guards against a task that takes its worker down before the start is
+// answered, and is started again without end.
+constexpr DeadlyCase kDeadlyCases[] = {
+    {"idle cell", false, 0},
+    {"idle cell, silent crashes", true, 0},
+    {"busy cell", false, 20},
+    {"busy cell, silent crashes", true, 20},
+};
+
+CellModel PlayDeadly(const DeadlyCase& aCase, std::uint64_t aSeed) {
+  CellModel cell = MakeCell(aSeed);
+  cell.crashesSilently = aCase.crashesSilently;
+  for (auto& [id, worker] : cell.workers) {
+    worker.deadlyJobs.insert("deadly");
+    worker.crashesBeforeAnswer = true;
+  }
+  cell.Run(Millis(static_cast<std::int64_t>(NextBelow(cell.random, 1500))));
+  JobSpec deadly = MakeJob("deadly");
+  deadly.stages = {MakeStage(1, 1000, 500)};
+  cell.Submit(deadly);
+  constexpr std::uint32_t kSeconds = 40;
+  std::uint32_t last = 0;
+  for (std::uint32_t second = 0; second < kSeconds; ++second) {
+    for (std::uint32_t one = 0; one < aCase.innocentsPerSecond; ++one) {
+      cell.Submit(MakeJob("innocent" + std::to_string(++last)));
+      cell.Run(Millis(1000 / aCase.innocentsPerSecond));
+    }
+    cell.Run(aCase.innocentsPerSecond > 0 ? Duration() : Seconds(1));
+  }
+  cell.Run(Seconds(20));
+  return cell;
+}
+
+// What is known about a task's attempt when its worker crashes.
+enum class Known { Ran, MayHaveRun, Unsent, NotStored };
+
+struct CountCase {
+  const char* name = "";
+  std::vector<Known> crashes;  // one after the other, at different addresses
+  std::size_t counted = 0;
+  JobPhase phase = JobPhase::Active;
+};
+
+const std::vector<CountCase> kCountCases = {
+    {"ran each time",
+     {Known::Ran, Known::Ran, Known::Ran, Known::Ran},
+     4,
+     JobPhase::Failed},
+    {"log of an earlier version",
+     {Known::NotStored, Known::NotStored, Known::NotStored, Known::NotStored},
+     4,
+     JobPhase::Failed},
+    {"never sent",
+     {Known::Unsent, Known::Unsent, Known::Unsent, Known::Unsent,
+      Known::Unsent},
+     0},
+    {"may have run each time",
+     {Known::MayHaveRun, Known::MayHaveRun, Known::MayHaveRun,
+      Known::MayHaveRun, Known::MayHaveRun, Known::MayHaveRun},
+     6},
+    {"first start not answered",
+     {Known::MayHaveRun, Known::Ran, Known::Ran, Known::Ran},
+     4,
+     JobPhase::Failed},
+    {"ran twice",
+     {Known::MayHaveRun, Known::MayHaveRun, Known::Ran, Known::Ran},
+     4,
+     JobPhase::Failed},
+    {"ran once",
+     {Known::MayHaveRun, Known::MayHaveRun, Known::MayHaveRun, Known::Ran},
+     4},
+    {"may have run at the latest crash",
+     {Known::Ran, Known::Ran, Known::Ran, Known::MayHaveRun},
+     4},
+    {"may have run after a log of an earlier version",
+     {Known::NotStored, Known::NotStored, Known::NotStored, Known::MayHaveRun},
+     4},
+};
+
+std::optional<CrashEvidence> EvidenceFor(Known aKnown, const TaskKey& aKey,
+                                         AttemptNumber aAttempt) {
+  CrashEvidence evidence;
+  if (aKnown == Known::NotStored) {
+    return std::nullopt;
+  }
+  if (aKnown == Known::Ran) {
+    evidence.ran = {TaskAttempt{aKey, aAttempt}};
+  } else if (aKnown == Known::Unsent) {
+    evidence.unsent = {TaskAttempt{aKey, aAttempt}};
+  }
+  return evidence;
+}
+
+// Applies the command as another replica reads it from the log.
+void ApplyFromLog(State& aState, const Command& aCommand) {
+  std::string reason;
+  const auto command = Decode(Encode(aCommand), reason);
+  CPPUNIT_ASSERT_MESSAGE(reason, command);
+  Apply(aState, *command);
+}
+
+State RestoreFromSnapshot(const State& aState) {
+  State restored;
+  std::string reason;
+  CPPUNIT_ASSERT_MESSAGE(reason,
+                         DecodeState(EncodeState(aState), restored, reason));
+  return restored;
+}
+
+// Lets workers crash under the first task of a job, with a snapshot between two
+// crashes. The successors have their ids or others.
+State PlayCrashes(const CountCase& aCase, bool aKeepsId) {
+  constexpr TaskKey kTask{1, 0, 0, 0};
+  State state;
+  Apply(state, SetLayout{MakeLayout(1)});
+  Apply(state, AcceptJob{MakeJob("job"), 0});
+  AttemptNumber attempt = 0;
+  for (const Known known : aCase.crashes) {
+    ++attempt;
+    WorkerSpec worker = MakeWorker("w" + std::to_string(attempt));
+    worker.address = worker.id.value;
+    Apply(state, RegisterWorker{worker});
+    Apply(state, PlaceTasks{{{kTask, attempt, state.lastWorker}}});
+    const auto evidence = EvidenceFor(known, kTask, attempt);
+    if (aKeepsId) {
+      ++worker.startedUnixMs;
+      ApplyFromLog(state, RegisterWorker{worker, evidence});
+      Apply(state, RemoveWorker{state.lastWorker, false});
+    } else {
+      ApplyFromLog(state, RemoveWorker{state.lastWorker, true, evidence});
+    }
+    state = RestoreFromSnapshot(state);
+  }
+  return state;
+}
+
+template <typename Case>
+std::string Describe(const Case& aCase, std::uint64_t aSeed) {
+  std::string text = aCase.name;
+  text += ", seed ";
+  text += std::to_string(aSeed);
+  return text;
+}
+
+}  // namespace
+
+class CrashEvidenceTest : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(CrashEvidenceTest);
+  CPPUNIT_TEST(testJobUnderWhichNothingRanIsNotGivenUp);
+  CPPUNIT_TEST(testTaskThatCrashesBeforeItsStartIsAnsweredIsGivenUp);
+  CPPUNIT_TEST(testJobIsGivenUpOnlyOnceItsTaskHasRun);
+  CPPUNIT_TEST_SUITE_END();
+
+ public:
+  // A start that another incarnation refused counted as a crash of the worker
+  // under its task, so that a job was given up without a run.
+  void testJobUnderWhichNothingRanIsNotGivenUp() {
+    std::string broken;
+    for (const RackCase& one : kRackCases) {
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        const CellModel cell = PlayRacks(one, seed);
+        const std::string givenUp = FirstGivenUp(cell);
+        if (!givenUp.empty()) {
+          broken += Describe(one, seed) + ": " + givenUp + " is given up\n";
+        }
+        if (!one.changesLeader && one.restarts == 1 &&
+            one.connection == StaleConnection::Closed &&
+            CountSuspected(cell) > 0) {
+          broken += Describe(one, seed) + ": suspects a refused start\n";
+        }
+        // The rack was idle when it crashed.
+        if (one.restarts == 1 && CountProven(cell) > 0) {
+          broken += Describe(one, seed) + ": suspects a task that never ran\n";
+        }
+        const std::string idle = FirstIdle(cell, one.shape);
+        if (!idle.empty()) {
+          broken += Describe(one, seed) + ": " + idle + " doesn't run\n";
+        }
+        if (!cell.violations.empty()) {
+          broken += Describe(one, seed) + ": " + cell.violations[0] + "\n";
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), broken);
+  }
+
+  void testTaskThatCrashesBeforeItsStartIsAnsweredIsGivenUp() {
+    std::string broken;
+    for (const DeadlyCase& one : kDeadlyCases) {
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        CellModel cell = PlayDeadly(one, seed);
+        const std::uint32_t starts = cell.startsOf["deadly.0.0.0"];
+        const Job* const job = FindJob(cell.state, "deadly");
+        if (job->phase != JobPhase::Failed || starts > kMaxStarts) {
+          broken += Describe(one, seed) + ": " + std::to_string(starts) +
+                    " starts, phase " +
+                    std::to_string(static_cast<int>(job->phase)) + "\n";
+        }
+        if (!FirstGivenUp(cell).empty()) {
+          broken += Describe(one, seed) + ": " + FirstGivenUp(cell) +
+                    " is given up\n";
+        }
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), broken);
+  }
+
+  // Crashes under a task counted alike, whatever was known about its run, and
+  // what was known was lost with a snapshot.
+  void testJobIsGivenUpOnlyOnceItsTaskHasRun() {
+    for (const CountCase& one : kCountCases) {
+      for (const bool keepsId : {false, true}) {
+        const State state = PlayCrashes(one, keepsId);
+        const Job& job = *FindJob(state, "job");
+        CPPUNIT_ASSERT_MESSAGE(one.name, one.phase == job.phase);
+        const TaskState* const task = FindTask(state, {1, 0, 0, 0});
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            one.name, one.phase == JobPhase::Active ? one.counted : 0,
+            task ? task->crashes.size() : 0);
+      }
+    }
+  }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(CrashEvidenceTest);
+
+}  // namespace bramleypath::workflow
--- a/tests/workflow/WorkerModel.cpp
+++ b/tests/workflow/WorkerModel.cpp
@@ -201,15 +201,28 @@
   return answer;
 }
 
+namespace {
+
+bool IsDeadly(const WorkerModel& aWorker, const std::string& aTask) {
+  const TaskName& name = aWorker.names.at(aTask);
+  return name.index == 0 && aWorker.deadlyJobs.count(name.job.value) > 0;
+}
+
+}  // namespace
+
+bool RunsDeadlyTask(const WorkerModel& aWorker) {
+  return std::any_of(
+      aWorker.running.begin(), aWorker.running.end(),
+      [&](const auto& aOne) { return IsDeadly(aWorker, aOne.first); });
+}
+
 bool CrashesNow(const WorkerModel& aWorker, TimePoint aNow) {
   constexpr std::int64_t kCrashAfterMs = 10;
   const std::int64_t clock = ClockOf(aWorker, aNow);
   return aWorker.up &&
          std::any_of(aWorker.running.begin(), aWorker.running.end(),
                      [&](const auto& aOne) {
-                       const TaskName& name = aWorker.names.at(aOne.first);
-                       return name.index == 0 &&
-                              aWorker.deadlyJobs.count(name.job.value) > 0 &&
+                       return IsDeadly(aWorker, aOne.first) &&
                               clock >= aOne.second.startedAtMs + kCrashAfterMs;
                      });
 }
@@ -232,6 +245,7 @@
   next.failureShare = aWorker.failureShare;
   next.endlessJob = aWorker.endlessJob;
   next.deadlyJobs = aWorker.deadlyJobs;
+  next.crashesBeforeAnswer = aWorker.crashesBeforeAnswer;
   aWorker = next;
 }
 
--- a/tests/workflow/WorkerModel.h
+++ b/tests/workflow/WorkerModel.h
@@ -49,6 +49,7 @@
   bool refusesStarts = false;
   // Jobs whose first task crashes the worker soon after its start.
   std::set<std::string> deadlyJobs;
+  bool crashesBeforeAnswer = false;  // at once, before it answers the start
   // The job of the serving task and that of the filler beside it, and the tail
   // of the serving task without the filler and with the filler at full pace.
   std::string servingJob;
@@ -73,6 +74,8 @@
 std::uint32_t TailOf(const WorkerModel& aWorker);
 RenewLeaseAnswer Handle(WorkerModel& aWorker, const RenewLeaseRequest& aRequest,
                         Random& aRandom, TimePoint aNow);
+// Whether it runs a task that crashes it.
+bool RunsDeadlyTask(const WorkerModel& aWorker);
 // Whether a running task crashes the worker by now.
 bool CrashesNow(const WorkerModel& aWorker, TimePoint aNow);
 // Changes the capacity of the running process. Its announcements show it.
