Place nothing on a worker whose address another one has taken

What callers saw: after the restart of a rack, the start of a task went to six workers that were gone, one after the other, although the successors of all of them had registered at the same addresses before the task came. Each start was refused with 421 and cost a commit and two requests.

Cause: the record of a worker that is gone stays a candidate for up to three intervals of announcements. Only the answer to a request shows that another incarnation has its address, and an idle worker is sent none but starts. The older record has the lower number, which decides between equal workers.

Change: when a worker registers at the address of another one, both are asked for a lease renewal at once, and nothing is placed on either before it answers a renewal that was sent after that. The successor answers for the worker that is gone, which is removed. A late announcement of a process that is gone, which may name the address of a live worker, keeps that one out only for as long as it takes to answer (at most 1.4 s while it holds a renewal).

Workers in three tests that shared an address have their own now: they stand for live workers, of which no two listen at one address.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -153,6 +153,9 @@
   // A start waits until the worker answers the next renewal; see
   // AwaitsConfirmation.
   bool isConfirmationWanted = false;
+  // Since when another worker claims its address. Nothing is placed on it until
+  // it answers a renewal sent after that.
+  std::optional<TimePoint> addressClaimedAt;
   // Attempts that ran until their lease expired, since when the worker has not
   // answered.
   std::vector<TaskAttempt> expiredRuns;
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -207,6 +207,7 @@
       view.available = view.available - pending->second;
     }
     view.excluded = worker.spec.draining || session->second.isReplaced ||
+                    session->second.addressClaimedAt ||
                     !session->second.clock ||
                     !IsReachable(aScheduler, session->second, aNow) ||
                     IsCapacityOutdated(aScheduler, session->second, aNow) ||
--- a/src/bramleypath/workflow/internal/Incarnations.cpp
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -1,7 +1,10 @@
 #include "bramleypath/workflow/internal/Incarnations.h"
 
 #include <algorithm>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
+#include <vector>
 
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/StartChecks.h"
@@ -101,6 +104,31 @@
   aSession.expiredRuns.push_back(TaskAttempt{aKey, aAttempt});
 }
 
+void MarkClaimedAddresses(Scheduler& aScheduler, const State& aState,
+                          gsl::span<const WorkerNumber> aNew, TimePoint aNow) {
+  std::unordered_map<std::string_view, std::vector<WorkerNumber>> byAddress;
+  for (const WorkerNumber number : aNew) {
+    byAddress.emplace(aState.workers.at(number).spec.address,
+                      std::vector<WorkerNumber>());
+  }
+  for (const auto& [number, worker] : aState.workers) {
+    const auto found = byAddress.find(worker.spec.address);
+    if (found != byAddress.end()) {
+      found->second.push_back(number);
+    }
+  }
+  for (const auto& [address, numbers] : byAddress) {
+    if (numbers.size() < 2) {
+      continue;
+    }
+    for (const WorkerNumber number : numbers) {
+      WorkerSession& session = aScheduler.sessions.at(number);
+      session.addressClaimedAt = aNow;
+      session.nextRenewalAt = std::min(session.nextRenewalAt, aNow);
+    }
+  }
+}
+
 std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
                                         const State& aState,
                                         const Worker& aWorker) {
--- a/src/bramleypath/workflow/internal/Incarnations.h
+++ b/src/bramleypath/workflow/internal/Incarnations.h
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <optional>
+
+#include <gsl/span>
+
 #include "bramleypath/workflow/Scheduler.h"
 
 // The end of a worker incarnation, and what is known then about its attempts.
@@ -23,6 +27,12 @@
 void RememberExpiredRun(WorkerSession& aSession, const TaskKey& aKey,
                         AttemptNumber aAttempt);
 
+// Marks the workers whose address is that of another one, of which a member of
+// aNew is one: at most one of them still listens there. Their renewals are due
+// at once, since the answers tell which.
+void MarkClaimedAddresses(Scheduler& aScheduler, const State& aState,
+                          gsl::span<const WorkerNumber> aNew, TimePoint aNow);
+
 // What is known about the attempts on the worker, should it have crashed; none
 // if it has no attempts.
 std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -490,6 +490,10 @@
   session.unsentRenewals = 0;
   session.isBootUnconfirmed = false;
   session.isConfirmationWanted = false;
+  if (session.addressClaimedAt && !(aSentAt < *session.addressClaimedAt)) {
+    session.addressClaimedAt.reset();
+    aScheduler.dispatchWanted = true;
+  }
   session.expiredRuns.clear();
   detail::RecordAnswer(session, aNow);
   detail::RecordClock(session, aAnswer.result.clockMs, aNow);
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -62,6 +62,9 @@
   if (session->second.isReplaced) {
     return "replaced";
   }
+  if (session->second.addressClaimedAt) {
+    return "address claimed";
+  }
   if (queue && queue->service != worker.spec.service) {
     return "other service";
   }
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -3,6 +3,7 @@
 #include <iterator>
 #include <utility>
 
+#include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
@@ -297,16 +298,17 @@
       continue;
     }
     // A worker that missed a renewal is not idle until it has answered one.
+    const bool isAnswerWanted =
+        session.isConfirmationWanted || session.addressClaimedAt;
     if (!busy && !owesAcknowledgement && session.hasAnsweredRenewal &&
-        session.missedRenewals == 0) {
+        session.missedRenewals == 0 && !isAnswerWanted) {
       session.nextRenewalAt = kNever;
       continue;
     }
     // Waits for the commit of a permit: a renewal that the worker holds would
     // delay the next one, which can extend the lease.
     if (session.hasAnsweredRenewal && session.missedRenewals == 0 &&
-        !isLeaving && !session.isConfirmationWanted &&
-        !MayGrant(session, aNow) &&
+        !isLeaving && !isAnswerWanted && !MayGrant(session, aNow) &&
         aNow < session.nextRenewalAt + kLongestPermitWait) {
       continue;
     }
@@ -315,11 +317,11 @@
     // A lease must not expire because an attempt waits for a prompt answer.
     // Nor must it expire while the worker holds a renewal that doesn't extend
     // it.
-    const bool waits = busy && !isLeaving && !session.isConfirmationWanted &&
-                       session.hasAnsweredRenewal &&
-                       session.missedRenewals == 0 && MayGrant(session, aNow) &&
-                       (isPromptFull || !HasUnresolvedAttempt(
-                                            aScheduler, worker->second, aNow));
+    const bool waits =
+        busy && !isLeaving && !isAnswerWanted && session.hasAnsweredRenewal &&
+        session.missedRenewals == 0 && MayGrant(session, aNow) &&
+        (isPromptFull ||
+         !HasUnresolvedAttempt(aScheduler, worker->second, aNow));
     if (!waits && isPromptFull) {
       continue;
     }
@@ -378,6 +380,16 @@
   return session;
 }
 
+std::vector<WorkerNumber> NumbersOf(
+    const std::map<WorkerNumber, Worker>& aWorkers) {
+  std::vector<WorkerNumber> numbers;
+  numbers.reserve(aWorkers.size());
+  for (const auto& [number, worker] : aWorkers) {
+    numbers.push_back(number);
+  }
+  return numbers;
+}
+
 }  // namespace
 
 Scheduler MakeScheduler(const SchedulerSettings& aSettings, Epoch aEpoch,
@@ -411,16 +423,20 @@
       scheduler.attempts.emplace(key, std::move(attempt));
     }
   }
+  detail::MarkClaimedAddresses(scheduler, aState, NumbersOf(aState.workers),
+                               aNow);
   return scheduler;
 }
 
 void OnStateChanged(Scheduler& aScheduler, const State& aState,
                     TimePoint aNow) {
   aScheduler.dispatchWanted = true;
+  std::vector<WorkerNumber> added;
   for (const auto& [number, worker] : aState.workers) {
     if (aScheduler.sessions.count(number) > 0) {
       continue;
     }
+    added.push_back(number);
     WorkerSession session;
     session.worker = number;
     session.announcedAt = aNow;
@@ -437,6 +453,7 @@
     aScheduler.sessions.emplace(number, std::move(session));
     aScheduler.sessionsWithoutRenewal.insert(number);
   }
+  detail::MarkClaimedAddresses(aScheduler, aState, added, aNow);
   for (auto it = aScheduler.sessions.begin();
        it != aScheduler.sessions.end();) {
     if (aState.workers.count(it->first) > 0) {
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -178,6 +178,17 @@
   });
 }
 
+void CellModel::AnnounceGone(const std::string& aGone, const std::string& aId) {
+  WorkerModel gone = this->workers.at(aId);
+  gone.spec.id = WorkerId(aGone);
+  gone.spec.startedUnixMs -= 1;
+  gone.up = false;
+  gone.running.clear();
+  this->workers[aGone] = gone;
+  this->replacedWorkers[aGone] = StaleConnection::Closed;
+  this->Receive(Announcement{gone.spec, 1, ClockOf(gone, this->now)});
+}
+
 void CellModel::RestartWorkerAs(const std::string& aId,
                                 const Resources& aCapacity) {
   WorkerModel& worker = this->workers.at(aId);
@@ -458,6 +469,7 @@
   }
   const auto successor = this->AnswerOfSuccessor(id, aIsStart);
   if (successor && this->partitioned.count(id) == 0) {
+    this->misdirectedStarts += aIsStart ? 1 : 0;
     const bool isSilent =
         aIsStart && this->replacedWorkers.at(id) == StaleConnection::Silent;
     this->ScheduleOnLeader(
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -73,6 +73,9 @@
   void ReplaceWorker(const std::string& aId, const std::string& aNewId,
                      Duration aLength,
                      StaleConnection aConnection = StaleConnection::Closed);
+  // A late announcement of a worker that is gone arrives. aId listens at its
+  // address.
+  void AnnounceGone(const std::string& aGone, const std::string& aId);
   // As RestartWorker, with another capacity. The first announcement follows
   // with those of the other workers.
   void RestartWorkerAs(const std::string& aId, const Resources& aCapacity);
@@ -98,6 +101,8 @@
   // Violated invariants; empty if none was violated.
   std::vector<std::string> violations;
   std::uint64_t starts = 0;
+  // Starts that another incarnation at the worker's address refused.
+  std::uint64_t misdirectedStarts = 0;
   // By task: how often it was started, and how many workers crashed under it.
   std::map<std::string, std::uint32_t> startsOf;
   std::map<std::string, std::uint32_t> crashesUnder;
--- a/tests/workflow/CycleCostTest.cpp
+++ b/tests/workflow/CycleCostTest.cpp
@@ -49,7 +49,7 @@
 
 void AddWorkers(Cell& aCell, std::size_t aWorkers, const Resources& aCapacity) {
   for (std::size_t index = 0; index < aWorkers; ++index) {
-    WorkerSpec worker = MakeWorker("w" + std::to_string(index));
+    WorkerSpec worker = MakeNumberedWorker(index);
     worker.capacity = aCapacity;
     Apply(aCell.state, RegisterWorker{worker});
   }
--- a/tests/workflow/Samples.h
+++ b/tests/workflow/Samples.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 
 #include "bramleypath/workflow/State.h"
@@ -56,4 +57,11 @@
   return worker;
 }
 
+// One of several workers, each with an address of its own.
+inline WorkerSpec MakeNumberedWorker(std::size_t aNumber) {
+  WorkerSpec worker = MakeWorker("w" + std::to_string(aNumber));
+  worker.address = worker.id.value + ":1";
+  return worker;
+}
+
 }  // namespace bramleypath::workflow
--- a/tests/workflow/SchedulerTest.cpp
+++ b/tests/workflow/SchedulerTest.cpp
@@ -67,7 +67,7 @@
   CellModel cell(1);
   for (int worker = 0; worker < aWorkers; ++worker) {
     cell.workers["w" + std::to_string(worker)].spec =
-        MakeWorker("w" + std::to_string(worker));
+        MakeNumberedWorker(static_cast<std::size_t>(worker));
   }
   // Registers all workers with the first announcement.
   cell.Run(Seconds(1));
@@ -825,8 +825,9 @@
   void testDispatchPassOverALargeCell() {
     CellModel cell(1);
     for (int worker = 0; worker < 350; ++worker) {
-      Apply(cell.state,
-            RegisterWorker{MakeWorker("w" + std::to_string(worker))});
+      Apply(
+          cell.state,
+          RegisterWorker{MakeNumberedWorker(static_cast<std::size_t>(worker))});
     }
     OnStateChanged(*cell.scheduler, cell.state, cell.now);
     for (WorkerNumber worker = 1; worker <= 350; ++worker) {
