--- a/tests/workflow/FaultPropertyTest.cpp
+++ b/tests/workflow/FaultPropertyTest.cpp
@@ -29,7 +29,8 @@
 // Each row guards against a task that runs on two workers, is lost or is
 // started again after its end, under one kind of fault or several at once, and
 // against a job that is given up for crashes that were not under its tasks. A
-// long-running task must be at work once the faults are over.
+// long-running task must be at work once the faults are over, unless its job
+// was given up with cause.
 constexpr FaultCase kCases[] = {
     {"no faults", {}, false, false, false},
     {"answers lost", {0, 0.2, 0, 0}, false, false, false},
