Ask again at the address of a replaced worker until it is removed

A worker that another incarnation had answered for was asked for a renewal again only while it had attempts. Had its removal not been committed, it would have kept its entry without being used. Not seen; found on reading. The search for claimed addresses ends at once when no worker is new.

--- a/src/bramleypath/workflow/internal/Incarnations.cpp
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -106,6 +106,9 @@
 
 void MarkClaimedAddresses(Scheduler& aScheduler, const State& aState,
                           gsl::span<const WorkerNumber> aNew, TimePoint aNow) {
+  if (aNew.empty()) {
+    return;
+  }
   std::unordered_map<std::string_view, std::vector<WorkerNumber>> byAddress;
   for (const WorkerNumber number : aNew) {
     byAddress.emplace(aState.workers.at(number).spec.address,
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -298,8 +298,8 @@
       continue;
     }
     // A worker that missed a renewal is not idle until it has answered one.
-    const bool isAnswerWanted =
-        session.isConfirmationWanted || session.addressClaimedAt;
+    const bool isAnswerWanted = session.isConfirmationWanted ||
+                                session.addressClaimedAt || session.isReplaced;
     if (!busy && !owesAcknowledgement && session.hasAnsweredRenewal &&
         session.missedRenewals == 0 && !isAnswerWanted) {
       session.nextRenewalAt = kNever;
