--- a/tests/workflow/ClaimedAddressTest.cpp
+++ b/tests/workflow/ClaimedAddressTest.cpp
@@ -73,14 +73,6 @@
   return aCell.now - submittedAt;
 }
 
-template <typename Case>
-std::string Describe(const Case& aCase, std::uint64_t aSeed) {
-  std::string text = aCase.name;
-  text += ", seed ";
-  text += std::to_string(aSeed);
-  return text;
-}
-
 }  // namespace
 
 class ClaimedAddressTest : public CppUnit::TestFixture {
--- a/tests/workflow/CrashEvidenceTest.cpp
+++ b/tests/workflow/CrashEvidenceTest.cpp
@@ -365,14 +365,6 @@
   return state;
 }
 
-template <typename Case>
-std::string Describe(const Case& aCase, std::uint64_t aSeed) {
-  std::string text = aCase.name;
-  text += ", seed ";
-  text += std::to_string(aSeed);
-  return text;
-}
-
 }  // namespace
 
 class CrashEvidenceTest : public CppUnit::TestFixture {
--- a/tests/workflow/Samples.h
+++ b/tests/workflow/Samples.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 #include <string>
 
 #include "bramleypath/workflow/State.h"
@@ -57,6 +58,15 @@
   return worker;
 }
 
+// Names a row of a table of cases and a seed in a message.
+template <typename Case>
+std::string Describe(const Case& aCase, std::uint64_t aSeed) {
+  std::string text = aCase.name;
+  text += ", seed ";
+  text += std::to_string(aSeed);
+  return text;
+}
+
 // One of several workers, each with an address of its own.
 inline WorkerSpec MakeNumberedWorker(std::size_t aNumber) {
   WorkerSpec worker = MakeWorker("w" + std::to_string(aNumber));
