Ignore further claims of an address once its worker has answered

Another writer that goes on announcing workers at the address of a live one, under new ids or under one that is removed each time, kept that worker out again and again, each time until it answered a renewal (up to 1.4 s if it holds one). After an answer, claims of the address are ignored for 10 s. Within that time a worker that is replaced for real may be sent a start, which its successor refuses and which ends as never run.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -156,6 +156,9 @@
   // Since when another worker claims its address. Nothing is placed on it until
   // it answers a renewal sent after that.
   std::optional<TimePoint> addressClaimedAt;
+  // It has answered although its address was claimed: until then, further
+  // claims keep nothing off it.
+  TimePoint claimsIgnoredUntil;
   // Attempts that ran until their lease expired, since when the worker has not
   // answered.
   std::vector<TaskAttempt> expiredRuns;
--- a/src/bramleypath/workflow/internal/Incarnations.cpp
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kStartAnswerWait = Millis(250);
 constexpr Duration kRemovalRetry = Millis(250);
 constexpr std::size_t kMaxExpiredRuns = 64;
+// Another writer may go on to announce a worker at the address of a live one.
+constexpr Duration kClaimsIgnored = Seconds(10);
 
 const Attempt* FindAttemptOn(const Scheduler& aScheduler, const TaskKey& aKey,
                              const Worker& aWorker) {
@@ -126,12 +128,25 @@
     }
     for (const WorkerNumber number : numbers) {
       WorkerSession& session = aScheduler.sessions.at(number);
+      if (aNow < session.claimsIgnoredUntil) {
+        continue;
+      }
       session.addressClaimedAt = aNow;
       session.nextRenewalAt = std::min(session.nextRenewalAt, aNow);
     }
   }
 }
 
+void ConfirmAddress(Scheduler& aScheduler, WorkerSession& aSession,
+                    TimePoint aAskedAt, TimePoint aNow) {
+  if (!aSession.addressClaimedAt || aAskedAt < *aSession.addressClaimedAt) {
+    return;
+  }
+  aSession.addressClaimedAt.reset();
+  aSession.claimsIgnoredUntil = aNow + kClaimsIgnored;
+  aScheduler.dispatchWanted = true;
+}
+
 std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
                                         const State& aState,
                                         const Worker& aWorker) {
--- a/src/bramleypath/workflow/internal/Incarnations.h
+++ b/src/bramleypath/workflow/internal/Incarnations.h
@@ -33,6 +33,11 @@
 void MarkClaimedAddresses(Scheduler& aScheduler, const State& aState,
                           gsl::span<const WorkerNumber> aNew, TimePoint aNow);
 
+// The worker has answered a renewal that was sent at aAskedAt, so that its
+// address was its own then.
+void ConfirmAddress(Scheduler& aScheduler, WorkerSession& aSession,
+                    TimePoint aAskedAt, TimePoint aNow);
+
 // What is known about the attempts on the worker, should it have crashed; none
 // if it has no attempts.
 std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -494,10 +494,7 @@
   session.unsentRenewals = 0;
   session.isBootUnconfirmed = false;
   session.isConfirmationWanted = false;
-  if (session.addressClaimedAt && !(aSentAt < *session.addressClaimedAt)) {
-    session.addressClaimedAt.reset();
-    aScheduler.dispatchWanted = true;
-  }
+  detail::ConfirmAddress(aScheduler, session, aSentAt, aNow);
   session.expiredRuns.clear();
   detail::RecordAnswer(session, aNow);
   detail::RecordClock(session, aAnswer.result.clockMs, aNow);
--- a/tests/workflow/ClaimedAddressTest.cpp
+++ b/tests/workflow/ClaimedAddressTest.cpp
@@ -79,6 +79,7 @@
   CPPUNIT_TEST_SUITE(ClaimedAddressTest);
   CPPUNIT_TEST(testNoStartGoesToAWorkerWhoseSuccessorIsKnown);
   CPPUNIT_TEST(testLateAnnouncementKeepsNoLiveWorkerOut);
+  CPPUNIT_TEST(testRepeatedClaimsKeepNoLiveWorkerOut);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -141,6 +142,35 @@
       }
     }
   }
+
+  // Another writer that goes on to announce workers at the address of a live
+  // one, under new ids, must not keep it out for good.
+  void testRepeatedClaimsKeepNoLiveWorkerOut() {
+    constexpr int kJobs = 20;
+    constexpr Duration kLongestWait = Millis(2500);
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CellModel cell(seed);
+      cell.AddWorker("live");
+      cell.renewalsWait = true;
+      cell.workers.at("live").endlessJob = "lasting";
+      cell.Run(Seconds(2));
+      JobSpec lasting = MakeJob("lasting");
+      lasting.stages[0].longRunning = true;
+      cell.Submit(lasting);
+      cell.Run(Seconds(3));
+      for (int number = 0; number < kJobs; ++number) {
+        const std::string text = std::to_string(number);
+        cell.AnnounceGone("gone" + text, "live");
+        cell.Submit(MakeJob("job" + text));
+        const Duration wait = MeasureWait(cell, "job" + text);
+        CPPUNIT_ASSERT_MESSAGE(
+            "seed " + std::to_string(seed) + ", job " + text + ": " +
+                std::to_string(ToMillis(wait)) + " ms",
+            wait < (number == 0 ? kLongestWait : Millis(300)));
+        cell.Run(Millis(400));
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClaimedAddressTest);
