--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -135,6 +135,7 @@
   return aLeft.index < aRight.index;
 }
 
+// One attempt of a task.
 struct TaskAttempt {
   TaskKey task;
   AttemptNumber attempt = 0;
