Let a test of malformed bodies wait for the next leader of the cell

The step before kills a host that may lead the group of the cell too. The answer is the 503 no_leader of docs/operator-api.md, and nothing is wrong with the process.

The step now waits until the host that it asks answers an ordinary request about jobs with anything but 503, and then asks the same as before: each of the ten nested bodies must be answered with 4xx, 503 still fails the test, and the process must run on. Nothing is asked less strictly.

--- a/tests/process/config_failures.py
+++ b/tests/process/config_failures.py
@@ -155,10 +155,20 @@
     deployment.wait_in_force(version)
 
 
+def wait_for_cell_leader(host):
+    """The host that was killed before may have led the cell group too. Until its
+    next leader is known, requests about jobs are answered with 503."""
+    def reached():
+        status, _, _ = request(host.operators, "POST", "/v1/ops/jobs", b"{}")
+        return status != 503
+    wait_for(f"{host.name} reaches the leader of its cell group", reached)
+
+
 def nested_bodies(deployment):
     """A body that nests too deeply is refused and ends no process."""
     nested = "[" * NESTING + "]" * NESTING
     host = deployment.any_host()
+    wait_for_cell_leader(host)
     for path in ("/v1/ops/config", "/v1/ops/targets/t1/drain", "/v1/ops/jobs",
                  "/v1/ops/jobs/cancel", "/v1/ops/log-level"):
         for body in (nested, '{"draining": %s, "dry_run": true}' % nested):
