Log the starts without an answer that count as runs

Cause: worker_crashed tells how many attempts count as having run, but not whether the worker had accepted them or had only gone silent after their start. Change: a record start_silent for each such start, with the crashes under its task so far.

--- a/src/bramleypath/workflow/internal/Incarnations.cpp
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -79,6 +79,23 @@
           (aIsWaiting ? " starts are on their way" : "")};
 }
 
+// The starts without an answer that count as runs, for the event log. Nothing
+// else in the log tells them from starts that the worker accepted.
+void LogSilentStarts(const Scheduler& aScheduler, const State& aState,
+                     const Worker& aWorker, SchedulerActions& aActions) {
+  for (const TaskKey& key : aWorker.attempts) {
+    const Attempt* const attempt = FindAttemptOn(aScheduler, key, aWorker);
+    if (!attempt || attempt->hasRun || !HasRun(*attempt)) {
+      continue;
+    }
+    aActions.push_back(DecisionRecord{
+        "start_silent", ToText(NameOf(aState, key)),
+        "attempt=" + std::to_string(attempt->number) +
+            " worker=" + aWorker.spec.id.value + " crashes=" +
+            std::to_string(FindTask(aState, key)->crashes.size())});
+  }
+}
+
 }  // namespace
 
 bool IsUnsent(const Attempt& aAttempt) {
@@ -204,6 +221,7 @@
   if (!isWaiting) {
     RemoveWorker removal{aWorker, hasCrashed};
     if (hasCrashed) {
+      LogSilentStarts(aScheduler, aState, worker->second, actions);
       removal.evidence = EvidenceOf(aScheduler, aState, worker->second);
     }
     commit.commands.emplace_back(std::move(removal));
