Ask a claimed address again although it answered a moment ago

Callers saw starts go to workers that were gone: of a rack that restarts again and again, each earlier life stayed in use for up to three intervals of announcements. Cause: after a worker has answered although its address was claimed, further claims of the address are ignored for 10 s, so that another writer can't keep it out. They were not followed by a question either, so that the successor of a worker that restarted a second time within 10 s didn't replace it. Seen in a trace of the model, where six workers of a rack stayed registered for 10 s after they had gone. Change: within those 10 s, a claim still keeps nothing off the worker, but it is asked for a lease renewal at once.

--- a/src/bramleypath/workflow/internal/Incarnations.cpp
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -146,9 +146,10 @@
     for (const WorkerNumber number : numbers) {
       WorkerSession& session = aScheduler.sessions.at(number);
       if (aNow < session.claimsIgnoredUntil) {
-        continue;
+        session.isConfirmationWanted = true;
+      } else {
+        session.addressClaimedAt = aNow;
       }
-      session.addressClaimedAt = aNow;
       session.nextRenewalAt = std::min(session.nextRenewalAt, aNow);
     }
   }
--- a/tests/workflow/ClaimedAddressTest.cpp
+++ b/tests/workflow/ClaimedAddressTest.cpp
@@ -25,10 +25,12 @@
   return cell;
 }
 
-void ReplaceAll(CellModel& aCell) {
-  constexpr Duration kDown = Millis(200);
+constexpr Duration kDown = Millis(200);
+
+void ReplaceAll(CellModel& aCell, std::uint32_t aLife = 0) {
   for (std::uint32_t index = 0; index < kWorkers; ++index) {
-    aCell.ReplaceWorker(WorkerName(index, 0), WorkerName(index, 1), kDown);
+    aCell.ReplaceWorker(WorkerName(index, aLife), WorkerName(index, aLife + 1),
+                        kDown);
   }
 }
 
@@ -78,6 +80,7 @@
 class ClaimedAddressTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(ClaimedAddressTest);
   CPPUNIT_TEST(testNoStartGoesToAWorkerWhoseSuccessorIsKnown);
+  CPPUNIT_TEST(testWorkerThatRestartsAgainIsReplacedAtOnce);
   CPPUNIT_TEST(testLateAnnouncementKeepsNoLiveWorkerOut);
   CPPUNIT_TEST(testRepeatedClaimsKeepNoLiveWorkerOut);
   CPPUNIT_TEST_SUITE_END();
@@ -110,6 +113,25 @@
     }
   }
 
+  // The earlier life of a worker that restarted a second time within seconds
+  // stayed in use for several intervals of announcements.
+  void testWorkerThatRestartsAgainIsReplacedAtOnce() {
+    constexpr std::uint32_t kRestarts = 5;
+    constexpr Duration kReplacedWithin = Millis(100);
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+      CellModel cell = MakeCell(seed);
+      for (std::uint32_t life = 0; life < kRestarts; ++life) {
+        cell.Run(Millis(static_cast<std::int64_t>(1000 + 137 * seed)));
+        ReplaceAll(cell, life);
+        cell.Run(kDown + kReplacedWithin);
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            "seed " + std::to_string(seed) + ", restart " +
+                std::to_string(life + 1),
+            std::size_t{kWorkers}, cell.state.workers.size());
+      }
+    }
+  }
+
   // An announcement of an earlier process at its address must not keep a worker
   // out for longer than it takes to answer.
   void testLateAnnouncementKeepsNoLiveWorkerOut() {
