Let a refused connection be noticed on a busy host in a test

Cause: the row gives the client 400 ms, counted from before its thread takes the request up. If that thread doesn't run for so long, the client says truly that this host was late, as the row "taken up after the deadline" demands; the test expected the opposite. Change: the row's time limit is 4 s, below the deadline of the request, so that what a refusal is taken for is checked on a busy host as well. That it is noticed within 400 ms, which the row checked in passing, has a test of its own, testRefusalIsNoticedSoon: each of ten refusals has to be told from lateness, and the fastest has to come within 400 ms. A client that notices a refusal later, or only at the end of a time limit, fails there.

--- a/tests/net/HttpClientTest.cpp
+++ b/tests/net/HttpClientTest.cpp
@@ -2,7 +2,9 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <optional>
+#include <string>
 #include <thread>
 
 #include "bramleypath/net/Clock.h"
@@ -39,6 +41,7 @@
   CPPUNIT_TEST(testDeliveries);
   CPPUNIT_TEST(testRefusedConnectionSendsNothing);
   CPPUNIT_TEST(testEvidenceOfRequestsNotSent);
+  CPPUNIT_TEST(testRefusalIsNoticedSoon);
   CPPUNIT_TEST(testWaitForTheOwnConnectionLimitIsADelay);
   CPPUNIT_TEST(testClosedIdleConnectionIsNotUsedTwice);
   CPPUNIT_TEST(testConnectionLimitDelaysRequests);
@@ -132,7 +135,9 @@
         {"unreachable, but taken up late", Peer::DropsConnections, Millis(5),
          true},
         {"unreachable", Peer::DropsConnections, Millis(400), false},
-        {"refused", Peer::Refuses, Millis(400), false},
+        // A refusal comes at once. The time limit is only there to be later
+        // than it, on a busy host as well.
+        {"refused", Peer::Refuses, Seconds(4), false},
     };
     for (const Row& row : rows) {
       asio::io_context context;
@@ -163,6 +168,31 @@
     }
   }
 
+  // A refused connection must not be noticed only at the end of a time limit.
+  // On a busy host, any one request may be late.
+  void testRefusalIsNoticedSoon() {
+    constexpr int kRequests = 10;
+    constexpr Duration kSoon = Millis(400);
+    asio::io_context context;
+    RawServer server(context, nullptr);
+    const std::string address = server.Address();
+    server.Close();
+    HttpClient client(context, HttpClientLimits());
+    Duration fastest = Seconds(60);
+    for (int number = 0; number < kRequests; ++number) {
+      const TimePoint sentAt = Now();
+      std::optional<ClientResult> result;
+      client.Send(RequestTo(address),
+                  [&result](ClientResult aEnd) { result = std::move(aEnd); });
+      CPPUNIT_ASSERT(
+          RunUntil(context, [&result] { return result.has_value(); }));
+      CPPUNIT_ASSERT(result->isConnectionRefused && !result->delayedLocally);
+      fastest = std::min(fastest, Now() - sentAt);
+    }
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(ToMillis(fastest)) + " ms",
+                           fastest < kSoon);
+  }
+
   // A request that waits for a connection of the pool was never shown to the
   // peer.
   void testWaitForTheOwnConnectionLimitIsADelay() {
