Count a start without an answer as a run only if its worker crashed alone

Cause: a start without an answer counted as proof that it had ended its worker if the worker had answered another request at most 100 ms before. A rack that goes dark at that moment looks the same, and suspects are started right after such an answer. Change: such a start counts only if no other worker of its rack and at most one elsewhere may have crashed with it, by when they were last heard from and first missed. The removal of the worker waits for that, 3 s at most, if a task with two crashes was about to start there. A task with three crashes waits until no worker has crashed for 1 s, 30 s at most, since amid other crashes its next one would prove nothing and still count for the users. Workers whose task is tried for the last time don't count as others. Why it works: a start takes down one worker, a rack more than one, and workers that the task never touched show which it was.

--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -279,7 +279,7 @@
   const auto before =
       CapacityOf(this->State(), announced.id.value, announced.startedUnixMs);
   this->Propose(
-      workflow::RegistrationOf(*this->scheduler, this->State(), *changed),
+      workflow::RegistrationOf(*this->scheduler, this->State(), *changed, now),
       kCallerTimeout,
       [this, isAlive = this->alive, spec = *changed, aAnnouncement, before,
        callback = std::move(aCallback)](const Answer& aAnswer) {
--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "bramleypath/workflow/internal/CrashScope.h"
 #include "bramleypath/workflow/internal/Incarnations.h"
 
 namespace bramleypath::workflow {
@@ -120,9 +121,14 @@
                                        TimePoint aNow) {
   const WorkerSpec& announced = aAnnouncement.worker;
   const Worker* const known = FindWorker(aState, announced.id.value);
-  if (!known || announced.startedUnixMs > known->spec.startedUnixMs) {
+  if (!known) {
     return announced;
   }
+  if (announced.startedUnixMs > known->spec.startedUnixMs) {
+    return detail::AwaitsEvidence(aScheduler, aState, *known, aNow)
+               ? std::nullopt
+               : std::optional(announced);
+  }
   const auto found = aScheduler.sessions.find(known->number);
   if (found == aScheduler.sessions.end()) {
     return std::nullopt;
@@ -144,12 +150,14 @@
                                        : std::optional(std::move(spec));
 }
 
-RegisterWorker RegistrationOf(const Scheduler& aScheduler, const State& aState,
-                              const WorkerSpec& aSpec) {
+RegisterWorker RegistrationOf(Scheduler& aScheduler, const State& aState,
+                              const WorkerSpec& aSpec, TimePoint aNow) {
   RegisterWorker registration{aSpec};
   const Worker* const known = FindWorker(aState, aSpec.id.value);
   if (known && known->spec.startedUnixMs < aSpec.startedUnixMs) {
-    registration.evidence = detail::EvidenceOf(aScheduler, aState, *known);
+    detail::RecordLostWorker(aScheduler, aState, *known, aNow);
+    registration.evidence =
+        detail::EvidenceOf(aScheduler, aState, *known, aNow);
   }
   return registration;
 }
--- a/src/bramleypath/workflow/Announcements.h
+++ b/src/bramleypath/workflow/Announcements.h
@@ -33,7 +33,8 @@
                     const Announcement& aAnnouncement);
 
 // The entry of the worker to be committed because of the announcement; none if
-// the replicated entry stays as it is. An announcement that arrives after a
+// the replicated entry stays as it is, or, for a new incarnation, until enough
+// is known of the end of the one before. An announcement that arrives after a
 // later one of the same incarnation changes nothing but the state of draining,
 // and a worker that drains goes on draining.
 //
@@ -50,8 +51,8 @@
 
 // The command that registers a worker, with what is known about the attempts on
 // the incarnation that it replaces, if any.
-RegisterWorker RegistrationOf(const Scheduler& aScheduler, const State& aState,
-                              const WorkerSpec& aSpec);
+RegisterWorker RegistrationOf(Scheduler& aScheduler, const State& aState,
+                              const WorkerSpec& aSpec, TimePoint aNow);
 
 // An announcement of the given sequence number shows the replicated entry of
 // the worker.
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -148,10 +148,14 @@
   // Another incarnation has answered at its address. It is removed once the
   // starts that are on their way to it are answered.
   bool isReplaced = false;
+  // When a request to the worker failed for the first time since its last
+  // message.
+  std::optional<TimePoint> missedAt;
+  bool isLost = false;  // it is in Scheduler::lostWorkers
   // When the worker last answered a request.
   std::optional<TimePoint> lastAnswerAt;
-  // A start waits until the worker answers the next renewal; see
-  // AwaitsConfirmation.
+  // The worker is to answer the next renewal at once: a start waits for that,
+  // see AwaitsConfirmation, or another worker has claimed its address.
   bool isConfirmationWanted = false;
   // Since when another worker claims its address. Nothing is placed on it until
   // it answers a renewal sent after that.
@@ -178,6 +182,15 @@
   TimePoint paceEffectiveAt;
 };
 
+// A worker that has crashed and is removed; see CrashScope.h.
+struct LostWorker {
+  RackId rack;
+  std::string address;
+  TimePoint lastMessageAt;
+  TimePoint missedAt;     // it had crashed by then
+  bool hadTrial = false;  // see IsOnTrial
+};
+
 // Commands to be committed as one batch.
 struct Commit {
   std::vector<Command> commands;
@@ -352,7 +365,10 @@
   std::deque<QueuedStart> queuedStarts;
   // Suspects that found no worker without another suspect, and since when.
   std::unordered_map<TaskKey, TimePoint> suspectsWaitingSince;
-  std::uint64_t lastLoggedCrash = 0;  // WorkerCrash::number
+  std::uint64_t lastLoggedCrash = 0;   // WorkerCrash::number
+  std::deque<LostWorker> lostWorkers;  // the latest ones, oldest first
+  // When a worker was last found to have crashed.
+  std::optional<TimePoint> lastCrashAt;
   std::uint32_t startsInFlight = 0;
   // A pass left tasks waiting because of kStartWindow.
   bool isStartWindowFull = false;
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -4,6 +4,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "bramleypath/workflow/internal/CrashScope.h"
 #include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
@@ -261,7 +262,9 @@
         ProposeEnd(key, attempt, EndKind::NeverRan, "", expired);
         continue;
       }
-      if (HasRun(attempt) && !attempt.proposedEnd) {
+      const auto worker = aState.workers.find(attempt.worker);
+      if (worker != aState.workers.end() &&
+          HasRun(aScheduler, aState, worker->second, attempt, aNow)) {
         RememberExpiredRun(session, key, attempt.number);
       }
       RecordAbandonedStart(aScheduler, aState, key, attempt, aNow);
@@ -519,6 +522,9 @@
       break;
     case RequestOutcome::Refused:
     case RequestOutcome::NotSent:
+      if (aAnswer.outcome == RequestOutcome::NotSent) {
+        detail::RecordMiss(session, aNow);
+      }
       detail::AvoidWorker(session, aNow + kRefusedAvoid, aNow);
       DropTicket(aScheduler.tickets, detail::StageKey(aRequest.task),
                  aRequest.worker);
@@ -534,6 +540,7 @@
     }
     case RequestOutcome::NoAnswer:
       session.isBootUnconfirmed = true;
+      detail::RecordMiss(session, aNow);
       detail::AvoidWorker(session, aNow + kUnansweredAvoid, aNow);
       if (attempt) {
         attempt->startStatus = Attempt::StartStatus::Unknown;
--- a/src/bramleypath/workflow/internal/Incarnations.cpp
+++ b/src/bramleypath/workflow/internal/Incarnations.cpp
@@ -6,8 +6,10 @@
 #include <utility>
 #include <vector>
 
+#include "bramleypath/workflow/internal/CrashScope.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/StartChecks.h"
+#include "bramleypath/workflow/internal/Suspects.h"
 
 namespace bramleypath::workflow::detail {
 
@@ -76,22 +78,26 @@
                       : "another incarnation answered, this one never did") +
           " attempts=" + std::to_string(aWorker.attempts.size()) +
           " unsent=" + std::to_string(aUnsent.tasks.size()) +
-          (aIsWaiting ? " starts are on their way" : "")};
+          (aIsWaiting ? " waits for evidence" : "")};
 }
 
-// The starts without an answer that count as runs, for the event log. Nothing
-// else in the log tells them from starts that the worker accepted.
+// Writes to the event log which starts without an answer count as runs.
+// Nothing else there tells them from starts that the worker accepted.
 void LogSilentStarts(const Scheduler& aScheduler, const State& aState,
-                     const Worker& aWorker, SchedulerActions& aActions) {
+                     const Worker& aWorker, TimePoint aNow,
+                     SchedulerActions& aActions) {
   for (const TaskKey& key : aWorker.attempts) {
     const Attempt* const attempt = FindAttemptOn(aScheduler, key, aWorker);
-    if (!attempt || attempt->hasRun || !HasRun(*attempt)) {
+    if (!attempt || !IsSilentStart(*attempt)) {
       continue;
     }
+    const CrashScope scope =
+        ScopeOfCrash(aScheduler, aState, aWorker, attempt->sentAt, aNow);
     aActions.push_back(DecisionRecord{
         "start_silent", ToText(NameOf(aState, key)),
         "attempt=" + std::to_string(attempt->number) +
-            " worker=" + aWorker.spec.id.value + " crashes=" +
+            " worker=" + aWorker.spec.id.value + " crash=" + ToText(scope) +
+            " earlier_crashes=" +
             std::to_string(FindTask(aState, key)->crashes.size())});
   }
 }
@@ -103,8 +109,29 @@
          !aAttempt.isStartInFlight;
 }
 
-bool HasRun(const Attempt& aAttempt) {
-  return aAttempt.hasRun || (aAttempt.isSentAfterAnswer && !IsUnsent(aAttempt));
+bool IsSilentStart(const Attempt& aAttempt) {
+  return !aAttempt.hasRun && aAttempt.isSentAfterAnswer && !IsUnsent(aAttempt);
+}
+
+bool HasRun(const Scheduler& aScheduler, const State& aState,
+            const Worker& aWorker, const Attempt& aAttempt, TimePoint aNow) {
+  return aAttempt.hasRun ||
+         (IsSilentStart(aAttempt) &&
+          ScopeOfCrash(aScheduler, aState, aWorker, aAttempt.sentAt, aNow) ==
+              CrashScope::Alone);
+}
+
+bool AwaitsEvidence(const Scheduler& aScheduler, const State& aState,
+                    const Worker& aWorker, TimePoint aNow) {
+  return std::any_of(
+      aWorker.attempts.begin(), aWorker.attempts.end(),
+      [&](const TaskKey& aKey) {
+        const Attempt* const attempt = FindAttemptOn(aScheduler, aKey, aWorker);
+        return attempt && IsSilentStart(*attempt) &&
+               NeedsOwnHost(*FindTask(aState, aKey)) &&
+               ScopeOfCrash(aScheduler, aState, aWorker, attempt->sentAt,
+                            aNow) == CrashScope::Unknown;
+      });
 }
 
 void RecordAnswer(WorkerSession& aSession, TimePoint aNow) {
@@ -145,6 +172,9 @@
     }
     for (const WorkerNumber number : numbers) {
       WorkerSession& session = aScheduler.sessions.at(number);
+      if (number != numbers.back()) {
+        RecordMiss(session, aNow);
+      }
       if (aNow < session.claimsIgnoredUntil) {
         session.isConfirmationWanted = true;
       } else {
@@ -167,7 +197,7 @@
 
 std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
                                         const State& aState,
-                                        const Worker& aWorker) {
+                                        const Worker& aWorker, TimePoint aNow) {
   CrashEvidence evidence;
   for (const auto& [key, placed] : aScheduler.pendingPlacements) {
     if (placed.worker == aWorker.number) {
@@ -186,7 +216,7 @@
         found != aScheduler.attempts.end() && found->second.number == number;
     if (!isHeld || IsUnsent(found->second)) {
       evidence.unsent.push_back(TaskAttempt{key, number});
-    } else if (HasRun(found->second)) {
+    } else if (HasRun(aScheduler, aState, aWorker, found->second, aNow)) {
       evidence.ran.push_back(TaskAttempt{key, number});
     }
   }
@@ -206,7 +236,12 @@
     return {};
   }
   const bool hasCrashed = MayHaveRunAttempts(session->second);
-  const bool isWaiting = AwaitsStartAnswer(aScheduler, worker->second, aNow);
+  if (hasCrashed) {
+    RecordLostWorker(aScheduler, aState, worker->second, aNow);
+  }
+  const bool isWaiting =
+      AwaitsStartAnswer(aScheduler, worker->second, aNow) ||
+      AwaitsEvidence(aScheduler, aState, worker->second, aNow);
   EndTasks unsent = EndUnsent(aScheduler, aState, worker->second, aNow);
   SchedulerActions actions;
   if (!isWaiting || !session->second.isReplaced) {
@@ -222,8 +257,8 @@
   if (!isWaiting) {
     RemoveWorker removal{aWorker, hasCrashed};
     if (hasCrashed) {
-      LogSilentStarts(aScheduler, aState, worker->second, actions);
-      removal.evidence = EvidenceOf(aScheduler, aState, worker->second);
+      LogSilentStarts(aScheduler, aState, worker->second, aNow, actions);
+      removal.evidence = EvidenceOf(aScheduler, aState, worker->second, aNow);
     }
     commit.commands.emplace_back(std::move(removal));
   }
--- a/src/bramleypath/workflow/internal/Incarnations.h
+++ b/src/bramleypath/workflow/internal/Incarnations.h
@@ -12,10 +12,19 @@
 // Whether the attempt can't run on its worker before another start is sent.
 bool IsUnsent(const Attempt& aAttempt);
 
-// Whether the attempt ran on its worker, as that has shown. A start without an
-// answer counts if the worker had answered another request right before it was
-// sent: most likely it ended the worker.
-bool HasRun(const Attempt& aAttempt);
+// Whether the start of the attempt has no answer although its worker had
+// answered another request right before it was sent.
+bool IsSilentStart(const Attempt& aAttempt);
+
+// Whether the attempt ran on its worker, as that has shown. A silent start
+// counts if the worker crashed alone: most likely it ended the worker.
+bool HasRun(const Scheduler& aScheduler, const State& aState,
+            const Worker& aWorker, const Attempt& aAttempt, TimePoint aNow);
+
+// Whether the worker, which has crashed, is to be kept until the scope of its
+// crash is known, since a job may have to be given up for it.
+bool AwaitsEvidence(const Scheduler& aScheduler, const State& aState,
+                    const Worker& aWorker, TimePoint aNow);
 
 // Records that the worker answered a request.
 void RecordAnswer(WorkerSession& aSession, TimePoint aNow);
@@ -42,7 +51,7 @@
 // if it has no attempts.
 std::optional<CrashEvidence> EvidenceOf(const Scheduler& aScheduler,
                                         const State& aState,
-                                        const Worker& aWorker);
+                                        const Worker& aWorker, TimePoint aNow);
 
 // Another incarnation answers at the worker's address. Ends the attempts that
 // were not sent, and removes the worker once the starts that are on their way
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -2,6 +2,7 @@
 #include <utility>
 
 #include "bramleypath/workflow/Announcements.h"
+#include "bramleypath/workflow/internal/CrashScope.h"
 #include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
@@ -368,14 +369,18 @@
   if (aAnswer.outcome == RequestOutcome::OtherIncarnation) {
     return detail::RemoveIncarnation(aScheduler, aState, aSession.worker, aNow);
   }
-  WorkerSpec spec = aState.workers.at(aSession.worker).spec;
+  const Worker& worker = aState.workers.at(aSession.worker);
+  if (detail::AwaitsEvidence(aScheduler, aState, worker, aNow)) {
+    return {};
+  }
+  WorkerSpec spec = worker.spec;
   spec.startedUnixMs = aAnswer.startedUnixMs;
   // It may be of another kind. Nothing is placed there until it announces its
   // capacity.
   spec.capacity = Resources();
   spec.draining = false;
   Commit commit;
-  commit.commands.emplace_back(RegistrationOf(aScheduler, aState, spec));
+  commit.commands.emplace_back(RegistrationOf(aScheduler, aState, spec, aNow));
   return {std::move(commit)};
 }
 
@@ -414,6 +419,7 @@
         aAnswer.reason});
   }
   ++aSession.missedRenewals;
+  detail::RecordMiss(aSession, aNow);
   detail::MarkSilent(aScheduler, aSession);
   // Most likely it has ended and closed the connection: a new connection is
   // then refused, which proves it.
--- a/src/bramleypath/workflow/internal/Suspects.cpp
+++ b/src/bramleypath/workflow/internal/Suspects.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/Crashes.h"
+#include "bramleypath/workflow/internal/CrashScope.h"
 #include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
@@ -18,6 +20,9 @@
 constexpr Duration kHeardFromWithin = Millis(500);
 // Nothing is placed beside a task under which this many workers crashed.
 constexpr std::size_t kCrashesForOwnHost = 2;
+// For so long, a task on trial waits while workers crash, since its next crash
+// would prove little.
+constexpr Duration kMaxUnsettledWait = Seconds(30);
 constexpr std::size_t kMaxSuspectsPerHost = 4;
 constexpr std::size_t kMaxTriesPerPass = 64;
 constexpr std::size_t kMaxWaitingSuspects = 4096;
@@ -70,13 +75,14 @@
          aNow - *session->second.lastMessageAt < kHeardFromWithin;
 }
 
-bool HasWaited(Scheduler& aScheduler, const TaskKey& aKey, TimePoint aNow) {
+bool HasWaited(Scheduler& aScheduler, const TaskKey& aKey, Duration aLength,
+               TimePoint aNow) {
   auto& waiting = aScheduler.suspectsWaitingSince;
   if (waiting.size() >= kMaxWaitingSuspects) {
     waiting.clear();
   }
   const auto since = waiting.emplace(aKey, aNow).first;
-  return kMaxSuspectWait < aNow - since->second;
+  return aLength < aNow - since->second;
 }
 
 // Whether the attempt has run for kClearedAfter, as its worker has shown.
@@ -172,6 +178,10 @@
   return aTask.crashes.size() >= kCrashesForOwnHost;
 }
 
+bool IsOnTrial(const TaskState& aTask) {
+  return aTask.crashes.size() + 1 >= kCrashesToGiveUp;
+}
+
 std::optional<std::size_t> ChooseHostForSuspect(
     Scheduler& aScheduler, const CandidateHosts& aHosts,
     SuspectHosts& aSuspects, gsl::span<const HostView> aViews,
@@ -181,6 +191,10 @@
     return std::nullopt;
   }
   --aSuspects.triesLeft;
+  if (IsOnTrial(aState) && IsUnsettled(aScheduler, aNow) &&
+      !HasWaited(aScheduler, aKey, kMaxUnsettledWait, aNow)) {
+    return std::nullopt;
+  }
   std::vector<HostView> views = ViewsForSuspect(aHosts, aViews, aState);
   std::vector<HostView> apart = views;
   for (std::size_t host = 0; host < apart.size(); ++host) {
@@ -188,7 +202,7 @@
                            !IsHeardFrom(aScheduler, aHosts.numbers[host], aNow);
   }
   std::optional<std::size_t> chosen = ChooseHost(apart, aTask);
-  if (!chosen && HasWaited(aScheduler, aKey, aNow)) {
+  if (!chosen && HasWaited(aScheduler, aKey, kMaxSuspectWait, aNow)) {
     chosen = ChooseHost(views, aTask);
     chosen = chosen ? chosen : ChooseHost(aViews, aTask);
   }
--- a/src/bramleypath/workflow/internal/Suspects.h
+++ b/src/bramleypath/workflow/internal/Suspects.h
@@ -45,6 +45,9 @@
 // Whether nothing else may be placed beside the task.
 bool NeedsOwnHost(const TaskState& aTask);
 
+// Whether the next crash under the task may give its job up.
+bool IsOnTrial(const TaskState& aTask);
+
 // Proposes the clearance of suspects that have run for longer than a task that
 // crashes its worker would.
 void ClearSuspects(Scheduler& aScheduler, const State& aState,
--- a/src/bramleypath/workflow/internal/WorkerSessions.cpp
+++ b/src/bramleypath/workflow/internal/WorkerSessions.cpp
@@ -189,6 +189,7 @@
     aScheduler.dispatchWanted = true;
   }
   aSession.lastMessageAt = aNow;
+  aSession.missedAt.reset();
   RequestPermit(aScheduler, aSession, aNow);
 }
 
--- a/tests/workflow/CellModel.cpp
+++ b/tests/workflow/CellModel.cpp
@@ -14,7 +14,6 @@
 constexpr Duration kRequestTimeout = Millis(1200);
 constexpr Duration kConnectTimeout = Millis(500);
 constexpr Duration kAnnounceInterval = Millis(1500);
-constexpr Duration kCrashedFor = Seconds(3);
 constexpr std::int64_t kUnixOriginMs = 1700000000000;
 
 bool IsLater(TimePoint aLeft, TimePoint aRight) { return aRight < aLeft; }
@@ -184,6 +183,14 @@
   });
 }
 
+void CellModel::CrashUnderTask(const std::string& aId) {
+  if (this->changesIdAtCrash) {
+    this->ReplaceWorker(aId, aId + "'", this->crashedFor);
+  } else {
+    this->CrashWorker(aId, this->crashedFor);
+  }
+}
+
 void CellModel::AnnounceGone(const std::string& aGone, const std::string& aId) {
   WorkerModel gone = this->workers.at(aId);
   gone.spec.id = WorkerId(aGone);
@@ -281,7 +288,8 @@
   const auto changed =
       SpecToCommit(*this->scheduler, this->state, aAnnouncement, this->now);
   if (changed) {
-    this->ApplyCommand(RegistrationOf(*this->scheduler, this->state, *changed));
+    this->ApplyCommand(
+        RegistrationOf(*this->scheduler, this->state, *changed, this->now));
     OnStateChanged(*this->scheduler, this->state, this->now);
     OnRegistered(*this->scheduler, this->state, aAnnouncement);
   }
@@ -302,12 +310,16 @@
       this->announceAt = this->now + kAnnounceInterval;
       this->Announce();
     }
+    std::vector<std::string> crashed;
     for (auto& [id, worker] : this->workers) {
       Advance(worker, this->random, this->now);
       if (CrashesNow(worker, this->now)) {
-        this->CrashWorker(id, kCrashedFor);
+        crashed.push_back(id);
       }
     }
+    for (const std::string& id : crashed) {
+      this->CrashUnderTask(id);
+    }
     this->RunDueEvents();
     this->AdvanceFollowers();
     if (!isPaused) {
@@ -576,6 +588,10 @@
 RequestAnswer CellModel::StartOn(WorkerModel& aWorker,
                                  const StartRequest& aRequest,
                                  TimePoint aSentAt) {
+  if (this->crashesBeforeStart &&
+      this->crashesBeforeStart(aWorker.spec.id.value, aRequest)) {
+    return RequestAnswer();
+  }
   const std::string task = TextOf(aRequest.task);
   const bool ran = aWorker.running.count(task) > 0;
   const RequestAnswer answer =
@@ -588,7 +604,7 @@
   this->CheckStart(aWorker, aRequest);
   this->CheckCapacity(aWorker, aSentAt);
   if (aWorker.crashesBeforeAnswer && RunsDeadlyTask(aWorker)) {
-    this->CrashWorker(aWorker.spec.id.value, kCrashedFor);
+    this->CrashUnderTask(aWorker.spec.id.value);
     return RequestAnswer();
   }
   return answer;
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -122,6 +122,14 @@
   // A worker that crashes before it has answered a start leaves its connection
   // open, so that the leader learns of it by its timeout.
   bool crashesSilently = false;
+  // How long a worker is down that a task has taken down, and whether it comes
+  // back under another id.
+  Duration crashedFor = Seconds(3);
+  bool changesIdAtCrash = false;
+  // Called when a start reaches its worker. If it returns true, the worker has
+  // crashed before.
+  std::function<bool(const std::string& aWorker, const StartRequest& aRequest)>
+      crashesBeforeStart;
 
  private:
   // One replica's conclusions from the log.
@@ -183,6 +191,8 @@
   // if the address isn't taken.
   std::optional<RequestAnswer> AnswerOfSuccessor(const std::string& aId,
                                                  bool aIsStart) const;
+  // A task takes the worker down.
+  void CrashUnderTask(const std::string& aId);
   void CheckStart(const WorkerModel& aWorker, const StartRequest& aRequest);
   void RecordEnds(const Commit& aCommit);
   // Counts a crash of the worker under its running tasks.
--- a/tests/workflow/CrashEvidenceTest.cpp
+++ b/tests/workflow/CrashEvidenceTest.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -222,13 +223,25 @@
   return cell;
 }
 
+std::string DeadlyName(std::uint32_t aNumber) {
+  return "deadly" + std::to_string(aNumber);
+}
+
 struct DeadlyCase {
   const char* name = "";
   bool crashesSilently = false;
   // Innocent jobs that keep the workers busy.
   std::uint32_t innocentsPerSecond = 0;
+  std::int64_t downMs = 3000;
+  bool changesId = false;
+  // Racks crash in turn, each for kRackDown, until kRacksSettle.
+  std::int64_t rackIntervalMs = 0;
+  std::uint32_t jobs = 1;  // that crash their workers
 };
 
+constexpr Duration kRackDown = Millis(600);
+constexpr Duration kRacksSettle = Seconds(10);
+
 // Each row guards against a task that takes its worker down before the start is
 // answered, and is started again without end.
 constexpr DeadlyCase kDeadlyCases[] = {
@@ -236,19 +249,61 @@
     {"idle cell, silent crashes", true, 0},
     {"busy cell", false, 20},
     {"busy cell, silent crashes", true, 20},
+    {"workers return soon", true, 0, 200},
+    {"workers return soon under other ids", true, 0, 200, true},
+    {"busy cell, workers return soon", true, 20, 600, true},
+    {"racks crash, workers return soon", true, 0, 600, true, 700},
+    {"racks crash", true, 0, 3000, false, 400},
+    {"several tasks", false, 0, 3000, true, 0, 4},
+    {"several tasks, silent crashes", true, 0, 600, true, 0, 4},
+    {"several tasks, racks crash", true, 0, 600, true, 700, 4},
 };
 
+// The running workers of the rack of aWorker.
+std::vector<std::string> RackOf(const CellModel& aCell,
+                                const std::string& aWorker) {
+  const RackId& rack = aCell.workers.at(aWorker).spec.rack;
+  std::vector<std::string> mates;
+  for (const auto& [id, worker] : aCell.workers) {
+    if (worker.up && worker.spec.rack == rack) {
+      mates.push_back(id);
+    }
+  }
+  return mates;
+}
+
+// Racks crash one after the other for aLength, and are back under other ids.
+void CrashRacksInTurn(CellModel& aCell, Duration aInterval, Duration aLength) {
+  const TimePoint end = aCell.now + aLength;
+  while (aCell.now < end) {
+    const auto rack = RackId(
+        RackName(static_cast<std::uint32_t>(NextBelow(aCell.random, kRacks))));
+    for (const auto& [id, worker] : std::map(aCell.workers)) {
+      if (worker.up && worker.spec.rack == rack) {
+        aCell.ReplaceWorker(id, id + "+", kRackDown, StaleConnection::Silent);
+      }
+    }
+    aCell.Run(aInterval);
+  }
+}
+
 CellModel PlayDeadly(const DeadlyCase& aCase, std::uint64_t aSeed) {
   CellModel cell = MakeCell(aSeed);
   cell.crashesSilently = aCase.crashesSilently;
+  cell.crashedFor = Millis(aCase.downMs);
+  cell.changesIdAtCrash = aCase.changesId;
   for (auto& [id, worker] : cell.workers) {
-    worker.deadlyJobs.insert("deadly");
+    for (std::uint32_t number = 0; number < aCase.jobs; ++number) {
+      worker.deadlyJobs.insert(DeadlyName(number));
+    }
     worker.crashesBeforeAnswer = true;
   }
   cell.Run(Millis(static_cast<std::int64_t>(NextBelow(cell.random, 1500))));
-  JobSpec deadly = MakeJob("deadly");
-  deadly.stages = {MakeStage(1, 1000, 500)};
-  cell.Submit(deadly);
+  for (std::uint32_t number = 0; number < aCase.jobs; ++number) {
+    JobSpec deadly = MakeJob(DeadlyName(number));
+    deadly.stages = {MakeStage(1, 1000, 500)};
+    cell.Submit(deadly);
+  }
   constexpr std::uint32_t kSeconds = 40;
   std::uint32_t last = 0;
   for (std::uint32_t second = 0; second < kSeconds; ++second) {
@@ -256,12 +311,126 @@
       cell.Submit(MakeJob("innocent" + std::to_string(++last)));
       cell.Run(Millis(1000 / aCase.innocentsPerSecond));
     }
-    cell.Run(aCase.innocentsPerSecond > 0 ? Duration() : Seconds(1));
+    if (aCase.rackIntervalMs > 0 && Seconds(second) < kRacksSettle) {
+      CrashRacksInTurn(cell, Millis(aCase.rackIntervalMs), Seconds(1));
+    } else if (aCase.innocentsPerSecond == 0) {
+      cell.Run(Seconds(1));
+    }
   }
   cell.Run(Seconds(20));
   return cell;
 }
 
+// Workers that crash together, right before the start of a task reaches one of
+// them.
+struct SharedCrashCase {
+  const char* name = "";
+  // Otherwise workers of all racks, kScattered beside the one of the task.
+  bool isRack = true;
+  std::int64_t downMs = 600;
+  bool keepsIds = false;
+  // Each worker has a lasting task, so that none is idle.
+  bool isBusy = false;
+};
+
+constexpr std::uint32_t kScattered = 3;
+// Crashes in a row, each of which hits a start of the task.
+constexpr std::uint32_t kSharedCrashes = 8;
+// A task that could run must not wait for longer.
+constexpr Duration kLongestWait = Seconds(3);
+
+// Each row guards against a job that is given up since its starts were lost
+// with workers that crashed for another cause.
+constexpr SharedCrashCase kSharedCrashCases[] = {
+    {"rack", true},
+    {"rack that is back soon", true, 200},
+    {"rack that is back late", true, 3000},
+    {"rack, same ids", true, 600, true},
+    {"scattered workers", false},
+    {"scattered workers, same ids", false, 600, true},
+    {"rack, no idle worker", true, 600, false, true},
+    {"rack, no idle worker, same ids", true, 3000, true, true},
+};
+
+struct SharedCrashResult {
+  std::uint32_t crashes = 0;  // that hit a start
+  bool isGivenUp = false;
+  Duration wait;  // from the last crash until the task runs
+  std::string violation;
+};
+
+// The workers that crash together with aWorker.
+std::vector<std::string> CrashWith(CellModel& aCell,
+                                   const SharedCrashCase& aCase,
+                                   const std::string& aWorker) {
+  if (aCase.isRack) {
+    return RackOf(aCell, aWorker);
+  }
+  std::vector<std::string> others;
+  for (const auto& [id, worker] : aCell.workers) {
+    if (worker.up && id != aWorker) {
+      others.push_back(id);
+    }
+  }
+  std::vector<std::string> workers{aWorker};
+  while (workers.size() <= kScattered && !others.empty()) {
+    const auto chosen = others.begin() + static_cast<std::ptrdiff_t>(NextBelow(
+                                             aCell.random, others.size()));
+    workers.push_back(*chosen);
+    others.erase(chosen);
+  }
+  return workers;
+}
+
+SharedCrashResult PlaySharedCrashes(const SharedCrashCase& aCase,
+                                    std::uint64_t aSeed) {
+  CellModel cell = MakeCell(aSeed);
+  if (aCase.isBusy) {
+    JobSpec lasting = MakeJob("lasting");
+    lasting.stages = {MakeStage(kRacks * kPerRack, 1000, 500)};
+    lasting.stages[0].longRunning = true;
+    lasting.stages[0].maxPerWorker = 1;
+    for (auto& [id, worker] : cell.workers) {
+      worker.endlessJob = "lasting";
+    }
+    cell.Submit(lasting);
+    cell.Run(Seconds(4));
+  }
+  cell.crashesSilently = true;
+  SharedCrashResult result;
+  TimePoint lastCrashAt;
+  cell.crashesBeforeStart = [&](const std::string& aWorker,
+                                const StartRequest& aRequest) {
+    if (aRequest.task.job.value != "job" || result.crashes == kSharedCrashes) {
+      return false;
+    }
+    ++result.crashes;
+    lastCrashAt = cell.now;
+    for (const std::string& id : CrashWith(cell, aCase, aWorker)) {
+      if (aCase.keepsIds) {
+        cell.CrashWorker(id, Millis(aCase.downMs));
+      } else {
+        cell.ReplaceWorker(id, id + "'", Millis(aCase.downMs),
+                           StaleConnection::Silent);
+      }
+    }
+    return true;
+  };
+  JobSpec job = MakeJob("job");
+  job.stages = {MakeStage(1, 2000, 500)};
+  cell.Submit(job);
+  const TimePoint end = cell.now + Seconds(120);
+  while (cell.now < end && cell.startsOf["job.0.0.0"] == 0 &&
+         FindJob(cell.state, "job")->phase == JobPhase::Active) {
+    cell.Run(Millis(10));
+  }
+  result.wait = cell.now - lastCrashAt;
+  cell.Run(Seconds(5));
+  result.isGivenUp = FindJob(cell.state, "job")->phase == JobPhase::Failed;
+  result.violation = cell.violations.empty() ? "" : cell.violations[0];
+  return result;
+}
+
 // What is known about a task's attempt when its worker crashes.
 enum class Known { Ran, MayHaveRun, Unsent, NotStored };
 
@@ -371,6 +540,7 @@
   CPPUNIT_TEST_SUITE(CrashEvidenceTest);
   CPPUNIT_TEST(testJobUnderWhichNothingRanIsNotGivenUp);
   CPPUNIT_TEST(testTaskThatCrashesBeforeItsStartIsAnsweredIsGivenUp);
+  CPPUNIT_TEST(testStartsLostInSharedCrashesGiveNoJobUp);
   CPPUNIT_TEST(testJobIsGivenUpOnlyOnceItsTaskHasRun);
   CPPUNIT_TEST_SUITE_END();
 
@@ -412,12 +582,15 @@
     for (const DeadlyCase& one : kDeadlyCases) {
       for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
         CellModel cell = PlayDeadly(one, seed);
-        const std::uint32_t starts = cell.startsOf["deadly.0.0.0"];
-        const Job* const job = FindJob(cell.state, "deadly");
-        if (job->phase != JobPhase::Failed || starts > kMaxStarts) {
-          broken += Describe(one, seed) + ": " + std::to_string(starts) +
-                    " starts, phase " +
-                    std::to_string(static_cast<int>(job->phase)) + "\n";
+        for (std::uint32_t number = 0; number < one.jobs; ++number) {
+          const std::string id = DeadlyName(number);
+          const std::uint32_t starts = cell.startsOf[id + ".0.0.0"];
+          const Job* const job = FindJob(cell.state, id);
+          if (job->phase != JobPhase::Failed || starts > kMaxStarts) {
+            broken += Describe(one, seed) + ": " + std::to_string(starts) +
+                      " starts, phase " +
+                      std::to_string(static_cast<int>(job->phase)) + "\n";
+          }
         }
         if (!FirstGivenUp(cell).empty()) {
           broken += Describe(one, seed) + ": " + FirstGivenUp(cell) +
@@ -428,6 +601,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), broken);
   }
 
+  // A start that was lost with its whole rack, a moment after its worker had
+  // answered, proved that its task had taken the worker down, so that a job was
+  // given up of which nothing had run (review/6).
+  void testStartsLostInSharedCrashesGiveNoJobUp() {
+    std::string broken;
+    for (const SharedCrashCase& one : kSharedCrashCases) {
+      for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        const SharedCrashResult result = PlaySharedCrashes(one, seed);
+        const std::string text =
+            Describe(one, seed) + ": " + std::to_string(result.crashes) +
+            " crashes, waited " + std::to_string(ToMillis(result.wait)) + " ms";
+        if (result.isGivenUp) {
+          broken += text + ", given up\n";
+        } else if (result.crashes < kSharedCrashes) {
+          broken += text + ", too few crashes\n";
+        } else if (kLongestWait + Millis(one.downMs) < result.wait) {
+          broken += text + "\n";
+        }
+        broken +=
+            result.violation.empty() ? "" : text + result.violation + "\n";
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string(), broken);
+  }
+
   // Crashes under a task counted alike, whatever was known about its run, and
   // what was known was lost with a snapshot.
   void testJobIsGivenUpOnlyOnceItsTaskHasRun() {
