Keep what is known of a worker's attempts in a module of its own

Incarnations.cpp decided both when a worker's life ends and what its crash proves against its tasks. The second part, with the new rule for starts without an answer, is CrashEvidence.cpp now, and the time within which an answer shows that a worker lived stands once, in CrashScope.h.

--- a/src/bramleypath/workflow/Announcements.cpp
+++ b/src/bramleypath/workflow/Announcements.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 
 #include "bramleypath/workflow/internal/CrashScope.h"
-#include "bramleypath/workflow/internal/Incarnations.h"
+#include "bramleypath/workflow/internal/CrashEvidence.h"
 
 namespace bramleypath::workflow {
 
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "bramleypath/workflow/internal/CrashScope.h"
+#include "bramleypath/workflow/internal/CrashEvidence.h"
 #include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
--- a/src/bramleypath/workflow/internal/CrashScope.cpp
+++ b/src/bramleypath/workflow/internal/CrashScope.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-// The worker had answered this long before its start was sent, at most.
-constexpr Duration kBeforeStart = Millis(100);
 // A message that was sent before a crash is read this long after it, at most.
 constexpr Duration kLateMessage = Millis(500);
 // Beyond the interval of announcements, for those that are late.
@@ -45,7 +43,7 @@
 // with it.
 bool MayHaveCrashedWith(const Scheduler& aScheduler, const Silence& aSilence,
                         TimePoint aSentAt) {
-  const TimePoint begin = aSentAt - kBeforeStart;
+  const TimePoint begin = aSentAt - kJustAnswered;
   return begin - LongestSilence(aScheduler) < aSilence.since &&
          aSilence.since < aSentAt + kLateMessage &&
          (!aSilence.crashedBy || begin < *aSilence.crashedBy);
--- a/src/bramleypath/workflow/internal/CrashScope.h
+++ b/src/bramleypath/workflow/internal/CrashScope.h
@@ -7,6 +7,10 @@
 // supply ends several at once, also those that the task never touched.
 namespace bramleypath::workflow::detail {
 
+// A worker that answered within this time is taken to live when a start is
+// sent.
+constexpr Duration kJustAnswered = Millis(100);
+
 enum class CrashScope : std::uint8_t {
   Unknown,  // others have not been heard from since
   Alone,
--- a/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
+++ b/src/bramleypath/workflow/internal/LeaseRenewalAnswers.cpp
@@ -3,6 +3,7 @@
 
 #include "bramleypath/workflow/Announcements.h"
 #include "bramleypath/workflow/internal/CrashScope.h"
+#include "bramleypath/workflow/internal/CrashEvidence.h"
 #include "bramleypath/workflow/internal/Incarnations.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "bramleypath/workflow/internal/Incarnations.h"
+#include "bramleypath/workflow/internal/CrashEvidence.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -1,7 +1,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "bramleypath/workflow/internal/Incarnations.h"
+#include "bramleypath/workflow/internal/CrashEvidence.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/StartChecks.h"
--- a/src/bramleypath/workflow/internal/Suspects.cpp
+++ b/src/bramleypath/workflow/internal/Suspects.cpp
@@ -5,7 +5,7 @@
 
 #include "bramleypath/workflow/Crashes.h"
 #include "bramleypath/workflow/internal/CrashScope.h"
-#include "bramleypath/workflow/internal/Incarnations.h"
+#include "bramleypath/workflow/internal/CrashEvidence.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
