--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -187,8 +187,8 @@
   RackId rack;
   std::string address;
   TimePoint lastMessageAt;
-  TimePoint missedAt;     // it had crashed by then
-  bool hadTrial = false;  // see IsOnTrial
+  TimePoint missedAt;            // it had crashed by then
+  bool hadDecisiveTask = false;  // see IsNextCrashDecisive
 };
 
 // Commands to be committed as one batch.
--- a/src/bramleypath/workflow/internal/CrashScope.cpp
+++ b/src/bramleypath/workflow/internal/CrashScope.cpp
@@ -55,10 +55,11 @@
 }
 
 // Whether the worker has a task that may have taken it down.
-bool HasTrial(const State& aState, const Worker& aWorker) {
-  return std::any_of(
-      aWorker.attempts.begin(), aWorker.attempts.end(),
-      [&](const TaskKey& aKey) { return IsOnTrial(*FindTask(aState, aKey)); });
+bool HasDecisiveTask(const State& aState, const Worker& aWorker) {
+  return std::any_of(aWorker.attempts.begin(), aWorker.attempts.end(),
+                     [&](const TaskKey& aKey) {
+                       return IsNextCrashDecisive(*FindTask(aState, aKey));
+                     });
 }
 
 // The worker of the session if it may have crashed with the start; else null.
@@ -73,7 +74,7 @@
   }
   const auto worker = aState.workers.find(aSession.worker);
   return worker == aState.workers.end() || worker->second.spec.draining ||
-                 HasTrial(aState, worker->second)
+                 HasDecisiveTask(aState, worker->second)
              ? nullptr
              : &worker->second;
 }
@@ -86,7 +87,7 @@
   const RackId& rack = aWorker.spec.rack;
   Others failed;
   for (const LostWorker& lost : aScheduler.lostWorkers) {
-    if (!lost.hadTrial && lost.address != aWorker.spec.address &&
+    if (!lost.hadDecisiveTask && lost.address != aWorker.spec.address &&
         MayHaveCrashedWith(aScheduler, {lost.lastMessageAt, lost.missedAt},
                            aSentAt)) {
       Count(rack, lost.rack, failed);
@@ -135,7 +136,7 @@
   aScheduler.lostWorkers.push_back(
       LostWorker{aWorker.spec.rack, aWorker.spec.address,
                  session.lastMessageAt.value_or(aScheduler.leaderSince),
-                 *session.missedAt, HasTrial(aState, aWorker)});
+                 *session.missedAt, HasDecisiveTask(aState, aWorker)});
   if (aScheduler.lostWorkers.size() > kMaxLostWorkers) {
     aScheduler.lostWorkers.pop_front();
   }
--- a/src/bramleypath/workflow/internal/CrashScope.h
+++ b/src/bramleypath/workflow/internal/CrashScope.h
@@ -15,8 +15,8 @@
   Unknown,  // others have not been heard from since
   Alone,
   // Another worker of its rack, or two others anywhere, may have crashed at the
-  // same time. Those with a task on trial don't count, since that may have
-  // taken them down.
+  // same time. Those with a task whose next crash is decisive don't count,
+  // since it may have taken them down.
   Correlated
 };
 
--- a/src/bramleypath/workflow/internal/Suspects.cpp
+++ b/src/bramleypath/workflow/internal/Suspects.cpp
@@ -20,8 +20,8 @@
 constexpr Duration kHeardFromWithin = Millis(500);
 // Nothing is placed beside a task under which this many workers crashed.
 constexpr std::size_t kCrashesForOwnHost = 2;
-// For so long, a task on trial waits while workers crash, since its next crash
-// would prove little.
+// For so long, a task whose next crash is decisive waits while workers crash,
+// since that crash would prove little.
 constexpr Duration kMaxUnsettledWait = Seconds(30);
 constexpr std::size_t kMaxSuspectsPerHost = 4;
 constexpr std::size_t kMaxTriesPerPass = 64;
@@ -178,7 +178,7 @@
   return aTask.crashes.size() >= kCrashesForOwnHost;
 }
 
-bool IsOnTrial(const TaskState& aTask) {
+bool IsNextCrashDecisive(const TaskState& aTask) {
   return aTask.crashes.size() + 1 >= kCrashesToGiveUp;
 }
 
@@ -191,7 +191,7 @@
     return std::nullopt;
   }
   --aSuspects.triesLeft;
-  if (IsOnTrial(aState) && IsUnsettled(aScheduler, aNow) &&
+  if (IsNextCrashDecisive(aState) && IsUnsettled(aScheduler, aNow) &&
       !HasWaited(aScheduler, aKey, kMaxUnsettledWait, aNow)) {
     return std::nullopt;
   }
--- a/src/bramleypath/workflow/internal/Suspects.h
+++ b/src/bramleypath/workflow/internal/Suspects.h
@@ -46,7 +46,7 @@
 bool NeedsOwnHost(const TaskState& aTask);
 
 // Whether the next crash under the task may give its job up.
-bool IsOnTrial(const TaskState& aTask);
+bool IsNextCrashDecisive(const TaskState& aTask);
 
 // Proposes the clearance of suspects that have run for longer than a task that
 // crashes its worker would.
