--- a/src/bramleypath/workflow/ChooseHost.h
+++ b/src/bramleypath/workflow/ChooseHost.h
@@ -15,8 +15,8 @@
   Resources capacity;
   // Capacity less the reservations of attempts that may be running.
   Resources available;
-  // Unreachable, draining, at the stage's limit, or without a label that the
-  // stage requires.
+  // Unreachable, draining, in a drained data centre, at the stage's limit, or
+  // without a label that the stage requires.
   bool excluded = false;
   // Has refused, not answered or failed lately. Chosen only for a long-running
   // task that fits on no other worker.
--- a/src/bramleypath/workflow/Codec.h
+++ b/src/bramleypath/workflow/Codec.h
@@ -15,7 +15,7 @@
 using Command =
     std::variant<SetLayout, AcceptJob, CancelJob, RegisterWorker, RemoveWorker,
                  PlaceTasks, EndTasks, OpenOccurrence, ForgetJobs, PermitLeases,
-                 LimitLeases, LeaveWorker>;
+                 LimitLeases, LeaveWorker, SetDrain>;
 
 // Encodes a command as a CBOR array of the index of its type and its fields.
 std::vector<std::uint8_t> Encode(const Command& aCommand);
--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -218,6 +218,11 @@
   return summaries;
 }
 
+void OnDrainSet(Scheduler& aScheduler) {
+  aScheduler.survey.nextAt = TimePoint();
+  aScheduler.dispatchWanted = true;
+}
+
 namespace {
 
 // Removes jobs that the state has forgotten, once they are the larger part.
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -250,7 +250,8 @@
   ClassLoad reserving;
   ClassLoad filling;
   double longRunningMilli = 0;  // demanded by long-running tasks, placed or not
-  double workersMilli = 0;      // of all workers that are not draining
+  // Of all workers that are not draining and in no drained data centre.
+  double workersMilli = 0;
 };
 
 // An attempt that was ended although its start was never answered.
@@ -404,6 +405,9 @@
   Sweep occurrenceSweep;
   Sweep attemptSweep;
   Sweep renewalSweep;
+  // Starts that were committed and not sent, since their data centre was
+  // drained.
+  std::uint64_t startsKeptOffDrained = 0;
   CycleWork work;
   std::uint64_t measuredPasses = 0;  // of work.passes; see OnCycleMeasured
 };
@@ -428,6 +432,10 @@
 // propose.
 void OnStateChanged(Scheduler& aScheduler, const State& aState, TimePoint aNow);
 
+// A drain was set or ended: the capacity is measured anew and tasks are placed
+// at once.
+void OnDrainSet(Scheduler& aScheduler);
+
 // A worker's leave was applied: its lists are requested soon, since it may end
 // at any time.
 void OnLeft(Scheduler& aScheduler, WorkerNumber aWorker, TimePoint aNow);
--- a/src/bramleypath/workflow/State.cpp
+++ b/src/bramleypath/workflow/State.cpp
@@ -449,6 +449,18 @@
   return ApplyResult::Ok;
 }
 
+ApplyResult ApplyOne(State& aState, const SetDrain& aCommand) {
+  switch (Set(aState.drains, aCommand.dataCentre, aCommand.drained)) {
+    case DrainChange::Changed:
+      return ApplyResult::Ok;
+    case DrainChange::Unchanged:
+      return ApplyResult::Repeated;
+    case DrainChange::Full:
+      break;
+  }
+  return ApplyResult::Full;
+}
+
 // Rebuilds the indexes and reservations that a snapshot does not store.
 void RebuildIndexes(State& aState) {
   for (auto& [number, job] : aState.jobs) {
@@ -508,6 +520,10 @@
                      });
 }
 
+bool IsDrained(const State& aState, const Worker& aWorker) {
+  return IsDrained(aState.drains, aWorker.spec.dataCentre);
+}
+
 const Worker* FindWorker(const State& aState, std::string_view aId) {
   const auto found = aState.workersById.find(std::string(aId));
   return found == aState.workersById.end() ? nullptr
@@ -648,6 +664,11 @@
     }
     writer.Close();
   }
+  const std::set<DataCentreId>& drained = aState.drains.dataCentres;
+  if (!drained.empty()) {
+    writer.Required("drained",
+                    std::vector<DataCentreId>(drained.begin(), drained.end()));
+  }
   writer.Close();
   return bytes;
 }
@@ -683,6 +704,8 @@
   for (EarlyCancel& cancel : stored->earlyCancels) {
     Restore(state.earlyCancels, std::move(cancel));
   }
+  state.drains.dataCentres.insert(stored->drained.begin(),
+                                  stored->drained.end());
   RebuildIndexes(state);
   IndexSuspects(state);
   aState = std::move(state);
--- a/src/bramleypath/workflow/State.h
+++ b/src/bramleypath/workflow/State.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "bramleypath/workflow/Codec.h"
+#include "bramleypath/workflow/Drains.h"
 #include "bramleypath/workflow/EarlyCancels.h"
 #include "bramleypath/workflow/Types.h"
 
@@ -124,6 +125,7 @@
   // Queues of earlier layouts are kept for the jobs that they accepted.
   std::unordered_map<std::string, QueueSettings> knownQueues;
   EarlyCancels earlyCancels;
+  Drains drains;
   // Index of the tasks with crashes; may hold tasks that have none any more.
   std::set<TaskKey> suspects;
   // The latest crashes, oldest first.
@@ -158,6 +160,8 @@
 // Whether applying the end would change the state. True also for the end of an
 // attempt that was ended before without knowing that it was done or had failed.
 bool IsUnrecordedEnd(const State& aState, const EndedTask& aEnd);
+// Whether the worker is in a drained data centre.
+bool IsDrained(const State& aState, const Worker& aWorker);
 // Whether an attempt on the worker was placed on an earlier incarnation.
 bool HasMovedAttempt(const State& aState, const Worker& aWorker);
 // Whether all stages that must precede aStage are done.
--- a/src/bramleypath/workflow/Types.h
+++ b/src/bramleypath/workflow/Types.h
@@ -247,6 +247,15 @@
   std::vector<WorkerLeaseEnd> workers;
 };
 
+// An operator's order: nothing is started in the data centre from now on, or
+// its workers are used again. An older replica skips the command, so that it
+// must change nothing but the set of drained data centres: a task that it kept
+// from being placed on some replicas alone could run twice.
+struct SetDrain {
+  DataCentreId dataCentre;
+  bool drained = false;
+};
+
 }  // namespace bramleypath::workflow
 
 namespace std {
--- a/src/bramleypath/workflow/internal/CandidateHosts.cpp
+++ b/src/bramleypath/workflow/internal/CandidateHosts.cpp
@@ -206,7 +206,8 @@
     if (pending != aScheduler.pendingReservations.end()) {
       view.available = view.available - pending->second;
     }
-    view.excluded = worker.spec.draining || session->second.isReplaced ||
+    view.excluded = worker.spec.draining || IsDrained(aState, worker) ||
+                    session->second.isReplaced ||
                     session->second.addressClaimedAt ||
                     !session->second.clock ||
                     !IsReachable(aScheduler, session->second, aNow) ||
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -66,7 +66,7 @@
   double longRunning = 0;
   double filling = 0;
   for (const auto& [number, worker] : aState.workers) {
-    if (!worker.spec.draining) {
+    if (!worker.spec.draining && !IsDrained(aState, worker)) {
       aLoad.workersMilli +=
           static_cast<double>(worker.spec.capacity.processorsMilli);
     }
--- a/src/bramleypath/workflow/internal/LongRunningWaits.cpp
+++ b/src/bramleypath/workflow/internal/LongRunningWaits.cpp
@@ -71,6 +71,7 @@
 struct WorkerCounts {
   std::uint32_t otherService = 0;  // or without the required label
   std::uint32_t draining = 0;
+  std::uint32_t drained = 0;  // in a drained data centre
   std::uint32_t unreachable = 0;
   std::uint32_t outdated = 0;  // its capacity, see IsCapacityOutdated
   std::uint32_t avoided = 0;
@@ -79,8 +80,9 @@
 };
 
 std::uint32_t& CountFor(WorkerCounts& aCounts, const Scheduler& aScheduler,
-                        const Worker& aWorker, const StageSpec& aStage,
-                        const QueueSettings* aQueue, TimePoint aNow) {
+                        const State& aState, const Worker& aWorker,
+                        const StageSpec& aStage, const QueueSettings* aQueue,
+                        TimePoint aNow) {
   const std::vector<std::string>& labels = aWorker.spec.labels;
   const bool hasLabel = aStage.requiredLabel.empty() ||
                         std::find(labels.begin(), labels.end(),
@@ -91,6 +93,9 @@
   if (aWorker.spec.draining) {
     return aCounts.draining;
   }
+  if (IsDrained(aState, aWorker)) {
+    return aCounts.drained;
+  }
   const auto session = aScheduler.sessions.find(aWorker.number);
   if (session == aScheduler.sessions.end() || !session->second.clock ||
       !IsReachable(aScheduler, session->second, aNow)) {
@@ -110,6 +115,16 @@
   return Fits(Reservation(aStage), available) ? aCounts.suitable : aCounts.full;
 }
 
+// The drained data centres; empty if there are none.
+std::string DescribeDrains(const State& aState) {
+  std::string names;
+  for (const DataCentreId& dataCentre : aState.drains.dataCentres) {
+    names +=
+        (names.empty() ? " drained_data_centres=" : ",") + dataCentre.value;
+  }
+  return names;
+}
+
 std::string DescribeWorkers(const Scheduler& aScheduler, const State& aState,
                             const TaskKey& aKey, TimePoint aNow) {
   const Job& job = aState.jobs.at(aKey.job);
@@ -117,7 +132,7 @@
   const QueueSettings* const queue = FindQueue(aState, job.spec.queue);
   WorkerCounts counts;
   for (const auto& [number, worker] : aState.workers) {
-    ++CountFor(counts, aScheduler, worker, stage, queue, aNow);
+    ++CountFor(counts, aScheduler, aState, worker, stage, queue, aNow);
   }
   return " suitable=" + std::to_string(counts.suitable) +
          " full=" + std::to_string(counts.full) +
@@ -125,6 +140,7 @@
          " unreachable=" + std::to_string(counts.unreachable) +
          " outdated=" + std::to_string(counts.outdated) +
          " draining=" + std::to_string(counts.draining) +
+         " drained=" + std::to_string(counts.drained) + DescribeDrains(aState) +
          " other_service=" + std::to_string(counts.otherService) +
          " max_per_worker=" + std::to_string(stage.maxPerWorker);
 }
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -56,6 +56,9 @@
   if (worker.spec.draining) {
     return "draining";
   }
+  if (IsDrained(aState, worker)) {
+    return kDataCentreDrained;
+  }
   if (session->second.missedRenewals > 0) {
     return "unreachable";
   }
--- a/src/bramleypath/workflow/internal/StartChecks.h
+++ b/src/bramleypath/workflow/internal/StartChecks.h
@@ -8,6 +8,9 @@
 // may have changed while it waited for the commit and in the queue.
 namespace bramleypath::workflow::detail {
 
+// One of the reasons below.
+constexpr const char* kDataCentreDrained = "data centre drained";
+
 // Why the worker no longer suits the placed attempt; empty if it does.
 std::string UnsuitableReason(const Scheduler& aScheduler, const State& aState,
                              const TaskKey& aKey, const Attempt& aAttempt,
--- a/src/bramleypath/workflow/internal/Starts.cpp
+++ b/src/bramleypath/workflow/internal/Starts.cpp
@@ -125,6 +125,7 @@
   const std::string unsuitable =
       UnsuitableReason(aScheduler, aState, aQueued.task, attempt, aNow);
   if (!unsuitable.empty()) {
+    aScheduler.startsKeptOffDrained += unsuitable == kDataCentreDrained ? 1 : 0;
     aActions.push_back(
         WithdrawnRecord(aState, aQueued.task, attempt, unsuitable));
     StopOtherMembers(aScheduler, aState, aQueued.task, attempt.number, aNow);
--- a/src/bramleypath/workflow/internal/WorkflowFields.h
+++ b/src/bramleypath/workflow/internal/WorkflowFields.h
@@ -220,6 +220,12 @@
   aVisitor.Required("w", aCommand.workers);
 }
 
+template <typename Visitor>
+void VisitFields(Visitor& aVisitor, SetDrain& aCommand) {
+  aVisitor.Required("dc", aCommand.dataCentre);
+  aVisitor.Required("on", aCommand.drained);
+}
+
 // Types that appear only in snapshots.
 
 template <typename Visitor>
@@ -315,6 +321,7 @@
   std::vector<NumberedWorker> workers;
   std::vector<QueueSettings> queues;
   std::vector<EarlyCancel> earlyCancels;
+  std::vector<DataCentreId> drained;
 };
 
 template <typename Visitor>
@@ -328,6 +335,7 @@
   aVisitor.Required("queues", aStored.queues);
   OptionalIf(aVisitor, "early", aStored.earlyCancels,
              !aStored.earlyCancels.empty());
+  OptionalIf(aVisitor, "drained", aStored.drained, !aStored.drained.empty());
 }
 
 }  // namespace bramleypath::workflow
