Let operators drain a data centre and take it back

Any host takes the order and asks the leader over the peer link, which commits it in the log before it is answered.

--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -395,6 +395,19 @@
   });
 }
 
+bool ControlGroup::HasHostIn(const DataCentreId& aDataCentre) const {
+  return this->settings.dataCentre == aDataCentre ||
+         std::any_of(
+             this->receivedAnnouncements.begin(),
+             this->receivedAnnouncements.end(), [&](const auto& aEntry) {
+               return aEntry.second.announcement.dataCentre == aDataCentre;
+             });
+}
+
+bool ControlGroup::HasHeardFromHosts(TimePoint aNow) const {
+  return this->leadingSince + kFailureTimeout <= aNow;
+}
+
 std::vector<KnownHost> ControlGroup::KnownHosts(TimePoint aNow) const {
   std::vector<KnownHost> hosts;
   KnownHost own;
--- a/src/bramleypath/controller/ControlGroup.h
+++ b/src/bramleypath/controller/ControlGroup.h
@@ -95,6 +95,12 @@
   void SendFrame(const HostId& aHost, const std::string& aKind,
                  net::Bytes aPayload);
   void OnAnnouncement(const Announcement& aAnnouncement);
+  // Whether this host, or another one that has announced itself to it, is in
+  // the data centre.
+  bool HasHostIn(const DataCentreId& aDataCentre) const;
+  // Whether the other hosts that live have had the time to announce themselves
+  // to this leader.
+  bool HasHeardFromHosts(TimePoint aNow) const;
   // Call it at least every 100 ms.
   void Tick(TimePoint aNow);
   // The median of the time of day of this host and of those that announced
--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -99,6 +99,8 @@
   this->driver = this->dispatcher->MakeDriver();
   this->layoutService = std::make_unique<LayoutService>(
       this->MakeLayoutEnvironment(), NextRandom(this->random));
+  this->drainService = std::make_unique<DrainService>(
+      this->MakeDrainEnvironment(), NextRandom(this->random));
   this->announcementForwarder = std::make_unique<AnnouncementForwarder>(
       this->MakeGatewayEnvironment(),
       [this](const ForwardedAnnouncement& aAnnouncement) {
@@ -152,6 +154,21 @@
   return environment;
 }
 
+DrainEnvironment Controller::MakeDrainEnvironment() {
+  DrainEnvironment environment;
+  environment.host = this->MakeGatewayEnvironment();
+  environment.mayRead = [this] { return this->MayRead(); };
+  environment.epoch = [this] { return this->CurrentEpoch(); };
+  environment.knowledge = [this](const DataCentreId& aDataCentre) {
+    return this->KnowledgeOf(aDataCentre);
+  };
+  environment.propose = [this](const workflow::SetDrain& aOrder,
+                               AnswerCallback aCallback) {
+    this->ProposeDrain(aOrder, std::move(aCallback));
+  };
+  return environment;
+}
+
 void Controller::OnFrame(const net::PeerFrame& aFrame) {
   if (aFrame.kind == gateway::kProbeKind) {
     this->gateway->OnProbe(aFrame.from);
@@ -165,6 +182,10 @@
     this->layoutService->OnCall(aFrame.from, aFrame.payload);
   } else if (aFrame.kind == kLayoutAnswerKind) {
     this->layoutService->OnAnswer(aFrame.payload);
+  } else if (aFrame.kind == kDrainCallKind) {
+    this->drainService->OnCall(aFrame.from, aFrame.payload);
+  } else if (aFrame.kind == kDrainAnswerKind) {
+    this->drainService->OnAnswer(aFrame.from, aFrame.payload);
   } else if (aFrame.kind == kAnnouncementsKind) {
     this->announcementForwarder->OnAnnouncements(aFrame.from, this->MayRead(),
                                                  aFrame.payload);
@@ -230,6 +251,8 @@
                                       this->group->AgreedUnixMs(now)));
   }
   if (this->scheduler) {
+    this->counters.startsKeptOffDrained +=
+        std::exchange(this->scheduler->startsKeptOffDrained, 0);
     const TimePoint end = net::Now();
     workflow::OnCycleMeasured(*this->scheduler, end - now, end);
   }
@@ -255,7 +278,9 @@
 
 void Controller::RecordLoopDelay(Duration aDelay) {
   this->counters.loopDelay.Record(aDelay);
-  OnLoopDelay(this->loadShedder, aDelay, net::Now());
+  const TimePoint now = net::Now();
+  OnLoopDelay(this->loadShedder, aDelay, now);
+  RecordSample(this->pauseRecord, aDelay, net::kLoopSampleInterval, now);
   if (aDelay < kLongLoopDelay) {
     return;
   }
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -13,9 +13,11 @@
 #include "bramleypath/controller/Answer.h"
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/controller/CycleTimer.h"
+#include "bramleypath/controller/DrainService.h"
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/LayoutService.h"
 #include "bramleypath/controller/LoadShedder.h"
+#include "bramleypath/controller/PauseRecord.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
 #include "bramleypath/gateway/Gateway.h"
@@ -38,6 +40,8 @@
   std::uint64_t cancelledEarly = 0;
   std::uint64_t starts = 0;
   std::uint64_t startsNotDone = 0;
+  // See Scheduler::startsKeptOffDrained.
+  std::uint64_t startsKeptOffDrained = 0;
   std::uint64_t stops = 0;
   std::uint64_t holds = 0;
   std::uint64_t paces = 0;
@@ -108,6 +112,10 @@
   // On a host that does not lead, these two ask the leader over the peer link.
   void SetLayout(const workflow::Layout& aLayout, AnswerCallback aCallback);
   void ReadLayout(ReadLayoutCallback aCallback);
+  // Sets or ends the drain of a data centre, on any host; see DrainService. An
+  // order that may have been held up is refused.
+  void SetDrain(const workflow::SetDrain& aOrder, TimePoint aReceivedAt,
+                AnswerCallback aCallback);
   void Announce(const workflow::Announcement& aAnnouncement,
                 AnswerCallback aCallback);
   // A worker says that it will end. The answer comes once it has no attempts,
@@ -147,6 +155,9 @@
   LayoutEnvironment MakeLayoutEnvironment();
   void ProposeLayout(std::uint64_t aVersion, consensus::Bytes aCommand,
                      AnswerCallback aCallback);
+  DrainEnvironment MakeDrainEnvironment();
+  Knowledge KnowledgeOf(const DataCentreId& aDataCentre) const;
+  void ProposeDrain(const workflow::SetDrain& aOrder, AnswerCallback aCallback);
   void OnFrame(const net::PeerFrame& aFrame);
   void OnForwarded(const ForwardedAnnouncement& aAnnouncement);
   void OnUnchangedAnnouncement(workflow::WorkerNumber aWorker,
@@ -196,11 +207,13 @@
   // Sends the requests of another host that leads.
   std::unique_ptr<gateway::Gateway> gateway;
   std::unique_ptr<LayoutService> layoutService;
+  std::unique_ptr<DrainService> drainService;
   std::unique_ptr<AnnouncementForwarder> announcementForwarder;
   std::optional<workflow::Scheduler> scheduler;
   Random random;
   CycleTimer timer;
   net::LoopProbe loopProbe;
+  PauseRecord pauseRecord;
   LoadShedder loadShedder;
   bool cycleRequested = false;
   std::vector<PendingLeave> pendingLeaves;
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -217,6 +217,53 @@
       });
 }
 
+void Controller::SetDrain(const workflow::SetDrain& aOrder,
+                          TimePoint aReceivedAt, AnswerCallback aCallback) {
+  if (WasPausedLately(this->pauseRecord, net::Now())) {
+    aCallback(Answer{AnswerStatus::Refused, 0, "this host was paused"});
+    return;
+  }
+  this->drainService->Set(aOrder, aReceivedAt, std::move(aCallback));
+}
+
+Knowledge Controller::KnowledgeOf(const DataCentreId& aDataCentre) const {
+  const workflow::State& state = this->State();
+  const bool hasWorker = std::any_of(
+      state.workers.begin(), state.workers.end(), [&](const auto& aEntry) {
+        return aEntry.second.spec.dataCentre == aDataCentre;
+      });
+  if (hasWorker || workflow::IsNamed(state.drains, aDataCentre) ||
+      this->group->HasHostIn(aDataCentre)) {
+    return Knowledge::Known;
+  }
+  return this->group->HasHeardFromHosts(net::Now()) ? Knowledge::Unknown
+                                                    : Knowledge::NotYetKnown;
+}
+
+void Controller::ProposeDrain(const workflow::SetDrain& aOrder,
+                              AnswerCallback aCallback) {
+  this->Propose(aOrder, kCallerTimeout,
+                [this, isAlive = this->alive, aOrder,
+                 callback = std::move(aCallback)](const Answer& aAnswer) {
+                  Answer answer = aAnswer;
+                  if (answer.status == AnswerStatus::Refused) {
+                    answer.reason = "too many data centres are drained";
+                  }
+                  if (*isAlive && answer.status == AnswerStatus::Done) {
+                    eventlog::Write(
+                        "data_centre_drain_set",
+                        {{"data_centre", aOrder.dataCentre.value},
+                         {"drained", aOrder.drained ? "true" : "false"}});
+                  }
+                  callback(answer);
+                  if (*isAlive && this->scheduler &&
+                      answer.status == AnswerStatus::Done) {
+                    workflow::OnDrainSet(*this->scheduler);
+                    this->RequestCycle();
+                  }
+                });
+}
+
 namespace {
 
 // The capacity of the worker's incarnation; none if it is not registered.
--- a/src/bramleypath/net/LoopProbe.cpp
+++ b/src/bramleypath/net/LoopProbe.cpp
@@ -7,12 +7,6 @@
 
 namespace bramleypath::net {
 
-namespace {
-
-constexpr Duration kSampleInterval = Millis(100);
-
-}  // namespace
-
 LoopProbe::LoopProbe(asio::io_context& aContext,
                      std::function<void(Duration)> aOnSample)
     : timer(aContext), onSample(std::move(aOnSample)) {}
@@ -20,8 +14,9 @@
 LoopProbe::~LoopProbe() { *this->alive = false; }
 
 void LoopProbe::Start() {
-  const TimePoint dueAt = Now() + kSampleInterval;
-  this->timer.expires_after(std::chrono::microseconds(kSampleInterval.micros));
+  const TimePoint dueAt = Now() + kLoopSampleInterval;
+  this->timer.expires_after(
+      std::chrono::microseconds(kLoopSampleInterval.micros));
   this->timer.async_wait(
       [this, dueAt, isAlive = this->alive](const asio::error_code& aError) {
         if (*isAlive && !aError) {
--- a/src/bramleypath/net/LoopProbe.h
+++ b/src/bramleypath/net/LoopProbe.h
@@ -10,9 +10,11 @@
 
 namespace bramleypath::net {
 
-// Measures every 100 ms how long an event of the io_context waits until it is
-// handled. A message or connection that arrives meanwhile waits as long at each
-// of the steps by which it is handled.
+constexpr Duration kLoopSampleInterval = Millis(100);
+
+// Measures in each kLoopSampleInterval how long an event of the io_context
+// waits until it is handled. A message or connection that arrives meanwhile
+// waits as long at each of the steps by which it is handled.
 class LoopProbe {
  public:
   // aOnSample is called with the wait of the last event.
