--- a/src/bramleypath/controller/DrainService.cpp
+++ b/src/bramleypath/controller/DrainService.cpp
@@ -129,6 +129,7 @@
   order.order = aOrder;
   order.callback = std::move(aCallback);
   order.deadline = deadline;
+  order.answerBy = aReceivedAt + kOrderAnswerTime;
   this->pending.emplace(id, std::move(order));
   this->Attempt(id);
   this->ArmPoll();
@@ -176,11 +177,16 @@
     return;
   }
   const auto found = this->pending.find(aId);
-  if (found != this->pending.end()) {
-    // The next poll repeats the order at the leader that is known then.
-    found->second.stamp.reset();
-    found->second.resendAt = TimePoint();
+  if (found == this->pending.end()) {
+    return;
+  }
+  if (found->second.deadline <= this->environment.host.now()) {
+    this->End(aId, aAnswer);
+    return;
   }
+  // The next poll repeats the order at the leader that is known then.
+  found->second.stamp.reset();
+  found->second.resendAt = TimePoint();
 }
 
 void DrainService::End(std::uint64_t aId, const Answer& aAnswer) {
@@ -218,10 +224,11 @@
       continue;
     }
     const PendingOrder& order = found->second;
-    if (now >= order.deadline) {
+    if (now >= order.answerBy) {
       this->End(id, MakeAnswer(AnswerStatus::NotLeader,
                                "the leader did not answer in time"));
-    } else if (now >= order.resendAt || order.sentTo != leader) {
+    } else if (now < order.deadline &&
+               (now >= order.resendAt || order.sentTo != leader)) {
       this->Attempt(id);
     }
   }
--- a/src/bramleypath/controller/DrainService.h
+++ b/src/bramleypath/controller/DrainService.h
@@ -23,7 +23,9 @@
 // How long after its receipt an order may be carried out. Its operator sends it
 // again after one second, and another order may follow that; see
 // kLongestUnnoticedPause.
-constexpr Duration kOrderLifetime = Millis(700);
+constexpr Duration kOrderLifetime = Millis(550);
+// How long after its receipt an order is answered at the latest.
+constexpr Duration kOrderAnswerTime = Millis(850);
 
 // Whether the leader has heard of a data centre. A new leader hears from the
 // other hosts only after a while.
@@ -77,7 +79,8 @@
   struct PendingOrder {
     workflow::SetDrain order;
     AnswerCallback callback;
-    TimePoint deadline;
+    TimePoint deadline;  // it is sent to no leader after that
+    TimePoint answerBy;
     HostId sentTo;  // empty: no leader was known
     // Of the leader it was sent to, and how long after that time the order may
     // be carried out; none: not received yet.
--- a/src/bramleypath/controller/PauseRecord.h
+++ b/src/bramleypath/controller/PauseRecord.h
@@ -9,7 +9,7 @@
 // A shorter delay of the event loop is not taken for a pause. Together with the
 // lifetime of an order it stays below the second after which operators give up
 // a request.
-constexpr Duration kLongestUnnoticedPause = Millis(250);
+constexpr Duration kLongestUnnoticedPause = Millis(400);
 // How long after a pause requests may still be read that arrived during it.
 constexpr Duration kPauseAftermath = Seconds(1);
 
