--- a/src/bramleypath/workflow/Scheduler.cpp
+++ b/src/bramleypath/workflow/Scheduler.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/DrainWaits.h"
 #include "bramleypath/workflow/internal/LeaseGrants.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 #include "bramleypath/workflow/internal/Suspects.h"
@@ -273,6 +274,7 @@
   if (aNow >= aScheduler.longRunningJobs.nextReportAt) {
     detail::RecordLongRunningWaits(aScheduler, aState, aNow, actions);
   }
+  detail::RecordDrainWaits(aScheduler, aState, aNow, actions);
   return actions;
 }
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -405,6 +405,7 @@
   Sweep occurrenceSweep;
   Sweep attemptSweep;
   Sweep renewalSweep;
+  TimePoint nextDrainReportAt;  // see RecordDrainWaits
   // Starts that were committed and not sent, since their data centre was
   // drained.
   std::uint64_t startsKeptOffDrained = 0;
--- a/src/bramleypath/workflow/internal/LongRunningWaits.cpp
+++ b/src/bramleypath/workflow/internal/LongRunningWaits.cpp
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "bramleypath/workflow/internal/DrainWaits.h"
 #include "bramleypath/workflow/internal/SchedulerDetail.h"
 
 namespace bramleypath::workflow::detail {
@@ -115,16 +116,6 @@
   return Fits(Reservation(aStage), available) ? aCounts.suitable : aCounts.full;
 }
 
-// The drained data centres; empty if there are none.
-std::string DescribeDrains(const State& aState) {
-  std::string names;
-  for (const DataCentreId& dataCentre : aState.drains.dataCentres) {
-    names +=
-        (names.empty() ? " drained_data_centres=" : ",") + dataCentre.value;
-  }
-  return names;
-}
-
 std::string DescribeWorkers(const Scheduler& aScheduler, const State& aState,
                             const TaskKey& aKey, TimePoint aNow) {
   const Job& job = aState.jobs.at(aKey.job);
--- a/src/bramleypath/workflow/internal/StartChecks.cpp
+++ b/src/bramleypath/workflow/internal/StartChecks.cpp
@@ -33,6 +33,8 @@
               capacity - UsedByOthers(aScheduler, aState, aWorker, aKey));
 }
 
+}  // namespace
+
 bool HasRequiredLabel(const Worker& aWorker, const StageSpec& aStage) {
   const std::vector<std::string>& labels = aWorker.spec.labels;
   return aStage.requiredLabel.empty() ||
@@ -40,8 +42,6 @@
              labels.end();
 }
 
-}  // namespace
-
 std::string UnsuitableReason(const Scheduler& aScheduler, const State& aState,
                              const TaskKey& aKey, const Attempt& aAttempt,
                              TimePoint aNow) {
--- a/src/bramleypath/workflow/internal/StartChecks.h
+++ b/src/bramleypath/workflow/internal/StartChecks.h
@@ -8,6 +8,9 @@
 // may have changed while it waited for the commit and in the queue.
 namespace bramleypath::workflow::detail {
 
+// Whether the worker has the label that the stage requires, if any.
+bool HasRequiredLabel(const Worker& aWorker, const StageSpec& aStage);
+
 // One of the reasons below.
 constexpr const char* kDataCentreDrained = "data centre drained";
 
