--- a/src/bramleypath/codec/Bounded.h
+++ b/src/bramleypath/codec/Bounded.h
@@ -85,11 +85,41 @@
   return true;
 }
 
-// Discarded if the text is not one JSON value or nests deeper than kMaxNesting.
+// A tree takes up to 110 bytes per value. A configuration of 4 MiB has about
+// 200,000 values.
+constexpr std::size_t kMaxValues = 400000;
+
+// Whether the JSON text has at most aMaxValues values, counted by its commas
+// and opening brackets. The text may be malformed.
+inline bool HasValuesWithin(std::string_view aText, std::size_t aMaxValues) {
+  // Each further value takes a byte at least.
+  if (aText.size() < aMaxValues) {
+    return true;
+  }
+  std::size_t values = 1;
+  bool isInString = false;
+  for (std::size_t at = 0; at < aText.size(); ++at) {
+    const char one = aText[at];
+    if (isInString) {
+      at += one == '\\' ? 1 : 0;
+      isInString = one != '"';
+    } else if (one == '"') {
+      isInString = true;
+    } else if (one == ',' || one == '[' || one == '{') {
+      if (++values > aMaxValues) {
+        return false;
+      }
+    }
+  }
+  return values <= aMaxValues;
+}
+
+// Discarded if the text is not one JSON value, nests deeper than kMaxNesting or
+// has more than kMaxValues values.
 inline nlohmann::json ParseJson(std::string_view aText,
                                 bool aIgnoreComments = false) {
   constexpr bool kThrow = false;
-  if (!NestsWithin(aText, kMaxNesting)) {
+  if (!NestsWithin(aText, kMaxNesting) || !HasValuesWithin(aText, kMaxValues)) {
     return nlohmann::json(nlohmann::json::value_t::discarded);
   }
   return nlohmann::json::parse(aText, nullptr, kThrow, aIgnoreComments);
--- a/tests/codec/BoundedTest.cpp
+++ b/tests/codec/BoundedTest.cpp
@@ -48,9 +48,40 @@
 class BoundedTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(BoundedTest);
   CPPUNIT_TEST(testIntegers);
+  CPPUNIT_TEST(testValues);
+  CPPUNIT_TEST(testTreeOfManyValuesIsNotBuilt);
   CPPUNIT_TEST_SUITE_END();
 
  public:
+  void testValues() {
+    struct Row {
+      const char* text;
+      std::size_t values;  // the least limit that the text keeps
+    };
+    const Row rows[] = {{"", 1},          {"7", 1},
+                        {"[1,2,3]", 4},   {"{\"a\":1,\"b\":[2]}", 4},
+                        {"\"a,b,[\"", 1}, {"[\"\\\",\",1]", 3},
+                        {"[[],[],{}]", 7}};
+    for (const Row& row : rows) {
+      CPPUNIT_ASSERT_MESSAGE(row.text, HasValuesWithin(row.text, row.values));
+      CPPUNIT_ASSERT_MESSAGE(row.text,
+                             !HasValuesWithin(row.text, row.values - 1));
+    }
+  }
+
+  // Guards against a body of legal size whose tree takes fifty times its size.
+  void testTreeOfManyValuesIsNotBuilt() {
+    const auto list = [](std::size_t aValues) {
+      std::string text = "[0";
+      for (std::size_t value = 1; value < aValues; ++value) {
+        text += ",0";
+      }
+      return text + "]";
+    };
+    CPPUNIT_ASSERT(!ParseJson(list(kMaxValues - 1)).is_discarded());
+    CPPUNIT_ASSERT(ParseJson(list(kMaxValues)).is_discarded());
+  }
+
   void testIntegers() {
     for (const IntegerCase& one : kIntegers) {
       CPPUNIT_ASSERT_MESSAGE(one.text, ToInteger(json::parse(one.text),
