Bound the bytes and connections that HTTP listeners hold

The server buffers unfinished requests of every connection, whatever the path, and stops accepting at its connection limit, so that clients which stand still take the memory and keep others out. All listeners of an io_context now share a registry that knows what each connection holds. Complete requests that don't fit beside those being handled get 503 and Retry-After before any handler sees them.

--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -8,17 +8,32 @@
 
 #include <restinio/all.hpp>
 
+#include "bramleypath/codec/Bounded.h"
+#include "bramleypath/net/BoundedSocket.h"
 #include "bramleypath/net/Clock.h"
+#include "bramleypath/net/ConnectionRegistry.h"
 
 namespace bramleypath::net {
 
 namespace {
 
 using RequestHandle = restinio::request_handle_t;
+using TrackedPointer = std::shared_ptr<detail::TrackedConnection>;
 
 // Connections that are accepted in one turn of the event loop. With one, a turn
-// that takes 50 ms lets only 20 callers in per second, however many wait.
-constexpr std::size_t kAcceptsPerTurn = 64;
+// that takes 50 ms lets only 20 callers in per second, however many wait. They
+// may exceed the connection limit until the next turn, so small listeners
+// accept fewer.
+std::size_t AcceptsPerTurn(const HttpLimits& aLimits) {
+  constexpr std::size_t kMost = 64;
+  constexpr std::size_t kLimitPart = 4;
+  return std::clamp(aLimits.maxConnections / kLimitPart, std::size_t{1}, kMost);
+}
+
+// Roughly the status line and headers of a response.
+constexpr std::size_t kResponseHeadBytes = 256;
+// Callers that were refused for lack of memory may try again after this time.
+constexpr const char* kRetryAfterSeconds = "1";
 
 // Reason phrases of the status codes that the daemon itself uses.
 const char* ReasonPhrase(std::uint32_t aStatus) {
@@ -54,34 +69,57 @@
   return std::chrono::microseconds(aLength.micros);
 }
 
-// When each open connection was accepted.
-class ConnectionTimes {
+// The open connections of one listener: when each was accepted, and its
+// registration.
+class OpenConnections {
  public:
+  OpenConnections(detail::ConnectionRegistry& aRegistry,
+                  std::size_t aMaxConnections)
+      : registry(aRegistry),
+        listener(aRegistry.NextListener()),
+        maxConnections(aMaxConnections) {}
+
   void state_changed(  // NOLINT
       const restinio::connection_state::notice_t& aNotice) noexcept {
     using Accepted = restinio::connection_state::accepted_t;
     if (restinio::holds_alternative<Accepted>(aNotice.cause())) {
       ++this->accepted;
-      this->acceptedAt[aNotice.connection_id()] = Now();
+      this->open[aNotice.connection_id()] = {Now(), this->registry.starting};
+      this->registry.starting->SetListener(this->listener,
+                                           this->maxConnections);
     } else {
-      this->acceptedAt.erase(aNotice.connection_id());
+      this->open.erase(aNotice.connection_id());
     }
   }
 
   TimePoint AcceptedAt(restinio::connection_id_t aConnection) const {
-    const auto found = this->acceptedAt.find(aConnection);
-    return found == this->acceptedAt.end() ? TimePoint() : found->second;
+    const auto found = this->open.find(aConnection);
+    return found == this->open.end() ? TimePoint() : found->second.acceptedAt;
+  }
+  // Null when the connection is closed.
+  TrackedPointer Find(restinio::connection_id_t aConnection) const {
+    const auto found = this->open.find(aConnection);
+    return found == this->open.end() ? nullptr : found->second.tracked;
   }
   std::uint64_t Accepted() const { return this->accepted; }
 
  private:
+  struct OpenConnection {
+    TimePoint acceptedAt;
+    TrackedPointer tracked;
+  };
+
+  detail::ConnectionRegistry& registry;
+  std::uint32_t listener;
+  std::size_t maxConnections;
   std::uint64_t accepted = 0;
-  std::unordered_map<restinio::connection_id_t, TimePoint> acceptedAt;
+  std::unordered_map<restinio::connection_id_t, OpenConnection> open;
 };
 
 struct ListenerTraits : restinio::default_single_thread_traits_t {
   static constexpr bool use_connection_count_limiter = true;  // NOLINT
-  using connection_state_listener_t = ConnectionTimes;        // NOLINT
+  using connection_state_listener_t = OpenConnections;        // NOLINT
+  using stream_socket_t = detail::BoundedSocket;              // NOLINT
 };
 using Server = restinio::http_server_t<ListenerTraits>;
 
@@ -123,17 +161,20 @@
       : context(aContext),
         address(std::move(aAddress)),
         limits(aLimits),
-        handler(std::move(aHandler)) {}
+        handler(std::move(aHandler)),
+        registry(asio::use_service<detail::ConnectionRegistry>(aContext)),
+        connections(std::make_shared<OpenConnections>(
+            this->registry, aLimits.maxConnections)) {}
 
   asio::io_context& context;
   std::string address;
   std::string boundAddress;
   HttpLimits limits;
   HttpHandler handler;
+  detail::ConnectionRegistry& registry;
+  std::shared_ptr<OpenConnections> connections;
   std::shared_ptr<Server> server;
   HttpListenerCounters counters;
-  std::shared_ptr<ConnectionTimes> connections =
-      std::make_shared<ConnectionTimes>();
   std::size_t openRequests = 0;
   bool closeConnections = false;
   TimePoint lastRequestAt;
@@ -162,6 +203,10 @@
   }
 
   void Write(restinio::request_t& aRequest, HttpResponse aResponse) {
+    this->charge.reset();
+    if (this->connection) {
+      this->connection->OnResponse(kResponseHeadBytes + aResponse.body.size());
+    }
     auto response = aRequest.create_response(restinio::http_status_line_t{
         restinio::http_status_code_t{
             static_cast<std::uint16_t>(aResponse.status)},
@@ -179,10 +224,19 @@
       response.append_header(header.name, header.value);
     }
     response.set_body(std::move(aResponse.body));
-    response.done([finished = this->done](const auto&) { finished(); });
+    response.done(
+        [finished = this->done, connection = this->connection](const auto&) {
+          if (connection) {
+            connection->OnResponseDone();
+          }
+          finished();
+        });
   }
 
   RequestHandle request;
+  TrackedPointer connection;
+  // Held until the request is answered.
+  std::shared_ptr<detail::HandledCharge> charge;
   // Whether the connection is to be closed after the response.
   std::function<bool()> close;
   // Called once when the response was written or could not be.
@@ -218,6 +272,12 @@
   return true;
 }
 
+bool HasTooManyValues(const restinio::request_t& aRequest,
+                      const HttpLimits& aLimits) {
+  return aLimits.maxBodyValues > 0 &&
+         !codec::HasValuesWithin(aRequest.body(), aLimits.maxBodyValues);
+}
+
 }  // namespace
 
 HttpListener::HttpListener(asio::io_context& aContext, std::string aAddress,
@@ -254,6 +314,9 @@
     const bool tooLarge = aHandle->body().size() > state->limits.maxBodyBytes;
     auto exchange = std::make_shared<HttpResponder::Exchange>();
     exchange->request = aHandle;
+    exchange->connection = state->connections->Find(aHandle->connection_id());
+    const std::size_t received =
+        exchange->connection ? exchange->connection->OnRequest() : 0;
     exchange->close = [weak, tooLarge] {
       const std::shared_ptr<State> listener = weak.lock();
       return tooLarge || !listener || listener->closeConnections;
@@ -275,6 +338,18 @@
                                  state->rateAt, now)) {
       ++state->counters.rateLimited;
       responder.Send(ErrorResponse(429, "", "too many requests per second"));
+    } else if (HasTooManyValues(*aHandle, state->limits)) {
+      ++state->counters.tooLarge;
+      responder.Send(ErrorResponse(
+          413, "body",
+          "the body has more than " +
+              std::to_string(state->limits.maxBodyValues) + " JSON values"));
+    } else if (!(exchange->charge = state->registry.AdmitRequest(
+                     received * state->limits.copiesPerRequest))) {
+      HttpResponse refusal =
+          ErrorResponse(503, "", "too many requests are being handled");
+      refusal.headers.push_back({"Retry-After", kRetryAfterSeconds});
+      responder.Send(std::move(refusal));
     } else {
       HttpRequest request = ToRequest(*aHandle);
       request.connectedAt =
@@ -293,8 +368,10 @@
           .port(port)
           .request_handler(onRequest)
           .connection_state_listener(this->state->connections)
-          .max_parallel_connections(limits.maxConnections)
-          .concurrent_accepts_count(kAcceptsPerTurn)
+          // New connections are accepted above the limit, and others closed.
+          .max_parallel_connections(limits.maxConnections +
+                                    AcceptsPerTurn(limits))
+          .concurrent_accepts_count(AcceptsPerTurn(limits))
           .read_next_http_message_timelimit(ToChrono(limits.idleTimeout))
           .write_http_response_timelimit(ToChrono(limits.writeTimeout))
           .handle_request_timeout(ToChrono(limits.handleTimeout))
--- a/src/bramleypath/net/HttpListener.h
+++ b/src/bramleypath/net/HttpListener.h
@@ -17,6 +17,7 @@
 namespace bramleypath::net {
 
 struct HttpLimits {
+  // With more, those that have been idle longest are closed.
   std::size_t maxConnections = 1024;
   std::size_t maxUrlBytes = 2048;
   std::size_t maxHeaderValueBytes = 4096;
@@ -25,6 +26,12 @@
   // Bodies up to this size are read so that they can be answered with 413; a
   // connection that sends more is closed.
   std::size_t maxReadBytes = 4 * 1024 * 1024;
+  // JSON values of a body; bodies with more are answered with 413 before they
+  // are parsed. 0 means no limit.
+  std::size_t maxBodyValues = 0;
+  // Copies of a request that its handler holds until it answers. Requests that
+  // exceed the process's bound (ByteBounds) are answered with 503.
+  std::size_t copiesPerRequest = 2;
   // Over all connections; further requests are answered with 429. 0 means no
   // limit.
   double maxRequestsPerSecond = 0;
