--- a/tests/platform/NodeSettingsTest.cpp
+++ b/tests/platform/NodeSettingsTest.cpp
@@ -42,6 +42,7 @@
   CPPUNIT_TEST_SUITE(NodeSettingsTest);
   CPPUNIT_TEST(testCompleteFile);
   CPPUNIT_TEST(testErrorsNameTheKey);
+  CPPUNIT_TEST(testLimits);
   CPPUNIT_TEST(testMissingFile);
   CPPUNIT_TEST_SUITE_END();
 
@@ -71,6 +72,28 @@
     }
   }
 
+  // Guards against a start that fails, or has no limits, for a malformed limit.
+  void testLimits() {
+    struct Row {
+      const char* memory;
+      std::size_t expectedMb;
+    };
+    const Row rows[] = {{"384", 384},  {"null", 160}, {"\"384\"", 160},
+                        {"-1", 160},   {"0", 160},    {"1e300", 160},
+                        {"true", 160}, {"63.6", 64}};
+    for (const Row& row : rows) {
+      const std::string text =
+          kCompleteFile.substr(0, kCompleteFile.size() - 1) +
+          ", \"file_descriptors\": 400, \"memory_mb\": " + row.memory + "}";
+      std::string reason;
+      const auto settings = this->Load(text, reason);
+      CPPUNIT_ASSERT_MESSAGE(reason, settings.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(row.memory, row.expectedMb,
+                                   settings->memoryMb);
+      CPPUNIT_ASSERT_EQUAL(std::size_t{400}, settings->fileDescriptors);
+    }
+  }
+
   void testMissingFile() {
     std::string reason;
     CPPUNIT_ASSERT(!LoadNodeSettings("/tmp/no/such/file", reason));
