Bound the incoming connections of links between hosts from their acceptance on

Connections that had not finished the WebSocket handshake did not count, and at the limit strangers could keep peers out. Now each counts, and at the limit the one that gave no frame of a peer for the longest time is shut down.

--- a/src/bramleypath/controller/ControlGroup.cpp
+++ b/src/bramleypath/controller/ControlGroup.cpp
@@ -40,6 +40,15 @@
   return aHost.value + ":" + std::to_string(aPort);
 }
 
+net::PeerLimits LinkLimits() {
+  // One for each host of a group, and for connections of hosts that were
+  // replaced.
+  constexpr std::size_t kMaxConnections = 16;
+  net::PeerLimits limits;
+  limits.maxIncomingConnections = kMaxConnections;
+  return limits;
+}
+
 template <typename T>
 std::optional<T> DecodeJson(const std::string& aText) {
   const codec::Json json = codec::ParseJson(aText);
@@ -211,8 +220,7 @@
   }
   this->links = std::make_unique<net::PeerLinks>(
       this->context, this->settings.self,
-      AddressOf(this->settings.self, this->settings.peerPort),
-      net::PeerLimits(),
+      AddressOf(this->settings.self, this->settings.peerPort), LinkLimits(),
       [this](const net::PeerFrame& aFrame) { this->OnFrame(aFrame); });
   net::NetReason netReason;
   if (!this->links->Open(netReason)) {
--- a/src/bramleypath/net/PeerLinks.cpp
+++ b/src/bramleypath/net/PeerLinks.cpp
@@ -24,8 +24,29 @@
 using Server = websocketpp::server<websocketpp::config::asio>;
 using Client = websocketpp::client<websocketpp::config::asio_client>;
 using ConnectionHandle = websocketpp::connection_hdl;
+// A connection that another host opened.
+struct Incoming {
+  HostId sender;         // empty until the first frame
+  TimePoint progressAt;  // when it was opened, or gave the last frame
+};
 using IncomingConnections =
-    std::map<ConnectionHandle, HostId, std::owner_less<ConnectionHandle>>;
+    std::map<ConnectionHandle, Incoming, std::owner_less<ConnectionHandle>>;
+
+// The connection that is closed for a new one, which must not be the new one
+// itself: one that gave no frame of a peer before those that did, and among
+// them the one without progress for the longest time. Handles strangers that
+// connect and send nothing, so that they can't keep peers out.
+IncomingConnections::const_iterator ChooseToClose(
+    const IncomingConnections& aIncoming) {
+  return std::min_element(aIncoming.begin(), aIncoming.end(),
+                          [](const auto& aLeft, const auto& aRight) {
+                            const Incoming& left = aLeft.second;
+                            const Incoming& right = aRight.second;
+                            return left.sender.empty() == right.sender.empty()
+                                       ? left.progressAt < right.progressAt
+                                       : left.sender.empty();
+                          });
+}
 
 constexpr std::chrono::milliseconds kIdleTimerInterval{20};
 constexpr std::chrono::milliseconds kBusyTimerInterval{2};
@@ -88,8 +109,7 @@
   Server server;
   Client client;
   std::map<HostId, Link> links;
-  // Incoming connections, each with the host that sends on it. The host is
-  // empty until the first frame.
+  // Incoming connections, from their acceptance on.
   IncomingConnections incoming;
   PeerCounters counters;
   bool closed = false;
@@ -137,23 +157,16 @@
         [weak](const ConnectionHandle& aHandle) {
           if (const auto state = weak.lock()) {
             SetNoDelay(state->server, aHandle);
+            state->AddIncoming(aHandle);
           }
         });
-    this->server.set_validate_handler([weak](const ConnectionHandle&) {
-      const auto state = weak.lock();
-      return state &&
-             state->incoming.size() < state->limits.maxIncomingConnections;
-    });
-    this->server.set_open_handler([weak](const ConnectionHandle& aHandle) {
-      if (const auto state = weak.lock()) {
-        state->incoming.emplace(aHandle, HostId());
-      }
-    });
-    this->server.set_close_handler([weak](const ConnectionHandle& aHandle) {
+    const auto onClosed = [weak](const ConnectionHandle& aHandle) {
       if (const auto state = weak.lock()) {
         state->incoming.erase(aHandle);
       }
-    });
+    };
+    this->server.set_fail_handler(onClosed);
+    this->server.set_close_handler(onClosed);
     this->server.set_message_handler(
         [weak](const ConnectionHandle& aHandle,
                const Server::message_ptr& aMessage) {
@@ -197,7 +210,11 @@
       this->CloseIncoming(aHandle);
       return;
     }
-    HostId& sender = this->incoming[aHandle];
+    const auto found = this->incoming.find(aHandle);
+    if (found == this->incoming.end()) {
+      return;  // closed for a newer connection
+    }
+    HostId& sender = found->second.sender;
     const bool known = this->links.count(frame->from) != 0;
     if (!known || frame->to != this->self ||
         (!sender.empty() && sender != frame->from)) {
@@ -205,11 +222,36 @@
       return;
     }
     sender = frame->from;
+    found->second.progressAt = Now();
     ++this->counters.received;
     this->counters.receivedBytes += aPayload.size();
     this->handler(std::move(*frame));
   }
 
+  void AddIncoming(const ConnectionHandle& aHandle) {
+    if (!this->incoming.empty() &&
+        this->incoming.size() >= this->limits.maxIncomingConnections) {
+      const auto victim = ChooseToClose(this->incoming);
+      const ConnectionHandle handle = victim->first;
+      this->incoming.erase(victim);
+      ++this->counters.closedForCount;
+      this->ShutDown(handle);
+    }
+    this->incoming.emplace(aHandle, Incoming{HostId(), Now()});
+  }
+
+  // Ends a connection without the closing handshake, which a stranger need not
+  // answer.
+  void ShutDown(const ConnectionHandle& aHandle) {
+    websocketpp::lib::error_code error;
+    const auto connection = this->server.get_con_from_hdl(aHandle, error);
+    if (connection && !error) {
+      asio::error_code ignored;
+      connection->get_raw_socket().shutdown(
+          asio::ip::tcp::socket::shutdown_both, ignored);
+    }
+  }
+
   void CloseIncoming(const ConnectionHandle& aHandle) {
     websocketpp::lib::error_code ignored;
     this->server.close(aHandle, websocketpp::close::status::protocol_error,
--- a/src/bramleypath/net/PeerLinks.h
+++ b/src/bramleypath/net/PeerLinks.h
@@ -26,6 +26,8 @@
   std::size_t maxQueuedBytes = 8 * 1024 * 1024;
   // Unsent bytes that a connection buffers; further messages stay in the queue.
   std::size_t maxBufferedBytes = 512 * 1024;
+  // With more, the one that gave no frame of a peer for the longest time is
+  // closed. All of them together hold at most this many messages.
   std::size_t maxIncomingConnections = 128;
   Duration firstBackOff = Millis(50);
   Duration maxBackOff = Seconds(2);
@@ -46,6 +48,7 @@
   std::uint64_t refusedMalformed = 0;
   std::uint64_t refusedSender = 0;
   std::uint64_t connectionsOpened = 0;
+  std::uint64_t closedForCount = 0;
 };
 
 using FrameHandler = std::function<void(PeerFrame)>;
--- a/tests/net/PeerLinksTest.cpp
+++ b/tests/net/PeerLinksTest.cpp
@@ -2,6 +2,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+
+#include "bramleypath/net/Http.h"
 #include "tests/net/Loop.h"
 #include "tests/net/RawServer.h"
 
@@ -39,6 +43,7 @@
   CPPUNIT_TEST(testFramesArriveInOrderAndReconnect);
   CPPUNIT_TEST(testUnknownSenderIsRefused);
   CPPUNIT_TEST(testQueueOfSilentPeerIsBounded);
+  CPPUNIT_TEST(testStrangersDoNotDisplaceAPeer);
   CPPUNIT_TEST(testOversizedAndMalformedInput);
   CPPUNIT_TEST(testFrameCodec);
   CPPUNIT_TEST_SUITE_END();
@@ -111,6 +116,42 @@
     CPPUNIT_ASSERT_EQUAL(std::size_t{0}, received);
   }
 
+  // Strangers that connect and send nothing must neither take descriptors
+  // without bound nor close the connection of a peer.
+  void testStrangersDoNotDisplaceAPeer() {
+    asio::io_context context;
+    const std::string address = FreeAddress(context);
+    std::size_t received = 0;
+    NetReason reason;
+    PeerLimits limits;
+    limits.maxIncomingConnections = 4;
+    PeerLinks right(context, kRight, address, limits,
+                    [&received](const PeerFrame&) { ++received; });
+    CPPUNIT_ASSERT(right.Open(reason));
+    right.SetPeers({{kLeft, "127.0.0.1:1"}});
+    PeerLinks left(context, kLeft, FreeAddress(context), PeerLimits(),
+                   [](const PeerFrame&) {});
+    CPPUNIT_ASSERT(left.Open(reason));
+    left.SetPeers({{kRight, address}});
+    left.Send(FrameTo(kRight, "before"), FramePriority::Normal);
+    CPPUNIT_ASSERT(RunUntil(context, [&received] { return received == 1; }));
+    std::string ip;
+    std::uint16_t port = 0;
+    CPPUNIT_ASSERT(SplitAddress(address, ip, port));
+    constexpr std::size_t kStrangers = 12;
+    std::vector<asio::ip::tcp::socket> strangers;
+    for (std::size_t i = 0; i < kStrangers; ++i) {
+      strangers.emplace_back(context).connect(
+          {asio::ip::make_address(ip), port});
+    }
+    CPPUNIT_ASSERT(RunUntil(context, [&right] {
+      return right.Counters().closedForCount == kStrangers - 3;
+    }));
+    left.Send(FrameTo(kRight, "after"), FramePriority::Normal);
+    CPPUNIT_ASSERT(RunUntil(context, [&received] { return received == 2; }));
+    CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, left.Counters().connectionsOpened);
+  }
+
   // A peer that never answers must not let the queue grow without bound: gossip
   // is dropped first, then other messages.
   void testQueueOfSilentPeerIsBounded() {
