Close connections of clients before the process runs out of descriptors

A controller opens up to six connections to each of several hundred workers, so a fixed share of descriptors for its listener either leaves too few for them or refuses orderly callers. After an error of accept, the server accepts no more connections for good.

--- a/src/bramleypath/net/ConnectionBounds.cpp
+++ b/src/bramleypath/net/ConnectionBounds.cpp
@@ -55,9 +55,13 @@
 }
 
 Indices ChooseForCount(gsl::span<const ConnectionUse> aUses,
-                       std::uint32_t aListener, std::size_t aMaxConnections) {
+                       std::optional<std::uint32_t> aListener,
+                       std::size_t aMaxConnections) {
+  if (aUses.size() <= aMaxConnections) {
+    return {};
+  }
   Indices found = Select(aUses, [aListener](const ConnectionUse& aUse) {
-    return aUse.listener == aListener;
+    return !aListener || aUse.listener == *aListener;
   });
   if (found.size() <= aMaxConnections) {
     return {};
--- a/src/bramleypath/net/ConnectionBounds.h
+++ b/src/bramleypath/net/ConnectionBounds.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 #include <gsl/span>
@@ -72,15 +73,25 @@
                                          std::size_t aHeld,
                                          std::size_t aMaxHeld);
 
-// The indices of the connections to be closed when the listener has more than
-// aMaxConnections. Handles a crowd that connects and sends nothing: those that
-// have been idle longest go first, then those without progress for the longest
-// time in an unfinished request or response. Fewer than needed if all others
-// are being handled.
+// The indices of the connections to be closed when the listener, or all
+// listeners together if there is none, have more than aMaxConnections. Handles
+// a crowd that connects and sends nothing: those that have been idle longest go
+// first, then those without progress for the longest time in an unfinished
+// request or response. Fewer than needed if all others are being handled.
 std::vector<std::size_t> ChooseForCount(gsl::span<const ConnectionUse> aUses,
-                                        std::uint32_t aListener,
+                                        std::optional<std::uint32_t> aListener,
                                         std::size_t aMaxConnections);
 
+// How many descriptors have to be closed. The kernel gives the lowest free
+// number to a new descriptor, so at least that many are open. Handles clients
+// that fill the listeners while the process opens connections of its own.
+constexpr std::size_t ExcessDescriptors(std::size_t aNewDescriptor,
+                                        std::size_t aMaxDescriptors) {
+  return aNewDescriptor < aMaxDescriptors
+             ? 0
+             : aNewDescriptor - aMaxDescriptors + 1;
+}
+
 // The indices of the connections that have made no progress for kMaxStall in an
 // unfinished request. Handles half requests that stop.
 std::vector<std::size_t> ChooseStalled(gsl::span<const ConnectionUse> aUses,
--- a/src/bramleypath/net/ConnectionRegistry.cpp
+++ b/src/bramleypath/net/ConnectionRegistry.cpp
@@ -1,6 +1,8 @@
 #include "bramleypath/net/ConnectionRegistry.h"
 
+#include <fcntl.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <chrono>
@@ -28,6 +30,11 @@
   RegistryOf(aContext).bounds = aBounds;
 }
 
+void SetMaxDescriptors(asio::io_context& aContext,
+                       std::size_t aMaxDescriptors) {
+  RegistryOf(aContext).maxDescriptors = aMaxDescriptors;
+}
+
 ConnectionCounters ReadConnectionCounters(asio::io_context& aContext) {
   return RegistryOf(aContext).counters;
 }
@@ -56,6 +63,7 @@
   if (this->registry) {
     this->Use().listener = aListener;
     this->registry->CloseForCount(aListener, aMaxConnections);
+    this->registry->CloseForDescriptors(this->socket);
   }
 }
 
@@ -182,6 +190,34 @@
                  this->counters.closedForCount);
 }
 
+void ConnectionRegistry::CloseForDescriptors(int aNewDescriptor) {
+  const std::size_t excess = ExcessDescriptors(
+      static_cast<std::size_t>(aNewDescriptor), this->maxDescriptors);
+  if (excess == 0) {
+    return;
+  }
+  const auto isOpen = [](const ConnectionUse& aUse) { return !aUse.closing; };
+  const auto open = static_cast<std::size_t>(
+      std::count_if(this->uses.begin(), this->uses.end(), isOpen));
+  this->CloseAll(
+      ChooseForCount(this->uses, std::nullopt, open - std::min(open, excess)),
+      this->counters.closedForCount);
+}
+
+// Notices descriptors that the process has opened since the last connection
+// came in.
+void ConnectionRegistry::CheckDescriptors() {
+  if (this->connections.empty()) {
+    return;
+  }
+  const int lowest =
+      ::fcntl(this->connections.front()->socket, F_DUPFD_CLOEXEC, 0);
+  if (lowest >= 0) {
+    ::close(lowest);
+    this->CloseForDescriptors(lowest);
+  }
+}
+
 // Shuts the sockets down, so that the server sees the end of each connection
 // and closes it in its usual way.
 void ConnectionRegistry::CloseAll(const std::vector<std::size_t>& aIndices,
@@ -208,6 +244,7 @@
     }
     this->CloseAll(ChooseStalled(this->uses, Now()),
                    this->counters.closedStalled);
+    this->CheckDescriptors();
     if (!this->uses.empty()) {
       this->ArmTimer();
     }
--- a/src/bramleypath/net/ConnectionRegistry.h
+++ b/src/bramleypath/net/ConnectionRegistry.h
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <vector>
 
@@ -18,7 +19,9 @@
 namespace bramleypath::net {
 
 // Sets the bounds over all listeners of the io_context, and reads the counters.
+// Of more than aMaxDescriptors of the process, those of listeners are closed.
 void SetByteBounds(asio::io_context& aContext, const ByteBounds& aBounds);
+void SetMaxDescriptors(asio::io_context& aContext, std::size_t aMaxDescriptors);
 ConnectionCounters ReadConnectionCounters(asio::io_context& aContext);
 
 namespace detail {
@@ -83,6 +86,7 @@
   std::shared_ptr<HandledCharge> AdmitRequest(std::size_t aCharge);
 
   ByteBounds bounds;
+  std::size_t maxDescriptors = std::numeric_limits<std::size_t>::max();
   ConnectionCounters counters;
   // The connection that is being started, so that the state listener of its
   // server can take it over.
@@ -98,6 +102,9 @@
   void AddHeld(std::size_t aBytes);
   void SubtractHeld(std::size_t aBytes);
   void CloseForCount(std::uint32_t aListener, std::size_t aMaxConnections);
+  // aNewDescriptor is the lowest number that was free.
+  void CloseForDescriptors(int aNewDescriptor);
+  void CheckDescriptors();
   void CloseAll(const std::vector<std::size_t>& aIndices,
                 std::uint64_t& aCounter);
   void ArmTimer();
--- a/tests/net/ConnectionBoundsTest.cpp
+++ b/tests/net/ConnectionBoundsTest.cpp
@@ -71,6 +71,7 @@
   CPPUNIT_TEST_SUITE(ConnectionBoundsTest);
   CPPUNIT_TEST(testMemory);
   CPPUNIT_TEST(testCount);
+  CPPUNIT_TEST(testDescriptors);
   CPPUNIT_TEST(testStalled);
   CPPUNIT_TEST(testAdmission);
   CPPUNIT_TEST_SUITE_END();
@@ -132,6 +133,18 @@
     }
   }
 
+  void testDescriptors() {
+    const std::vector<ConnectionUse> uses = {Idle(3), Elsewhere(Idle(1)),
+                                             Handling(0)};
+    CPPUNIT_ASSERT_EQUAL(std::string("1 "),
+                         Text(ChooseForCount(uses, std::nullopt, 2)));
+    CPPUNIT_ASSERT_EQUAL(std::string("1 0 "),
+                         Text(ChooseForCount(uses, std::nullopt, 0)));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{0}, ExcessDescriptors(99, 100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, ExcessDescriptors(100, 100));
+    CPPUNIT_ASSERT_EQUAL(std::size_t{6}, ExcessDescriptors(105, 100));
+  }
+
   void testStalled() {
     const std::vector<ConnectionUse> uses = {Reading(1, 0), Reading(1, 2),
                                              Idle(0), Handling(0),
--- a/tests/net/ListenerBoundsTest.cpp
+++ b/tests/net/ListenerBoundsTest.cpp
@@ -75,6 +75,7 @@
   CPPUNIT_TEST(testUnfinishedBodiesOverTheBoundAreClosed);
   CPPUNIT_TEST(testRequestOverTheBoundIsRefused);
   CPPUNIT_TEST(testLongestIdleConnectionGivesWay);
+  CPPUNIT_TEST(testOwnDescriptorsTakeTheRoomOfIdleClients);
   CPPUNIT_TEST(testManyValuesAreRefused);
   CPPUNIT_TEST(testSendAfterTheClientLeft);
   CPPUNIT_TEST_SUITE_END();
@@ -134,6 +135,22 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), ReadSome(idle));
   }
 
+  void testOwnDescriptorsTakeTheRoomOfIdleClients() {
+    Fixture fixture;
+    auto& idle = fixture.Connect("");
+    CPPUNIT_ASSERT(fixture.Run(
+        [&fixture] { return fixture.listener.Counters().connections == 1; }));
+    std::vector<asio::ip::tcp::socket> own;
+    for (int index = 0; index < 8; ++index) {
+      own.emplace_back(fixture.clientContext, asio::ip::tcp::v4());
+    }
+    SetMaxDescriptors(fixture.context,
+                      static_cast<std::size_t>(own.back().native_handle()));
+    CPPUNIT_ASSERT(fixture.Run(
+        [&fixture] { return fixture.Counters().closedForCount == 1; }));
+    CPPUNIT_ASSERT_EQUAL(std::string(), ReadSome(idle));
+  }
+
   void testManyValuesAreRefused() {
     HttpLimits limits;
     limits.maxBodyValues = 3;
