--- a/tests/platform/OperatorCallsTest.cpp
+++ b/tests/platform/OperatorCallsTest.cpp
@@ -20,6 +20,7 @@
 
 constexpr const char* kPutPath = "/-/Configuration.Replace";
 constexpr const char* kGetPath = "/-/Configuration.Get";
+const std::string kDrainPath = "/-/Evacuation.";
 constexpr const char* kClientHost = "h.example";
 // The platform's bounds: for the acknowledgement of a valid configuration, for
 // a configuration to come into force, and for the read at the end.
@@ -104,6 +105,8 @@
   CPPUNIT_TEST(testChangesBesideManyNewConnections);
   CPPUNIT_TEST(testChangesSurviveLeadersAndDisks);
   CPPUNIT_TEST(testInvalidChangesAreNotInForce);
+  CPPUNIT_TEST(testDrainOrdersOnLoadedHosts);
+  CPPUNIT_TEST(testMalformedDrainOrdersAreRefused);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -195,6 +198,56 @@
     CheckInForce(cell, 1, "after invalid changes");
     CPPUNIT_ASSERT_EQUAL(kNotFound, StatusOfRoute(cell, 9));
   }
+
+  // Guards against an operator that no loaded host answers in time, and against
+  // an accepted order that is refused when it comes again, to any host.
+  void testDrainOrdersOnLoadedHosts() {
+    ControlCell cell;
+    cell.StartAll(true);
+    Acknowledge(cell, 1, kStartTime, "start");
+    for (const int turnMs : {0, 20, 40}) {
+      cell.SetTurnTime(std::chrono::milliseconds(turnMs));
+      for (const std::string verb : {"Start", "Start", "End", "End"}) {
+        CPPUNIT_ASSERT_MESSAGE(
+            verb + ", turns of " + std::to_string(turnMs) + " ms",
+            cell.CallUntilDone("POST", kDrainPath + verb + "/dc-0", "",
+                               kAckTimeout));
+      }
+    }
+  }
+
+  void testMalformedDrainOrdersAreRefused() {
+    struct Case {
+      std::string method;
+      std::string path;
+      std::string body;
+      std::uint32_t status;
+    };
+    constexpr std::uint32_t kMethodNotAllowed = 405;
+    ControlCell cell;
+    cell.StartAll(true);
+    Acknowledge(cell, 1, kStartTime, "start");
+    // A new leader doesn't know yet which hosts there are.
+    std::this_thread::sleep_for(std::chrono::seconds(4));
+    for (const Case& one :
+         {Case{"POST", "Start/", "", kBadRequest},
+          Case{"POST", "End/", "", kBadRequest},
+          Case{"POST", "Start/unknown", "", kBadRequest},
+          Case{"POST", "End/unknown", "", kBadRequest},
+          Case{"POST", "Start/dc-0", "{}", kBadRequest},
+          Case{"POST", "Start/a/b", "", kBadRequest},
+          Case{"POST", "Start/a%20b", "", kBadRequest},
+          Case{"POST", "Start/" + std::string(257, 'a'), "", kBadRequest},
+          Case{"GET", "Start/dc-0", "", kMethodNotAllowed},
+          Case{"POST", "Start", "", kNotFound}}) {
+      for (std::size_t host = 0; host < cell.Size(); ++host) {
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(
+            one.path, one.status,
+            cell.Call(host, one.method, kDrainPath + one.path, one.body)
+                .status);
+      }
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(OperatorCallsTest);
