--- a/tests/net/ListenerBoundsTest.cpp
+++ b/tests/net/ListenerBoundsTest.cpp
@@ -140,8 +140,10 @@
     auto& idle = fixture.Connect("");
     CPPUNIT_ASSERT(fixture.Run(
         [&fixture] { return fixture.listener.Counters().connections == 1; }));
+    constexpr std::size_t kOwn = 8;
     std::vector<asio::ip::tcp::socket> own;
-    for (int index = 0; index < 8; ++index) {
+    own.reserve(kOwn);
+    for (std::size_t index = 0; index < kOwn; ++index) {
       own.emplace_back(fixture.clientContext, asio::ip::tcp::v4());
     }
     SetMaxDescriptors(fixture.context,
