Charge a request that is being handled with twice its received charge

The factor of four was on top of a charge that already counts the body twice, so that a front of 160 MB refused the seventeenth concurrent body of 262,144 bytes.

--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -32,6 +32,9 @@
 
 // Roughly the status line and headers of a response.
 constexpr std::size_t kResponseHeadBytes = 256;
+// A request that is being handled is held by the server, by the handler and by
+// the HTTP client that forwards it. The charge of the first is twice its bytes.
+constexpr std::size_t kHandledCopies = 2;
 // Callers that were refused for lack of memory may try again after this time.
 constexpr const char* kRetryAfterSeconds = "1";
 
@@ -344,8 +347,8 @@
           413, "body",
           "the body has more than " +
               std::to_string(state->limits.maxBodyValues) + " JSON values"));
-    } else if (!(exchange->charge = state->registry.AdmitRequest(
-                     received * state->limits.copiesPerRequest))) {
+    } else if (!(exchange->charge =
+                     state->registry.AdmitRequest(kHandledCopies * received))) {
       HttpResponse refusal =
           ErrorResponse(503, "", "too many requests are being handled");
       refusal.headers.push_back({"Retry-After", kRetryAfterSeconds});
--- a/src/bramleypath/net/HttpListener.h
+++ b/src/bramleypath/net/HttpListener.h
@@ -29,9 +29,6 @@
   // JSON values of a body; bodies with more are answered with 413 before they
   // are parsed. 0 means no limit.
   std::size_t maxBodyValues = 0;
-  // Copies of a request that its handler holds until it answers. Requests that
-  // exceed the process's bound (ByteBounds) are answered with 503.
-  std::size_t copiesPerRequest = 2;
   // Over all connections; further requests are answered with 429. 0 means no
   // limit.
   double maxRequestsPerSecond = 0;
