--- a/src/bramleypath/controller/DrainService.h
+++ b/src/bramleypath/controller/DrainService.h
@@ -24,8 +24,9 @@
 // again after one second, and another order may follow that; see
 // kLongestUnnoticedPause.
 constexpr Duration kOrderLifetime = Millis(550);
-// How long after its receipt an order is answered at the latest.
-constexpr Duration kOrderAnswerTime = Millis(850);
+// How long after its receipt an order is answered at the latest. The rest of
+// the second is for a redirect to the leader.
+constexpr Duration kOrderAnswerTime = Millis(750);
 
 // Whether the leader has heard of a data centre. A new leader hears from the
 // other hosts only after a while.
