Pass on refusals that hold for the unanswered attempts as well

A front withheld every refusal after an attempt without an answer and answered 504, although the leader often knew that nothing was stored.

Each attempt at a submission now has its own time limit, and is limited to the term of the leader that it is sent to. A refusal says whether the job is in the leader's state or among its open proposals, the term, and a time that never goes back within the term. ProveRefusal decides from this whether all attempts are ruled out. If not yet, the front asks again instead of giving up. Refusals of earlier versions prove nothing, as before. An unanswered GET ends as 503, since it can be repeated.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -189,6 +189,8 @@
 void Controller::OnLeadershipGained(Epoch aEpoch) {
   ++this->counters.leaderships;
   this->loadShedder = LoadShedder();
+  Begin(this->openSubmissions, aEpoch);
+  this->latestUnixMs = 0;
   this->scheduler = workflow::MakeScheduler(
       this->schedulerSettings, aEpoch, this->State(),
       this->machine.KnownLeaseEnds(), NextRandom(this->random), net::Now());
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -16,6 +16,7 @@
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/LayoutService.h"
 #include "bramleypath/controller/LoadShedder.h"
+#include "bramleypath/controller/OpenSubmissions.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
 #include "bramleypath/gateway/Gateway.h"
@@ -34,6 +35,8 @@
   std::uint64_t cancelled = 0;
   // Refused, since they arrived after their callers' time limit.
   std::uint64_t expired = 0;
+  // Refused, since they were limited to another term than the current one.
+  std::uint64_t ofOtherTerm = 0;
   // Stored as cancelled, since the cancel came before the submission.
   std::uint64_t cancelledEarly = 0;
   std::uint64_t starts = 0;
@@ -93,9 +96,18 @@
 
   // The time of day that the hosts agree on, in Unix milliseconds.
   std::int64_t AgreedUnixMs() const;
-  // Whether a submission whose caller waits until aExpiresUnixMs has come too
+  // The same, but never earlier than before while this host leads: what has
+  // expired once stays expired.
+  std::int64_t LeaderUnixMs();
+  // Whether a submission whose sender waits until aExpiresUnixMs has come too
   // late to be accepted.
   bool RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs);
+  // Whether a submission may be carried out in another term only.
+  bool RefuseOtherTerm(const JobId& aJob, Epoch aTerm);
+  // Whether this host leads, the state doesn't hold the job, and no proposal of
+  // it may still be committed. Submissions that are limited to an earlier term
+  // then never will be, nor those that have expired by LeaderUnixMs().
+  bool IsNotStored(const JobId& aJob) const;
   // Whether the job of the path was accepted within that time, by the clocks of
   // the leaders. May be called while MayRead().
   bool HasAcceptedWithin(const std::string& aHost, const std::string& aPath,
@@ -202,6 +214,9 @@
   CycleTimer timer;
   net::LoopProbe loopProbe;
   LoadShedder loadShedder;
+  OpenSubmissions openSubmissions;
+  // The latest result of LeaderUnixMs() in this term.
+  std::int64_t latestUnixMs = 0;
   bool cycleRequested = false;
   std::vector<PendingLeave> pendingLeaves;
   TimePoint summaryAt;
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -40,7 +40,8 @@
 
 std::optional<Answer> Controller::RefuseForLoad(const JobId& aJob) {
   if (IsAdmitted(this->loadShedder, this->random) ||
-      workflow::FindJob(this->State(), aJob.value)) {
+      workflow::FindJob(this->State(), aJob.value) ||
+      IsOpen(this->openSubmissions, aJob)) {
     return std::nullopt;
   }
   ++this->counters.refused;
@@ -62,8 +63,31 @@
   return this->group->AgreedUnixMs(net::Now());
 }
 
+std::int64_t Controller::LeaderUnixMs() {
+  this->latestUnixMs = std::max(this->latestUnixMs, this->AgreedUnixMs());
+  return this->latestUnixMs;
+}
+
+bool Controller::RefuseOtherTerm(const JobId& aJob, Epoch aTerm) {
+  const Epoch current = this->CurrentEpoch();
+  if (aTerm == current) {
+    return false;
+  }
+  ++this->counters.ofOtherTerm;
+  eventlog::Write("submission_of_other_term",
+                  {{"job", aJob.value},
+                   {"term", NumberText(aTerm)},
+                   {"current_term", NumberText(current)}});
+  return true;
+}
+
+bool Controller::IsNotStored(const JobId& aJob) const {
+  return this->MayRead() && !workflow::FindJob(this->State(), aJob.value) &&
+         !MayBeOpen(this->openSubmissions, aJob);
+}
+
 bool Controller::RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs) {
-  const std::int64_t lateMs = this->AgreedUnixMs() - aExpiresUnixMs;
+  const std::int64_t lateMs = this->LeaderUnixMs() - aExpiresUnixMs;
   if (lateMs <= 0) {
     return false;
   }
@@ -98,7 +122,9 @@
       workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue);
   const workflow::AdmissionDecision decision =
       workflow::DecideAdmission(view, this->random);
-  if (!decision.accepted) {
+  // An earlier attempt of an open submission was admitted and may be committed.
+  // Proposing it again tells its outcome.
+  if (!decision.accepted && !IsOpen(this->openSubmissions, aSpec.id)) {
     ++this->counters.refused;
     eventlog::Write("job_refused",
                     {{"job", aSpec.id.value},
@@ -118,14 +144,19 @@
   workflow::AcceptJob accept;
   accept.spec = aSpec;
   accept.acceptedUnixMs = this->group->AgreedUnixMs(now);
+  const Epoch epoch = this->CurrentEpoch();
+  Add(this->openSubmissions, aSpec.id);
   const std::string job = aSpec.id.value;
   const std::string queue = aSpec.queue.value;
   const double expectedMs = decision.expectedMs;
   const std::uint32_t tasks = CountTasks(aSpec);
   this->Propose(
       accept, kCallerTimeout,
-      [this, isAlive = this->alive, job, queue, expectedMs, view, tasks,
+      [this, isAlive = this->alive, epoch, job, queue, expectedMs, view, tasks,
        callback = std::move(aCallback)](const Answer& aAnswer) {
+        if (*isAlive && aAnswer.status != AnswerStatus::OutcomeUnknown) {
+          Close(this->openSubmissions, epoch, JobId(job));
+        }
         callback(aAnswer);
         if (*isAlive && aAnswer.status == AnswerStatus::Repeated &&
             !aAnswer.reason.empty()) {
--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -1,7 +1,6 @@
 #include "bramleypath/relay/Relay.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <cstdlib>
 #include <optional>
@@ -60,8 +59,9 @@
   TimePoint startedAt;
   TimePoint deadline;
   // When the first attempt that may have been carried out was sent: it ended
-  // without an answer.
+  // without a definite answer.
   std::optional<TimePoint> mayHaveRunSince = std::nullopt;
+  std::vector<UnansweredAttempt> unanswered = {};
   std::uint32_t attempts = 0;
 };
 
@@ -72,23 +72,16 @@
   return aRequest.method != "GET";
 }
 
-}  // namespace
+bool IsSubmission(const net::HttpRequest& aRequest) {
+  return aRequest.method == "POST";
+}
 
-std::optional<std::int64_t> FindMillis(const std::vector<net::Header>& aHeaders,
-                                       const char* aName) {
-  constexpr std::int64_t kLatestUnixMs = 32503680000000;
-  const std::string* const text = net::FindHeader(aHeaders, aName);
-  if (!text) {
-    return std::nullopt;
-  }
-  std::int64_t millis = 0;
-  const char* const end = text->data() + text->size();
-  const auto parsed = std::from_chars(text->data(), end, millis);
-  const bool isRead = parsed.ec == std::errc() && parsed.ptr == end &&
-                      millis >= 0 && millis <= kLatestUnixMs;
-  return isRead ? std::optional(millis) : std::nullopt;
+std::int64_t ToSteadyMs(TimePoint aTime) {
+  return ToMillis(Duration{aTime.micros});
 }
 
+}  // namespace
+
 Relay::Relay(asio::io_context& aContext, RelaySettings aSettings,
              net::HttpClient& aClient)
     : context(aContext), settings(std::move(aSettings)), client(aClient) {
@@ -124,15 +117,24 @@
 void Relay::LearnLeader(const HostId& aLeader) {
   if (this->leader != aLeader) {
     eventlog::Write("leader_learned", {{"leader", aLeader.value}});
+    this->leaderTerm = std::nullopt;
   }
   this->leader = aLeader;
 }
 
-void Relay::LearnGroupTime(const net::HttpResponse& aAnswer,
-                           TimePoint aSentAt) {
+void Relay::LearnFromLeader(const HostId& aHost,
+                            const net::HttpResponse& aAnswer,
+                            TimePoint aSentAt) {
+  const TimePoint now = net::Now();
+  this->LearnLeader(aHost);
+  this->leaderContactAt = now;
+  this->hadLeaderContact = true;
+  const auto term = FindTerm(aAnswer.headers, kTermHeader);
+  this->leaderTerm = term && *term > 0 ? term : std::nullopt;
   const auto unixMs = FindMillis(aAnswer.headers, kGroupTimeHeader);
   if (unixMs) {
-    this->groupTimeOffsetMs = *unixMs - ToMillis(Duration{aSentAt.micros});
+    this->groupTimeOffsetMs = TimeOffsetMs(
+        this->groupTimeOffsetMs, *unixMs, ToSteadyMs(aSentAt), ToSteadyMs(now));
   }
 }
 
@@ -140,6 +142,7 @@
   if (this->leader == aHost) {
     eventlog::Write("leader_lost", {{"leader", aHost.value}});
     this->leader = HostId();
+    this->leaderTerm = std::nullopt;
   }
 }
 
@@ -189,23 +192,37 @@
         {kRepeatHeader,
          std::to_string(ToMillis(now - *aPending->mayHaveRunSince))});
   }
-  if (this->groupTimeOffsetMs && aPending->request.method == "POST") {
-    const std::int64_t deadlineMs =
-        ToMillis(Duration{aPending->deadline.micros});
-    request.headers.push_back(
-        {kExpiresHeader,
-         std::to_string(deadlineMs + *this->groupTimeOffsetMs)});
-  }
   request.connectBy = std::min(now + kConnectTimeout, aPending->deadline);
   request.deadline = std::min(now + kAttemptTimeout, aPending->deadline);
+  const SentAttempt attempt =
+      this->LimitAttempt(aPending->request, host, now, request);
   this->client.Send(std::move(request), [this, isAlive = this->alive, aPending,
-                                         host, now](net::ClientResult aResult) {
+                                         attempt](net::ClientResult aResult) {
     if (*isAlive) {
-      this->OnResult(aPending, host, now, std::move(aResult));
+      this->OnResult(aPending, attempt, std::move(aResult));
     }
   });
 }
 
+Relay::SentAttempt Relay::LimitAttempt(const net::HttpRequest& aRequest,
+                                       const HostId& aHost, TimePoint aNow,
+                                       net::ClientRequest& aAttempt) const {
+  SentAttempt sent{aHost, aNow, UnansweredAttempt()};
+  if (!IsSubmission(aRequest) || !this->groupTimeOffsetMs) {
+    return sent;
+  }
+  sent.limits.expiresUnixMs =
+      ToSteadyMs(aAttempt.deadline) + *this->groupTimeOffsetMs;
+  aAttempt.headers.push_back(
+      {kExpiresHeader, std::to_string(sent.limits.expiresUnixMs)});
+  if (aHost == this->leader && this->leaderTerm) {
+    sent.limits.term = this->leaderTerm;
+    aAttempt.headers.push_back(
+        {kTermHeader, std::to_string(*this->leaderTerm)});
+  }
+  return sent;
+}
+
 void Relay::RetryLater(const std::shared_ptr<PendingRequest>& aPending) {
   ++this->counters.retries;
   auto timer = std::make_shared<asio::steady_timer>(this->context);
@@ -231,46 +248,78 @@
   }
 }
 
+void Relay::NoteUnanswered(const std::shared_ptr<PendingRequest>& aPending,
+                           const SentAttempt& aAttempt) {
+  aPending->mayHaveRunSince =
+      aPending->mayHaveRunSince.value_or(aAttempt.sentAt);
+  aPending->unanswered.push_back(aAttempt.limits);
+}
+
+bool Relay::MayPassOn(const std::shared_ptr<PendingRequest>& aPending,
+                      const net::HttpResponse& aRefusal) {
+  if (aPending->unanswered.empty() || !ChangesSomething(aPending->request)) {
+    return true;
+  }
+  const RefusalProof proof =
+      ProveRefusal(aPending->unanswered, StatementOf(aRefusal));
+  const auto log = [&](const char* aEvent) {
+    eventlog::Write(
+        aEvent, {{"path", aPending->request.path},
+                 {"status", std::to_string(aRefusal.status)},
+                 {"reason", std::string(proof.reason)},
+                 {"unanswered", std::to_string(aPending->unanswered.size())}});
+  };
+  switch (proof.verdict) {
+    case RefusalVerdict::Proven:
+      ++this->counters.refusalsProven;
+      log("refusal_proven");
+      return true;
+    case RefusalVerdict::NotYet:
+      ++this->counters.refusalsAskedAgain;
+      this->RetryLater(aPending);
+      return false;
+    case RefusalVerdict::Unprovable:
+      break;
+  }
+  // An earlier attempt may still arrive and be carried out.
+  ++this->counters.refusalsWithheld;
+  log("refusal_withheld");
+  this->Fail(aPending);
+  return false;
+}
+
 void Relay::OnResult(const std::shared_ptr<PendingRequest>& aPending,
-                     const HostId& aHost, TimePoint aSentAt,
-                     net::ClientResult aResult) {
+                     const SentAttempt& aAttempt, net::ClientResult aResult) {
+  const HostId& host = aAttempt.host;
   if (aResult.delivery != net::Delivery::Answered) {
     if (aResult.delivery == net::Delivery::Unknown) {
-      aPending->mayHaveRunSince = aPending->mayHaveRunSince.value_or(aSentAt);
+      this->NoteUnanswered(aPending, aAttempt);
     }
-    this->ForgetLeader(aHost);
+    this->ForgetLeader(host);
     this->RetryLater(aPending);
     return;
   }
   const AttemptMeaning meaning = MeaningOf(aResult.response);
   if (meaning == AttemptMeaning::NotHandled) {
     this->OnNotHandled(
-        aPending, aHost,
+        aPending, host,
         *net::FindHeader(aResult.response.headers, kNotLeaderHeader));
     return;
   }
-  this->LearnLeader(aHost);
-  this->LearnGroupTime(aResult.response, aSentAt);
-  this->leaderContactAt = net::Now();
-  this->hadLeaderContact = true;
+  this->LearnFromLeader(host, aResult.response, aAttempt.sentAt);
   if (meaning == AttemptMeaning::Expired) {
-    // If there is time left, the clock that was known before was wrong, as
-    // after a pause of this process.
+    // If there is time left, the clock or the term that was known before was
+    // wrong, as after a pause of this process.
     this->RetryLater(aPending);
     return;
   }
   if (meaning == AttemptMeaning::OutcomeUnknown) {
-    aPending->mayHaveRunSince = aPending->mayHaveRunSince.value_or(aSentAt);
+    this->NoteUnanswered(aPending, aAttempt);
     this->RetryLater(aPending);
     return;
   }
-  if (meaning == AttemptMeaning::AttemptRefused && aPending->mayHaveRunSince &&
-      ChangesSomething(aPending->request)) {
-    // An earlier attempt may still arrive and be carried out.
-    eventlog::Write("refusal_withheld",
-                    {{"path", aPending->request.path},
-                     {"status", std::to_string(aResult.response.status)}});
-    this->Fail(aPending);
+  if (meaning == AttemptMeaning::AttemptRefused &&
+      !this->MayPassOn(aPending, aResult.response)) {
     return;
   }
   ++this->counters.answered;
@@ -288,7 +337,7 @@
 
 void Relay::Fail(const std::shared_ptr<PendingRequest>& aPending) {
   net::HttpResponse response;
-  if (aPending->mayHaveRunSince) {
+  if (aPending->mayHaveRunSince && ChangesSomething(aPending->request)) {
     ++this->counters.outcomeUnknown;
     response = net::ErrorResponse(kGatewayTimeout, "",
                                   "the request may have been carried out");
@@ -370,10 +419,7 @@
         this->hosts = view->hosts;
         this->SetSeeds(this->settings.seeds);
         if (view->leader == host) {
-          this->LearnLeader(host);
-          this->LearnGroupTime(aResult.response, aNow);
-          this->leaderContactAt = now;
-          this->hadLeaderContact = true;
+          this->LearnFromLeader(host, aResult.response, aNow);
           this->nextQueryAt = now + kLeaderCheckInterval;
         } else if (!view->leader.empty()) {
           this->LearnLeader(view->leader);
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -16,30 +16,12 @@
 #include "bramleypath/net/Http.h"
 #include "bramleypath/net/HttpClient.h"
 #include "bramleypath/net/HttpListener.h"
+#include "bramleypath/relay/AttemptHeaders.h"
 #include "bramleypath/relay/AttemptMeaning.h"
+#include "bramleypath/relay/RefusalProof.h"
 
 namespace bramleypath::relay {
 
-// Holds the Host header of the caller's request, for the leader.
-constexpr const char* kHostHeader = "Bramleypath-Host";
-// Set in an attempt at a request of which an earlier attempt may have been
-// carried out. The value is for how long the earlier ones have been under way,
-// in ms. The leader then answers a submission that it has accepted within that
-// time as accepted, also if it would refuse it now.
-constexpr const char* kRepeatHeader = "Bramleypath-Repeat-Ms";
-
-// The leader's answers hold the time of day that the hosts of the control plane
-// agree on, in Unix milliseconds. A submission holds the time of that clock at
-// which its caller is no longer answered, so that the leader refuses one that
-// was held up on its way. Absent while the relay doesn't know the clock.
-constexpr const char* kGroupTimeHeader = "Bramleypath-Time-Ms";
-constexpr const char* kExpiresHeader = "Bramleypath-Expires-Ms";
-
-// A whole number of milliseconds in the header, up to the year 3000; none if it
-// is missing or is no such number.
-std::optional<std::int64_t> FindMillis(const std::vector<net::Header>& aHeaders,
-                                       const char* aName);
-
 struct RelaySettings {
   std::vector<HostId> seeds;
   std::uint16_t controlPort = 0;
@@ -54,6 +36,11 @@
   std::uint64_t unavailable = 0;
   // Answered with 504: the request may have been carried out.
   std::uint64_t outcomeUnknown = 0;
+  // Refusals after an unanswered attempt: passed on since no attempt was or
+  // will be carried out, repeated since that wasn't certain yet, withheld.
+  std::uint64_t refusalsProven = 0;
+  std::uint64_t refusalsAskedAgain = 0;
+  std::uint64_t refusalsWithheld = 0;
   std::uint64_t retries = 0;
   // From receiving a request to answering it, with any status.
   metrics::LatencyHistogram answerLatency;
@@ -81,11 +68,23 @@
 
  private:
   struct PendingRequest;
+  struct SentAttempt {
+    HostId host;
+    TimePoint sentAt;
+    UnansweredAttempt limits;
+  };
   void SendAttempt(const std::shared_ptr<PendingRequest>& aPending);
   void RetryLater(const std::shared_ptr<PendingRequest>& aPending);
+  // Limits an attempt at a submission to the leader's term and to the time in
+  // which this process waits for its answer.
+  SentAttempt LimitAttempt(const net::HttpRequest& aRequest,
+                           const HostId& aHost, TimePoint aNow,
+                           net::ClientRequest& aAttempt) const;
+  // The attempt may have been carried out.
+  void NoteUnanswered(const std::shared_ptr<PendingRequest>& aPending,
+                      const SentAttempt& aAttempt);
   void OnResult(const std::shared_ptr<PendingRequest>& aPending,
-                const HostId& aHost, TimePoint aSentAt,
-                net::ClientResult aResult);
+                const SentAttempt& aAttempt, net::ClientResult aResult);
   void OnNotHandled(const std::shared_ptr<PendingRequest>& aPending,
                     const HostId& aHost, const std::string& aNamedLeader);
   void Fail(const std::shared_ptr<PendingRequest>& aPending);
@@ -94,8 +93,14 @@
   // Whether the leader has been silent for seconds in which this process ran.
   bool HasLostLeader(TimePoint aNow);
   void NoticePause(TimePoint aNow);
-  // Learns the clock of the control plane from an answer of the leader.
-  void LearnGroupTime(const net::HttpResponse& aAnswer, TimePoint aSentAt);
+  // Learns the term and the clock of the control plane from an answer of the
+  // leader.
+  void LearnFromLeader(const HostId& aHost, const net::HttpResponse& aAnswer,
+                       TimePoint aSentAt);
+  // Whether a refusal may be passed on to the caller. If not, the request is
+  // repeated or given up.
+  bool MayPassOn(const std::shared_ptr<PendingRequest>& aPending,
+                 const net::HttpResponse& aRefusal);
   HostId NextHost();
   void LearnLeader(const HostId& aLeader);
   void ForgetLeader(const HostId& aHost);
@@ -106,10 +111,11 @@
   RelaySettings settings;
   net::HttpClient& client;
   HostId leader;
+  // As the leader itself said; none for a leader of an earlier version, and for
+  // one that only another host has named.
+  std::optional<std::uint64_t> leaderTerm;
   std::vector<HostId> hosts;
-  // The latest that the control plane's time of day may be, in Unix ms, less
-  // this process's steady clock in ms. Too high by the time that an answer
-  // takes, which is bounded by the time-outs of attempts and queries.
+  // See TimeOffsetMs.
   std::optional<std::int64_t> groupTimeOffsetMs;
   std::size_t nextHost = 0;
   TimePoint leaderContactAt;
--- a/tests/consensus/Cluster.cpp
+++ b/tests/consensus/Cluster.cpp
@@ -230,6 +230,7 @@
   const auto [known, inserted] = this->committed.emplace(aEntry.index, aEntry);
   if (inserted) {
     this->committedIn[aEntry.index] = aHost.node->hardState.term;
+    this->CheckTermNeverFalls(aEntry);
   }
   if (!inserted && !SameEntry(known->second, aEntry)) {
     this->RecordFailure("committed entry changed at " +
@@ -240,6 +241,15 @@
   }
 }
 
+void Cluster::CheckTermNeverFalls(const LogEntry& aEntry) {
+  const auto previous = this->committed.find(aEntry.index - 1);
+  if (previous != this->committed.end() &&
+      previous->second.term > aEntry.term) {
+    this->RecordFailure("entry " + std::to_string(aEntry.index) +
+                        " of an earlier term committed late");
+  }
+}
+
 void Cluster::CheckLeaderComplete(const Node& aNode) {
   for (const auto& [index, entry] : this->committed) {
     // A replica that was paused may receive the votes of an old term late. Its
--- a/tests/consensus/Cluster.h
+++ b/tests/consensus/Cluster.h
@@ -93,6 +93,10 @@
   // Checks that at most one replica holds a lease, and that it has applied what
   // was committed in earlier terms.
   void CheckLeases();
+  // Checks that an entry of an earlier term is never committed after the first
+  // entry of a later term. A leader that has applied that entry relies on it to
+  // say that a job isn't stored and won't be.
+  void CheckTermNeverFalls(const LogEntry& aEntry);
   // Checks that a new leader's log has every entry committed in earlier terms.
   void CheckLeaderComplete(const Node& aNode);
   // Stores the first violation.
--- a/tests/platform/ClientCallsTest.cpp
+++ b/tests/platform/ClientCallsTest.cpp
@@ -90,6 +90,8 @@
   CPPUNIT_TEST(testAcceptedSubmissionIsRecognisedAfterAChange);
   CPPUNIT_TEST(testCancelThatOvertakesItsSubmission);
   CPPUNIT_TEST(testExpiredSubmissionIsNotAccepted);
+  CPPUNIT_TEST(testSubmissionOfAnotherTermIsNotAccepted);
+  CPPUNIT_TEST(testRefusalsSayWhetherTheJobIsStored);
   CPPUNIT_TEST_SUITE_END();
 
  public:
@@ -181,6 +183,48 @@
         kOk,
         CallLeader(cell, "POST", kPath, expiresAt(*timeOfDay + 60000)).status);
   }
+
+  // Guards against a submission that was sent to a former leader, and that is
+  // accepted after its caller was told that it never will be.
+  void testSubmissionOfAnotherTermIsNotAccepted() {
+    ControlCell cell;
+    cell.StartAll(true);
+    Configure(cell, 1, Limits());
+    const auto termNow = [&] {
+      const auto term = relay::FindTerm(CallLeader(cell, "GET", kPath).headers,
+                                        relay::kTermHeader);
+      CPPUNIT_ASSERT(term && *term > 0);
+      return *term;
+    };
+    const std::uint64_t term = termNow();
+    const std::vector<net::Header> limited = {
+        {relay::kTermHeader, std::to_string(term)}};
+    CPPUNIT_ASSERT_EQUAL(kOk, CallLeader(cell, "POST", kPath, limited).status);
+    cell.Kill(*cell.FindLeader());
+    CPPUNIT_ASSERT(termNow() > term);
+    CPPUNIT_ASSERT(
+        relay::MeaningOf(CallLeader(cell, "POST", kOtherPath, limited)) ==
+        relay::AttemptMeaning::Expired);
+    CPPUNIT_ASSERT_EQUAL(kGone, CallLeader(cell, "GET", kOtherPath).status);
+    CPPUNIT_ASSERT_EQUAL(kOk, CallLeader(cell, "GET", kPath).status);
+  }
+
+  // Guards against a refusal that claims that the job isn't stored although an
+  // earlier attempt was accepted.
+  void testRefusalsSayWhetherTheJobIsStored() {
+    ControlCell cell;
+    cell.StartAll(true);
+    Configure(cell, 1, Limits());
+    CPPUNIT_ASSERT_EQUAL(kOk, CallLeader(cell, "POST", kPath).status);
+    Configure(cell, 2, Limits{true, 20});
+    std::this_thread::sleep_for(kLongerThanClocksDiffer);
+    const net::HttpResponse ofStored = CallLeader(cell, "POST", kPath);
+    CPPUNIT_ASSERT_EQUAL(kTooLarge, ofStored.status);
+    CPPUNIT_ASSERT(!relay::StatementOf(ofStored));
+    const net::HttpResponse ofOther = CallLeader(cell, "POST", kOtherPath);
+    CPPUNIT_ASSERT_EQUAL(kTooLarge, ofOther.status);
+    CPPUNIT_ASSERT(relay::StatementOf(ofOther));
+  }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ClientCallsTest);
