Ask who leads before sending a request, and refuse at once in an outage

A front sent requests to the host that it last knew as the leader. When that host was frozen or without power, each of them had to end as 504, and only 3 s of silence made the front refuse without an attempt.

A front now sends a request only to a host that has said within 150 ms that it leads, and asks GET /internal/group first otherwise. If the leader is silent, all hosts are asked at the same time, and requests wait with nothing sent. JudgeSearch refuses them with 503 when most hosts have been silent for two rounds, or when the search takes longer than a change of leader does. Retry-After is spread over 1 and 2 s. 501, with which a listener that is being closed rejects requests, counts as not handled.

The stand-in of a control host in RelayTest answers questions for the leader now, as every version of a host does. testOwnPauseIsNoLossOfTheLeader freezes it instead and also checks that the refusal comes without an attempt.

--- a/src/bramleypath/relay/AttemptMeaning.h
+++ b/src/bramleypath/relay/AttemptMeaning.h
@@ -22,7 +22,7 @@
   Settled,
   // This attempt did nothing. Says nothing about the others.
   AttemptRefused,
-  // The host does not lead and did nothing.
+  // The host does not lead or is stopping, and did nothing.
   NotHandled,
   // The attempt arrived after its time limit, by the leader's clock, and did
   // nothing.
--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdlib>
 #include <optional>
+#include <random>
 #include <utility>
 
 #include <asio/steady_timer.hpp>
@@ -26,16 +27,21 @@
 constexpr Duration kAnswerReserve = Millis(150);
 // Interval at which the leader is queried if no request was answered meanwhile.
 constexpr Duration kLeaderCheckInterval = Millis(1000);
-// Interval of the queries while the leader is unknown.
+// Pause between two rounds of a search, while requests wait and otherwise.
 constexpr Duration kSearchInterval = Millis(250);
-constexpr Duration kLeaderQueryTimeout = Millis(700);
+constexpr Duration kIdleSearchInterval = Millis(500);
+// A leader that answers later is asked again together with the other hosts.
+constexpr Duration kConfirmTimeout = Millis(300);
+constexpr Duration kRoundTimeout = Millis(500);
+constexpr Duration kWaitCheckInterval = Millis(50);
 constexpr Duration kLeaderContactLifetime = Millis(3000);
 // A longer gap between ticks, which are due every 100 ms, shows that this
 // process was paused.
 constexpr Duration kMaxTickGap = Millis(500);
 constexpr std::uint32_t kUnavailable = 503;
 constexpr std::uint32_t kGatewayTimeout = 504;
-constexpr std::uint32_t kRetryAfterSeconds = 1;
+// Callers that were refused come back spread over this many seconds.
+constexpr std::uint64_t kRetryAfterSpread = 2;
 
 Duration RequestTimeout(const net::HttpRequest& aRequest,
                         const std::string& aHeader) {
@@ -76,6 +82,14 @@
   return aRequest.method == "POST";
 }
 
+// A host of an earlier version says it in the view only, and maybe without a
+// lease.
+bool SaysThatItLeads(const HostId& aHost, const controller::GroupView& aView,
+                     const net::HttpResponse& aAnswer) {
+  const auto term = FindTerm(aAnswer.headers, kTermHeader);
+  return term ? *term > 0 : aView.leader == aHost;
+}
+
 std::int64_t ToSteadyMs(TimePoint aTime) {
   return ToMillis(Duration{aTime.micros});
 }
@@ -84,8 +98,12 @@
 
 Relay::Relay(asio::io_context& aContext, RelaySettings aSettings,
              net::HttpClient& aClient)
-    : context(aContext), settings(std::move(aSettings)), client(aClient) {
+    : context(aContext),
+      settings(std::move(aSettings)),
+      client(aClient),
+      waitTimer(aContext) {
   this->hosts = this->settings.seeds;
+  this->random.state = std::random_device()();
 }
 
 Relay::~Relay() { *this->alive = false; }
@@ -104,20 +122,11 @@
   }
 }
 
-HostId Relay::NextHost() {
-  if (!this->leader.empty()) {
-    return this->leader;
-  }
-  if (this->hosts.empty()) {
-    return HostId();
-  }
-  return this->hosts[this->nextHost++ % this->hosts.size()];
-}
-
 void Relay::LearnLeader(const HostId& aLeader) {
   if (this->leader != aLeader) {
     eventlog::Write("leader_learned", {{"leader", aLeader.value}});
     this->leaderTerm = std::nullopt;
+    this->contact.isConfirmed = false;
   }
   this->leader = aLeader;
 }
@@ -127,8 +136,10 @@
                             TimePoint aSentAt) {
   const TimePoint now = net::Now();
   this->LearnLeader(aHost);
+  this->contact = LeaderContact{true, now};
   this->leaderContactAt = now;
   this->hadLeaderContact = true;
+  this->search = LeaderSearch();
   const auto term = FindTerm(aAnswer.headers, kTermHeader);
   this->leaderTerm = term && *term > 0 ? term : std::nullopt;
   const auto unixMs = FindMillis(aAnswer.headers, kGroupTimeHeader);
@@ -143,6 +154,7 @@
     eventlog::Write("leader_lost", {{"leader", aHost.value}});
     this->leader = HostId();
     this->leaderTerm = std::nullopt;
+    this->contact.isConfirmed = false;
   }
 }
 
@@ -158,9 +170,9 @@
   const TimePoint now = net::Now();
   auto pending = std::make_shared<PendingRequest>(PendingRequest{
       std::move(aRequest), std::move(aResponder), now, now + timeout});
-  if (this->HasLostLeader(now)) {
-    // The leader has been unreachable for seconds, so a retry is unlikely to
-    // succeed and the caller can try another front at once.
+  if (this->HasLostLeader(now) || this->IsRefusedAtOnce(*pending, now)) {
+    // A retry is unlikely to succeed, and the caller can try another front at
+    // once.
     this->Fail(pending);
     return;
   }
@@ -173,11 +185,77 @@
     this->Fail(aPending);
     return;
   }
-  const HostId host = this->NextHost();
-  if (host.empty()) {
-    this->RetryLater(aPending);
+  if (MaySendAtOnce(this->contact, now)) {
+    this->Transmit(aPending, now);
+    return;
+  }
+  ++this->counters.waitedForLeader;
+  this->waiting.push_back(aPending);
+  this->Search(now);
+  this->ArmWaitTimer();
+}
+
+bool Relay::IsRefusedAtOnce(const PendingRequest& aPending, TimePoint aNow) {
+  if (aPending.mayHaveRunSince && ChangesSomething(aPending.request)) {
+    return false;
+  }
+  switch (JudgeSearch(this->search, aNow)) {
+    case SearchVerdict::Wait:
+      return false;
+    case SearchVerdict::MajoritySilent:
+      ++this->counters.refusedMajoritySilent;
+      return true;
+    case SearchVerdict::NoLeader:
+      break;
+  }
+  ++this->counters.refusedNoLeader;
+  return true;
+}
+
+void Relay::ArmWaitTimer() {
+  if (this->waiting.empty() || std::exchange(this->isWaitTimerArmed, true)) {
+    return;
+  }
+  this->waitTimer.expires_after(
+      std::chrono::microseconds(kWaitCheckInterval.micros));
+  this->waitTimer.async_wait(
+      [this, isAlive = this->alive](const asio::error_code&) {
+        if (*isAlive) {
+          this->isWaitTimerArmed = false;
+          this->SweepWaiting();
+        }
+      });
+}
+
+void Relay::SweepWaiting() {
+  const TimePoint now = net::Now();
+  this->NoticePause(now);
+  if (MaySendAtOnce(this->contact, now)) {
+    this->SendWaiting();
     return;
   }
+  for (const auto& pending : std::exchange(this->waiting, {})) {
+    if (now >= pending->deadline || this->IsRefusedAtOnce(*pending, now)) {
+      this->Fail(pending);
+    } else {
+      this->waiting.push_back(pending);
+    }
+  }
+  if (!this->waiting.empty()) {
+    this->Search(now);
+  }
+  this->ArmWaitTimer();
+}
+
+void Relay::SendWaiting() {
+  for (const auto& pending : std::exchange(this->waiting, {})) {
+    this->SendAttempt(pending);
+  }
+}
+
+void Relay::Transmit(const std::shared_ptr<PendingRequest>& aPending,
+                     TimePoint aNow) {
+  const HostId host = this->leader;
   ++aPending->attempts;
   net::ClientRequest request;
   request.method = aPending->request.method;
@@ -190,12 +268,12 @@
   if (aPending->mayHaveRunSince) {
     request.headers.push_back(
         {kRepeatHeader,
-         std::to_string(ToMillis(now - *aPending->mayHaveRunSince))});
+         std::to_string(ToMillis(aNow - *aPending->mayHaveRunSince))});
   }
-  request.connectBy = std::min(now + kConnectTimeout, aPending->deadline);
-  request.deadline = std::min(now + kAttemptTimeout, aPending->deadline);
+  request.connectBy = std::min(aNow + kConnectTimeout, aPending->deadline);
+  request.deadline = std::min(aNow + kAttemptTimeout, aPending->deadline);
   const SentAttempt attempt =
-      this->LimitAttempt(aPending->request, host, now, request);
+      this->LimitAttempt(aPending->request, host, aNow, request);
   this->client.Send(std::move(request), [this, isAlive = this->alive, aPending,
                                          attempt](net::ClientResult aResult) {
     if (*isAlive) {
@@ -301,9 +379,9 @@
   }
   const AttemptMeaning meaning = MeaningOf(aResult.response);
   if (meaning == AttemptMeaning::NotHandled) {
-    this->OnNotHandled(
-        aPending, host,
-        *net::FindHeader(aResult.response.headers, kNotLeaderHeader));
+    const std::string* const named =
+        net::FindHeader(aResult.response.headers, kNotLeaderHeader);
+    this->OnNotHandled(aPending, host, named ? *named : std::string());
     return;
   }
   this->LearnFromLeader(host, aResult.response, aAttempt.sentAt);
@@ -345,13 +423,18 @@
     ++this->counters.unavailable;
     response = net::ErrorResponse(kUnavailable, "",
                                   "no leader is in reach; nothing was done");
-    response.headers.push_back(
-        {"Retry-After", std::to_string(kRetryAfterSeconds)});
+    const std::uint64_t seconds =
+        1 + NextBelow(this->random, kRetryAfterSpread);
+    response.headers.push_back({"Retry-After", std::to_string(seconds)});
   }
   eventlog::Write("request_given_up",
                   {{"path", aPending->request.path},
                    {"status", std::to_string(response.status)},
-                   {"attempts", std::to_string(aPending->attempts)}});
+                   {"attempts", std::to_string(aPending->attempts)},
+                   {"unanswered", std::to_string(aPending->unanswered.size())},
+                   {"rounds", std::to_string(this->search.rounds)},
+                   {"asked", std::to_string(this->search.asked)},
+                   {"silent", std::to_string(this->search.silent)}});
   this->Answer(aPending, std::move(response));
 }
 
@@ -364,6 +447,8 @@
 void Relay::NoticePause(TimePoint aNow) {
   if (aNow >= this->lastRunAt + kMaxTickGap) {
     this->resumedAt = aNow;
+    // What was not answered during the pause says nothing about the hosts.
+    this->search = LeaderSearch();
   }
   this->lastRunAt = aNow;
 }
@@ -376,58 +461,87 @@
 
 void Relay::Tick(TimePoint aNow) {
   this->NoticePause(aNow);
-  if (!this->queryPending && aNow >= this->nextQueryAt) {
-    this->QueryLeader(aNow);
+  const bool isConfirmed = this->contact.isConfirmed &&
+                           aNow < this->contact.at + kLeaderCheckInterval;
+  if (!isConfirmed) {
+    this->Search(aNow);
   }
 }
 
-void Relay::QueryLeader(TimePoint aNow) {
-  // A recent answer to a relayed request already shows that the leader is known
-  // and reachable.
-  if (!this->leader.empty() && this->hadLeaderContact &&
-      aNow - this->leaderContactAt < kLeaderCheckInterval) {
-    this->nextQueryAt = this->leaderContactAt + kLeaderCheckInterval;
+void Relay::Search(TimePoint aNow) {
+  const bool isTooEarly = this->leader.empty() && aNow < this->nextRoundAt;
+  if (this->unansweredInRound > 0 || isTooEarly) {
     return;
   }
-  const HostId host = this->NextHost();
-  if (host.empty()) {
-    this->nextQueryAt = aNow + kSearchInterval;
-    return;
+  this->isAskingAll = this->leader.empty();
+  const std::vector<HostId> asked =
+      this->isAskingAll ? this->hosts : std::vector<HostId>{this->leader};
+  if (this->isAskingAll && this->search.startedAt == kNever) {
+    this->search.startedAt = aNow;
+  }
+  ++this->round;
+  this->unansweredInRound = static_cast<std::uint32_t>(asked.size());
+  this->askedInRound = this->unansweredInRound;
+  this->silentInRound = 0;
+  for (const HostId& host : asked) {
+    this->Ask(host, aNow, this->isAskingAll ? kRoundTimeout : kConfirmTimeout);
   }
-  this->queryPending = true;
+}
+
+void Relay::Ask(const HostId& aHost, TimePoint aNow, Duration aTimeout) {
   net::ClientRequest request;
   request.method = "GET";
-  request.address = this->AddressOf(host);
+  request.address = this->AddressOf(aHost);
   request.path = controller::kGroupPath;
-  request.deadline = aNow + kLeaderQueryTimeout;
-  this->client.Send(
-      std::move(request), [this, isAlive = this->alive, host,
-                           aNow](const net::ClientResult& aResult) {
-        if (!*isAlive) {
-          return;
-        }
-        this->queryPending = false;
-        const TimePoint now = net::Now();
-        this->nextQueryAt = now + kSearchInterval;
-        const auto view = aResult.delivery == net::Delivery::Answered
-                              ? controller::DecodeView(aResult.response.body)
-                              : std::nullopt;
-        if (!view) {
-          this->ForgetLeader(host);
-          return;
-        }
-        this->hosts = view->hosts;
-        this->SetSeeds(this->settings.seeds);
-        if (view->leader == host) {
-          this->LearnFromLeader(host, aResult.response, aNow);
-          this->nextQueryAt = now + kLeaderCheckInterval;
-        } else if (!view->leader.empty()) {
-          this->LearnLeader(view->leader);
-          this->nextQueryAt = now;
-        } else {
-          this->ForgetLeader(host);
-        }
-      });
+  request.connectBy = aNow + aTimeout;
+  request.deadline = aNow + aTimeout;
+  this->client.Send(std::move(request),
+                    [this, isAlive = this->alive, aHost, aNow,
+                     asked = this->round](const net::ClientResult& aResult) {
+                      if (*isAlive && asked == this->round) {
+                        this->OnAsked(aHost, aNow, aResult);
+                      }
+                    });
+}
+
+void Relay::OnAsked(const HostId& aHost, TimePoint aSentAt,
+                    const net::ClientResult& aResult) {
+  const TimePoint now = net::Now();
+  --this->unansweredInRound;
+  const auto view = aResult.delivery == net::Delivery::Answered
+                        ? controller::DecodeView(aResult.response.body)
+                        : std::nullopt;
+  if (!view) {
+    ++this->silentInRound;
+  } else {
+    this->hosts = view->hosts;
+    this->SetSeeds(this->settings.seeds);
+  }
+  if (view && SaysThatItLeads(aHost, *view, aResult.response)) {
+    // The answers of the other hosts don't matter any more.
+    this->unansweredInRound = 0;
+    ++this->round;
+    this->LearnFromLeader(aHost, aResult.response, aSentAt);
+    this->SendWaiting();
+    return;
+  }
+  if (this->unansweredInRound == 0) {
+    this->EndRound(now);
+  }
+}
+
+void Relay::EndRound(TimePoint aNow) {
+  if (!this->isAskingAll) {
+    this->ForgetLeader(this->leader);
+    this->Search(aNow);
+    return;
+  }
+  ++this->search.rounds;
+  this->search.asked = this->askedInRound;
+  this->search.silent = this->silentInRound;
+  this->search.roundAt = aNow;
+  this->nextRoundAt =
+      aNow + (this->waiting.empty() ? kIdleSearchInterval : kSearchInterval);
 }
 
 }  // namespace bramleypath::relay
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -8,8 +8,10 @@
 #include <vector>
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "bramleypath/base/Ids.h"
+#include "bramleypath/base/Random.h"
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/metrics/LatencyHistogram.h"
@@ -18,6 +20,7 @@
 #include "bramleypath/net/HttpListener.h"
 #include "bramleypath/relay/AttemptHeaders.h"
 #include "bramleypath/relay/AttemptMeaning.h"
+#include "bramleypath/relay/LeaderSearch.h"
 #include "bramleypath/relay/RefusalProof.h"
 
 namespace bramleypath::relay {
@@ -32,8 +35,11 @@
 struct RelayCounters {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
-  // Answered with 503: the request was not carried out.
+  // Answered with 503: the request was not carried out. Of them, those that
+  // were refused before their time was over, by the reason.
   std::uint64_t unavailable = 0;
+  std::uint64_t refusedMajoritySilent = 0;
+  std::uint64_t refusedNoLeader = 0;
   // Answered with 504: the request may have been carried out.
   std::uint64_t outcomeUnknown = 0;
   // Refusals after an unanswered attempt: passed on since no attempt was or
@@ -42,6 +48,8 @@
   std::uint64_t refusalsAskedAgain = 0;
   std::uint64_t refusalsWithheld = 0;
   std::uint64_t retries = 0;
+  // Requests that waited until a host said that it leads.
+  std::uint64_t waitedForLeader = 0;
   // From receiving a request to answering it, with any status.
   metrics::LatencyHistogram answerLatency;
 };
@@ -59,7 +67,7 @@
 
   void Handle(net::HttpRequest aRequest, net::HttpResponder aResponder);
   void SetSeeds(std::vector<HostId> aSeeds);
-  // Queries the hosts for the leader when it has not answered recently. Call it
+  // Asks the hosts for the leader when it has not answered recently. Call it
   // every 100 ms.
   void Tick(TimePoint aNow);
   // Whether a leader has answered within the last 3 s.
@@ -73,7 +81,17 @@
     TimePoint sentAt;
     UnansweredAttempt limits;
   };
+  // Sends an attempt, or waits until a host says that it leads.
   void SendAttempt(const std::shared_ptr<PendingRequest>& aPending);
+  void Transmit(const std::shared_ptr<PendingRequest>& aPending,
+                TimePoint aNow);
+  // Ends the waiting of the requests whose time is over, and of those that
+  // needn't wait since there is no leader.
+  void SweepWaiting();
+  void ArmWaitTimer();
+  void SendWaiting();
+  // Whether the request may be refused without waiting for a leader.
+  bool IsRefusedAtOnce(const PendingRequest& aPending, TimePoint aNow);
   void RetryLater(const std::shared_ptr<PendingRequest>& aPending);
   // Limits an attempt at a submission to the leader's term and to the time in
   // which this process waits for its answer.
@@ -101,10 +119,14 @@
   // repeated or given up.
   bool MayPassOn(const std::shared_ptr<PendingRequest>& aPending,
                  const net::HttpResponse& aRefusal);
-  HostId NextHost();
   void LearnLeader(const HostId& aLeader);
   void ForgetLeader(const HostId& aHost);
-  void QueryLeader(TimePoint aNow);
+  // Asks the known leader, or all hosts, unless a round is in progress.
+  void Search(TimePoint aNow);
+  void Ask(const HostId& aHost, TimePoint aNow, Duration aTimeout);
+  void OnAsked(const HostId& aHost, TimePoint aSentAt,
+               const net::ClientResult& aResult);
+  void EndRound(TimePoint aNow);
   std::string AddressOf(const HostId& aHost) const;
 
   asio::io_context& context;
@@ -117,14 +139,25 @@
   std::vector<HostId> hosts;
   // See TimeOffsetMs.
   std::optional<std::int64_t> groupTimeOffsetMs;
-  std::size_t nextHost = 0;
+  LeaderContact contact;
+  // The latest answer of any leader.
   TimePoint leaderContactAt;
   bool hadLeaderContact = false;
   TimePoint lastRunAt;
   // When a pause of this process was last noticed.
   TimePoint resumedAt;
-  bool queryPending = false;
-  TimePoint nextQueryAt;
+  LeaderSearch search;
+  // Grows with each round, so that answers to an earlier one are ignored.
+  std::uint64_t round = 0;
+  std::uint32_t unansweredInRound = 0;
+  std::uint32_t askedInRound = 0;
+  std::uint32_t silentInRound = 0;
+  bool isAskingAll = false;
+  TimePoint nextRoundAt;
+  std::vector<std::shared_ptr<PendingRequest>> waiting;
+  asio::steady_timer waitTimer;
+  bool isWaitTimerArmed = false;
+  Random random;
   RelayCounters counters;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
--- a/tests/relay/RelayTest.cpp
+++ b/tests/relay/RelayTest.cpp
@@ -12,122 +12,20 @@
 
 #include "bramleypath/net/Clock.h"
 #include "tests/net/Loop.h"
+#include "tests/relay/Hosts.h"
 
 namespace bramleypath::relay {
 
 namespace {
 
 using net_test::RunUntil;
+using relay_test::ControlHost;
+using relay_test::Front;
+using relay_test::MakeNotLeaderResponse;
+using relay_test::MakeResponse;
 
 const HostId kFirst("127.0.0.2");
 const HostId kSecond("127.0.0.3");
-constexpr const char* kFrontAddress = "127.0.0.1:0";
-constexpr const char* kDeadlineHeader = "Wait-Ms";
-
-net::HttpResponse MakeResponse(std::uint32_t aStatus,
-                               const std::string& aBody) {
-  net::HttpResponse response;
-  response.status = aStatus;
-  response.body = aBody;
-  return response;
-}
-
-net::HttpResponse MakeNotLeaderResponse(const HostId& aNamed) {
-  net::HttpResponse response = MakeResponse(kNotLeaderStatus, "{}");
-  response.headers.push_back({kNotLeaderHeader, aNamed.value});
-  return response;
-}
-
-// A host of the control plane that answers as a test decides. Queries for the
-// leader stay unanswered, so that the relay learns it from relayed requests
-// only.
-class ControlHost {
- public:
-  // Returns the answer to the request with this number, counted from 0; none
-  // leaves the request unanswered.
-  using Answers =
-      std::function<std::optional<net::HttpResponse>(std::size_t aNumber)>;
-
-  ControlHost(asio::io_context& aContext, const std::string& aAddress,
-              Answers aAnswers)
-      : answers(std::move(aAnswers)),
-        listener(aContext, aAddress, net::HttpLimits(),
-                 [this](const net::HttpRequest& aRequest,
-                        const net::HttpResponder& aResponder) {
-                   this->Handle(aRequest, aResponder);
-                 }) {
-    net::NetReason reason;
-    CPPUNIT_ASSERT_MESSAGE(reason.detail, this->listener.Open(reason));
-  }
-
-  std::uint16_t Port() const {
-    std::string ip;
-    std::uint16_t port = 0;
-    net::SplitAddress(this->listener.BoundAddress(), ip, port);
-    return port;
-  }
-
-  std::vector<net::HttpRequest> requests;
-
- private:
-  void Handle(const net::HttpRequest& aRequest,
-              const net::HttpResponder& aResponder) {
-    if (aRequest.path != controller::kGroupPath) {
-      this->requests.push_back(aRequest);
-      const auto answer = this->answers(this->requests.size() - 1);
-      if (answer) {
-        aResponder.Send(*answer);
-        return;
-      }
-    }
-    this->unanswered.push_back(aResponder);
-  }
-
-  Answers answers;
-  std::vector<net::HttpResponder> unanswered;
-  net::HttpListener listener;
-};
-
-// A front node with a relay, and a client of it.
-class Front {
- public:
-  Front(asio::io_context& aContext, std::vector<HostId> aSeeds,
-        std::uint16_t aControlPort)
-      : context(aContext),
-        client(aContext, net::HttpClientLimits()),
-        relay(aContext, {std::move(aSeeds), aControlPort, kDeadlineHeader},
-              this->client),
-        listener(
-            aContext, kFrontAddress, net::HttpLimits(),
-            [this](net::HttpRequest aRequest, net::HttpResponder aResponder) {
-              this->relay.Handle(std::move(aRequest), std::move(aResponder));
-            }) {
-    net::NetReason reason;
-    CPPUNIT_ASSERT_MESSAGE(reason.detail, this->listener.Open(reason));
-  }
-
-  net::ClientResult Call(const std::string& aPath,
-                         const std::string& aMethod = "POST") {
-    std::optional<net::ClientResult> result;
-    net::ClientRequest request;
-    request.method = aMethod;
-    request.address = this->listener.BoundAddress();
-    request.path = aPath;
-    request.body = "{}";
-    this->client.Send(std::move(request), [&result](net::ClientResult aResult) {
-      result = std::move(aResult);
-    });
-    CPPUNIT_ASSERT(
-        RunUntil(this->context, [&result] { return result.has_value(); }));
-    return *result;
-  }
-
-  asio::io_context& context;
-  net::HttpClient client;
-  Relay relay;
-  net::HttpListener listener;
-};
-
 // The host reads the first attempt and never answers it. `second` is its answer
 // to the second attempt, `expected` the status that the caller gets.
 struct LostAnswerCase {
@@ -318,7 +216,9 @@
             return response;
           });
       Front front(this->context, {kFirst}, host.Port());
+      host.term = kTerm;
       CPPUNIT_ASSERT_EQUAL(200U, front.Call("/jobs/1").response.status);
+      host.term = row.termAfterwards;
       const TimePoint begin = net::Now();
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.expected,
                                    front.Call("/jobs/2").response.status);
@@ -395,13 +295,18 @@
       if (row.paused) {
         std::this_thread::sleep_for(std::chrono::microseconds(kSilence.micros));
       } else {
+        host.Freeze();
         RunUntil(this->context, [&] {
           front.relay.Tick(net::Now());
           return net::Now() >= end;
         });
       }
+      const TimePoint begin = net::Now();
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.expected,
                                    front.Call("/jobs/2").response.status);
+      // A refusal is given without waiting and without an attempt.
+      CPPUNIT_ASSERT(row.paused || net::Now() - begin < Millis(200));
+      CPPUNIT_ASSERT(row.paused || host.requests.size() == 1);
     }
   }
 
