Count refusals after an unanswered attempt by their reason

An operator could see how many refusals were withheld, but not why. The search for the leader has one pause between rounds, since fronts noticed a returned leader up to 250 ms later while no request waited.

--- a/src/bramleypath/relay/Relay.cpp
+++ b/src/bramleypath/relay/Relay.cpp
@@ -27,9 +27,8 @@
 constexpr Duration kAnswerReserve = Millis(150);
 // Interval at which the leader is queried if no request was answered meanwhile.
 constexpr Duration kLeaderCheckInterval = Millis(1000);
-// Pause between two rounds of a search, while requests wait and otherwise.
+// Pause between two rounds of a search.
 constexpr Duration kSearchInterval = Millis(250);
-constexpr Duration kIdleSearchInterval = Millis(500);
 // A leader that answers later is asked again together with the other hosts.
 constexpr Duration kConfirmTimeout = Millis(300);
 constexpr Duration kRoundTimeout = Millis(500);
@@ -340,6 +339,7 @@
   }
   const RefusalProof proof =
       ProveRefusal(aPending->unanswered, StatementOf(aRefusal));
+  ++this->counters.refusalReasons[proof.reason];
   const auto log = [&](const char* aEvent) {
     eventlog::Write(
         aEvent, {{"path", aPending->request.path},
@@ -540,8 +540,7 @@
   this->search.asked = this->askedInRound;
   this->search.silent = this->silentInRound;
   this->search.roundAt = aNow;
-  this->nextRoundAt =
-      aNow + (this->waiting.empty() ? kIdleSearchInterval : kSearchInterval);
+  this->nextRoundAt = aNow + kSearchInterval;
 }
 
 }  // namespace bramleypath::relay
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -47,6 +49,8 @@
   std::uint64_t refusalsProven = 0;
   std::uint64_t refusalsAskedAgain = 0;
   std::uint64_t refusalsWithheld = 0;
+  // The same refusals by RefusalProof::reason.
+  std::map<std::string_view, std::uint64_t> refusalReasons;
   std::uint64_t retries = 0;
   // Requests that waited until a host said that it leads.
   std::uint64_t waitedForLeader = 0;
