State that a job isn't stored for the whole path

The queues may have changed since an unanswered attempt, and with them the part of the path that is the job's id. A leader that looked for the present id alone denied a job that it had accepted under another prefix of the queue; a new row of testRefusalsSayWhetherTheJobIsStored covers it. The statement is made only in refusals of repetitions, and so also in 404.

--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -104,10 +105,12 @@
   bool RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs);
   // Whether a submission may be carried out in another term only.
   bool RefuseOtherTerm(const JobId& aJob, Epoch aTerm);
-  // Whether this host leads, the state doesn't hold the job, and no proposal of
-  // it may still be committed. Submissions that are limited to an earlier term
-  // then never will be, nor those that have expired by LeaderUnixMs().
-  bool IsNotStored(const JobId& aJob) const;
+  // Whether this host leads, the state doesn't hold a job of the path, and no
+  // proposal of one may still be committed. Submissions that are limited to an
+  // earlier term then never will be, nor those that have expired by
+  // LeaderUnixMs(). Covers every way to divide the path into prefix and id,
+  // since the queues may have changed since the submission.
+  bool IsNotStored(std::string_view aPath) const;
   // Whether the job of the path was accepted within that time, by the clocks of
   // the leaders. May be called while MayRead().
   bool HasAcceptedWithin(const std::string& aHost, const std::string& aPath,
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -81,9 +81,19 @@
   return true;
 }
 
-bool Controller::IsNotStored(const JobId& aJob) const {
-  return this->MayRead() && !workflow::FindJob(this->State(), aJob.value) &&
-         !MayBeOpen(this->openSubmissions, aJob);
+bool Controller::IsNotStored(std::string_view aPath) const {
+  if (!this->MayRead()) {
+    return false;
+  }
+  const std::size_t longest = std::min(aPath.size(), workflow::kMaxJobIdBytes);
+  for (std::size_t bytes = 1; bytes <= longest; ++bytes) {
+    const std::string_view id = aPath.substr(aPath.size() - bytes);
+    if (workflow::FindJob(this->State(), id) ||
+        MayBeOpen(this->openSubmissions, JobId(std::string(id)))) {
+      return false;
+    }
+  }
+  return true;
 }
 
 bool Controller::RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs) {
--- a/tests/platform/ClientCallsTest.cpp
+++ b/tests/platform/ClientCallsTest.cpp
@@ -34,17 +34,19 @@
 struct Limits {
   bool hasRoute = true;
   std::uint64_t maxBodyBytes = 10000;
+  const char* prefix = "/jobs/";
 };
 
 void Configure(ControlCell& aCell, std::uint64_t aVersion,
                const Limits& aLimits) {
-  const Json route = {{"name", aLimits.hasRoute ? "r" : "other"},
-                      {"host", kHost},
-                      {"pathPrefix", aLimits.hasRoute ? "/jobs/" : "/other/"},
-                      {"timeoutMs", 3000},
-                      {"service", "s"},
-                      {"maxAttempts", 4},
-                      {"stretch", 20.0}};
+  const Json route = {
+      {"name", aLimits.hasRoute ? "r" : "other"},
+      {"host", kHost},
+      {"pathPrefix", aLimits.hasRoute ? aLimits.prefix : "/other/"},
+      {"timeoutMs", 3000},
+      {"service", "s"},
+      {"maxAttempts", 4},
+      {"stretch", 20.0}};
   const Json body = {{"version", aVersion},
                      {"routes", Json::array({route})},
                      {"services", Json::array({{{"name", "s"}}})},
@@ -210,20 +212,35 @@
   }
 
   // Guards against a refusal that claims that the job isn't stored although an
-  // earlier attempt was accepted.
+  // earlier attempt was accepted, maybe under another prefix of the queue.
   void testRefusalsSayWhetherTheJobIsStored() {
+    struct Row {
+      const char* label;
+      Limits limits;
+      std::uint32_t refusal;
+    };
+    const Row rows[] = {
+        {"the limit is lowered", {true, 20}, kTooLarge},
+        {"the queue has another prefix", {true, 20, "/"}, kTooLarge},
+        {"the route is dropped", {false}, kNotFound},
+    };
     ControlCell cell;
     cell.StartAll(true);
-    Configure(cell, 1, Limits());
+    std::uint64_t version = 1;
+    Configure(cell, version, Limits());
     CPPUNIT_ASSERT_EQUAL(kOk, CallLeader(cell, "POST", kPath).status);
-    Configure(cell, 2, Limits{true, 20});
     std::this_thread::sleep_for(kLongerThanClocksDiffer);
-    const net::HttpResponse ofStored = CallLeader(cell, "POST", kPath);
-    CPPUNIT_ASSERT_EQUAL(kTooLarge, ofStored.status);
-    CPPUNIT_ASSERT(!relay::StatementOf(ofStored));
-    const net::HttpResponse ofOther = CallLeader(cell, "POST", kOtherPath);
-    CPPUNIT_ASSERT_EQUAL(kTooLarge, ofOther.status);
-    CPPUNIT_ASSERT(relay::StatementOf(ofOther));
+    for (const Row& row : rows) {
+      Configure(cell, ++version, row.limits);
+      const auto repeat = [&](const char* aPath) {
+        const net::HttpResponse answer =
+            CallLeader(cell, "POST", aPath, UnderWayFor(0));
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.refusal, answer.status);
+        return answer;
+      };
+      CPPUNIT_ASSERT_MESSAGE(row.label, !relay::StatementOf(repeat(kPath)));
+      CPPUNIT_ASSERT_MESSAGE(row.label, relay::StatementOf(repeat(kOtherPath)));
+    }
   }
 };
 
