--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/io_context.hpp>
@@ -17,6 +18,7 @@
 #include "bramleypath/controller/FirstStarts.h"
 #include "bramleypath/controller/LayoutService.h"
 #include "bramleypath/controller/LoadShedder.h"
+#include "bramleypath/controller/OpenSubmissions.h"
 #include "bramleypath/controller/PauseRecord.h"
 #include "bramleypath/controller/WorkflowMachine.h"
 #include "bramleypath/gateway/Dispatcher.h"
@@ -36,6 +38,8 @@
   std::uint64_t cancelled = 0;
   // Refused, since they arrived after their callers' time limit.
   std::uint64_t expired = 0;
+  // Refused, since they were limited to another term than the current one.
+  std::uint64_t ofOtherTerm = 0;
   // Stored as cancelled, since the cancel came before the submission.
   std::uint64_t cancelledEarly = 0;
   std::uint64_t starts = 0;
@@ -97,9 +101,20 @@
 
   // The time of day that the hosts agree on, in Unix milliseconds.
   std::int64_t AgreedUnixMs() const;
-  // Whether a submission whose caller waits until aExpiresUnixMs has come too
+  // The same, but never earlier than before while this host leads: what has
+  // expired once stays expired.
+  std::int64_t LeaderUnixMs();
+  // Whether a submission whose sender waits until aExpiresUnixMs has come too
   // late to be accepted.
   bool RefuseExpired(const JobId& aJob, std::int64_t aExpiresUnixMs);
+  // Whether a submission may be carried out in another term only.
+  bool RefuseOtherTerm(const JobId& aJob, Epoch aTerm);
+  // Whether this host leads, the state doesn't hold a job of the path, and no
+  // proposal of one may still be committed. Submissions that are limited to an
+  // earlier term then never will be, nor those that have expired by
+  // LeaderUnixMs(). Covers every way to divide the path into prefix and id,
+  // since the queues may have changed since the submission.
+  bool IsNotStored(std::string_view aPath) const;
   // Whether the job of the path was accepted within that time, by the clocks of
   // the leaders. May be called while MayRead().
   bool HasAcceptedWithin(const std::string& aHost, const std::string& aPath,
@@ -215,6 +230,9 @@
   net::LoopProbe loopProbe;
   PauseRecord pauseRecord;
   LoadShedder loadShedder;
+  OpenSubmissions openSubmissions;
+  // The latest result of LeaderUnixMs() in this term.
+  std::int64_t latestUnixMs = 0;
   bool cycleRequested = false;
   std::vector<PendingLeave> pendingLeaves;
   TimePoint summaryAt;
--- a/src/bramleypath/relay/Relay.h
+++ b/src/bramleypath/relay/Relay.h
@@ -2,44 +2,31 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include <asio/io_context.hpp>
+#include <asio/steady_timer.hpp>
 
 #include "bramleypath/base/Ids.h"
+#include "bramleypath/base/Random.h"
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/controller/ControlGroup.h"
 #include "bramleypath/metrics/LatencyHistogram.h"
 #include "bramleypath/net/Http.h"
 #include "bramleypath/net/HttpClient.h"
 #include "bramleypath/net/HttpListener.h"
+#include "bramleypath/relay/AttemptHeaders.h"
 #include "bramleypath/relay/AttemptMeaning.h"
+#include "bramleypath/relay/LeaderSearch.h"
+#include "bramleypath/relay/RefusalProof.h"
 
 namespace bramleypath::relay {
 
-// Holds the Host header of the caller's request, for the leader.
-constexpr const char* kHostHeader = "Bramleypath-Host";
-// Set in an attempt at a request of which an earlier attempt may have been
-// carried out. The value is for how long the earlier ones have been under way,
-// in ms. The leader then answers a submission that it has accepted within that
-// time as accepted, also if it would refuse it now.
-constexpr const char* kRepeatHeader = "Bramleypath-Repeat-Ms";
-
-// The leader's answers hold the time of day that the hosts of the control plane
-// agree on, in Unix milliseconds. A submission holds the time of that clock at
-// which its caller is no longer answered, so that the leader refuses one that
-// was held up on its way. Absent while the relay doesn't know the clock.
-constexpr const char* kGroupTimeHeader = "Bramleypath-Time-Ms";
-constexpr const char* kExpiresHeader = "Bramleypath-Expires-Ms";
-
-// A whole number of milliseconds in the header, up to the year 3000; none if it
-// is missing or is no such number.
-std::optional<std::int64_t> FindMillis(const std::vector<net::Header>& aHeaders,
-                                       const char* aName);
-
 struct RelaySettings {
   std::vector<HostId> seeds;
   std::uint16_t controlPort = 0;
@@ -50,11 +37,23 @@
 struct RelayCounters {
   std::uint64_t requests = 0;
   std::uint64_t answered = 0;
-  // Answered with 503: the request was not carried out.
+  // Answered with 503: the request was not carried out. Of them, those that
+  // were refused before their time was over, by the reason.
   std::uint64_t unavailable = 0;
+  std::uint64_t refusedMajoritySilent = 0;
+  std::uint64_t refusedNoLeader = 0;
   // Answered with 504: the request may have been carried out.
   std::uint64_t outcomeUnknown = 0;
+  // Refusals after an unanswered attempt: passed on since no attempt was or
+  // will be carried out, repeated since that wasn't certain yet, withheld.
+  std::uint64_t refusalsProven = 0;
+  std::uint64_t refusalsAskedAgain = 0;
+  std::uint64_t refusalsWithheld = 0;
+  // The same refusals by RefusalProof::reason.
+  std::map<std::string_view, std::uint64_t> refusalReasons;
   std::uint64_t retries = 0;
+  // Requests that waited until a host said that it leads.
+  std::uint64_t waitedForLeader = 0;
   // From receiving a request to answering it, with any status.
   metrics::LatencyHistogram answerLatency;
 };
@@ -72,7 +71,7 @@
 
   void Handle(net::HttpRequest aRequest, net::HttpResponder aResponder);
   void SetSeeds(std::vector<HostId> aSeeds);
-  // Queries the hosts for the leader when it has not answered recently. Call it
+  // Asks the hosts for the leader when it has not answered recently. Call it
   // every 100 ms.
   void Tick(TimePoint aNow);
   // Whether a leader has answered within the last 3 s.
@@ -81,11 +80,33 @@
 
  private:
   struct PendingRequest;
+  struct SentAttempt {
+    HostId host;
+    TimePoint sentAt;
+    UnansweredAttempt limits;
+  };
+  // Sends an attempt, or waits until a host says that it leads.
   void SendAttempt(const std::shared_ptr<PendingRequest>& aPending);
+  void Transmit(const std::shared_ptr<PendingRequest>& aPending,
+                TimePoint aNow);
+  // Ends the waiting of the requests whose time is over, and of those that
+  // needn't wait since there is no leader.
+  void SweepWaiting();
+  void ArmWaitTimer();
+  void SendWaiting();
+  // Whether the request may be refused without waiting for a leader.
+  bool IsRefusedAtOnce(const PendingRequest& aPending, TimePoint aNow);
   void RetryLater(const std::shared_ptr<PendingRequest>& aPending);
+  // Limits an attempt at a submission to the leader's term and to the time in
+  // which this process waits for its answer.
+  SentAttempt LimitAttempt(const net::HttpRequest& aRequest,
+                           const HostId& aHost, TimePoint aNow,
+                           net::ClientRequest& aAttempt) const;
+  // The attempt may have been carried out.
+  void NoteUnanswered(const std::shared_ptr<PendingRequest>& aPending,
+                      const SentAttempt& aAttempt);
   void OnResult(const std::shared_ptr<PendingRequest>& aPending,
-                const HostId& aHost, TimePoint aSentAt,
-                net::ClientResult aResult);
+                const SentAttempt& aAttempt, net::ClientResult aResult);
   void OnNotHandled(const std::shared_ptr<PendingRequest>& aPending,
                     const HostId& aHost, const std::string& aNamedLeader);
   void Fail(const std::shared_ptr<PendingRequest>& aPending);
@@ -94,31 +115,53 @@
   // Whether the leader has been silent for seconds in which this process ran.
   bool HasLostLeader(TimePoint aNow);
   void NoticePause(TimePoint aNow);
-  // Learns the clock of the control plane from an answer of the leader.
-  void LearnGroupTime(const net::HttpResponse& aAnswer, TimePoint aSentAt);
-  HostId NextHost();
+  // Learns the term and the clock of the control plane from an answer of the
+  // leader.
+  void LearnFromLeader(const HostId& aHost, const net::HttpResponse& aAnswer,
+                       TimePoint aSentAt);
+  // Whether a refusal may be passed on to the caller. If not, the request is
+  // repeated or given up.
+  bool MayPassOn(const std::shared_ptr<PendingRequest>& aPending,
+                 const net::HttpResponse& aRefusal);
   void LearnLeader(const HostId& aLeader);
   void ForgetLeader(const HostId& aHost);
-  void QueryLeader(TimePoint aNow);
+  // Asks the known leader, or all hosts, unless a round is in progress.
+  void Search(TimePoint aNow);
+  void Ask(const HostId& aHost, TimePoint aNow, Duration aTimeout);
+  void OnAsked(const HostId& aHost, TimePoint aSentAt,
+               const net::ClientResult& aResult);
+  void EndRound(TimePoint aNow);
   std::string AddressOf(const HostId& aHost) const;
 
   asio::io_context& context;
   RelaySettings settings;
   net::HttpClient& client;
   HostId leader;
+  // As the leader itself said; none for a leader of an earlier version, and for
+  // one that only another host has named.
+  std::optional<std::uint64_t> leaderTerm;
   std::vector<HostId> hosts;
-  // The latest that the control plane's time of day may be, in Unix ms, less
-  // this process's steady clock in ms. Too high by the time that an answer
-  // takes, which is bounded by the time-outs of attempts and queries.
+  // See TimeOffsetMs.
   std::optional<std::int64_t> groupTimeOffsetMs;
-  std::size_t nextHost = 0;
+  LeaderContact contact;
+  // The latest answer of any leader.
   TimePoint leaderContactAt;
   bool hadLeaderContact = false;
   TimePoint lastRunAt;
   // When a pause of this process was last noticed.
   TimePoint resumedAt;
-  bool queryPending = false;
-  TimePoint nextQueryAt;
+  LeaderSearch search;
+  // Grows with each round, so that answers to an earlier one are ignored.
+  std::uint64_t round = 0;
+  std::uint32_t unansweredInRound = 0;
+  std::uint32_t askedInRound = 0;
+  std::uint32_t silentInRound = 0;
+  bool isAskingAll = false;
+  TimePoint nextRoundAt;
+  std::vector<std::shared_ptr<PendingRequest>> waiting;
+  asio::steady_timer waitTimer;
+  bool isWaitTimerArmed = false;
+  Random random;
   RelayCounters counters;
   std::shared_ptr<bool> alive = std::make_shared<bool>(true);
 };
