Record the expected and the actual end of each accepted job

Nothing showed how far the completion expected at admission is from the actual one. The leader now keeps the expected end of each accepted job in a bounded, volatile table. When the job completes, it logs job_promise_ended, records histograms of both times and of their difference by queue, and learns the ratio of the time from the first start to the end to the longest chain. No decision uses the ratio yet.

--- a/src/bramleypath/controller/Controller.cpp
+++ b/src/bramleypath/controller/Controller.cpp
@@ -285,6 +285,11 @@
   return this->scheduler ? this->scheduler->epoch : 0;
 }
 
+double Controller::ChainFactorOf(const workflow::QueueId& aQueue) const {
+  return this->scheduler ? workflow::FactorOf(this->scheduler->promises, aQueue)
+                         : 1;
+}
+
 void Controller::LogSummary(TimePoint aNow) {
   if (!this->scheduler || aNow < this->summaryAt) {
     return;
--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -27,6 +28,16 @@
 
 namespace bramleypath::controller {
 
+// How the completed jobs of a queue did against their promises.
+struct PromiseErrors {
+  metrics::LatencyHistogram expected;
+  metrics::LatencyHistogram actual;
+  // By how much they ended after and before the expected time; 0 for those on
+  // the other side.
+  metrics::LatencyHistogram late;
+  metrics::LatencyHistogram early;
+};
+
 struct ControllerCounters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
@@ -51,6 +62,7 @@
   // From the acceptance of a job to its first start command.
   metrics::LatencyHistogram firstStartLatency;
   FirstStarts firstStarts;
+  std::map<workflow::QueueId, PromiseErrors> promiseErrors;
   // Time that a scheduling cycle takes.
   metrics::LatencyHistogram cycleDuration;
   // How much later than requested the cycle timer fired.
@@ -127,6 +139,8 @@
   std::optional<workflow::CellSummary> SummariseCell() const;
   std::vector<workflow::QueueSummary> SummariseQueues() const;
   Epoch CurrentEpoch() const;
+  // See workflow::FactorOf; 1 while this host does not lead.
+  double ChainFactorOf(const workflow::QueueId& aQueue) const;
 
   const ControllerCounters& Counters() const { return this->counters; }
   const gateway::Dispatcher& Dispatcher() const { return *this->dispatcher; }
@@ -174,6 +188,7 @@
   void Execute(workflow::SendLeaseRenewal& aRenewal);
   void Execute(workflow::RequestTickets& aRequest);
   void Execute(workflow::DecisionRecord& aDecision);
+  void Execute(workflow::JobCompletion& aCompletion);
   void RecordFirstStart(const workflow::SendStart& aStart, TimePoint aNow);
   // The worker that a request may be sent to; null if the worker is gone or
   // this host no longer holds the lease.
--- a/src/bramleypath/controller/ControllerActions.cpp
+++ b/src/bramleypath/controller/ControllerActions.cpp
@@ -1,5 +1,6 @@
 #include "bramleypath/controller/Controller.h"
 
+#include <cmath>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -15,6 +16,7 @@
 namespace {
 
 using detail::NumberText;
+using detail::WholeText;
 using workflow::RequestAnswer;
 using workflow::RequestOutcome;
 
@@ -22,6 +24,10 @@
 // timeout would leave their outcome unknown to a leader that goes on leading.
 constexpr Duration kNoTimeout = Seconds(365LL * 24 * 3600);
 
+// Limit on the queues with metrics of their promises; a queue stays known after
+// it is removed from the configuration.
+constexpr std::size_t kMaxPromiseQueues = 64;
+
 gsl::span<const workflow::PlacedTask> PlacedBy(
     const workflow::Command& aCommand) {
   const auto* const places = std::get_if<workflow::PlaceTasks>(&aCommand);
@@ -258,4 +264,29 @@
                                     {"detail", aDecision.detail}});
 }
 
+void Controller::Execute(workflow::JobCompletion& aCompletion) {
+  const workflow::PromiseOutcome& outcome = aCompletion.outcome;
+  const auto expected =
+      Millis(static_cast<std::int64_t>(std::llround(outcome.expectedMs)));
+  const auto actual =
+      Millis(static_cast<std::int64_t>(std::llround(outcome.actualMs)));
+  auto& byQueue = this->counters.promiseErrors;
+  if (byQueue.count(outcome.queue) > 0 || byQueue.size() < kMaxPromiseQueues) {
+    PromiseErrors& errors = byQueue[outcome.queue];
+    errors.expected.Record(expected);
+    errors.actual.Record(actual);
+    errors.late.Record(actual - expected);
+    errors.early.Record(expected - actual);
+  }
+  eventlog::Write(
+      "job_promise_ended",
+      {{"job", aCompletion.job.value},
+       {"queue", outcome.queue.value},
+       {"expected_ms", WholeText(outcome.expectedMs)},
+       {"actual_ms", WholeText(outcome.actualMs)},
+       {"ran_ms", WholeText(outcome.ranMs)},
+       {"chain_ms", WholeText(outcome.chainMs)},
+       {"chain_factor", std::to_string(this->ChainFactorOf(outcome.queue))}});
+}
+
 }  // namespace bramleypath::controller
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -148,6 +148,8 @@
                          {"backlog_work", WholeText(view.backlogWork)},
                          {"processors_milli", WholeText(view.capacityMilli)}});
         if (this->scheduler) {
+          workflow::OnAccepted(*this->scheduler, this->State(), JobId(job),
+                               view, expectedMs, net::Now());
           this->scheduler->dispatchWanted = true;
           this->RequestCycle();
         }
--- a/src/bramleypath/metrics/Registry.cpp
+++ b/src/bramleypath/metrics/Registry.cpp
@@ -100,11 +100,12 @@
 };
 
 void WriteHistogram(std::ostream& aOut, const std::string& aName,
+                    const std::string& aLabels,
                     const HistogramSnapshot& aHistogram) {
-  WriteType(aOut, aName, "histogram");
   std::uint64_t count = 0;
   for (const LatencyHistogram::Bucket& bucket : aHistogram.buckets) {
-    aOut << "bramleypath_" << aName << "_bucket{le=\"";
+    aOut << "bramleypath_" << aName << "_bucket{" << aLabels
+         << (aLabels.empty() ? "" : ",") << "le=\"";
     if (std::isinf(bucket.limitSeconds)) {
       aOut << "+Inf";
     } else {
@@ -113,8 +114,10 @@
     aOut << "\"} " << bucket.cumulative << '\n';
     count = bucket.cumulative;
   }
-  aOut << "bramleypath_" << aName << "_sum " << aHistogram.sumSeconds << '\n'
-       << "bramleypath_" << aName << "_count " << count << '\n';
+  const std::string suffix = aLabels.empty() ? " " : "{" + aLabels + "} ";
+  aOut << "bramleypath_" << aName << "_sum" << suffix << aHistogram.sumSeconds
+       << '\n'
+       << "bramleypath_" << aName << "_count" << suffix << count << '\n';
 }
 
 }  // namespace
@@ -126,6 +129,9 @@
   // Keyed by metric name, then by queue.
   std::map<std::string, std::map<std::string, double>> queueGauges;
   std::map<std::string, HistogramSnapshot> histograms;
+  // Keyed by metric name, then by queue.
+  std::map<std::string, std::map<std::string, HistogramSnapshot>>
+      queueHistograms;
 
   Series& SeriesOf(const ClientAccountId& aClientAccount,
                    const ClassId& aClass) {
@@ -172,6 +178,13 @@
                                    aHistogram.SumSeconds()};
 }
 
+void Registry::SetQueueHistogram(const std::string& aName,
+                                 const std::string& aQueue,
+                                 const LatencyHistogram& aHistogram) {
+  this->impl->queueHistograms[aName][aQueue] = {aHistogram.Buckets(),
+                                                aHistogram.SumSeconds()};
+}
+
 LatencySummary Registry::Latency(const ClientAccountId& aClientAccount,
                                  const ClassId& aClass) const {
   const auto found =
@@ -234,7 +247,14 @@
     }
   }
   for (const auto& [name, histogram] : this->impl->histograms) {
-    WriteHistogram(out, name, histogram);
+    WriteType(out, name, "histogram");
+    WriteHistogram(out, name, "", histogram);
+  }
+  for (const auto& [name, queues] : this->impl->queueHistograms) {
+    WriteType(out, name, "histogram");
+    for (const auto& [queue, histogram] : queues) {
+      WriteHistogram(out, name, "queue=\"" + Escape(queue) + "\"", histogram);
+    }
   }
   return out.str();
 }
--- a/src/bramleypath/metrics/Registry.h
+++ b/src/bramleypath/metrics/Registry.h
@@ -56,6 +56,10 @@
   void SetHistogram(const std::string& aName,
                     const LatencyHistogram& aHistogram);
 
+  // The same with the queue as its label.
+  void SetQueueHistogram(const std::string& aName, const std::string& aQueue,
+                         const LatencyHistogram& aHistogram);
+
   // Returns zeros when no call was recorded.
   LatencySummary Latency(const ClientAccountId& aClientAccount,
                          const ClassId& aClass) const;
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -17,6 +17,7 @@
 #include "bramleypath/workflow/Driver.h"
 #include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/Neighbours.h"
+#include "bramleypath/workflow/Promises.h"
 #include "bramleypath/workflow/State.h"
 #include "bramleypath/workflow/TailModel.h"
 #include "bramleypath/workflow/Tickets.h"
@@ -229,9 +230,15 @@
   std::string detail;
 };
 
+// A job with a promise has completed.
+struct JobCompletion {
+  JobId job;
+  PromiseOutcome outcome;
+};
+
 using SchedulerAction =
     std::variant<Commit, SendStart, SendStop, SendPace, SendLeaseRenewal,
-                 RequestTickets, DecisionRecord>;
+                 RequestTickets, DecisionRecord, JobCompletion>;
 using SchedulerActions = std::vector<SchedulerAction>;
 
 // Run time of one image, learned from its completed tasks.
@@ -396,6 +403,7 @@
   // As of the last ranking and survey.
   CellLoad cellLoad;
   JobRanking ranking;
+  Promises promises;
   // Where the next pass continues in the ranking after the jobs at its top.
   std::size_t nextJobInTurn = 0;
   HostSurvey survey;
@@ -508,6 +516,11 @@
                                const JobSpec& aSpec,
                                const QueueSettings& aQueue);
 
+// The job was accepted, and is expected to end expectedMs after aNow. Jobs that
+// are long-running or repeat have no promise.
+void OnAccepted(Scheduler& aScheduler, const State& aState, const JobId& aJob,
+                const AdmissionView& aView, double aExpectedMs, TimePoint aNow);
+
 // Number of the queue's active jobs of which no task is known to have run. A
 // task that was placed may never have started.
 std::uint32_t CountWaitingJobs(const Scheduler& aScheduler, const State& aState,
--- a/src/bramleypath/workflow/internal/Attempts.cpp
+++ b/src/bramleypath/workflow/internal/Attempts.cpp
@@ -359,17 +359,26 @@
   for (const PlacedTask& placed : aPlaces.tasks) {
     RemovePendingPlacement(aScheduler, aState, placed);
     if (aOk) {
+      RecordFirstPlacement(aScheduler.promises, placed.task.job, aNow);
       StartPlaced(aScheduler, aState, placed, aNow);
     }
   }
 }
 
-void RecordJobEnd(const State& aState, JobNumber aJob,
-                  SchedulerActions& aActions) {
+void RecordJobEnd(Scheduler& aScheduler, const State& aState, JobNumber aJob,
+                  TimePoint aNow, SchedulerActions& aActions) {
   const auto job = aState.jobs.find(aJob);
   if (job == aState.jobs.end() || job->second.placed > 0) {
     return;
   }
+  if (job->second.phase != JobPhase::Active) {
+    const auto outcome =
+        ClosePromise(aScheduler.promises, aJob,
+                     job->second.phase == JobPhase::Completed, aNow);
+    if (outcome) {
+      aActions.push_back(JobCompletion{job->second.id, *outcome});
+    }
+  }
   if (job->second.phase == JobPhase::Completed) {
     aActions.push_back(
         DecisionRecord{"job_completed", job->second.id.value, ""});
@@ -396,7 +405,7 @@
     }
     if (aOk && detail::HasEnded(aState, end.task, found->second)) {
       aScheduler.attempts.erase(found);
-      RecordJobEnd(aState, end.task.job, aActions);
+      RecordJobEnd(aScheduler, aState, end.task.job, aNow, aActions);
     }
   }
 }
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -119,6 +119,25 @@
   return view;
 }
 
+void OnAccepted(Scheduler& aScheduler, const State& aState, const JobId& aJob,
+                const AdmissionView& aView, double aExpectedMs,
+                TimePoint aNow) {
+  const Job* const job = FindJob(aState, aJob.value);
+  if (!job || aView.longRunning) {
+    return;
+  }
+  Promise promise;
+  promise.queue = job->spec.queue;
+  promise.acceptedAt = aNow;
+  // Nothing is expected before the capacity of the workers is known.
+  const double expectedMs = std::max(aExpectedMs, aView.chainMs);
+  constexpr double kMicrosPerMilli = 1000;
+  promise.expectedAt =
+      aNow + Micros(static_cast<std::int64_t>(expectedMs * kMicrosPerMilli));
+  promise.chainMs = aView.chainMs;
+  RecordPromise(aScheduler.promises, job->number, promise);
+}
+
 namespace {
 
 bool HasEndedTask(const Job& aJob) {
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -99,6 +99,7 @@
                                       return !IsActive(aState, aJob.number);
                                     }),
                      ranking.jobs.end());
+  PrunePromises(aScheduler.promises, aState, ranking.jobs.size());
   if (ranking.estimates.size() <= kMaxEstimatesPerJob * ranking.jobs.size()) {
     return;
   }
--- a/tests/metrics/RegistryTest.cpp
+++ b/tests/metrics/RegistryTest.cpp
@@ -83,6 +83,7 @@
     Registry registry;
     registry.SetHistogram("commit_seconds", latency);
     registry.SetQueueGauge("waiting_jobs", "checks", 4);
+    registry.SetQueueHistogram("promise_late_seconds", "checks", latency);
     const std::string exposition = registry.WriteExposition();
     for (const char* line :
          {"# TYPE bramleypath_commit_seconds histogram\n",
@@ -93,6 +94,10 @@
           "bramleypath_commit_seconds_bucket{le=\"+Inf\"} 5\n",
           "bramleypath_commit_seconds_sum 40.006\n",
           "bramleypath_commit_seconds_count 5\n",
+          "# TYPE bramleypath_promise_late_seconds histogram\n",
+          "bramleypath_promise_late_seconds_bucket{queue=\"checks\","
+          "le=\"0.002\"} 3\n",
+          "bramleypath_promise_late_seconds_count{queue=\"checks\"} 5\n",
           "bramleypath_waiting_jobs{queue=\"checks\"} 4\n"}) {
       CPPUNIT_ASSERT_MESSAGE(line, exposition.find(line) != std::string::npos);
     }
--- a/tests/workflow/CellModel.h
+++ b/tests/workflow/CellModel.h
@@ -174,6 +174,7 @@
   void PerformOne(const SendLeaseRenewal& aRenewal);
   void PerformOne(const RequestTickets& aRequest);
   void PerformOne(const DecisionRecord& aDecision);
+  void PerformOne(const JobCompletion& /*aCompletion*/) {}
   // Delivers a request and its answer, or loses or delays either.
   void Deliver(WorkerNumber aWorker,
                const std::function<RequestAnswer(WorkerModel&)>& aExecute,
