Correct the expected run time of a job by what its queue has shown

Remaining time in the start order and the chain in admission came from callers' estimates alone for fillers, which share processors and are paced. Jobs were held back to be in time until they couldn't be. In admission the correction leaves a third of the useful time, so that it alone refuses no job while nothing waits.

--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -19,12 +19,23 @@
 // Share of all processors that long-running tasks may reserve.
 constexpr double kLongRunningShare = 0.84;
 
+// Share of the useful time up to which the chain is corrected, with the time
+// that the job's work takes.
+constexpr double kMaxOwnShare = 0.67;
+
 std::uint32_t RetryAfter(double aSeconds, Random& aRandom) {
   const double spread = kMinSpread + NextUnit(aRandom);
   return static_cast<std::uint32_t>(
       std::ceil(std::clamp(aSeconds * spread, 1.0, kMaxRetrySeconds)));
 }
 
+// Time in which the processors work off the job.
+double JobWorkMs(const AdmissionView& aView) {
+  return aView.capacityMilli <= 0
+             ? 0
+             : aView.jobWork / (aView.capacityMilli * kUsableShare);
+}
+
 bool HasProcessorsForLongRunning(const AdmissionView& aView) {
   return aView.jobLongRunningMilli <= 0 || aView.workersMilli <= 0 ||
          aView.longRunningMilli + aView.jobLongRunningMilli <=
@@ -33,6 +44,13 @@
 
 }  // namespace
 
+double CorrectedChainMs(const AdmissionView& aView) {
+  const double limit =
+      aView.objectiveMs * kUsefulObjectives * kMaxOwnShare - JobWorkMs(aView);
+  return std::min(aView.chainMs * aView.chainFactor,
+                  std::max(aView.chainMs, limit));
+}
+
 AdmissionDecision DecideAdmission(const AdmissionView& aView, Random& aRandom) {
   AdmissionDecision decision;
   if (!HasProcessorsForLongRunning(aView)) {
@@ -45,7 +63,7 @@
   }
   const double rate = aView.capacityMilli * kUsableShare;
   const double queueMs = aView.backlogWork / rate;
-  decision.expectedMs = queueMs + aView.jobWork / rate + aView.chainMs;
+  decision.expectedMs = queueMs + JobWorkMs(aView) + CorrectedChainMs(aView);
   const double usefulMs = aView.objectiveMs * kUsefulObjectives;
   if (decision.expectedMs <= usefulMs) {
     return decision;
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -14,7 +14,9 @@
   double backlogWork = 0;    // of accepted jobs that use the same processors
   double jobWork = 0;        // of the new job
   double chainMs = 0;        // its longest chain of run times
-  double objectiveMs = 0;    // latency objective
+  // Learned factor on chainMs, see FactorOf in Promises.h.
+  double chainFactor = 1;
+  double objectiveMs = 0;  // latency objective
   // The job is long-running or recurring.
   bool longRunning = false;
   // The job has fillers, so that it waits for the backlog of fillers.
@@ -33,6 +35,13 @@
   double expectedMs = 0;  // until the job ends
 };
 
+// Time that the job is expected to take once it starts.
+//
+// A correction upwards leaves a third of the time in which the job is useful.
+// Jobs of a queue whose objective is short against their run time would
+// otherwise be refused even if nothing waits.
+double CorrectedChainMs(const AdmissionView& aView);
+
 // Decides whether to accept a new job.
 //
 // In a burst, a job that is expected to end later than three times its
--- a/src/bramleypath/workflow/JobOrder.h
+++ b/src/bramleypath/workflow/JobOrder.h
@@ -9,7 +9,8 @@
   bool longRunning = false;
   double ageMs = 0;        // since its acceptance
   double objectiveMs = 0;  // latency objective
-  double remainingMs = 0;  // longest chain of run times still to do
+  // Longest chain of run times still to do, corrected by FactorOf.
+  double remainingMs = 0;
 };
 
 // Rank of a waiting job under a backlog; the smallest starts first.
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -312,6 +312,7 @@
 struct JobEstimate {
   std::vector<double> stageRunMs;
   double objectiveMs = 0;
+  double chainFactor = 1;  // see FactorOf
   TimePoint validUntil;
 };
 
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -109,6 +109,7 @@
   }
   view.longRunning = view.longRunning || aSpec.repetitions > 0;
   view.chainMs = detail::LongestChainMs(aSpec, runMs);
+  view.chainFactor = FactorOf(aScheduler.promises, aSpec.queue);
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
   view.longRunningMilli = aScheduler.cellLoad.longRunningMilli;
   view.workersMilli = aScheduler.cellLoad.workersMilli;
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -54,6 +54,7 @@
   estimate.stageRunMs = StageRunMs(aScheduler, aJob.spec);
   const double chainMs = LongestChainMs(aJob.spec, estimate.stageRunMs);
   estimate.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
+  estimate.chainFactor = FactorOf(aScheduler.promises, aJob.spec.queue);
   estimate.validUntil = aNow + kEstimateLifetime;
   return estimate;
 }
@@ -75,6 +76,7 @@
     AddRemainingWork(aJob, occurrence, estimate.stageRunMs,
                      aScheduler.cellLoad);
   }
+  waiting.remainingMs *= estimate.chainFactor;
   return StartRank(waiting);
 }
 
--- a/tests/workflow/AdmissionTest.cpp
+++ b/tests/workflow/AdmissionTest.cpp
@@ -20,6 +20,22 @@
   return view;
 }
 
+struct ChainCase {
+  const char* name;
+  double chainMs;
+  double factor;
+  double objectiveMs;
+  double correctedMs;
+};
+
+const ChainCase kChains[] = {
+    {"nothing learned", 1000, 1, 2000, 1000},
+    {"slower than alone", 1000, 2, 2000, 2000},
+    {"faster than estimated", 1000, 0.5, 2000, 500},
+    {"leaves time to wait", 1000, 4, 1000, 2010},
+    {"objective shorter than the chain", 1000, 4, 300, 1000},
+};
+
 // Result for jobs that arrive at twice the capacity for ten seconds and are
 // served in order of arrival: how many end within three times their objective.
 struct BurstResult {
@@ -55,6 +71,8 @@
 class AdmissionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdmissionTest);
   CPPUNIT_TEST(testEmptyCellAcceptsAll);
+  CPPUNIT_TEST(testCorrectedChains);
+  CPPUNIT_TEST(testCorrectionAloneRefusesNothing);
   CPPUNIT_TEST(testJobThatWouldEndTooLateIsRefused);
   CPPUNIT_TEST(testLongRunningJobIsAcceptedDespiteABacklog);
   CPPUNIT_TEST(testLongRunningJobOverTheLimitIsRefused);
@@ -71,6 +89,29 @@
     CPPUNIT_ASSERT(DecideAdmission(AdmissionView(), random).accepted);
   }
 
+  void testCorrectedChains() {
+    for (const ChainCase& one : kChains) {
+      AdmissionView view;
+      view.chainMs = one.chainMs;
+      view.chainFactor = one.factor;
+      view.objectiveMs = one.objectiveMs;
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(one.name, one.correctedMs,
+                                           CorrectedChainMs(view), 1e-6);
+    }
+  }
+
+  // A queue with a short objective must not lose its jobs to a learned factor
+  // while nothing waits.
+  void testCorrectionAloneRefusesNothing() {
+    Random random{1};
+    for (const double objectiveMs : {400.0, 1000.0, 5000.0}) {
+      AdmissionView view = MakeView(0);
+      view.objectiveMs = objectiveMs;
+      view.chainFactor = 4;
+      CPPUNIT_ASSERT(DecideAdmission(view, random).accepted);
+    }
+  }
+
   void testJobThatWouldEndTooLateIsRefused() {
     Random random{1};
     const AdmissionDecision decision = DecideAdmission(MakeView(20), random);
