Start jobs by priority, and by remaining work while a class is short

The priority of a queue was stored and never used, so that wide batch work of a low priority competed with all other jobs for the start window. Jobs now start by the level of their queue; a job rises by one level with each objective that it has waited. Jobs that can't be useful any more still come last. While at least one in twenty jobs of a class is late, the slack counts double for jobs with much work left and half for those with little, so that more of them are in time. Levels are 0 to 9; a negative priority counts as 0, a larger one as 9.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -15,6 +15,7 @@
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/workflow/Admission.h"
 #include "bramleypath/workflow/Driver.h"
+#include "bramleypath/workflow/JobOrder.h"
 #include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/Neighbours.h"
 #include "bramleypath/workflow/Promises.h"
@@ -312,16 +313,26 @@
 struct JobEstimate {
   std::vector<double> stageRunMs;
   double objectiveMs = 0;
-  double chainFactor = 1;  // see FactorOf
+  double chainFactor = 1;   // see FactorOf
+  std::uint32_t level = 0;  // see LevelOf
   TimePoint validUntil;
 };
 
+// The order of the jobs of each class of work; a job with fillers counts as
+// filling.
+struct ClassOrders {
+  ClassOrder reserving;
+  ClassOrder filling;
+};
+
 // The active jobs in the order in which their tasks start, as of the last
 // ranking, and the jobs accepted since.
 struct JobRanking {
   TimePoint nextAt;
   std::vector<RankedJob> jobs;
   JobNumber lastSeen = 0;  // jobs up to it have been ranked
+  ClassOrders orders;      // as of the last complete ranking
+  ClassOrders measured;    // by the ranking under way, and jobs accepted since
   std::unordered_map<JobNumber, JobEstimate> estimates;
 };
 
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <iterator>
+#include <utility>
 
 #include "bramleypath/workflow/JobOrder.h"
 #include "bramleypath/workflow/internal/CandidateHosts.h"
@@ -55,18 +56,41 @@
   const double chainMs = LongestChainMs(aJob.spec, estimate.stageRunMs);
   estimate.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
   estimate.chainFactor = FactorOf(aScheduler.promises, aJob.spec.queue);
+  estimate.level = queue ? LevelOf(queue->priority) : 0;
   estimate.validUntil = aNow + kEstimateLifetime;
   return estimate;
 }
 
+// Sets the job's work ratio and adds the job to the measure of its class.
+// aBefore is the load of the cell without its remaining work.
+void OrderInClass(Scheduler& aScheduler, const CellLoad& aBefore,
+                  WaitingJob& aJob) {
+  JobRanking& ranking = aScheduler.ranking;
+  const CellLoad& load = aScheduler.cellLoad;
+  const double filling = load.filling.backlogWork - aBefore.filling.backlogWork;
+  const double reserving =
+      load.reserving.backlogWork - aBefore.reserving.backlogWork;
+  const bool hasFillers = filling > 0;
+  const ClassOrder& last =
+      hasFillers ? ranking.orders.filling : ranking.orders.reserving;
+  aJob.workRatio = WorkRatio(last, filling + reserving);
+  ClassOrder& measured =
+      hasFillers ? ranking.measured.filling : ranking.measured.reserving;
+  ++measured.jobs;
+  measured.late += OutlookOf(aJob) == Outlook::InTime ? 0 : 1;
+  measured.work += filling + reserving;
+}
+
 // Returns the job's rank and adds its remaining work to the load of the cell.
 double Rank(Scheduler& aScheduler, const State& aState, const Job& aJob,
             TimePoint aNow, std::int64_t aUnixMs) {
   ++aScheduler.work.jobsRanked;
   RecordIdle(aScheduler, aJob, aNow);
   const JobEstimate& estimate = EstimateOf(aScheduler, aState, aJob, aNow);
+  const CellLoad before = aScheduler.cellLoad;
   WaitingJob waiting;
   waiting.longRunning = IsLongRunning(aJob);
+  waiting.level = estimate.level;
   waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
   waiting.objectiveMs = estimate.objectiveMs;
   for (const auto& [number, occurrence] : aJob.occurrences) {
@@ -77,6 +101,9 @@
                      aScheduler.cellLoad);
   }
   waiting.remainingMs *= estimate.chainFactor;
+  if (!waiting.longRunning) {
+    OrderInClass(aScheduler, before, waiting);
+  }
   return StartRank(waiting);
 }
 
@@ -134,6 +161,7 @@
     ranking.nextAt = aNow + kRankingInterval;
     ForgetEndedJobs(aScheduler, aState);
     ResetRemainingWork(aScheduler.cellLoad);
+    ranking.orders = std::exchange(ranking.measured, ClassOrders());
     first = ranking.jobs.begin();
   }
   for (auto it = first; it != ranking.jobs.end(); ++it) {
