Admit a job by the work that starts before it

Admission counted the work of all accepted jobs of the same class, also of those that start after the new job, and accepted in order of arrival every job that would end within three objectives. It now counts what is placed and the waiting work of jobs that rank before the new one, from sums built once a ranking. While processors are short, a job that would miss its objective is accepted only for as long beyond it as its priority and its work allow; it is a seventh of one in time to its caller and makes others late. A job beyond three objectives is refused as before. The log events hold the inputs and the reason; counters by queue and reason are in the metrics.

--- a/src/bramleypath/controller/Controller.h
+++ b/src/bramleypath/controller/Controller.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -38,6 +40,10 @@
   metrics::LatencyHistogram early;
 };
 
+// Limit on the queues with metrics of their own; a queue stays known after it
+// is removed from the configuration.
+constexpr std::size_t kMaxCountedQueues = 64;
+
 struct ControllerCounters {
   std::uint64_t accepted = 0;
   std::uint64_t refused = 0;
@@ -63,6 +69,10 @@
   metrics::LatencyHistogram firstStartLatency;
   FirstStarts firstStarts;
   std::map<workflow::QueueId, PromiseErrors> promiseErrors;
+  // Admission decisions by queue and workflow::AdmissionReason.
+  std::map<workflow::QueueId,
+           std::array<std::uint64_t, workflow::kAdmissionReasons>>
+      decisions;
   // Time that a scheduling cycle takes.
   metrics::LatencyHistogram cycleDuration;
   // How much later than requested the cycle timer fired.
@@ -189,6 +199,8 @@
   void Execute(workflow::RequestTickets& aRequest);
   void Execute(workflow::DecisionRecord& aDecision);
   void Execute(workflow::JobCompletion& aCompletion);
+  void CountDecision(const workflow::QueueId& aQueue,
+                     workflow::AdmissionReason aReason);
   void RecordFirstStart(const workflow::SendStart& aStart, TimePoint aNow);
   // The worker that a request may be sent to; null if the worker is gone or
   // this host no longer holds the lease.
--- a/src/bramleypath/controller/ControllerActions.cpp
+++ b/src/bramleypath/controller/ControllerActions.cpp
@@ -24,10 +24,6 @@
 // timeout would leave their outcome unknown to a leader that goes on leading.
 constexpr Duration kNoTimeout = Seconds(365LL * 24 * 3600);
 
-// Limit on the queues with metrics of their promises; a queue stays known after
-// it is removed from the configuration.
-constexpr std::size_t kMaxPromiseQueues = 64;
-
 gsl::span<const workflow::PlacedTask> PlacedBy(
     const workflow::Command& aCommand) {
   const auto* const places = std::get_if<workflow::PlaceTasks>(&aCommand);
@@ -271,7 +267,7 @@
   const auto actual =
       Millis(static_cast<std::int64_t>(std::llround(outcome.actualMs)));
   auto& byQueue = this->counters.promiseErrors;
-  if (byQueue.count(outcome.queue) > 0 || byQueue.size() < kMaxPromiseQueues) {
+  if (byQueue.count(outcome.queue) > 0 || byQueue.size() < kMaxCountedQueues) {
     PromiseErrors& errors = byQueue[outcome.queue];
     errors.expected.Record(expected);
     errors.actual.Record(actual);
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -82,6 +82,14 @@
                     ToMillis(aTime + kMaxClockDifference);
 }
 
+void Controller::CountDecision(const workflow::QueueId& aQueue,
+                               workflow::AdmissionReason aReason) {
+  auto& byQueue = this->counters.decisions;
+  if (byQueue.count(aQueue) > 0 || byQueue.size() < kMaxCountedQueues) {
+    ++byQueue[aQueue][static_cast<std::size_t>(aReason)];
+  }
+}
+
 void Controller::Submit(const workflow::JobSpec& aSpec,
                         const workflow::QueueSettings& aQueue,
                         AnswerCallback aCallback) {
@@ -98,6 +106,7 @@
       workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue);
   const workflow::AdmissionDecision decision =
       workflow::DecideAdmission(view, this->random);
+  this->CountDecision(aQueue.id, decision.reason);
   if (!decision.accepted) {
     ++this->counters.refused;
     eventlog::Write("job_refused",
@@ -111,6 +120,11 @@
                      {"class", std::string(ClassText(view))},
                      {"job_work", WholeText(view.jobWork)},
                      {"backlog_work", WholeText(view.backlogWork)},
+                     {"class_work", WholeText(view.classWork)},
+                     {"level", NumberText(view.level)},
+                     {"short", view.isShort ? "true" : "false"},
+                     {"work_ratio", std::to_string(view.workRatio)},
+                     {"reason", std::string(workflow::ToText(decision.reason))},
                      {"processors_milli", WholeText(view.capacityMilli)}});
     aCallback(Answer{AnswerStatus::Refused, decision.retryAfterSeconds,
                      "the job could not end in time"});
@@ -122,10 +136,11 @@
   const std::string job = aSpec.id.value;
   const std::string queue = aSpec.queue.value;
   const double expectedMs = decision.expectedMs;
+  const workflow::AdmissionReason reason = decision.reason;
   const std::uint32_t tasks = CountTasks(aSpec);
   this->Propose(
       accept, kCallerTimeout,
-      [this, isAlive = this->alive, job, queue, expectedMs, view, tasks,
+      [this, isAlive = this->alive, job, queue, expectedMs, reason, view, tasks,
        callback = std::move(aCallback)](const Answer& aAnswer) {
         callback(aAnswer);
         if (*isAlive && aAnswer.status == AnswerStatus::Repeated &&
@@ -148,6 +163,11 @@
                          {"class", std::string(ClassText(view))},
                          {"job_work", WholeText(view.jobWork)},
                          {"backlog_work", WholeText(view.backlogWork)},
+                         {"class_work", WholeText(view.classWork)},
+                         {"level", NumberText(view.level)},
+                         {"short", view.isShort ? "true" : "false"},
+                         {"work_ratio", std::to_string(view.workRatio)},
+                         {"reason", std::string(workflow::ToText(reason))},
                          {"processors_milli", WholeText(view.capacityMilli)}});
         if (this->scheduler) {
           workflow::OnAccepted(*this->scheduler, this->State(), JobId(job),
--- a/src/bramleypath/metrics/Registry.cpp
+++ b/src/bramleypath/metrics/Registry.cpp
@@ -128,6 +128,7 @@
   std::map<std::string, double> gauges;
   // Keyed by metric name, then by queue.
   std::map<std::string, std::map<std::string, double>> queueGauges;
+  std::map<std::string, std::map<std::string, std::uint64_t>> queueCounters;
   std::map<std::string, HistogramSnapshot> histograms;
   // Keyed by metric name, then by queue.
   std::map<std::string, std::map<std::string, HistogramSnapshot>>
@@ -172,6 +173,12 @@
   this->impl->queueGauges[aName][aQueue] = aValue;
 }
 
+void Registry::SetQueueCounter(const std::string& aName,
+                               const std::string& aQueue,
+                               std::uint64_t aValue) {
+  this->impl->queueCounters[aName][aQueue] = aValue;
+}
+
 void Registry::SetHistogram(const std::string& aName,
                             const LatencyHistogram& aHistogram) {
   this->impl->histograms[aName] = {aHistogram.Buckets(),
@@ -239,6 +246,13 @@
     WriteType(out, name, "gauge");
     out << "bramleypath_" << name << ' ' << value << '\n';
   }
+  for (const auto& [name, queues] : this->impl->queueCounters) {
+    WriteType(out, name, "counter");
+    for (const auto& [queue, value] : queues) {
+      out << "bramleypath_" << name << "{queue=\"" << Escape(queue) << "\"} "
+          << value << '\n';
+    }
+  }
   for (const auto& [name, queues] : this->impl->queueGauges) {
     WriteType(out, name, "gauge");
     for (const auto& [queue, value] : queues) {
--- a/src/bramleypath/metrics/Registry.h
+++ b/src/bramleypath/metrics/Registry.h
@@ -51,6 +51,9 @@
   // Replaces the value of a gauge that has the queue as its label.
   void SetQueueGauge(const std::string& aName, const std::string& aQueue,
                      double aValue);
+  // Replaces the value of a counter that has the queue as its label.
+  void SetQueueCounter(const std::string& aName, const std::string& aQueue,
+                       std::uint64_t aValue);
   // Replaces a histogram by a copy of the current counts. aName ends in
   // "_seconds".
   void SetHistogram(const std::string& aName,
--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -51,25 +51,66 @@
                   std::max(aView.chainMs, limit));
 }
 
+double LateLimitMs(const AdmissionView& aView) {
+  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
+  if (!aView.isShort) {
+    return usefulMs;
+  }
+  const double aloneMs = JobWorkMs(aView) + aView.chainMs;
+  const double cost = (1.0 + aView.level) * std::max(1.0, aView.workRatio);
+  return std::min(usefulMs, std::max(aView.objectiveMs, aloneMs) +
+                                aView.objectiveMs / cost);
+}
+
+std::string_view ToText(AdmissionReason aReason) {
+  switch (aReason) {
+    case AdmissionReason::InTime:
+      return "in_time";
+    case AdmissionReason::Late:
+      return "late";
+    case AdmissionReason::LongRunning:
+      return "long_running";
+    case AdmissionReason::Useless:
+      return "useless";
+    case AdmissionReason::LateWhileShort:
+      return "late_while_short";
+    case AdmissionReason::NoRoom:
+      return "no_room";
+  }
+  return "unknown";
+}
+
 AdmissionDecision DecideAdmission(const AdmissionView& aView, Random& aRandom) {
   AdmissionDecision decision;
   if (!HasProcessorsForLongRunning(aView)) {
     decision.accepted = false;
+    decision.reason = AdmissionReason::NoRoom;
     decision.retryAfterSeconds = RetryAfter(kMaxRetrySeconds, aRandom);
     return decision;
   }
-  if (aView.longRunning || aView.capacityMilli <= 0) {
+  if (aView.longRunning) {
+    decision.reason = AdmissionReason::LongRunning;
+    return decision;
+  }
+  if (aView.capacityMilli <= 0) {
     return decision;
   }
   const double rate = aView.capacityMilli * kUsableShare;
   const double queueMs = aView.backlogWork / rate;
   decision.expectedMs = queueMs + JobWorkMs(aView) + CorrectedChainMs(aView);
-  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
-  if (decision.expectedMs <= usefulMs) {
+  const double limitMs = LateLimitMs(aView);
+  if (decision.expectedMs <= limitMs) {
+    decision.reason = decision.expectedMs <= aView.objectiveMs
+                          ? AdmissionReason::InTime
+                          : AdmissionReason::Late;
     return decision;
   }
+  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
   decision.accepted = false;
-  const double excessSeconds = (decision.expectedMs - usefulMs) / kMsPerSecond;
+  decision.reason = decision.expectedMs <= usefulMs
+                        ? AdmissionReason::LateWhileShort
+                        : AdmissionReason::Useless;
+  const double excessSeconds = (decision.expectedMs - limitMs) / kMsPerSecond;
   decision.retryAfterSeconds = RetryAfter(excessSeconds, aRandom);
   return decision;
 }
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 #include "bramleypath/base/Random.h"
 #include "bramleypath/base/TimePoint.h"
@@ -11,12 +13,19 @@
 // thousandths of a processor times milliseconds.
 struct AdmissionView {
   double capacityMilli = 0;  // processors that work off the backlog
-  double backlogWork = 0;    // of accepted jobs that use the same processors
-  double jobWork = 0;        // of the new job
-  double chainMs = 0;        // its longest chain of run times
+  // Of accepted jobs that use the same processors: those that the job waits
+  // for, see WorkAhead, and all of them.
+  double backlogWork = 0;
+  double classWork = 0;
+  double jobWork = 0;  // of the new job
+  double chainMs = 0;  // its longest chain of run times
   // Learned factor on chainMs, see FactorOf in Promises.h.
   double chainFactor = 1;
-  double objectiveMs = 0;  // latency objective
+  double objectiveMs = 0;   // latency objective
+  std::uint32_t level = 0;  // of its priority, see LevelOf
+  // Some jobs of the class can't end in time, see IsShort.
+  bool isShort = false;
+  double workRatio = 1;  // see WaitingJob
   // The job is long-running or recurring.
   bool longRunning = false;
   // The job has fillers, so that it waits for the backlog of fillers.
@@ -28,8 +37,21 @@
   double workersMilli = 0;
 };
 
+// Why a job was accepted or refused.
+enum class AdmissionReason : std::uint8_t {
+  InTime,
+  Late,            // accepted, although it will miss its objective
+  LongRunning,     // accepted, since it waits for no backlog
+  Useless,         // it would end too late to be useful
+  LateWhileShort,  // it would miss its objective, and others with it
+  NoRoom           // for its long-running tasks
+};
+constexpr std::size_t kAdmissionReasons = 6;
+std::string_view ToText(AdmissionReason aReason);
+
 struct AdmissionDecision {
   bool accepted = true;
+  AdmissionReason reason = AdmissionReason::InTime;
   // When the caller should retry; only for refused jobs.
   std::uint32_t retryAfterSeconds = 0;
   double expectedMs = 0;  // until the job ends
@@ -42,13 +64,25 @@
 // otherwise be refused even if nothing waits.
 double CorrectedChainMs(const AdmissionView& aView);
 
+// Latest expected end, in ms since its submission, of a job that is accepted
+// although it misses its objective. It is three objectives unless processors
+// are short; then the time beyond the objective is shorter the lower the
+// priority and the more work the job has against others of its class. A job
+// that takes longer than its objective without a load isn't refused for that.
+double LateLimitMs(const AdmissionView& aView);
+
 // Decides whether to accept a new job.
 //
-// In a burst, a job that is expected to end later than three times its
-// objective is useless to its caller and is refused at once, so that the
-// accepted ones still end in time. The retry delay follows from the time that
-// the backlog takes to drain, with a random factor so that refused callers
-// don't return all at once.
+// The job waits for the work that starts before it. In a burst, a job that is
+// expected to end later than three times its objective is useless to its caller
+// and is refused at once, so that the accepted ones still end in time. The
+// retry delay follows from the time that the backlog takes to drain, with a
+// random factor so that refused callers don't return all at once.
+//
+// Load pattern: wide jobs arrive at up to 2.6 times the capacity for some
+// seconds. A late job is worth a seventh of one in time, and the processors
+// that it uses make further jobs late. While processors are short, a job that
+// would miss its objective is accepted only up to LateLimitMs.
 //
 // Long-running jobs keep their processors until they are cancelled. A job is
 // refused if its long-running tasks would raise the total that such tasks
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -14,6 +14,7 @@
 #include "bramleypath/base/Random.h"
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/workflow/Admission.h"
+#include "bramleypath/workflow/BacklogAhead.h"
 #include "bramleypath/workflow/Driver.h"
 #include "bramleypath/workflow/JobOrder.h"
 #include "bramleypath/workflow/LeaseEnds.h"
@@ -252,6 +253,7 @@
 // or fillers, which share the idle ones. Neither class waits for the other.
 struct ClassLoad {
   double backlogWork = 0;      // waiting or running; thousandths times ms
+  double placedWork = 0;       // of backlogWork, running
   double processorsMilli = 0;  // available to the class
 };
 struct CellLoad {
@@ -307,6 +309,9 @@
 struct RankedJob {
   JobNumber number = 0;
   double rank = 0;
+  // As of the ranking; their ranks are not set.
+  OrderedWork reserving;
+  OrderedWork filling;
 };
 
 // Expected times of a job, which change slowly.
@@ -332,7 +337,9 @@
   std::vector<RankedJob> jobs;
   JobNumber lastSeen = 0;  // jobs up to it have been ranked
   ClassOrders orders;      // as of the last complete ranking
-  ClassOrders measured;    // by the ranking under way, and jobs accepted since
+  BacklogAhead reserving;  // of the jobs in this order
+  BacklogAhead filling;
+  ClassOrders measured;  // by the ranking under way, and jobs accepted since
   std::unordered_map<JobNumber, JobEstimate> estimates;
 };
 
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -38,9 +38,10 @@
     // A running attempt is half done on average.
     const double tasks = state.waiting + state.placed / 2.0;
     ClassLoad& load = spec.filler ? aLoad.filling : aLoad.reserving;
-    load.backlogWork += tasks *
-                        static_cast<double>(spec.demand.processorsMilli) *
-                        aRunMs[stage];
+    const double taskWork =
+        static_cast<double>(spec.demand.processorsMilli) * aRunMs[stage];
+    load.backlogWork += tasks * taskWork;
+    load.placedWork += state.placed / 2.0 * taskWork;
   }
 }
 
@@ -90,6 +91,30 @@
 
 namespace bramleypath::workflow {
 
+namespace {
+
+// Sets what depends on the jobs of the class that the new job belongs to.
+void AddLoadOfClass(const Scheduler& aScheduler, AdmissionView& aView) {
+  const JobRanking& ranking = aScheduler.ranking;
+  const ClassLoad& load = aView.hasFillers ? aScheduler.cellLoad.filling
+                                           : aScheduler.cellLoad.reserving;
+  const ClassOrder& order =
+      aView.hasFillers ? ranking.orders.filling : ranking.orders.reserving;
+  aView.capacityMilli = load.processorsMilli;
+  aView.classWork = load.backlogWork;
+  aView.isShort = IsShort(order);
+  aView.workRatio = WorkRatio(order, aView.jobWork);
+  WaitingJob job;
+  job.objectiveMs = aView.objectiveMs;
+  job.remainingMs = CorrectedChainMs(aView);
+  job.level = aView.level;
+  job.workRatio = aView.workRatio;
+  aView.backlogWork = WorkAhead(
+      aView.hasFillers ? ranking.filling : ranking.reserving, StartRank(job));
+}
+
+}  // namespace
+
 AdmissionView ViewForAdmission(const Scheduler& aScheduler,
                                const JobSpec& aSpec,
                                const QueueSettings& aQueue) {
@@ -111,12 +136,10 @@
   view.chainMs = detail::LongestChainMs(aSpec, runMs);
   view.chainFactor = FactorOf(aScheduler.promises, aSpec.queue);
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
+  view.level = LevelOf(aQueue.priority);
   view.longRunningMilli = aScheduler.cellLoad.longRunningMilli;
   view.workersMilli = aScheduler.cellLoad.workersMilli;
-  const ClassLoad& load = view.hasFillers ? aScheduler.cellLoad.filling
-                                          : aScheduler.cellLoad.reserving;
-  view.backlogWork = load.backlogWork;
-  view.capacityMilli = load.processorsMilli;
+  AddLoadOfClass(aScheduler, view);
   return view;
 }
 
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -61,29 +61,33 @@
   return estimate;
 }
 
+OrderedWork WorkSince(const ClassLoad& aBefore, const ClassLoad& aLoad) {
+  OrderedWork work;
+  work.placed = aLoad.placedWork - aBefore.placedWork;
+  work.waiting = aLoad.backlogWork - aBefore.backlogWork - work.placed;
+  return work;
+}
+
+double SumOf(const OrderedWork& aWork) { return aWork.waiting + aWork.placed; }
+
 // Sets the job's work ratio and adds the job to the measure of its class.
-// aBefore is the load of the cell without its remaining work.
-void OrderInClass(Scheduler& aScheduler, const CellLoad& aBefore,
+void OrderInClass(JobRanking& aRanking, const RankedJob& aRanked,
                   WaitingJob& aJob) {
-  JobRanking& ranking = aScheduler.ranking;
-  const CellLoad& load = aScheduler.cellLoad;
-  const double filling = load.filling.backlogWork - aBefore.filling.backlogWork;
-  const double reserving =
-      load.reserving.backlogWork - aBefore.reserving.backlogWork;
-  const bool hasFillers = filling > 0;
-  const ClassOrder& last =
-      hasFillers ? ranking.orders.filling : ranking.orders.reserving;
-  aJob.workRatio = WorkRatio(last, filling + reserving);
+  const double work = SumOf(aRanked.reserving) + SumOf(aRanked.filling);
+  const bool hasFillers = SumOf(aRanked.filling) > 0;
+  aJob.workRatio = WorkRatio(
+      hasFillers ? aRanking.orders.filling : aRanking.orders.reserving, work);
   ClassOrder& measured =
-      hasFillers ? ranking.measured.filling : ranking.measured.reserving;
+      hasFillers ? aRanking.measured.filling : aRanking.measured.reserving;
   ++measured.jobs;
   measured.late += OutlookOf(aJob) == Outlook::InTime ? 0 : 1;
-  measured.work += filling + reserving;
+  measured.work += work;
 }
 
-// Returns the job's rank and adds its remaining work to the load of the cell.
-double Rank(Scheduler& aScheduler, const State& aState, const Job& aJob,
-            TimePoint aNow, std::int64_t aUnixMs) {
+// Sets the job's rank and its remaining work, and adds that to the load of the
+// cell.
+void Rank(Scheduler& aScheduler, const State& aState, const Job& aJob,
+          TimePoint aNow, std::int64_t aUnixMs, RankedJob& aRanked) {
   ++aScheduler.work.jobsRanked;
   RecordIdle(aScheduler, aJob, aNow);
   const JobEstimate& estimate = EstimateOf(aScheduler, aState, aJob, aNow);
@@ -101,10 +105,13 @@
                      aScheduler.cellLoad);
   }
   waiting.remainingMs *= estimate.chainFactor;
+  aRanked.reserving =
+      WorkSince(before.reserving, aScheduler.cellLoad.reserving);
+  aRanked.filling = WorkSince(before.filling, aScheduler.cellLoad.filling);
   if (!waiting.longRunning) {
-    OrderInClass(aScheduler, before, waiting);
+    OrderInClass(aScheduler.ranking, aRanked, waiting);
   }
-  return StartRank(waiting);
+  aRanked.rank = StartRank(waiting);
 }
 
 // Appends the jobs accepted since the last call; their ranks are not set.
@@ -112,7 +119,7 @@
   for (auto it = aState.jobs.upper_bound(aRanking.lastSeen);
        it != aState.jobs.end(); ++it) {
     aRanking.lastSeen = it->first;
-    aRanking.jobs.push_back(RankedJob{it->first, 0});
+    aRanking.jobs.push_back(RankedJob{it->first, 0, {}, {}});
   }
 }
 
@@ -146,9 +153,22 @@
 void ResetRemainingWork(CellLoad& aLoad) {
   aLoad.reserving.backlogWork = 0;
   aLoad.filling.backlogWork = 0;
+  aLoad.reserving.placedWork = 0;
+  aLoad.filling.placedWork = 0;
   aLoad.longRunningMilli = 0;
 }
 
+BacklogAhead SumClass(const std::vector<RankedJob>& aJobs,
+                      OrderedWork RankedJob::*aClass) {
+  std::vector<OrderedWork> works;
+  works.reserve(aJobs.size());
+  for (const RankedJob& job : aJobs) {
+    works.push_back(job.*aClass);
+    works.back().rank = job.rank;
+  }
+  return SumBacklog(works);
+}
+
 }  // namespace
 
 void RankJobs(Scheduler& aScheduler, const State& aState, TimePoint aNow,
@@ -157,7 +177,8 @@
   const auto ranked = static_cast<std::ptrdiff_t>(ranking.jobs.size());
   AppendNewJobs(ranking, aState);
   auto first = ranking.jobs.begin() + ranked;
-  if (aNow >= ranking.nextAt) {
+  const bool isComplete = aNow >= ranking.nextAt;
+  if (isComplete) {
     ranking.nextAt = aNow + kRankingInterval;
     ForgetEndedJobs(aScheduler, aState);
     ResetRemainingWork(aScheduler.cellLoad);
@@ -167,12 +188,17 @@
   for (auto it = first; it != ranking.jobs.end(); ++it) {
     const auto job = aState.jobs.find(it->number);
     if (job->second.phase == JobPhase::Active) {
-      it->rank = Rank(aScheduler, aState, job->second, aNow, aUnixMs);
+      Rank(aScheduler, aState, job->second, aNow, aUnixMs, *it);
     }
   }
   std::sort(first, ranking.jobs.end(), RanksBefore);
+  const bool hasChanged = first != ranking.jobs.end() || isComplete;
   std::inplace_merge(ranking.jobs.begin(), first, ranking.jobs.end(),
                      RanksBefore);
+  if (hasChanged) {
+    ranking.reserving = SumClass(ranking.jobs, &RankedJob::reserving);
+    ranking.filling = SumClass(ranking.jobs, &RankedJob::filling);
+  }
 }
 
 }  // namespace bramleypath::workflow::detail
--- a/tests/metrics/RegistryTest.cpp
+++ b/tests/metrics/RegistryTest.cpp
@@ -83,6 +83,7 @@
     Registry registry;
     registry.SetHistogram("commit_seconds", latency);
     registry.SetQueueGauge("waiting_jobs", "checks", 4);
+    registry.SetQueueCounter("admissions_late", "checks", 7);
     registry.SetQueueHistogram("promise_late_seconds", "checks", latency);
     const std::string exposition = registry.WriteExposition();
     for (const char* line :
@@ -98,6 +99,7 @@
           "bramleypath_promise_late_seconds_bucket{queue=\"checks\","
           "le=\"0.002\"} 3\n",
           "bramleypath_promise_late_seconds_count{queue=\"checks\"} 5\n",
+          "bramleypath_admissions_late{queue=\"checks\"} 7\n",
           "bramleypath_waiting_jobs{queue=\"checks\"} 4\n"}) {
       CPPUNIT_ASSERT_MESSAGE(line, exposition.find(line) != std::string::npos);
     }
--- a/tests/workflow/AdmissionTest.cpp
+++ b/tests/workflow/AdmissionTest.cpp
@@ -1,9 +1,13 @@
 #include "bramleypath/workflow/Admission.h"
+#include "bramleypath/workflow/JobOrder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace bramleypath::workflow {
@@ -36,6 +40,43 @@
     {"objective shorter than the chain", 1000, 4, 300, 1000},
 };
 
+// A job with an objective of 2,000 ms that takes 1,055 ms alone.
+struct DecisionCase {
+  const char* name;
+  double backlogSeconds;
+  bool isShort;
+  std::uint32_t level;
+  double workRatio;
+  AdmissionReason reason;
+};
+
+const DecisionCase kDecisions[] = {
+    {"nothing ahead", 0, false, 2, 1, AdmissionReason::InTime},
+    {"in time while short", 0.5, true, 9, 2, AdmissionReason::InTime},
+    {"late, not short", 3, false, 9, 2, AdmissionReason::Late},
+    {"highest priority while short", 2, true, 0, 1, AdmissionReason::Late},
+    {"lower priority while short", 2, true, 2, 1,
+     AdmissionReason::LateWhileShort},
+    {"large job while short", 2, true, 0, 2, AdmissionReason::LateWhileShort},
+    {"useless", 20, false, 0, 1, AdmissionReason::Useless},
+    {"useless while short", 20, true, 0, 1, AdmissionReason::Useless},
+};
+
+AdmissionView AnyView() {
+  AdmissionView view = MakeView(*rc::gen::inRange(0, 3000) / 100.0);
+  view.level = *rc::gen::inRange(0U, kLastLevel + 1);
+  view.isShort = *rc::gen::arbitrary<bool>();
+  view.workRatio = *rc::gen::inRange(50, 200) / 100.0;
+  view.chainFactor = *rc::gen::inRange(50, 400) / 100.0;
+  view.objectiveMs = *rc::gen::inRange(1, 20000);
+  return view;
+}
+
+bool IsAccepted(const AdmissionView& aView) {
+  Random random{1};
+  return DecideAdmission(aView, random).accepted;
+}
+
 // Result for jobs that arrive at twice the capacity for ten seconds and are
 // served in order of arrival: how many end within three times their objective.
 struct BurstResult {
@@ -71,6 +112,10 @@
 class AdmissionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdmissionTest);
   CPPUNIT_TEST(testEmptyCellAcceptsAll);
+  CPPUNIT_TEST(testDecisions);
+  CPPUNIT_TEST(testObjectiveShorterThanTheRunTime);
+  CPPUNIT_TEST(testMoreBacklogNeverAcceptsMore);
+  CPPUNIT_TEST(testHigherPriorityIsNeverRefusedBeforeALowerOne);
   CPPUNIT_TEST(testCorrectedChains);
   CPPUNIT_TEST(testCorrectionAloneRefusesNothing);
   CPPUNIT_TEST(testJobThatWouldEndTooLateIsRefused);
@@ -89,6 +134,49 @@
     CPPUNIT_ASSERT(DecideAdmission(AdmissionView(), random).accepted);
   }
 
+  void testDecisions() {
+    Random random{1};
+    for (const DecisionCase& one : kDecisions) {
+      AdmissionView view = MakeView(one.backlogSeconds);
+      view.isShort = one.isShort;
+      view.level = one.level;
+      view.workRatio = one.workRatio;
+      const AdmissionDecision decision = DecideAdmission(view, random);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::string(ToText(one.reason)),
+                                   std::string(ToText(decision.reason)));
+    }
+  }
+
+  // An objective shorter than the run time must not bar a queue for as long as
+  // others are late.
+  void testObjectiveShorterThanTheRunTime() {
+    AdmissionView view = MakeView(0.1);
+    view.objectiveMs = 700;
+    view.isShort = true;
+    view.level = kLastLevel - 4;
+    CPPUNIT_ASSERT(IsAccepted(view));
+    view.backlogWork *= 5;
+    CPPUNIT_ASSERT(!IsAccepted(view));
+  }
+
+  void testMoreBacklogNeverAcceptsMore() {
+    CPPUNIT_ASSERT(rc::check("monotone in the backlog", [] {
+      AdmissionView less = AnyView();
+      AdmissionView more = less;
+      more.backlogWork += *rc::gen::inRange(0, 1000000000);
+      RC_ASSERT(IsAccepted(less) || !IsAccepted(more));
+    }));
+  }
+
+  void testHigherPriorityIsNeverRefusedBeforeALowerOne() {
+    CPPUNIT_ASSERT(rc::check("monotone in the priority", [] {
+      AdmissionView first = AnyView();
+      AdmissionView second = first;
+      second.level = *rc::gen::inRange(first.level, kLastLevel + 1);
+      RC_ASSERT(IsAccepted(first) || !IsAccepted(second));
+    }));
+  }
+
   void testCorrectedChains() {
     for (const ChainCase& one : kChains) {
       AdmissionView view;
