Let refused callers come back when there is room, the earliest first

The retry delay was the time by which a job would end too late, with a random factor, up to 8 s, also for a caller whose job would be useless by then. It is now between the time until there is room and twice that, shorter for a caller that has waited longer, and within the time in which the job can still start and be useful. The leader keeps the ids of refused jobs in a bounded table, and counts the time since the first refusal as age in admission and start order. A job that would end too late by that time is refused.

--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -103,12 +103,13 @@
   }
   const TimePoint now = net::Now();
   const workflow::AdmissionView view =
-      workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue);
+      workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue, now);
   const workflow::AdmissionDecision decision =
       workflow::DecideAdmission(view, this->random);
   this->CountDecision(aQueue.id, decision.reason);
   if (!decision.accepted) {
     ++this->counters.refused;
+    workflow::RecordRefusal(this->scheduler->refusals, aSpec.id, now);
     eventlog::Write("job_refused",
                     {{"job", aSpec.id.value},
                      {"queue", aSpec.queue.value},
@@ -122,6 +123,7 @@
                      {"backlog_work", WholeText(view.backlogWork)},
                      {"class_work", WholeText(view.classWork)},
                      {"level", NumberText(view.level)},
+                     {"waited_ms", WholeText(view.waitedMs)},
                      {"short", view.isShort ? "true" : "false"},
                      {"work_ratio", std::to_string(view.workRatio)},
                      {"reason", std::string(workflow::ToText(decision.reason))},
@@ -165,6 +167,7 @@
                          {"backlog_work", WholeText(view.backlogWork)},
                          {"class_work", WholeText(view.classWork)},
                          {"level", NumberText(view.level)},
+                         {"waited_ms", WholeText(view.waitedMs)},
                          {"short", view.isShort ? "true" : "false"},
                          {"work_ratio", std::to_string(view.workRatio)},
                          {"reason", std::string(workflow::ToText(reason))},
--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "bramleypath/workflow/Refusals.h"
+
 namespace bramleypath::workflow {
 
 namespace {
@@ -15,7 +17,6 @@
 constexpr double kMaxRetrySeconds = 8;
 // The random factor on a retry delay is between 0.5 and 1.5.
 constexpr double kMinSpread = 0.5;
-constexpr double kMsPerSecond = 1000;
 // Share of all processors that long-running tasks may reserve.
 constexpr double kLongRunningShare = 0.84;
 
@@ -97,21 +98,25 @@
   }
   const double rate = aView.capacityMilli * kUsableShare;
   const double queueMs = aView.backlogWork / rate;
-  decision.expectedMs = queueMs + JobWorkMs(aView) + CorrectedChainMs(aView);
+  const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
+  decision.expectedMs = queueMs + ownMs;
   const double limitMs = LateLimitMs(aView);
-  if (decision.expectedMs <= limitMs) {
-    decision.reason = decision.expectedMs <= aView.objectiveMs
-                          ? AdmissionReason::InTime
-                          : AdmissionReason::Late;
+  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
+  const double endsMs = aView.waitedMs + decision.expectedMs;
+  if (decision.expectedMs <= limitMs && endsMs <= usefulMs) {
+    decision.reason = endsMs <= aView.objectiveMs ? AdmissionReason::InTime
+                                                  : AdmissionReason::Late;
     return decision;
   }
-  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
   decision.accepted = false;
-  decision.reason = decision.expectedMs <= usefulMs
-                        ? AdmissionReason::LateWhileShort
-                        : AdmissionReason::Useless;
-  const double excessSeconds = (decision.expectedMs - limitMs) / kMsPerSecond;
-  decision.retryAfterSeconds = RetryAfter(excessSeconds, aRandom);
+  decision.reason = endsMs <= usefulMs ? AdmissionReason::LateWhileShort
+                                       : AdmissionReason::Useless;
+  RetryView retry;
+  retry.roomMs = decision.expectedMs - limitMs;
+  retry.waitedMs = aView.waitedMs;
+  retry.usefulMs = usefulMs;
+  retry.ownMs = ownMs;
+  decision.retryAfterSeconds = RetryAfterSeconds(retry, aRandom);
   return decision;
 }
 
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -26,6 +26,8 @@
   // Some jobs of the class can't end in time, see IsShort.
   bool isShort = false;
   double workRatio = 1;  // see WaitingJob
+  // Since the job was first refused; 0: it is new.
+  double waitedMs = 0;
   // The job is long-running or recurring.
   bool longRunning = false;
   // The job has fillers, so that it waits for the backlog of fillers.
@@ -54,7 +56,7 @@
   AdmissionReason reason = AdmissionReason::InTime;
   // When the caller should retry; only for refused jobs.
   std::uint32_t retryAfterSeconds = 0;
-  double expectedMs = 0;  // until the job ends
+  double expectedMs = 0;  // until the job ends, from now
 };
 
 // Time that the job is expected to take once it starts.
@@ -74,10 +76,9 @@
 // Decides whether to accept a new job.
 //
 // The job waits for the work that starts before it. In a burst, a job that is
-// expected to end later than three times its objective is useless to its caller
-// and is refused at once, so that the accepted ones still end in time. The
-// retry delay follows from the time that the backlog takes to drain, with a
-// random factor so that refused callers don't return all at once.
+// expected to end later than three times its objective after its first refusal
+// is useless to its caller and is refused at once, so that the accepted ones
+// still end in time. For the retry delay see RetryAfterSeconds.
 //
 // Load pattern: wide jobs arrive at up to 2.6 times the capacity for some
 // seconds. A late job is worth a seventh of one in time, and the processors
--- a/src/bramleypath/workflow/JobOrder.h
+++ b/src/bramleypath/workflow/JobOrder.h
@@ -15,7 +15,7 @@
 // What determines the rank of a waiting job.
 struct WaitingJob {
   bool longRunning = false;
-  double ageMs = 0;        // since its acceptance
+  double ageMs = 0;        // since its acceptance, or its first refusal
   double objectiveMs = 0;  // latency objective
   // Longest chain of run times still to do, corrected by FactorOf.
   double remainingMs = 0;
--- a/src/bramleypath/workflow/Promises.h
+++ b/src/bramleypath/workflow/Promises.h
@@ -19,6 +19,8 @@
   TimePoint expectedAt;
   // Longest chain of expected run times, uncorrected.
   double chainMs = 0;
+  // Between its first refusal and its acceptance.
+  double waitedMs = 0;
   std::optional<TimePoint> startedAt;  // its first task
 };
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -20,6 +20,7 @@
 #include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/Neighbours.h"
 #include "bramleypath/workflow/Promises.h"
+#include "bramleypath/workflow/Refusals.h"
 #include "bramleypath/workflow/State.h"
 #include "bramleypath/workflow/TailModel.h"
 #include "bramleypath/workflow/Tickets.h"
@@ -319,6 +320,7 @@
   std::vector<double> stageRunMs;
   double objectiveMs = 0;
   double chainFactor = 1;   // see FactorOf
+  double waitedMs = 0;      // see Promise
   std::uint32_t level = 0;  // see LevelOf
   TimePoint validUntil;
 };
@@ -423,6 +425,7 @@
   CellLoad cellLoad;
   JobRanking ranking;
   Promises promises;
+  Refusals refusals;
   // Where the next pass continues in the ranking after the jobs at its top.
   std::size_t nextJobInTurn = 0;
   HostSurvey survey;
@@ -533,7 +536,7 @@
 // Input of DecideAdmission for a new job.
 AdmissionView ViewForAdmission(const Scheduler& aScheduler,
                                const JobSpec& aSpec,
-                               const QueueSettings& aQueue);
+                               const QueueSettings& aQueue, TimePoint aNow);
 
 // The job was accepted, and is expected to end expectedMs after aNow. Jobs that
 // are long-running or repeat have no promise.
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -105,6 +105,7 @@
   aView.isShort = IsShort(order);
   aView.workRatio = WorkRatio(order, aView.jobWork);
   WaitingJob job;
+  job.ageMs = aView.waitedMs;
   job.objectiveMs = aView.objectiveMs;
   job.remainingMs = CorrectedChainMs(aView);
   job.level = aView.level;
@@ -117,7 +118,7 @@
 
 AdmissionView ViewForAdmission(const Scheduler& aScheduler,
                                const JobSpec& aSpec,
-                               const QueueSettings& aQueue) {
+                               const QueueSettings& aQueue, TimePoint aNow) {
   AdmissionView view;
   const std::vector<double> runMs = detail::StageRunMs(aScheduler, aSpec);
   for (std::size_t number = 0; number < runMs.size(); ++number) {
@@ -136,6 +137,7 @@
   view.chainMs = detail::LongestChainMs(aSpec, runMs);
   view.chainFactor = FactorOf(aScheduler.promises, aSpec.queue);
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
+  view.waitedMs = MsSinceRefusal(aScheduler.refusals, aSpec.id, aNow);
   view.level = LevelOf(aQueue.priority);
   view.longRunningMilli = aScheduler.cellLoad.longRunningMilli;
   view.workersMilli = aScheduler.cellLoad.workersMilli;
@@ -158,6 +160,7 @@
   constexpr double kMicrosPerMilli = 1000;
   promise.expectedAt =
       aNow + Micros(static_cast<std::int64_t>(expectedMs * kMicrosPerMilli));
+  promise.waitedMs = aView.waitedMs;
   promise.chainMs = aView.chainMs;
   RecordPromise(aScheduler.promises, job->number, promise);
 }
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -56,6 +56,9 @@
   const double chainMs = LongestChainMs(aJob.spec, estimate.stageRunMs);
   estimate.objectiveMs = queue ? ObjectiveMs(*queue, chainMs) : chainMs;
   estimate.chainFactor = FactorOf(aScheduler.promises, aJob.spec.queue);
+  const auto promise = aScheduler.promises.open.find(aJob.number);
+  estimate.waitedMs =
+      promise == aScheduler.promises.open.end() ? 0 : promise->second.waitedMs;
   estimate.level = queue ? LevelOf(queue->priority) : 0;
   estimate.validUntil = aNow + kEstimateLifetime;
   return estimate;
@@ -95,7 +98,8 @@
   WaitingJob waiting;
   waiting.longRunning = IsLongRunning(aJob);
   waiting.level = estimate.level;
-  waiting.ageMs = static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
+  waiting.ageMs =
+      estimate.waitedMs + static_cast<double>(aUnixMs - aJob.acceptedUnixMs);
   waiting.objectiveMs = estimate.objectiveMs;
   for (const auto& [number, occurrence] : aJob.occurrences) {
     waiting.remainingMs =
--- a/tests/workflow/AdmissionTest.cpp
+++ b/tests/workflow/AdmissionTest.cpp
@@ -68,6 +68,7 @@
   view.isShort = *rc::gen::arbitrary<bool>();
   view.workRatio = *rc::gen::inRange(50, 200) / 100.0;
   view.chainFactor = *rc::gen::inRange(50, 400) / 100.0;
+  view.waitedMs = *rc::gen::inRange(0, 20000);
   view.objectiveMs = *rc::gen::inRange(1, 20000);
   return view;
 }
@@ -114,6 +115,7 @@
   CPPUNIT_TEST(testEmptyCellAcceptsAll);
   CPPUNIT_TEST(testDecisions);
   CPPUNIT_TEST(testObjectiveShorterThanTheRunTime);
+  CPPUNIT_TEST(testReturningCallerIsRefusedOnceUseless);
   CPPUNIT_TEST(testMoreBacklogNeverAcceptsMore);
   CPPUNIT_TEST(testHigherPriorityIsNeverRefusedBeforeALowerOne);
   CPPUNIT_TEST(testCorrectedChains);
@@ -159,6 +161,16 @@
     CPPUNIT_ASSERT(!IsAccepted(view));
   }
 
+  // A caller measures from its first attempt, so that a job that would end in
+  // time from now may be useless to it.
+  void testReturningCallerIsRefusedOnceUseless() {
+    AdmissionView view = MakeView(0.5);
+    view.waitedMs = 4000;
+    CPPUNIT_ASSERT(IsAccepted(view));
+    view.waitedMs = 5000;
+    CPPUNIT_ASSERT(!IsAccepted(view));
+  }
+
   void testMoreBacklogNeverAcceptsMore() {
     CPPUNIT_ASSERT(rc::check("monotone in the backlog", [] {
       AdmissionView less = AnyView();
