Refuse a job that would be late while its class is short

Processors count as short as soon as one in twenty jobs of the class has been held for 300 ms, not only once jobs are late. A job that can't be in time alone may still wait for a share of its objective.

--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -17,6 +17,10 @@
 constexpr double kMaxRetrySeconds = 8;
 // The random factor on a retry delay is between 0.5 and 1.5.
 constexpr double kMinSpread = 0.5;
+// Share of its objective that a job may wait while processors are short even if
+// it misses the objective alone. A queue with a short objective would otherwise
+// be barred.
+constexpr double kLeastWaitShare = 1;
 // Share of all processors that long-running tasks may reserve.
 constexpr double kLongRunningShare = 0.84;
 
@@ -52,15 +56,16 @@
                   std::max(aView.chainMs, limit));
 }
 
-double LateLimitMs(const AdmissionView& aView) {
+double LimitMs(const AdmissionView& aView) {
   const double usefulMs = aView.objectiveMs * kUsefulObjectives;
   if (!aView.isShort) {
     return usefulMs;
   }
-  const double aloneMs = JobWorkMs(aView) + aView.chainMs;
+  const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
   const double cost = (1.0 + aView.level) * std::max(1.0, aView.workRatio);
-  return std::min(usefulMs, std::max(aView.objectiveMs, aloneMs) +
-                                aView.objectiveMs / cost);
+  const double leastWaitMs = aView.objectiveMs * kLeastWaitShare / cost;
+  const double waitMs = std::max(aView.objectiveMs - ownMs, leastWaitMs);
+  return std::min(usefulMs, ownMs + waitMs);
 }
 
 std::string_view ToText(AdmissionReason aReason) {
@@ -100,7 +105,7 @@
   const double queueMs = aView.backlogWork / rate;
   const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
   decision.expectedMs = queueMs + ownMs;
-  const double limitMs = LateLimitMs(aView);
+  const double limitMs = LimitMs(aView);
   const double usefulMs = aView.objectiveMs * kUsefulObjectives;
   const double endsMs = aView.waitedMs + decision.expectedMs;
   if (decision.expectedMs <= limitMs && endsMs <= usefulMs) {
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -66,12 +66,12 @@
 // otherwise be refused even if nothing waits.
 double CorrectedChainMs(const AdmissionView& aView);
 
-// Latest expected end, in ms since its submission, of a job that is accepted
-// although it misses its objective. It is three objectives unless processors
-// are short; then the time beyond the objective is shorter the lower the
-// priority and the more work the job has against others of its class. A job
-// that takes longer than its objective without a load isn't refused for that.
-double LateLimitMs(const AdmissionView& aView);
+// Latest expected end, in ms since its submission, of a job that is accepted.
+// It is three objectives unless processors are short; then it is the objective.
+// A job that can't be in time alone may wait for a share of its objective that
+// is smaller the lower its priority and the more work it has against others of
+// its class.
+double LimitMs(const AdmissionView& aView);
 
 // Decides whether to accept a new job.
 //
@@ -83,7 +83,8 @@
 // Load pattern: wide jobs arrive at up to 2.6 times the capacity for some
 // seconds. A late job is worth a seventh of one in time, and the processors
 // that it uses make further jobs late. While processors are short, a job that
-// would miss its objective is accepted only up to LateLimitMs.
+// would miss its objective is refused, see LimitMs; a limit beyond the
+// objective would let the backlog grow until all jobs end that late.
 //
 // Long-running jobs keep their processors until they are cancelled. A job is
 // refused if its long-running tasks would raise the total that such tasks
--- a/src/bramleypath/workflow/JobOrder.cpp
+++ b/src/bramleypath/workflow/JobOrder.cpp
@@ -12,8 +12,8 @@
 constexpr double kGroupsPerLevel = 2;  // in time, late
 constexpr double kUselessGroup = kGroupsPerLevel * (kLastLevel + 1) + 1;
 constexpr double kUsefulObjectives = 3;
-// The class is short if at least one in so many of its jobs is late.
-constexpr std::size_t kJobsPerLateJob = 20;
+// The class is short if at least one in so many of its jobs is late or held.
+constexpr std::size_t kJobsPerDelayedJob = 20;
 constexpr double kMinWorkRatio = 0.5;
 constexpr double kMaxWorkRatio = 2;
 
@@ -50,7 +50,8 @@
 }
 
 bool IsShort(const ClassOrder& aClass) {
-  return aClass.late > 0 && aClass.late * kJobsPerLateJob >= aClass.jobs;
+  const std::size_t delayed = std::max(aClass.late, aClass.held);
+  return delayed > 0 && delayed * kJobsPerDelayedJob >= aClass.jobs;
 }
 
 double WorkRatio(const ClassOrder& aClass, double aRemainingWork) {
--- a/src/bramleypath/workflow/JobOrder.h
+++ b/src/bramleypath/workflow/JobOrder.h
@@ -3,6 +3,8 @@
 #include <cstddef>
 #include <cstdint>
 
+#include "bramleypath/base/TimePoint.h"
+
 namespace bramleypath::workflow {
 
 // Priorities are levels from 0, which comes first, to kLastLevel.
@@ -35,15 +37,19 @@
 // objectives a job can't be useful any more.
 std::uint32_t AgedLevel(const WaitingJob& aJob);
 
+// Longer than a placement and its commit take while workers have room.
+constexpr Duration kHeldTime = Millis(300);
+
 // The jobs of a class of work as of a ranking, and those of them that will end
 // later than their objective. Work in thousandths of a processor times ms.
 struct ClassOrder {
   std::size_t jobs = 0;
   std::size_t late = 0;
+  std::size_t held = 0;  // that have waited for kHeldTime with no task placed
   double work = 0;
 };
-// Whether some jobs of the class can't end in time, apart from a few that were
-// delayed by something else, such as a lost worker.
+// Whether some jobs of the class can't end in time or can't start, apart from a
+// few that were delayed by something else, such as a lost worker.
 bool IsShort(const ClassOrder& aClass);
 // WaitingJob::workRatio, within fixed limits, so that a large job isn't put off
 // for more than a multiple of its slack.
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -73,8 +73,13 @@
 
 double SumOf(const OrderedWork& aWork) { return aWork.waiting + aWork.placed; }
 
+bool IsHeld(const Scheduler& aScheduler, const Job& aJob, TimePoint aNow) {
+  const auto idle = aScheduler.idleSince.find(aJob.number);
+  return idle != aScheduler.idleSince.end() && kHeldTime < aNow - idle->second;
+}
+
 // Sets the job's work ratio and adds the job to the measure of its class.
-void OrderInClass(JobRanking& aRanking, const RankedJob& aRanked,
+void OrderInClass(JobRanking& aRanking, const RankedJob& aRanked, bool aIsHeld,
                   WaitingJob& aJob) {
   const double work = SumOf(aRanked.reserving) + SumOf(aRanked.filling);
   const bool hasFillers = SumOf(aRanked.filling) > 0;
@@ -83,6 +88,7 @@
   ClassOrder& measured =
       hasFillers ? aRanking.measured.filling : aRanking.measured.reserving;
   ++measured.jobs;
+  measured.held += aIsHeld ? 1 : 0;
   measured.late += OutlookOf(aJob) == Outlook::InTime ? 0 : 1;
   measured.work += work;
 }
@@ -113,7 +119,8 @@
       WorkSince(before.reserving, aScheduler.cellLoad.reserving);
   aRanked.filling = WorkSince(before.filling, aScheduler.cellLoad.filling);
   if (!waiting.longRunning) {
-    OrderInClass(aScheduler.ranking, aRanked, waiting);
+    const bool isHeld = IsHeld(aScheduler, aJob, aNow);
+    OrderInClass(aScheduler.ranking, aRanked, isHeld, waiting);
   }
   aRanked.rank = StartRank(waiting);
 }
--- a/tests/metrics/RegistryTest.cpp
+++ b/tests/metrics/RegistryTest.cpp
@@ -86,6 +86,9 @@
     registry.SetQueueCounter("admissions_late", "checks", 7);
     registry.SetQueueHistogram("promise_late_seconds", "checks", latency);
     const std::string exposition = registry.WriteExposition();
+    const char* const promised =
+        "bramleypath_promise_late_seconds_bucket{queue=\"checks\","
+        "le=\"0.002\"} 3\n";
     for (const char* line :
          {"# TYPE bramleypath_commit_seconds histogram\n",
           "bramleypath_commit_seconds_bucket{le=\"0.001\"} 2\n",
@@ -95,9 +98,7 @@
           "bramleypath_commit_seconds_bucket{le=\"+Inf\"} 5\n",
           "bramleypath_commit_seconds_sum 40.006\n",
           "bramleypath_commit_seconds_count 5\n",
-          "# TYPE bramleypath_promise_late_seconds histogram\n",
-          "bramleypath_promise_late_seconds_bucket{queue=\"checks\","
-          "le=\"0.002\"} 3\n",
+          "# TYPE bramleypath_promise_late_seconds histogram\n", promised,
           "bramleypath_promise_late_seconds_count{queue=\"checks\"} 5\n",
           "bramleypath_admissions_late{queue=\"checks\"} 7\n",
           "bramleypath_waiting_jobs{queue=\"checks\"} 4\n"}) {
--- a/tests/workflow/AdmissionTest.cpp
+++ b/tests/workflow/AdmissionTest.cpp
@@ -54,10 +54,10 @@
     {"nothing ahead", 0, false, 2, 1, AdmissionReason::InTime},
     {"in time while short", 0.5, true, 9, 2, AdmissionReason::InTime},
     {"late, not short", 3, false, 9, 2, AdmissionReason::Late},
-    {"highest priority while short", 2, true, 0, 1, AdmissionReason::Late},
-    {"lower priority while short", 2, true, 2, 1,
+    {"highest priority while short", 1.5, true, 0, 1, AdmissionReason::Late},
+    {"lower priority while short", 1.5, true, 2, 1,
      AdmissionReason::LateWhileShort},
-    {"large job while short", 2, true, 0, 2, AdmissionReason::LateWhileShort},
+    {"large job while short", 1.5, true, 0, 2, AdmissionReason::LateWhileShort},
     {"useless", 20, false, 0, 1, AdmissionReason::Useless},
     {"useless while short", 20, true, 0, 1, AdmissionReason::Useless},
 };
--- a/tests/workflow/JobOrderTest.cpp
+++ b/tests/workflow/JobOrderTest.cpp
@@ -53,12 +53,13 @@
 };
 
 const ClassCase kClasses[] = {
-    {"nothing known", {0, 0, 0}, 500, 1},
-    {"all in time", {10, 0, 1000}, 500, 1},
-    {"one delayed by something else", {100, 1, 10000}, 500, 1},
-    {"short", {10, 1, 1000}, 150, 1.5},
-    {"very large", {10, 1, 1000}, 5000, 2},
-    {"nearly done", {10, 1, 1000}, 1, 0.5},
+    {"nothing known", {0, 0, 0, 0}, 500, 1},
+    {"all in time", {10, 0, 0, 1000}, 500, 1},
+    {"one delayed by something else", {100, 1, 1, 10000}, 500, 1},
+    {"short", {10, 1, 0, 1000}, 150, 1.5},
+    {"held before any is late", {10, 0, 1, 1000}, 150, 1.5},
+    {"very large", {10, 1, 0, 1000}, 5000, 2},
+    {"nearly done", {10, 1, 0, 1000}, 1, 0.5},
 };
 
 struct LevelCase {
