Count a job as held only since its current stage could start

The time since when a job has no placed task isn't renewed between two stages, so that a job of two stages counted as held since its acceptance for as long as its second stage was being placed, and its class as short. The ranking now keeps that time itself.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -313,6 +313,8 @@
   // As of the ranking; their ranks are not set.
   OrderedWork reserving;
   OrderedWork filling;
+  // Since when no task is placed although a stage could start.
+  std::optional<TimePoint> heldSince;
 };
 
 // Expected times of a job, which change slowly.
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -73,9 +73,15 @@
 
 double SumOf(const OrderedWork& aWork) { return aWork.waiting + aWork.placed; }
 
-bool IsHeld(const Scheduler& aScheduler, const Job& aJob, TimePoint aNow) {
-  const auto idle = aScheduler.idleSince.find(aJob.number);
-  return idle != aScheduler.idleSince.end() && kHeldTime < aNow - idle->second;
+// Unlike Scheduler::idleSince, this begins anew with each stage. Otherwise a
+// job between two stages would count as held since its acceptance.
+bool UpdateHeld(const Job& aJob, TimePoint aNow, RankedJob& aRanked) {
+  if (aJob.placed > 0 || !HasWaitingTask(aJob)) {
+    aRanked.heldSince.reset();
+    return false;
+  }
+  aRanked.heldSince = aRanked.heldSince.value_or(aNow);
+  return kHeldTime < aNow - *aRanked.heldSince;
 }
 
 // Sets the job's work ratio and adds the job to the measure of its class.
@@ -119,7 +125,7 @@
       WorkSince(before.reserving, aScheduler.cellLoad.reserving);
   aRanked.filling = WorkSince(before.filling, aScheduler.cellLoad.filling);
   if (!waiting.longRunning) {
-    const bool isHeld = IsHeld(aScheduler, aJob, aNow);
+    const bool isHeld = UpdateHeld(aJob, aNow, aRanked);
     OrderInClass(aScheduler.ranking, aRanked, isHeld, waiting);
   }
   aRanked.rank = StartRank(waiting);
@@ -130,7 +136,7 @@
   for (auto it = aState.jobs.upper_bound(aRanking.lastSeen);
        it != aState.jobs.end(); ++it) {
     aRanking.lastSeen = it->first;
-    aRanking.jobs.push_back(RankedJob{it->first, 0, {}, {}});
+    aRanking.jobs.push_back(RankedJob{it->first, 0, {}, {}, {}});
   }
 }
 
