--- a/src/bramleypath/controller/ControllerActions.cpp
+++ b/src/bramleypath/controller/ControllerActions.cpp
@@ -1,5 +1,6 @@
 #include "bramleypath/controller/Controller.h"
 
+#include <cmath>
 #include <memory>
 #include <utility>
 #include <variant>
@@ -15,6 +16,7 @@
 namespace {
 
 using detail::NumberText;
+using detail::WholeText;
 using workflow::RequestAnswer;
 using workflow::RequestOutcome;
 
@@ -258,4 +260,29 @@
                                     {"detail", aDecision.detail}});
 }
 
+void Controller::Execute(workflow::JobCompletion& aCompletion) {
+  const workflow::PromiseOutcome& outcome = aCompletion.outcome;
+  const auto expected =
+      Millis(static_cast<std::int64_t>(std::llround(outcome.expectedMs)));
+  const auto actual =
+      Millis(static_cast<std::int64_t>(std::llround(outcome.actualMs)));
+  auto& byQueue = this->counters.promiseErrors;
+  if (byQueue.count(outcome.queue) > 0 || byQueue.size() < kMaxCountedQueues) {
+    PromiseErrors& errors = byQueue[outcome.queue];
+    errors.expected.Record(expected);
+    errors.actual.Record(actual);
+    errors.late.Record(actual - expected);
+    errors.early.Record(expected - actual);
+  }
+  eventlog::Write(
+      "job_promise_ended",
+      {{"job", aCompletion.job.value},
+       {"queue", outcome.queue.value},
+       {"expected_ms", WholeText(outcome.expectedMs)},
+       {"actual_ms", WholeText(outcome.actualMs)},
+       {"ran_ms", WholeText(outcome.ranMs)},
+       {"chain_ms", WholeText(outcome.chainMs)},
+       {"chain_factor", std::to_string(this->ChainFactorOf(outcome.queue))}});
+}
+
 }  // namespace bramleypath::controller
--- a/src/bramleypath/controller/ControllerCalls.cpp
+++ b/src/bramleypath/controller/ControllerCalls.cpp
@@ -116,6 +116,14 @@
                     ToMillis(aTime + kMaxClockDifference);
 }
 
+void Controller::CountDecision(const workflow::QueueId& aQueue,
+                               workflow::AdmissionReason aReason) {
+  auto& byQueue = this->counters.decisions;
+  if (byQueue.count(aQueue) > 0 || byQueue.size() < kMaxCountedQueues) {
+    ++byQueue[aQueue][static_cast<std::size_t>(aReason)];
+  }
+}
+
 void Controller::Submit(const workflow::JobSpec& aSpec,
                         const workflow::QueueSettings& aQueue,
                         AnswerCallback aCallback) {
@@ -129,13 +137,15 @@
   }
   const TimePoint now = net::Now();
   const workflow::AdmissionView view =
-      workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue);
+      workflow::ViewForAdmission(*this->scheduler, aSpec, aQueue, now);
   const workflow::AdmissionDecision decision =
       workflow::DecideAdmission(view, this->random);
+  this->CountDecision(aQueue.id, decision.reason);
   // An earlier attempt of an open submission was admitted and may be committed.
   // Proposing it again tells its outcome.
   if (!decision.accepted && !IsOpen(this->openSubmissions, aSpec.id)) {
     ++this->counters.refused;
+    workflow::RecordRefusal(this->scheduler->refusals, aSpec.id, now);
     eventlog::Write("job_refused",
                     {{"job", aSpec.id.value},
                      {"queue", aSpec.queue.value},
@@ -143,9 +153,16 @@
                      {"objective_ms", WholeText(view.objectiveMs)},
                      {"retry_after_s", NumberText(decision.retryAfterSeconds)},
                      {"chain_ms", WholeText(view.chainMs)},
+                     {"chain_factor", std::to_string(view.chainFactor)},
                      {"class", std::string(ClassText(view))},
                      {"job_work", WholeText(view.jobWork)},
                      {"backlog_work", WholeText(view.backlogWork)},
+                     {"class_work", WholeText(view.classWork)},
+                     {"level", NumberText(view.level)},
+                     {"waited_ms", WholeText(view.waitedMs)},
+                     {"short", view.isShort ? "true" : "false"},
+                     {"work_ratio", std::to_string(view.workRatio)},
+                     {"reason", std::string(workflow::ToText(decision.reason))},
                      {"processors_milli", WholeText(view.capacityMilli)}});
     aCallback(Answer{AnswerStatus::Refused, decision.retryAfterSeconds,
                      "the job could not end in time"});
@@ -159,11 +176,12 @@
   const std::string job = aSpec.id.value;
   const std::string queue = aSpec.queue.value;
   const double expectedMs = decision.expectedMs;
+  const workflow::AdmissionReason reason = decision.reason;
   const std::uint32_t tasks = CountTasks(aSpec);
   this->Propose(
       accept, kCallerTimeout,
-      [this, isAlive = this->alive, epoch, job, queue, expectedMs, view, tasks,
-       callback = std::move(aCallback)](const Answer& aAnswer) {
+      [this, isAlive = this->alive, epoch, job, queue, expectedMs, reason, view,
+       tasks, callback = std::move(aCallback)](const Answer& aAnswer) {
         if (*isAlive && aAnswer.status != AnswerStatus::OutcomeUnknown) {
           Close(this->openSubmissions, epoch, JobId(job));
         }
@@ -184,11 +202,20 @@
                          {"expected_ms", WholeText(expectedMs)},
                          {"objective_ms", WholeText(view.objectiveMs)},
                          {"chain_ms", WholeText(view.chainMs)},
+                         {"chain_factor", std::to_string(view.chainFactor)},
                          {"class", std::string(ClassText(view))},
                          {"job_work", WholeText(view.jobWork)},
                          {"backlog_work", WholeText(view.backlogWork)},
+                         {"class_work", WholeText(view.classWork)},
+                         {"level", NumberText(view.level)},
+                         {"waited_ms", WholeText(view.waitedMs)},
+                         {"short", view.isShort ? "true" : "false"},
+                         {"work_ratio", std::to_string(view.workRatio)},
+                         {"reason", std::string(workflow::ToText(reason))},
                          {"processors_milli", WholeText(view.capacityMilli)}});
         if (this->scheduler) {
+          workflow::OnAccepted(*this->scheduler, this->State(), JobId(job),
+                               view, expectedMs, net::Now());
           this->scheduler->dispatchWanted = true;
           this->RequestCycle();
         }
--- a/src/bramleypath/metrics/Registry.cpp
+++ b/src/bramleypath/metrics/Registry.cpp
@@ -100,11 +100,12 @@
 };
 
 void WriteHistogram(std::ostream& aOut, const std::string& aName,
+                    const std::string& aLabels,
                     const HistogramSnapshot& aHistogram) {
-  WriteType(aOut, aName, "histogram");
   std::uint64_t count = 0;
   for (const LatencyHistogram::Bucket& bucket : aHistogram.buckets) {
-    aOut << "bramleypath_" << aName << "_bucket{le=\"";
+    aOut << "bramleypath_" << aName << "_bucket{" << aLabels
+         << (aLabels.empty() ? "" : ",") << "le=\"";
     if (std::isinf(bucket.limitSeconds)) {
       aOut << "+Inf";
     } else {
@@ -113,8 +114,10 @@
     aOut << "\"} " << bucket.cumulative << '\n';
     count = bucket.cumulative;
   }
-  aOut << "bramleypath_" << aName << "_sum " << aHistogram.sumSeconds << '\n'
-       << "bramleypath_" << aName << "_count " << count << '\n';
+  const std::string suffix = aLabels.empty() ? " " : "{" + aLabels + "} ";
+  aOut << "bramleypath_" << aName << "_sum" << suffix << aHistogram.sumSeconds
+       << '\n'
+       << "bramleypath_" << aName << "_count" << suffix << count << '\n';
 }
 
 }  // namespace
@@ -125,7 +128,11 @@
   std::map<std::string, double> gauges;
   // Keyed by metric name, then by queue.
   std::map<std::string, std::map<std::string, double>> queueGauges;
+  std::map<std::string, std::map<std::string, std::uint64_t>> queueCounters;
   std::map<std::string, HistogramSnapshot> histograms;
+  // Keyed by metric name, then by queue.
+  std::map<std::string, std::map<std::string, HistogramSnapshot>>
+      queueHistograms;
 
   Series& SeriesOf(const ClientAccountId& aClientAccount,
                    const ClassId& aClass) {
@@ -166,12 +173,25 @@
   this->impl->queueGauges[aName][aQueue] = aValue;
 }
 
+void Registry::SetQueueCounter(const std::string& aName,
+                               const std::string& aQueue,
+                               std::uint64_t aValue) {
+  this->impl->queueCounters[aName][aQueue] = aValue;
+}
+
 void Registry::SetHistogram(const std::string& aName,
                             const LatencyHistogram& aHistogram) {
   this->impl->histograms[aName] = {aHistogram.Buckets(),
                                    aHistogram.SumSeconds()};
 }
 
+void Registry::SetQueueHistogram(const std::string& aName,
+                                 const std::string& aQueue,
+                                 const LatencyHistogram& aHistogram) {
+  this->impl->queueHistograms[aName][aQueue] = {aHistogram.Buckets(),
+                                                aHistogram.SumSeconds()};
+}
+
 LatencySummary Registry::Latency(const ClientAccountId& aClientAccount,
                                  const ClassId& aClass) const {
   const auto found =
@@ -226,6 +246,13 @@
     WriteType(out, name, "gauge");
     out << "bramleypath_" << name << ' ' << value << '\n';
   }
+  for (const auto& [name, queues] : this->impl->queueCounters) {
+    WriteType(out, name, "counter");
+    for (const auto& [queue, value] : queues) {
+      out << "bramleypath_" << name << "{queue=\"" << Escape(queue) << "\"} "
+          << value << '\n';
+    }
+  }
   for (const auto& [name, queues] : this->impl->queueGauges) {
     WriteType(out, name, "gauge");
     for (const auto& [queue, value] : queues) {
@@ -234,7 +261,14 @@
     }
   }
   for (const auto& [name, histogram] : this->impl->histograms) {
-    WriteHistogram(out, name, histogram);
+    WriteType(out, name, "histogram");
+    WriteHistogram(out, name, "", histogram);
+  }
+  for (const auto& [name, queues] : this->impl->queueHistograms) {
+    WriteType(out, name, "histogram");
+    for (const auto& [queue, histogram] : queues) {
+      WriteHistogram(out, name, "queue=\"" + Escape(queue) + "\"", histogram);
+    }
   }
   return out.str();
 }
--- a/src/bramleypath/metrics/Registry.h
+++ b/src/bramleypath/metrics/Registry.h
@@ -51,11 +51,18 @@
   // Replaces the value of a gauge that has the queue as its label.
   void SetQueueGauge(const std::string& aName, const std::string& aQueue,
                      double aValue);
+  // Replaces the value of a counter that has the queue as its label.
+  void SetQueueCounter(const std::string& aName, const std::string& aQueue,
+                       std::uint64_t aValue);
   // Replaces a histogram by a copy of the current counts. aName ends in
   // "_seconds".
   void SetHistogram(const std::string& aName,
                     const LatencyHistogram& aHistogram);
 
+  // The same with the queue as its label.
+  void SetQueueHistogram(const std::string& aName, const std::string& aQueue,
+                         const LatencyHistogram& aHistogram);
+
   // Returns zeros when no call was recorded.
   LatencySummary Latency(const ClientAccountId& aClientAccount,
                          const ClassId& aClass) const;
--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "bramleypath/workflow/Refusals.h"
+
 namespace bramleypath::workflow {
 
 namespace {
@@ -15,16 +17,30 @@
 constexpr double kMaxRetrySeconds = 8;
 // The random factor on a retry delay is between 0.5 and 1.5.
 constexpr double kMinSpread = 0.5;
-constexpr double kMsPerSecond = 1000;
+// Share of its objective that a job may wait while processors are short even if
+// it misses the objective alone. A queue with a short objective would otherwise
+// be barred.
+constexpr double kLeastWaitShare = 1;
 // Share of all processors that long-running tasks may reserve.
 constexpr double kLongRunningShare = 0.84;
 
+// Share of the useful time up to which the chain is corrected, with the time
+// that the job's work takes.
+constexpr double kMaxOwnShare = 0.67;
+
 std::uint32_t RetryAfter(double aSeconds, Random& aRandom) {
   const double spread = kMinSpread + NextUnit(aRandom);
   return static_cast<std::uint32_t>(
       std::ceil(std::clamp(aSeconds * spread, 1.0, kMaxRetrySeconds)));
 }
 
+// Time in which the processors work off the job.
+double JobWorkMs(const AdmissionView& aView) {
+  return aView.capacityMilli <= 0
+             ? 0
+             : aView.jobWork / (aView.capacityMilli * kUsableShare);
+}
+
 bool HasProcessorsForLongRunning(const AdmissionView& aView) {
   return aView.jobLongRunningMilli <= 0 || aView.workersMilli <= 0 ||
          aView.longRunningMilli + aView.jobLongRunningMilli <=
@@ -33,26 +49,79 @@
 
 }  // namespace
 
+double CorrectedChainMs(const AdmissionView& aView) {
+  const double limit =
+      aView.objectiveMs * kUsefulObjectives * kMaxOwnShare - JobWorkMs(aView);
+  return std::min(aView.chainMs * aView.chainFactor,
+                  std::max(aView.chainMs, limit));
+}
+
+double LimitMs(const AdmissionView& aView) {
+  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
+  if (!aView.isShort) {
+    return usefulMs;
+  }
+  const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
+  const double cost = (1.0 + aView.level) * std::max(1.0, aView.workRatio);
+  const double leastWaitMs = aView.objectiveMs * kLeastWaitShare / cost;
+  const double waitMs = std::max(aView.objectiveMs - ownMs, leastWaitMs);
+  return std::min(usefulMs, ownMs + waitMs);
+}
+
+std::string_view ToText(AdmissionReason aReason) {
+  switch (aReason) {
+    case AdmissionReason::InTime:
+      return "in_time";
+    case AdmissionReason::Late:
+      return "late";
+    case AdmissionReason::LongRunning:
+      return "long_running";
+    case AdmissionReason::Useless:
+      return "useless";
+    case AdmissionReason::LateWhileShort:
+      return "late_while_short";
+    case AdmissionReason::NoRoom:
+      return "no_room";
+  }
+  return "unknown";
+}
+
 AdmissionDecision DecideAdmission(const AdmissionView& aView, Random& aRandom) {
   AdmissionDecision decision;
   if (!HasProcessorsForLongRunning(aView)) {
     decision.accepted = false;
+    decision.reason = AdmissionReason::NoRoom;
     decision.retryAfterSeconds = RetryAfter(kMaxRetrySeconds, aRandom);
     return decision;
   }
-  if (aView.longRunning || aView.capacityMilli <= 0) {
+  if (aView.longRunning) {
+    decision.reason = AdmissionReason::LongRunning;
+    return decision;
+  }
+  if (aView.capacityMilli <= 0) {
     return decision;
   }
   const double rate = aView.capacityMilli * kUsableShare;
   const double queueMs = aView.backlogWork / rate;
-  decision.expectedMs = queueMs + aView.jobWork / rate + aView.chainMs;
+  const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
+  decision.expectedMs = queueMs + ownMs;
+  const double limitMs = LimitMs(aView);
   const double usefulMs = aView.objectiveMs * kUsefulObjectives;
-  if (decision.expectedMs <= usefulMs) {
+  const double endsMs = aView.waitedMs + decision.expectedMs;
+  if (decision.expectedMs <= limitMs && endsMs <= usefulMs) {
+    decision.reason = endsMs <= aView.objectiveMs ? AdmissionReason::InTime
+                                                  : AdmissionReason::Late;
     return decision;
   }
   decision.accepted = false;
-  const double excessSeconds = (decision.expectedMs - usefulMs) / kMsPerSecond;
-  decision.retryAfterSeconds = RetryAfter(excessSeconds, aRandom);
+  decision.reason = endsMs <= usefulMs ? AdmissionReason::LateWhileShort
+                                       : AdmissionReason::Useless;
+  RetryView retry;
+  retry.roomMs = decision.expectedMs - limitMs;
+  retry.waitedMs = aView.waitedMs;
+  retry.usefulMs = usefulMs;
+  retry.ownMs = ownMs;
+  decision.retryAfterSeconds = RetryAfterSeconds(retry, aRandom);
   return decision;
 }
 
--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -14,9 +14,13 @@
 #include "bramleypath/base/Random.h"
 #include "bramleypath/base/TimePoint.h"
 #include "bramleypath/workflow/Admission.h"
+#include "bramleypath/workflow/BacklogAhead.h"
 #include "bramleypath/workflow/Driver.h"
+#include "bramleypath/workflow/JobOrder.h"
 #include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/Neighbours.h"
+#include "bramleypath/workflow/Promises.h"
+#include "bramleypath/workflow/Refusals.h"
 #include "bramleypath/workflow/State.h"
 #include "bramleypath/workflow/TailModel.h"
 #include "bramleypath/workflow/Tickets.h"
@@ -229,9 +233,15 @@
   std::string detail;
 };
 
+// A job with a promise has completed.
+struct JobCompletion {
+  JobId job;
+  PromiseOutcome outcome;
+};
+
 using SchedulerAction =
     std::variant<Commit, SendStart, SendStop, SendPace, SendLeaseRenewal,
-                 RequestTickets, DecisionRecord>;
+                 RequestTickets, DecisionRecord, JobCompletion>;
 using SchedulerActions = std::vector<SchedulerAction>;
 
 // Run time of one image, learned from its completed tasks.
@@ -244,6 +254,7 @@
 // or fillers, which share the idle ones. Neither class waits for the other.
 struct ClassLoad {
   double backlogWork = 0;      // waiting or running; thousandths times ms
+  double placedWork = 0;       // of backlogWork, running
   double processorsMilli = 0;  // available to the class
 };
 struct CellLoad {
@@ -300,21 +311,40 @@
 struct RankedJob {
   JobNumber number = 0;
   double rank = 0;
+  // As of the ranking; their ranks are not set.
+  OrderedWork reserving;
+  OrderedWork filling;
+  // Since when no task is placed although a stage could start.
+  std::optional<TimePoint> heldSince;
 };
 
 // Expected times of a job, which change slowly.
 struct JobEstimate {
   std::vector<double> stageRunMs;
   double objectiveMs = 0;
+  double chainFactor = 1;   // see FactorOf
+  double waitedMs = 0;      // see Promise
+  std::uint32_t level = 0;  // see LevelOf
   TimePoint validUntil;
 };
 
+// The order of the jobs of each class of work; a job with fillers counts as
+// filling.
+struct ClassOrders {
+  ClassOrder reserving;
+  ClassOrder filling;
+};
+
 // The active jobs in the order in which their tasks start, as of the last
 // ranking, and the jobs accepted since.
 struct JobRanking {
   TimePoint nextAt;
   std::vector<RankedJob> jobs;
   JobNumber lastSeen = 0;  // jobs up to it have been ranked
+  ClassOrders orders;      // as of the last complete ranking
+  BacklogAhead reserving;  // of the jobs in this order
+  BacklogAhead filling;
+  ClassOrders measured;  // by the ranking under way, and jobs accepted since
   std::unordered_map<JobNumber, JobEstimate> estimates;
 };
 
@@ -397,6 +427,8 @@
   // As of the last ranking and survey.
   CellLoad cellLoad;
   JobRanking ranking;
+  Promises promises;
+  Refusals refusals;
   // Where the next pass continues in the ranking after the jobs at its top.
   std::size_t nextJobInTurn = 0;
   HostSurvey survey;
@@ -515,7 +547,12 @@
 // Input of DecideAdmission for a new job.
 AdmissionView ViewForAdmission(const Scheduler& aScheduler,
                                const JobSpec& aSpec,
-                               const QueueSettings& aQueue);
+                               const QueueSettings& aQueue, TimePoint aNow);
+
+// The job was accepted, and is expected to end expectedMs after aNow. Jobs that
+// are long-running or repeat have no promise.
+void OnAccepted(Scheduler& aScheduler, const State& aState, const JobId& aJob,
+                const AdmissionView& aView, double aExpectedMs, TimePoint aNow);
 
 // Number of the queue's active jobs of which no task is known to have run. A
 // task that was placed may never have started.
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -38,9 +38,10 @@
     // A running attempt is half done on average.
     const double tasks = state.waiting + state.placed / 2.0;
     ClassLoad& load = spec.filler ? aLoad.filling : aLoad.reserving;
-    load.backlogWork += tasks *
-                        static_cast<double>(spec.demand.processorsMilli) *
-                        aRunMs[stage];
+    const double taskWork =
+        static_cast<double>(spec.demand.processorsMilli) * aRunMs[stage];
+    load.backlogWork += tasks * taskWork;
+    load.placedWork += state.placed / 2.0 * taskWork;
   }
 }
 
@@ -90,9 +91,34 @@
 
 namespace bramleypath::workflow {
 
+namespace {
+
+// Sets what depends on the jobs of the class that the new job belongs to.
+void AddLoadOfClass(const Scheduler& aScheduler, AdmissionView& aView) {
+  const JobRanking& ranking = aScheduler.ranking;
+  const ClassLoad& load = aView.hasFillers ? aScheduler.cellLoad.filling
+                                           : aScheduler.cellLoad.reserving;
+  const ClassOrder& order =
+      aView.hasFillers ? ranking.orders.filling : ranking.orders.reserving;
+  aView.capacityMilli = load.processorsMilli;
+  aView.classWork = load.backlogWork;
+  aView.isShort = IsShort(order);
+  aView.workRatio = WorkRatio(order, aView.jobWork);
+  WaitingJob job;
+  job.ageMs = aView.waitedMs;
+  job.objectiveMs = aView.objectiveMs;
+  job.remainingMs = CorrectedChainMs(aView);
+  job.level = aView.level;
+  job.workRatio = aView.workRatio;
+  aView.backlogWork = WorkAhead(
+      aView.hasFillers ? ranking.filling : ranking.reserving, StartRank(job));
+}
+
+}  // namespace
+
 AdmissionView ViewForAdmission(const Scheduler& aScheduler,
                                const JobSpec& aSpec,
-                               const QueueSettings& aQueue) {
+                               const QueueSettings& aQueue, TimePoint aNow) {
   AdmissionView view;
   const std::vector<double> runMs = detail::StageRunMs(aScheduler, aSpec);
   for (std::size_t number = 0; number < runMs.size(); ++number) {
@@ -109,16 +135,36 @@
   }
   view.longRunning = view.longRunning || aSpec.repetitions > 0;
   view.chainMs = detail::LongestChainMs(aSpec, runMs);
+  view.chainFactor = FactorOf(aScheduler.promises, aSpec.queue);
   view.objectiveMs = detail::ObjectiveMs(aQueue, view.chainMs);
+  view.waitedMs = MsSinceRefusal(aScheduler.refusals, aSpec.id, aNow);
+  view.level = LevelOf(aQueue.priority);
   view.longRunningMilli = aScheduler.cellLoad.longRunningMilli;
   view.workersMilli = aScheduler.cellLoad.workersMilli;
-  const ClassLoad& load = view.hasFillers ? aScheduler.cellLoad.filling
-                                          : aScheduler.cellLoad.reserving;
-  view.backlogWork = load.backlogWork;
-  view.capacityMilli = load.processorsMilli;
+  AddLoadOfClass(aScheduler, view);
   return view;
 }
 
+void OnAccepted(Scheduler& aScheduler, const State& aState, const JobId& aJob,
+                const AdmissionView& aView, double aExpectedMs,
+                TimePoint aNow) {
+  const Job* const job = FindJob(aState, aJob.value);
+  if (!job || aView.longRunning) {
+    return;
+  }
+  Promise promise;
+  promise.queue = job->spec.queue;
+  promise.acceptedAt = aNow;
+  // Nothing is expected before the capacity of the workers is known.
+  const double expectedMs = std::max(aExpectedMs, aView.chainMs);
+  constexpr double kMicrosPerMilli = 1000;
+  promise.expectedAt =
+      aNow + Micros(static_cast<std::int64_t>(expectedMs * kMicrosPerMilli));
+  promise.waitedMs = aView.waitedMs;
+  promise.chainMs = aView.chainMs;
+  RecordPromise(aScheduler.promises, job->number, promise);
+}
+
 namespace {
 
 bool HasEndedTask(const Job& aJob) {
--- a/tests/workflow/AdmissionTest.cpp
+++ b/tests/workflow/AdmissionTest.cpp
@@ -1,9 +1,13 @@
 #include "bramleypath/workflow/Admission.h"
+#include "bramleypath/workflow/JobOrder.h"
 
 #include <cppunit/extensions/HelperMacros.h>
+#include <rapidcheck.h>
 
 #include <algorithm>
+#include <cstdint>
 #include <set>
+#include <string>
 #include <vector>
 
 namespace bramleypath::workflow {
@@ -20,6 +24,60 @@
   return view;
 }
 
+struct ChainCase {
+  const char* name;
+  double chainMs;
+  double factor;
+  double objectiveMs;
+  double correctedMs;
+};
+
+const ChainCase kChains[] = {
+    {"nothing learned", 1000, 1, 2000, 1000},
+    {"slower than alone", 1000, 2, 2000, 2000},
+    {"faster than estimated", 1000, 0.5, 2000, 500},
+    {"leaves time to wait", 1000, 4, 1000, 2010},
+    {"objective shorter than the chain", 1000, 4, 300, 1000},
+};
+
+// A job with an objective of 2,000 ms that takes 1,055 ms alone.
+struct DecisionCase {
+  const char* name;
+  double backlogSeconds;
+  bool isShort;
+  std::uint32_t level;
+  double workRatio;
+  AdmissionReason reason;
+};
+
+const DecisionCase kDecisions[] = {
+    {"nothing ahead", 0, false, 2, 1, AdmissionReason::InTime},
+    {"in time while short", 0.5, true, 9, 2, AdmissionReason::InTime},
+    {"late, not short", 3, false, 9, 2, AdmissionReason::Late},
+    {"highest priority while short", 1.5, true, 0, 1, AdmissionReason::Late},
+    {"lower priority while short", 1.5, true, 2, 1,
+     AdmissionReason::LateWhileShort},
+    {"large job while short", 1.5, true, 0, 2, AdmissionReason::LateWhileShort},
+    {"useless", 20, false, 0, 1, AdmissionReason::Useless},
+    {"useless while short", 20, true, 0, 1, AdmissionReason::Useless},
+};
+
+AdmissionView AnyView() {
+  AdmissionView view = MakeView(*rc::gen::inRange(0, 3000) / 100.0);
+  view.level = *rc::gen::inRange(0U, kLastLevel + 1);
+  view.isShort = *rc::gen::arbitrary<bool>();
+  view.workRatio = *rc::gen::inRange(50, 200) / 100.0;
+  view.chainFactor = *rc::gen::inRange(50, 400) / 100.0;
+  view.waitedMs = *rc::gen::inRange(0, 20000);
+  view.objectiveMs = *rc::gen::inRange(1, 20000);
+  return view;
+}
+
+bool IsAccepted(const AdmissionView& aView) {
+  Random random{1};
+  return DecideAdmission(aView, random).accepted;
+}
+
 // Result for jobs that arrive at twice the capacity for ten seconds and are
 // served in order of arrival: how many end within three times their objective.
 struct BurstResult {
@@ -55,6 +113,13 @@
 class AdmissionTest : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(AdmissionTest);
   CPPUNIT_TEST(testEmptyCellAcceptsAll);
+  CPPUNIT_TEST(testDecisions);
+  CPPUNIT_TEST(testObjectiveShorterThanTheRunTime);
+  CPPUNIT_TEST(testReturningCallerIsRefusedOnceUseless);
+  CPPUNIT_TEST(testMoreBacklogNeverAcceptsMore);
+  CPPUNIT_TEST(testHigherPriorityIsNeverRefusedBeforeALowerOne);
+  CPPUNIT_TEST(testCorrectedChains);
+  CPPUNIT_TEST(testCorrectionAloneRefusesNothing);
   CPPUNIT_TEST(testJobThatWouldEndTooLateIsRefused);
   CPPUNIT_TEST(testLongRunningJobIsAcceptedDespiteABacklog);
   CPPUNIT_TEST(testLongRunningJobOverTheLimitIsRefused);
@@ -71,6 +136,82 @@
     CPPUNIT_ASSERT(DecideAdmission(AdmissionView(), random).accepted);
   }
 
+  void testDecisions() {
+    Random random{1};
+    for (const DecisionCase& one : kDecisions) {
+      AdmissionView view = MakeView(one.backlogSeconds);
+      view.isShort = one.isShort;
+      view.level = one.level;
+      view.workRatio = one.workRatio;
+      const AdmissionDecision decision = DecideAdmission(view, random);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.name, std::string(ToText(one.reason)),
+                                   std::string(ToText(decision.reason)));
+    }
+  }
+
+  // An objective shorter than the run time must not bar a queue for as long as
+  // others are late.
+  void testObjectiveShorterThanTheRunTime() {
+    AdmissionView view = MakeView(0.1);
+    view.objectiveMs = 700;
+    view.isShort = true;
+    view.level = kLastLevel - 4;
+    CPPUNIT_ASSERT(IsAccepted(view));
+    view.backlogWork *= 5;
+    CPPUNIT_ASSERT(!IsAccepted(view));
+  }
+
+  // A caller measures from its first attempt, so that a job that would end in
+  // time from now may be useless to it.
+  void testReturningCallerIsRefusedOnceUseless() {
+    AdmissionView view = MakeView(0.5);
+    view.waitedMs = 4000;
+    CPPUNIT_ASSERT(IsAccepted(view));
+    view.waitedMs = 5000;
+    CPPUNIT_ASSERT(!IsAccepted(view));
+  }
+
+  void testMoreBacklogNeverAcceptsMore() {
+    CPPUNIT_ASSERT(rc::check("monotone in the backlog", [] {
+      AdmissionView less = AnyView();
+      AdmissionView more = less;
+      more.backlogWork += *rc::gen::inRange(0, 1000000000);
+      RC_ASSERT(IsAccepted(less) || !IsAccepted(more));
+    }));
+  }
+
+  void testHigherPriorityIsNeverRefusedBeforeALowerOne() {
+    CPPUNIT_ASSERT(rc::check("monotone in the priority", [] {
+      AdmissionView first = AnyView();
+      AdmissionView second = first;
+      second.level = *rc::gen::inRange(first.level, kLastLevel + 1);
+      RC_ASSERT(IsAccepted(first) || !IsAccepted(second));
+    }));
+  }
+
+  void testCorrectedChains() {
+    for (const ChainCase& one : kChains) {
+      AdmissionView view;
+      view.chainMs = one.chainMs;
+      view.chainFactor = one.factor;
+      view.objectiveMs = one.objectiveMs;
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(one.name, one.correctedMs,
+                                           CorrectedChainMs(view), 1e-6);
+    }
+  }
+
+  // A queue with a short objective must not lose its jobs to a learned factor
+  // while nothing waits.
+  void testCorrectionAloneRefusesNothing() {
+    Random random{1};
+    for (const double objectiveMs : {400.0, 1000.0, 5000.0}) {
+      AdmissionView view = MakeView(0);
+      view.objectiveMs = objectiveMs;
+      view.chainFactor = 4;
+      CPPUNIT_ASSERT(DecideAdmission(view, random).accepted);
+    }
+  }
+
   void testJobThatWouldEndTooLateIsRefused() {
     Random random{1};
     const AdmissionDecision decision = DecideAdmission(MakeView(20), random);
