Accept late jobs again, and refuse only what would be useless

Fillers are limited there by the neighbours that they disturb, so refusing one gives little to the others.

--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -17,10 +17,6 @@
 constexpr double kMaxRetrySeconds = 8;
 // The random factor on a retry delay is between 0.5 and 1.5.
 constexpr double kMinSpread = 0.5;
-// Share of its objective that a job may wait while processors are short even if
-// it misses the objective alone. A queue with a short objective would otherwise
-// be barred.
-constexpr double kLeastWaitShare = 1;
 // Share of all processors that long-running tasks may reserve.
 constexpr double kLongRunningShare = 0.84;
 
@@ -56,18 +52,6 @@
                   std::max(aView.chainMs, limit));
 }
 
-double LimitMs(const AdmissionView& aView) {
-  const double usefulMs = aView.objectiveMs * kUsefulObjectives;
-  if (!aView.isShort) {
-    return usefulMs;
-  }
-  const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
-  const double cost = (1.0 + aView.level) * std::max(1.0, aView.workRatio);
-  const double leastWaitMs = aView.objectiveMs * kLeastWaitShare / cost;
-  const double waitMs = std::max(aView.objectiveMs - ownMs, leastWaitMs);
-  return std::min(usefulMs, ownMs + waitMs);
-}
-
 std::string_view ToText(AdmissionReason aReason) {
   switch (aReason) {
     case AdmissionReason::InTime:
@@ -78,8 +62,6 @@
       return "long_running";
     case AdmissionReason::Useless:
       return "useless";
-    case AdmissionReason::LateWhileShort:
-      return "late_while_short";
     case AdmissionReason::NoRoom:
       return "no_room";
   }
@@ -103,21 +85,19 @@
   }
   const double rate = aView.capacityMilli * kUsableShare;
   const double queueMs = aView.backlogWork / rate;
-  const double ownMs = JobWorkMs(aView) + CorrectedChainMs(aView);
+  const double ownMs = JobWorkMs(aView) + aView.chainMs;
   decision.expectedMs = queueMs + ownMs;
-  const double limitMs = LimitMs(aView);
   const double usefulMs = aView.objectiveMs * kUsefulObjectives;
   const double endsMs = aView.waitedMs + decision.expectedMs;
-  if (decision.expectedMs <= limitMs && endsMs <= usefulMs) {
+  if (endsMs <= usefulMs) {
     decision.reason = endsMs <= aView.objectiveMs ? AdmissionReason::InTime
                                                   : AdmissionReason::Late;
     return decision;
   }
   decision.accepted = false;
-  decision.reason = endsMs <= usefulMs ? AdmissionReason::LateWhileShort
-                                       : AdmissionReason::Useless;
+  decision.reason = AdmissionReason::Useless;
   RetryView retry;
-  retry.roomMs = decision.expectedMs - limitMs;
+  retry.roomMs = decision.expectedMs - usefulMs;
   retry.waitedMs = aView.waitedMs;
   retry.usefulMs = usefulMs;
   retry.ownMs = ownMs;
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -42,13 +42,12 @@
 // Why a job was accepted or refused.
 enum class AdmissionReason : std::uint8_t {
   InTime,
-  Late,            // accepted, although it will miss its objective
-  LongRunning,     // accepted, since it waits for no backlog
-  Useless,         // it would end too late to be useful
-  LateWhileShort,  // it would miss its objective, and others with it
-  NoRoom           // for its long-running tasks
+  Late,         // accepted, although it will miss its objective
+  LongRunning,  // accepted, since it waits for no backlog
+  Useless,      // it would end too late to be useful
+  NoRoom        // for its long-running tasks
 };
-constexpr std::size_t kAdmissionReasons = 6;
+constexpr std::size_t kAdmissionReasons = 5;
 std::string_view ToText(AdmissionReason aReason);
 
 struct AdmissionDecision {
@@ -59,32 +58,25 @@
   double expectedMs = 0;  // until the job ends, from now
 };
 
-// Time that the job is expected to take once it starts.
+// Time that the job is expected to take once it starts, for its place in the
+// start order.
 //
 // A correction upwards leaves a third of the time in which the job is useful.
 // Jobs of a queue whose objective is short against their run time would
-// otherwise be refused even if nothing waits.
+// otherwise rank as useless even if nothing waits.
 double CorrectedChainMs(const AdmissionView& aView);
 
-// Latest expected end, in ms since its submission, of a job that is accepted.
-// It is three objectives unless processors are short; then it is the objective.
-// A job that can't be in time alone may wait for a share of its objective that
-// is smaller the lower its priority and the more work it has against others of
-// its class.
-double LimitMs(const AdmissionView& aView);
-
 // Decides whether to accept a new job.
 //
-// The job waits for the work that starts before it. In a burst, a job that is
-// expected to end later than three times its objective after its first refusal
-// is useless to its caller and is refused at once, so that the accepted ones
-// still end in time. For the retry delay see RetryAfterSeconds.
-//
 // Load pattern: wide jobs arrive at up to 2.6 times the capacity for some
-// seconds. A late job is worth a seventh of one in time, and the processors
-// that it uses make further jobs late. While processors are short, a job that
-// would miss its objective is refused, see LimitMs; a limit beyond the
-// objective would let the backlog grow until all jobs end that late.
+// seconds. The job waits only for the work that starts before it, so that what
+// is refused first has a low priority or much work. A job that is expected to
+// end later than three times its objective after its first refusal is useless
+// to its caller and is refused at once. One that would only be late is
+// accepted: fillers are limited by the neighbours that they disturb, so that a
+// refusal seldom makes another job faster. The learned factor isn't applied
+// here, since it contains waits and would count the backlog twice. For the
+// retry delay see RetryAfterSeconds.
 //
 // Long-running jobs keep their processors until they are cancelled. A job is
 // refused if its long-running tasks would raise the total that such tasks
