Move a slowed filler if that costs less than its pace

Fillers were stopped and moved below 30 % of their pace after 1.2 s, whatever a stop costs. A wide job waits for its slowest task, so that one slowed filler makes it late; where stops take 900 ms and tasks 1.4 s, a move costs more than it gains. The decision now compares both, with the deployment's times for stops, restores and checkpoints, and keeps the old rule where they aren't set.

--- a/src/bramleypath/workflow/Scheduler.h
+++ b/src/bramleypath/workflow/Scheduler.h
@@ -17,6 +17,7 @@
 #include "bramleypath/workflow/BacklogAhead.h"
 #include "bramleypath/workflow/Driver.h"
 #include "bramleypath/workflow/JobOrder.h"
+#include "bramleypath/workflow/FillerMoves.h"
 #include "bramleypath/workflow/LeaseEnds.h"
 #include "bramleypath/workflow/Neighbours.h"
 #include "bramleypath/workflow/Promises.h"
@@ -34,6 +35,8 @@
   Duration announceInterval = Millis(1500);
   // Factor on the run time of a task in another rack than its data.
   double farFactor = 1;
+  // None: fillers are moved by their pace alone.
+  std::optional<MoveCosts> moveCosts;
 };
 
 // The leader's view of one attempt that may be running.
--- a/src/bramleypath/workflow/internal/Pacing.cpp
+++ b/src/bramleypath/workflow/internal/Pacing.cpp
@@ -111,25 +111,50 @@
   }
 }
 
-// Stops a filler that has been slowed too much for too long, so that it resumes
-// from its checkpoint on another worker. The stops are spaced, so that a load
-// shift on many workers does not stop all of their fillers at once.
-void MoveIfHeavilySlowed(Scheduler& aScheduler, const StageSpec& aStage,
-                         Attempt& aAttempt, TimePoint aNow) {
+// Limits on moves. The stops are spaced, so that a load shift on many workers
+// does not stop all of their fillers at once.
+struct MoveLimits {
+  Duration slowedFor;  // before the filler is moved
+  Duration interval;   // between two moves
+};
+constexpr MoveLimits kLimitsWithCosts = {Millis(600), Millis(15)};
+constexpr MoveLimits kLimitsWithoutCosts = {Millis(1200), Millis(60)};
+
+bool IsHeavilySlowed(const Scheduler& aScheduler, const QueueId& aQueue,
+                     const StageSpec& aStage, const Attempt& aAttempt) {
   constexpr std::uint32_t kHeavilySlowedPercent = 30;
-  constexpr Duration kHeavilySlowedLimit = Millis(1200);
-  constexpr Duration kMoveInterval = Millis(60);
-  if (aAttempt.pace >= kHeavilySlowedPercent) {
+  const auto& costs = aScheduler.settings.moveCosts;
+  if (!costs) {
+    return aAttempt.pace < kHeavilySlowedPercent;
+  }
+  // Progress is reported in whole percent, and run times are estimates.
+  constexpr double kMostDone = 0.95;
+  constexpr double kPercent = 100;
+  const double done = std::min(kMostDone, aAttempt.percent / kPercent);
+  SlowedFiller filler;
+  filler.remainingMs = ExpectedRunMs(aScheduler, aQueue, aStage) * (1 - done);
+  filler.pacePercent = aAttempt.pace;
+  return IsWorthMoving(filler, *costs);
+}
+
+// Stops a filler that has been slowed too much for too long, so that it resumes
+// from its checkpoint on another worker.
+void MoveIfHeavilySlowed(Scheduler& aScheduler, const QueueId& aQueue,
+                         const StageSpec& aStage, Attempt& aAttempt,
+                         TimePoint aNow) {
+  if (!IsHeavilySlowed(aScheduler, aQueue, aStage, aAttempt)) {
     aAttempt.heavilySlowedSince.reset();
     return;
   }
   if (!aAttempt.heavilySlowedSince) {
     aAttempt.heavilySlowedSince = aNow;
   }
+  const MoveLimits& limits =
+      aScheduler.settings.moveCosts ? kLimitsWithCosts : kLimitsWithoutCosts;
   if (aStage.checkpoints && !aAttempt.stopReason &&
       aNow >= aScheduler.nextMoveAt &&
-      kHeavilySlowedLimit < aNow - *aAttempt.heavilySlowedSince) {
-    aScheduler.nextMoveAt = aNow + kMoveInterval;
+      limits.slowedFor < aNow - *aAttempt.heavilySlowedSince) {
+    aScheduler.nextMoveAt = aNow + limits.interval;
     RequestStop(aAttempt, "slowed too much", aNow);
   }
 }
@@ -162,7 +187,8 @@
   const bool mayBeOverridden = MustStopFillers(load.levels);
   for (std::size_t index = 0; index < percents.size(); ++index) {
     const auto& [key, attempt] = load.fillerAttempts[index];
-    MoveIfHeavilySlowed(aScheduler, StageOf(aState, key), *attempt, aNow);
+    MoveIfHeavilySlowed(aScheduler, aState.jobs.at(key.job).spec.queue,
+                        StageOf(aState, key), *attempt, aNow);
     if (attempt->pace == percents[index] && attempt->isPaceConfirmed &&
         !mayBeOverridden) {
       continue;
--- a/tests/platform/NodeSettingsTest.cpp
+++ b/tests/platform/NodeSettingsTest.cpp
@@ -43,6 +43,7 @@
   CPPUNIT_TEST(testCompleteFile);
   CPPUNIT_TEST(testErrorsNameTheKey);
   CPPUNIT_TEST(testLimits);
+  CPPUNIT_TEST(testMoveCostsNeedAllTimes);
   CPPUNIT_TEST(testMissingFile);
   CPPUNIT_TEST_SUITE_END();
 
@@ -63,6 +64,38 @@
     CPPUNIT_ASSERT_EQUAL(std::int64_t{6000}, ToMillis(settings->maxLease));
   }
 
+  // A missing or malformed time must not be taken for a move without cost.
+  void testMoveCostsNeedAllTimes() {
+    struct MoveCostsCase {
+      const char* keys;
+      bool areGiven;
+    };
+    const MoveCostsCase cases[] = {
+        {R"("task_stop_limit_ms": 200, "task_restore_ms": 250,)", false},
+        {R"("task_stop_limit_ms": 200, "task_restore_ms": 250,
+            "checkpoint_interval_s": 0.5,)",
+         true},
+        {R"("task_stop_limit_ms": "x", "task_restore_ms": 250,
+            "checkpoint_interval_s": 0.5,)",
+         false},
+        {R"("task_stop_limit_ms": 200, "task_restore_ms": -1,
+            "checkpoint_interval_s": 0.5,)",
+         false},
+        {R"("task_stop_limit_ms": 1e300, "task_restore_ms": 250,
+            "checkpoint_interval_s": 0.5,)",
+         false},
+    };
+    for (const MoveCostsCase& one : cases) {
+      std::string text = kCompleteFile;
+      text.insert(text.find('{') + 1, one.keys);
+      std::string reason;
+      const auto settings = this->Load(text, reason);
+      CPPUNIT_ASSERT_MESSAGE(reason, settings.has_value());
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(one.keys, one.areGiven,
+                                   settings->moveCosts.has_value());
+    }
+  }
+
   void testErrorsNameTheKey() {
     for (const ErrorCase& one : kErrors) {
       std::string reason;
