--- a/tests/relay/RelayTest.cpp
+++ b/tests/relay/RelayTest.cpp
@@ -194,10 +194,13 @@
         {"the job may be stored", kTerm + 1, 0, false, 504},
     };
     for (const Row& row : rows) {
+      ControlHost* leader = nullptr;
       ControlHost host(
           this->context, kFirst.value + ":0",
-          [&row](std::size_t aNumber) -> std::optional<net::HttpResponse> {
+          [&row,
+           &leader](std::size_t aNumber) -> std::optional<net::HttpResponse> {
             if (aNumber == 1) {
+              leader->term = row.termAfterwards;
               return std::nullopt;
             }
             const bool isRefused = aNumber > 1;
@@ -216,9 +219,9 @@
             return response;
           });
       Front front(this->context, {kFirst}, host.Port());
+      leader = &host;
       host.term = kTerm;
       CPPUNIT_ASSERT_EQUAL(200U, front.Call("/jobs/1").response.status);
-      host.term = row.termAfterwards;
       const TimePoint begin = net::Now();
       CPPUNIT_ASSERT_EQUAL_MESSAGE(row.label, row.expected,
                                    front.Call("/jobs/2").response.status);
