--- a/src/bramleypath/net/ConnectionRegistry.cpp
+++ b/src/bramleypath/net/ConnectionRegistry.cpp
@@ -199,8 +199,12 @@
   const auto isOpen = [](const ConnectionUse& aUse) { return !aUse.closing; };
   const auto open = static_cast<std::size_t>(
       std::count_if(this->uses.begin(), this->uses.end(), isOpen));
+  // Connections that were closed in this turn of the event loop still have
+  // their descriptors.
+  const std::size_t closing = this->uses.size() - open;
+  const std::size_t wanted = excess - std::min(excess, closing);
   this->CloseAll(
-      ChooseForCount(this->uses, std::nullopt, open - std::min(open, excess)),
+      ChooseForCount(this->uses, std::nullopt, open - std::min(open, wanted)),
       this->counters.closedForCount);
 }
 
--- a/src/bramleypath/workflow/Admission.cpp
+++ b/src/bramleypath/workflow/Admission.cpp
@@ -20,8 +20,7 @@
 // Share of all processors that long-running tasks may reserve.
 constexpr double kLongRunningShare = 0.84;
 
-// Share of the useful time up to which the chain is corrected, with the time
-// that the job's work takes.
+// Share of the useful time up to which the chain is corrected.
 constexpr double kMaxOwnShare = 0.67;
 
 std::uint32_t RetryAfter(double aSeconds, Random& aRandom) {
@@ -45,11 +44,9 @@
 
 }  // namespace
 
-double CorrectedChainMs(const AdmissionView& aView) {
-  const double limit =
-      aView.objectiveMs * kUsefulObjectives * kMaxOwnShare - JobWorkMs(aView);
-  return std::min(aView.chainMs * aView.chainFactor,
-                  std::max(aView.chainMs, limit));
+double CorrectedChainMs(double aChainMs, double aFactor, double aObjectiveMs) {
+  const double limitMs = aObjectiveMs * kUsefulObjectives * kMaxOwnShare;
+  return std::min(aChainMs * aFactor, std::max(aChainMs, limitMs));
 }
 
 std::string_view ToText(AdmissionReason aReason) {
@@ -88,7 +85,9 @@
   const double ownMs = JobWorkMs(aView) + aView.chainMs;
   decision.expectedMs = queueMs + ownMs;
   const double usefulMs = aView.objectiveMs * kUsefulObjectives;
-  const double endsMs = aView.waitedMs + decision.expectedMs;
+  // A job that has to wait for nothing is accepted whenever its caller returns.
+  const double waitedMs = queueMs > 0 ? aView.waitedMs : 0;
+  const double endsMs = waitedMs + decision.expectedMs;
   if (endsMs <= usefulMs) {
     decision.reason = endsMs <= aView.objectiveMs ? AdmissionReason::InTime
                                                   : AdmissionReason::Late;
--- a/src/bramleypath/workflow/Admission.h
+++ b/src/bramleypath/workflow/Admission.h
@@ -58,13 +58,13 @@
   double expectedMs = 0;  // until the job ends, from now
 };
 
-// Time that the job is expected to take once it starts, for its place in the
-// start order.
+// Time in ms that a job, or the rest of it, is expected to take once it starts,
+// for its place in the start order.
 //
 // A correction upwards leaves a third of the time in which the job is useful.
 // Jobs of a queue whose objective is short against their run time would
 // otherwise rank as useless even if nothing waits.
-double CorrectedChainMs(const AdmissionView& aView);
+double CorrectedChainMs(double aChainMs, double aFactor, double aObjectiveMs);
 
 // Decides whether to accept a new job.
 //
--- a/src/bramleypath/workflow/Drains.cpp
+++ b/src/bramleypath/workflow/Drains.cpp
@@ -25,6 +25,9 @@
 DrainChange Set(Drains& aDrains, const DataCentreId& aDataCentre,
                 bool aDrained) {
   if (IsDrained(aDrains, aDataCentre) == aDrained) {
+    if (!aDrained) {
+      RememberEnd(aDrains.recentlyEnded, aDataCentre);
+    }
     return DrainChange::Unchanged;
   }
   if (!aDrained) {
--- a/src/bramleypath/workflow/FillerMoves.cpp
+++ b/src/bramleypath/workflow/FillerMoves.cpp
@@ -11,6 +11,9 @@
 constexpr double kMinGain = 1.3;
 constexpr double kFullPace = 100;
 constexpr double kMinPace = 1;
+// A pace is assumed to last no longer than this, since the load of serving
+// tasks changes within seconds.
+constexpr double kPaceLastsMs = 5000;
 
 }  // namespace
 
@@ -24,7 +27,8 @@
 
 bool IsWorthMoving(const SlowedFiller& aFiller, const MoveCosts& aCosts) {
   const double pace = std::max(kMinPace, aFiller.pacePercent);
-  const double lostMs = aFiller.remainingMs * (kFullPace / pace - 1);
+  const double slowedMs = std::min(aFiller.remainingMs, kPaceLastsMs);
+  const double lostMs = slowedMs * (kFullPace / pace - 1);
   return lostMs > MoveMs(aCosts) * kMinGain;
 }
 
--- a/src/bramleypath/workflow/internal/CellLoad.cpp
+++ b/src/bramleypath/workflow/internal/CellLoad.cpp
@@ -67,7 +67,10 @@
   double longRunning = 0;
   double filling = 0;
   for (const auto& [number, worker] : aState.workers) {
-    if (!worker.spec.draining && !IsDrained(aState, worker)) {
+    if (IsDrained(aState, worker)) {
+      // Its long-running tasks go on there and take nothing from other workers.
+      aLoad.workersMilli += UseOf(aScheduler, aState, worker).longRunning;
+    } else if (!worker.spec.draining) {
       aLoad.workersMilli +=
           static_cast<double>(worker.spec.capacity.processorsMilli);
     }
@@ -107,7 +110,8 @@
   WaitingJob job;
   job.ageMs = aView.waitedMs;
   job.objectiveMs = aView.objectiveMs;
-  job.remainingMs = CorrectedChainMs(aView);
+  job.remainingMs =
+      CorrectedChainMs(aView.chainMs, aView.chainFactor, aView.objectiveMs);
   job.level = aView.level;
   job.workRatio = aView.workRatio;
   aView.backlogWork = WorkAhead(
--- a/src/bramleypath/workflow/internal/JobRanking.cpp
+++ b/src/bramleypath/workflow/internal/JobRanking.cpp
@@ -120,7 +120,8 @@
     AddRemainingWork(aJob, occurrence, estimate.stageRunMs,
                      aScheduler.cellLoad);
   }
-  waiting.remainingMs *= estimate.chainFactor;
+  waiting.remainingMs = CorrectedChainMs(
+      waiting.remainingMs, estimate.chainFactor, estimate.objectiveMs);
   aRanked.reserving =
       WorkSince(before.reserving, aScheduler.cellLoad.reserving);
   aRanked.filling = WorkSince(before.filling, aScheduler.cellLoad.filling);
--- a/src/bramleypath/workflow/internal/Pacing.cpp
+++ b/src/bramleypath/workflow/internal/Pacing.cpp
@@ -121,12 +121,17 @@
 constexpr MoveLimits kLimitsWithoutCosts = {Millis(1200), Millis(60)};
 
 bool IsHeavilySlowed(const Scheduler& aScheduler, const QueueId& aQueue,
-                     const StageSpec& aStage, const Attempt& aAttempt) {
+                     const StageSpec& aStage, const Attempt& aAttempt,
+                     TimePoint aNow) {
   constexpr std::uint32_t kHeavilySlowedPercent = 30;
   const auto& costs = aScheduler.settings.moveCosts;
   if (!costs) {
     return aAttempt.pace < kHeavilySlowedPercent;
   }
+  // An attempt without a checkpoint of its own would be moved for nothing.
+  if (aNow - aAttempt.sentAt < costs->restore + costs->checkpointInterval) {
+    return false;
+  }
   // Progress is reported in whole percent, and run times are estimates.
   constexpr double kMostDone = 0.95;
   constexpr double kPercent = 100;
@@ -142,7 +147,7 @@
 void MoveIfHeavilySlowed(Scheduler& aScheduler, const QueueId& aQueue,
                          const StageSpec& aStage, Attempt& aAttempt,
                          TimePoint aNow) {
-  if (!IsHeavilySlowed(aScheduler, aQueue, aStage, aAttempt)) {
+  if (!IsHeavilySlowed(aScheduler, aQueue, aStage, aAttempt, aNow)) {
     aAttempt.heavilySlowedSince.reset();
     return;
   }
--- a/tests/net/ListenerBoundsTest.cpp
+++ b/tests/net/ListenerBoundsTest.cpp
@@ -76,6 +76,7 @@
   CPPUNIT_TEST(testRequestOverTheBoundIsRefused);
   CPPUNIT_TEST(testLongestIdleConnectionGivesWay);
   CPPUNIT_TEST(testOwnDescriptorsTakeTheRoomOfIdleClients);
+  CPPUNIT_TEST(testResetsBeforeTheAcceptLoseNoSlot);
   CPPUNIT_TEST(testManyValuesAreRefused);
   CPPUNIT_TEST(testSendAfterTheClientLeft);
   CPPUNIT_TEST_SUITE_END();
@@ -153,6 +154,24 @@
     CPPUNIT_ASSERT_EQUAL(std::string(), ReadSome(idle));
   }
 
+  // Guards against a listener that accepts nothing any more after clients have
+  // reset connections that were waiting to be accepted.
+  void testResetsBeforeTheAcceptLoseNoSlot() {
+    HttpLimits limits;
+    limits.maxConnections = 4;
+    Fixture fixture(limits);
+    constexpr std::size_t kResets = 40;
+    fixture.clients.reserve(kResets + 1);
+    for (std::size_t index = 0; index < kResets; ++index) {
+      auto& client = fixture.Connect("");
+      client.set_option(asio::socket_base::linger(true, 0));
+      client.close();
+    }
+    fixture.Connect(Head(0));
+    CPPUNIT_ASSERT(
+        fixture.Run([&fixture] { return fixture.waiting.size() == 1; }));
+  }
+
   void testManyValuesAreRefused() {
     HttpLimits limits;
     limits.maxBodyValues = 3;
--- a/tests/workflow/AdmissionTest.cpp
+++ b/tests/workflow/AdmissionTest.cpp
@@ -168,6 +168,8 @@
     CPPUNIT_ASSERT(IsAccepted(view));
     view.waitedMs = 5000;
     CPPUNIT_ASSERT(!IsAccepted(view));
+    view.backlogWork = 0;
+    CPPUNIT_ASSERT(IsAccepted(view));
   }
 
   void testMoreBacklogNeverAcceptsMore() {
@@ -190,12 +192,9 @@
 
   void testCorrectedChains() {
     for (const ChainCase& one : kChains) {
-      AdmissionView view;
-      view.chainMs = one.chainMs;
-      view.chainFactor = one.factor;
-      view.objectiveMs = one.objectiveMs;
-      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(one.name, one.correctedMs,
-                                           CorrectedChainMs(view), 1e-6);
+      CPPUNIT_ASSERT_DOUBLES_EQUAL_MESSAGE(
+          one.name, one.correctedMs,
+          CorrectedChainMs(one.chainMs, one.factor, one.objectiveMs), 1e-6);
     }
   }
 
--- a/tests/workflow/DrainTest.cpp
+++ b/tests/workflow/DrainTest.cpp
@@ -341,7 +341,7 @@
     const auto view = [&] {
       cell.Run(Millis(600));
       return ViewForAdmission(*cell.scheduler, MakeJob("job"),
-                              cell.state.layout.queues[0]);
+                              cell.state.layout.queues[0], cell.now);
     };
     const AdmissionView full = view();
     SetDrained(cell, true);
--- a/tests/workflow/FillerMovesTest.cpp
+++ b/tests/workflow/FillerMovesTest.cpp
@@ -28,6 +28,7 @@
     {"short run, moves are dear", 1400, 40, kDearMoves, false},
     {"long run, moves are dear", 5000, 40, kDearMoves, true},
     {"nothing left", 0, 0, kCheapMoves, false},
+    {"very long run, slowed a little", 60000, 90, kCheapMoves, false},
 };
 
 }  // namespace
