Keep the connection limiter, and let resets before the accept cost no slot

Without the limiter a burst of accepts passed the descriptor limit before the closes of that turn were done: process_bounded_memory_idle saw 426 of 400. The limiter is back, and the socket's remote endpoint no longer throws for a connection that is reset already, which is what lost its slots.

--- a/src/bramleypath/net/BoundedSocket.h
+++ b/src/bramleypath/net/BoundedSocket.h
@@ -32,6 +32,15 @@
   BoundedSocket& operator=(BoundedSocket&& aOther) = default;
   ~BoundedSocket() { this->Release(); }
 
+  // RESTinio reads the endpoint of an accepted connection in this way. An
+  // exception for one that is reset already would cost its connection limiter a
+  // slot for good, so such a connection is started and fails at its first read.
+  BoundedSocket& lowest_layer() { return *this; }  // NOLINT
+  endpoint_type remote_endpoint() const {          // NOLINT
+    asio::error_code ignored;
+    return Base::remote_endpoint(ignored);
+  }
+
   // Registers the connection while aStart runs.
   template <typename Start>
   void Track(Start aStart) {
--- a/src/bramleypath/net/HttpListener.cpp
+++ b/src/bramleypath/net/HttpListener.cpp
@@ -120,12 +120,9 @@
 };
 
 struct ListenerTraits : restinio::default_single_thread_traits_t {
-  // The limiter of the library loses a slot with each connection that is reset
-  // before it is accepted, and accepts none once all slots are lost. The
-  // registry keeps the limit.
-  static constexpr bool use_connection_count_limiter = false;  // NOLINT
-  using connection_state_listener_t = OpenConnections;         // NOLINT
-  using stream_socket_t = detail::BoundedSocket;               // NOLINT
+  static constexpr bool use_connection_count_limiter = true;  // NOLINT
+  using connection_state_listener_t = OpenConnections;        // NOLINT
+  using stream_socket_t = detail::BoundedSocket;              // NOLINT
 };
 using Server = restinio::http_server_t<ListenerTraits>;
 
@@ -374,12 +371,16 @@
           .port(port)
           .request_handler(onRequest)
           .connection_state_listener(this->state->connections)
+          // New connections are accepted above the limit, and others closed.
+          .max_parallel_connections(limits.maxConnections +
+                                    AcceptsPerTurn(limits))
           .concurrent_accepts_count(AcceptsPerTurn(limits))
           .read_next_http_message_timelimit(ToChrono(limits.idleTimeout))
           .write_http_response_timelimit(ToChrono(limits.writeTimeout))
           .handle_request_timeout(ToChrono(limits.handleTimeout))
           .socket_options_setter([](auto& aOptions) {
-            aOptions.set_option(asio::ip::tcp::no_delay(true));
+            asio::error_code ignored;  // the connection may be reset already
+            aOptions.set_option(asio::ip::tcp::no_delay(true), ignored);
           })
           .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor& aBound) {
             const auto endpoint = aBound.local_endpoint();
