--- a/review/common-3/standin.py
+++ b/review/common-3/standin.py
@@ -50,7 +50,9 @@
     ip, port = address.split(":")
     connection = http.client.HTTPConnection(ip, int(port), timeout=timeout_s)
     try:
-        data = None if body is None else json.dumps(body, separators=(",", ":"))
+        data = body
+        if body is not None and not isinstance(body, str):
+            data = json.dumps(body, separators=(",", ":"))
         connection.request(method, path, data,
                            {"Content-Type": "application/json",
                             **(headers or {})})
@@ -402,7 +404,9 @@
             "tolerated_hosts": 1, "announce_interval_ms": HEARTBEAT_MS,
             "max_lease_ms": MAX_HOLD_MS, "shutdown_limit_s": GRACE_S,
             "task_stop_limit_ms": STOP_MS, "task_restore_ms": 600,
-            "checkpoint_interval_s": 0.5, "far_factor": 1.5}
+            "checkpoint_interval_s": 0.5, "far_factor": 1.5,
+            "memory_mb": 260 if role == "front" else 256,
+            "file_descriptors": 4100 if role == "front" else 4096}
         if role == "front":
             settings["frontend"] = f"{ip}:{ports['front']}"
             settings["readiness"] = f"{ip}:{ports['ready']}"
